--- /dev/null
+++ b/crates/stackpier-cli/src/print.rs
@@ -0,0 +1,92 @@
+// SPDX-License-Identifier: Apache-2.0
+//! Answers as text or JSON.
+
+use serde::Serialize;
+use stackpier_core::{Error, Kind, Result};
+use stackpier_protocol::operator::{Accepted, Listed, Status, TaskStatus};
+use stackpier_state::{
+    homes::Place,
+    intent::{Kind as IntentKind, Object},
+};
+
+use crate::command::Given;
+
+/// accepted prints the answer to a change.
+pub fn accepted(given: &Given, accepted: Accepted) -> Result<()> {
+    if given.json {
+        return json(&accepted);
+    }
+    println!(
+        "accepted '{}' at version {}",
+        accepted.name, accepted.version
+    );
+    Ok(())
+}
+
+/// list prints the accepted intents.
+pub fn list(given: &Given, listed: Listed) -> Result<()> {
+    if given.json {
+        return json(&listed.objects);
+    }
+    println!(
+        "{:<32} {:<8} {:<16} {:>8}  STATE",
+        "NAME", "KIND", "TEAM", "VERSION"
+    );
+    listed.objects.iter().for_each(row);
+    Ok(())
+}
+
+/// object prints one intent.
+pub fn object(given: &Given, object: Object) -> Result<()> {
+    if given.json {
+        return json(&object);
+    }
+    row(&object);
+    Ok(())
+}
+
+/// status prints an intent and its tasks.
+pub fn status(given: &Given, status: Status) -> Result<()> {
+    if given.json {
+        return json(&status);
+    }
+    row(&status.object);
+    status.tasks.iter().for_each(task);
+    Ok(())
+}
+
+fn row(object: &Object) {
+    let intent = &object.intent;
+    let kind = match intent.kind {
+        IntentKind::Service(_) => "service",
+        IntentKind::Batch(_) => "batch",
+    };
+    let state = match object.cancelled {
+        true => "cancelled",
+        false => "wanted",
+    };
+    println!(
+        "{:<32} {kind:<8} {:<16} {:>8}  {state}",
+        intent.name, intent.team, object.version
+    );
+}
+
+fn task(task: &TaskStatus) {
+    let place = match task.place {
+        Place::Pending => "waits for a worker".to_owned(),
+        Place::Claimed(claim) if task.running => format!("runs on {}", claim.worker),
+        Place::Claimed(claim) => format!("claimed for {}", claim.worker),
+        Place::Ended(end) => format!("ended: {end:?}").to_lowercase(),
+    };
+    println!(
+        "  {:<16} task {:<5} attempt {:<4} {place}",
+        task.data_centre, task.index, task.attempt.0
+    );
+}
+
+fn json<T: Serialize>(value: &T) -> Result<()> {
+    let text = serde_json::to_string_pretty(value)
+        .map_err(|error| Error::new(Kind::Internal, error.to_string()))?;
+    println!("{text}");
+    Ok(())
+}
--- /dev/null
+++ b/crates/stackpier-coordination/src/accept.rs
@@ -0,0 +1,183 @@
+// SPDX-License-Identifier: Apache-2.0
+//! Acceptance of an operator's change by compare-and-swap, settled also when
+//! replies of the store are lost.
+//!
+//! A change is accepted once a page with its submission was read back or the
+//! swap was confirmed. An unclear swap is tried again at the revision read
+//! back: either the late one took effect and the submission is found, or the
+//! new one wins and the late one never can.
+
+use stackpier_core::{Error, Kind, Name, Result, key::Job};
+use stackpier_protocol::operator::Accepted;
+use stackpier_state::{
+    Page, Revision,
+    intent::{Intent, KEPT_SUBMISSIONS, Object, Shard},
+    page::{ABSENT, Fetched, Swapped},
+};
+
+use crate::effect::Writer;
+
+/// MAX_ROUNDS is how often a change is tried against racing writers.
+pub const MAX_ROUNDS: u32 = 40;
+
+/// Wanted is what the operator asks for.
+#[derive(Clone, Debug)]
+pub enum Wanted {
+    /// Store this intent.
+    Submit(Intent),
+    /// Cancel the intent of this name.
+    Cancel(Name),
+}
+
+/// Change is one submission.
+#[derive(Clone, Debug)]
+pub struct Change {
+    /// Id of the submission.
+    pub submission: u128,
+    /// The version the operator saw: `None` takes any, zero wants none.
+    pub expect: Option<u64>,
+    /// What is asked for.
+    pub wanted: Wanted,
+}
+
+impl Change {
+    /// name returns the name of the intent.
+    pub fn name(&self) -> Name {
+        match &self.wanted {
+            Wanted::Submit(intent) => intent.name,
+            Wanted::Cancel(name) => *name,
+        }
+    }
+
+    /// apply makes the change on a copy of a page. `None` says that the page
+    /// has this submission already.
+    pub fn apply(&self, page: &Shard) -> Result<Option<Shard>> {
+        let old = page.object(self.name());
+        if old.is_some_and(|old| old.submissions.contains(&self.submission)) {
+            return Ok(None);
+        }
+        let version = old.map_or(0, |old| old.version);
+        if self.expect.is_some_and(|expect| expect != version) {
+            let text = format!("'{}' is at version {version}", self.name());
+            return Err(Error::new(Kind::Conflict, text));
+        }
+        let mut next = page.clone();
+        next.put(self.object(old)?);
+        Ok(Some(next))
+    }
+
+    fn object(&self, old: Option<&Object>) -> Result<Object> {
+        let mut submissions = old.map_or_else(Vec::new, |old| old.submissions.clone());
+        submissions.push(self.submission);
+        let excess = submissions.len().saturating_sub(KEPT_SUBMISSIONS);
+        submissions.drain(..excess);
+        let version = old.map_or(0, |old| old.version) + 1;
+        match &self.wanted {
+            Wanted::Submit(intent) => Ok(Object {
+                job: self.job(old),
+                version,
+                submissions,
+                cancelled: false,
+                intent: intent.clone(),
+            }),
+            Wanted::Cancel(name) => {
+                let missing = || Error::new(Kind::NotFound, format!("no intent '{name}'"));
+                let old = old.ok_or_else(missing)?;
+                Ok(Object {
+                    version,
+                    submissions,
+                    cancelled: true,
+                    ..old.clone()
+                })
+            }
+        }
+    }
+
+    /// job keeps the key of a running intent; one submitted again after it
+    /// was cancelled is a new job.
+    fn job(&self, old: Option<&Object>) -> Job {
+        match old.filter(|old| !old.cancelled) {
+            Some(old) => old.job,
+            None => Job((self.submission ^ (self.submission >> 64)) as u64),
+        }
+    }
+}
+
+/// Next is what the acceptance needs done.
+#[derive(Clone, Debug)]
+pub enum Next {
+    /// Read the intents page.
+    Read,
+    /// Swap the intents page.
+    Swap(Revision, Page),
+    /// Answer the operator. A page newly accepted is handed out with its
+    /// revision.
+    Answer(Result<Accepted>, Option<(Revision, Shard)>),
+}
+
+/// Acceptance is the machine for one change.
+#[derive(Debug)]
+pub struct Acceptance {
+    change: Change,
+    written: Option<Shard>,
+    unclear: bool,
+    rounds: u32,
+}
+
+impl Acceptance {
+    /// new starts with reading the page.
+    pub fn new(change: Change) -> (Acceptance, Next) {
+        let acceptance = Acceptance {
+            change,
+            written: None,
+            unclear: false,
+            rounds: 0,
+        };
+        (acceptance, Next::Read)
+    }
+
+    /// read takes the page.
+    pub fn read(&mut self, fetched: Fetched, writer: &mut Writer) -> Next {
+        let (revision, page) = match fetched {
+            Fetched::Found(revision, Page::Intents(page)) => (revision, page),
+            Fetched::Absent => (ABSENT, Shard::default()),
+            Fetched::Found(..) | Fetched::Failed => return self.fail("the store gave no answer"),
+        };
+        match self.change.apply(&page) {
+            Err(error) => Next::Answer(Err(error), None),
+            Ok(None) => self.accepted(revision, page),
+            Ok(Some(mut next)) => {
+                next.write = writer.number();
+                self.written = Some(next.clone());
+                Next::Swap(revision, Page::Intents(next))
+            }
+        }
+    }
+
+    /// swapped takes the outcome of a swap.
+    pub fn swapped(&mut self, swap: Swapped) -> Next {
+        self.rounds += 1;
+        if let (Swapped::Won(revision), Some(page)) = (swap, self.written.take()) {
+            return self.accepted(revision, page);
+        }
+        self.unclear |= swap == Swapped::Unclear;
+        if self.rounds >= MAX_ROUNDS {
+            return self.fail("too many operators change this shard at once");
+        }
+        Next::Read
+    }
+
+    fn accepted(&self, revision: Revision, page: Shard) -> Next {
+        let name = self.change.name();
+        let version = page.object(name).map_or(0, |object| object.version);
+        Next::Answer(Ok(Accepted { name, version }), Some((revision, page)))
+    }
+
+    fn fail(&self, text: &str) -> Next {
+        let kind = match self.unclear {
+            true => Kind::WriteUnknown,
+            false => Kind::StoreUnavailable,
+        };
+        Next::Answer(Err(Error::new(kind, text)), None)
+    }
+}
--- /dev/null
+++ b/crates/stackpier-coordination/src/limit.rs
@@ -0,0 +1,72 @@
+// SPDX-License-Identifier: Apache-2.0
+//! The limit on requests in flight to one upstream. It starts from a fair
+//! share of the upstream's slots and adapts to refusals and delay, as the
+//! entry VMs share the slots without talking to each other.
+
+/// Options are the bounds and steps of a limit.
+#[derive(Clone, Copy, Debug)]
+pub struct Options {
+    /// Where the limit starts.
+    pub start: f64,
+    /// The lowest limit.
+    pub least: f64,
+    /// The highest limit.
+    pub most: f64,
+    /// Factor on a refusal.
+    pub shrink: f64,
+    /// What a full round of answers within the limit adds.
+    pub grow: f64,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Options {
+            start: 4.0,
+            least: 1.0,
+            most: 8.0,
+            shrink: 0.7,
+            grow: 0.5,
+        }
+    }
+}
+
+/// Limit bounds the requests in flight to one upstream.
+#[derive(Clone, Copy, Debug)]
+pub struct Limit {
+    options: Options,
+    value: f64,
+}
+
+impl Limit {
+    /// new starts at `options.start`.
+    pub fn new(options: Options) -> Limit {
+        Limit {
+            options,
+            value: options.start,
+        }
+    }
+
+    /// allows tells whether one more may be sent.
+    pub fn allows(&self, in_flight: u32) -> bool {
+        f64::from(in_flight) + 1.0 <= self.value
+    }
+
+    /// value returns the limit now.
+    pub fn value(&self) -> f64 {
+        self.value
+    }
+
+    /// answered takes a good answer that came while `in_flight` were out; the
+    /// limit only grows where it is used.
+    pub fn answered(&mut self, in_flight: u32) {
+        if f64::from(in_flight) + 1.0 >= self.value {
+            let step = self.options.grow / self.value;
+            self.value = (self.value + step).min(self.options.most);
+        }
+    }
+
+    /// refused takes a refusal for want of slots.
+    pub fn refused(&mut self) {
+        self.value = (self.value * self.options.shrink).max(self.options.least);
+    }
+}
--- /dev/null
+++ b/crates/stackpier-coordination/src/membership.rs
@@ -0,0 +1,275 @@
+// SPDX-License-Identifier: Apache-2.0
+//! Which daemons and workers are there: the platform's lagging list joined
+//! with heartbeats.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use stackpier_core::{
+    Millis, Name,
+    key::{Boot, weight},
+};
+use stackpier_protocol::{
+    peer::{Heartbeat, HeartbeatReply},
+    platform::{Role, Roster, Standing, Vm},
+};
+use stackpier_state::holders::Member;
+
+/// Options are the times membership goes by.
+#[derive(Clone, Copy, Debug)]
+pub struct Options {
+    /// A daemon without a word for this long is taken as unreachable.
+    pub silence_ms: u64,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Options { silence_ms: 3_000 }
+    }
+}
+
+/// Daemon is what is known of one entry VM.
+#[derive(Clone, Copy, Debug)]
+struct Daemon {
+    boot: Boot,
+    data_centre: Name,
+    leaving: bool,
+    heard: Millis,
+}
+
+/// Table is one daemon's view of the others.
+#[derive(Debug)]
+pub struct Table {
+    me: Member,
+    data_centre: Name,
+    options: Options,
+    roster: BTreeMap<Name, Vm>,
+    daemons: BTreeMap<Name, Daemon>,
+    /// Runs of daemons that are over, with the VM they ran on.
+    ended: BTreeSet<Member>,
+    /// Workers that a peer knows to be leaving or gone.
+    departing: BTreeSet<Name>,
+    stopping: bool,
+}
+
+impl Table {
+    /// new starts a view that knows nobody but its own daemon.
+    pub fn new(me: Member, data_centre: Name, options: Options) -> Table {
+        Table {
+            me,
+            data_centre,
+            options,
+            roster: BTreeMap::new(),
+            daemons: BTreeMap::new(),
+            ended: BTreeSet::new(),
+            departing: BTreeSet::new(),
+            stopping: false,
+        }
+    }
+
+    /// me returns the own daemon.
+    pub fn me(&self) -> Member {
+        self.me
+    }
+
+    /// data_centre returns the own data centre.
+    pub fn data_centre(&self) -> Name {
+        self.data_centre
+    }
+
+    /// stop marks the own daemon as stopping.
+    pub fn stop(&mut self) {
+        self.stopping = true;
+    }
+
+    /// stopping tells whether the own daemon is stopping.
+    pub fn stopping(&self) -> bool {
+        self.stopping
+    }
+
+    /// list takes the platform's list. A VM once listed gone stays gone, and
+    /// one once leaving does not come back as live, as the list may lag.
+    pub fn list(&mut self, roster: Roster) {
+        for vm in roster.vms {
+            let standing = self.roster.get(&vm.name).map(|old| old.standing);
+            let kept = worse(standing.unwrap_or(Standing::Live), vm.standing);
+            self.roster.insert(
+                vm.name,
+                Vm {
+                    standing: kept,
+                    ..vm
+                },
+            );
+        }
+    }
+
+    /// heard takes a heartbeat of another daemon.
+    pub fn heard(&mut self, now: Millis, beat: &Heartbeat) {
+        self.departing.extend(beat.departing.iter().copied());
+        self.sighted(now, beat.from, beat.data_centre, beat.leaving);
+    }
+
+    /// answered takes the reply to an own heartbeat.
+    pub fn answered(&mut self, now: Millis, reply: &HeartbeatReply) {
+        let listed = self.roster.get(&reply.from.vm).map(|vm| vm.data_centre);
+        if let Some(data_centre) = listed {
+            self.sighted(now, reply.from, data_centre, reply.leaving);
+        }
+    }
+
+    fn sighted(&mut self, now: Millis, from: Member, data_centre: Name, leaving: bool) {
+        let before = self.daemons.get(&from.vm).copied();
+        let known = before.map_or(from.boot, |daemon| daemon.boot);
+        // Boots are ordered by their start, so a late word of an earlier run
+        // never ends a later one.
+        if known != from.boot {
+            self.ended.insert(Member {
+                vm: from.vm,
+                boot: known.min(from.boot),
+            });
+        }
+        if from.boot < known || self.ended.contains(&from) {
+            return;
+        }
+        let stays = before.is_some_and(|daemon| daemon.boot == from.boot && daemon.leaving);
+        self.daemons.insert(
+            from.vm,
+            Daemon {
+                boot: from.boot,
+                data_centre,
+                leaving: leaving || stays,
+                heard: now,
+            },
+        );
+    }
+
+    /// gone tells whether a run of a daemon is proven to be over: its VM is
+    /// listed gone, or the VM runs a later one.
+    pub fn gone(&self, member: Member) -> bool {
+        let listed = self.roster.get(&member.vm).map(|vm| vm.standing);
+        listed == Some(Standing::Gone) || self.ended.contains(&member)
+    }
+
+    /// live returns the daemons of a data centre that can be given work: heard
+    /// of lately, neither leaving nor gone. Ours is among them unless it is
+    /// stopping.
+    pub fn live(&self, now: Millis, data_centre: Name) -> Vec<Member> {
+        let mut live: Vec<Member> = self
+            .daemons
+            .iter()
+            .filter(|(_, daemon)| daemon.data_centre == data_centre && !daemon.leaving)
+            .filter(|(_, daemon)| now.since(daemon.heard) < self.options.silence_ms)
+            .map(|(vm, daemon)| Member {
+                vm: *vm,
+                boot: daemon.boot,
+            })
+            .filter(|member| !self.listed_departing(member.vm) && !self.gone(*member))
+            .collect();
+        if data_centre == self.data_centre && !self.stopping {
+            live.push(self.me);
+        }
+        live.sort();
+        live
+    }
+
+    /// alive tells whether a run of a daemon was heard of lately and is not
+    /// leaving.
+    pub fn alive(&self, now: Millis, member: Member) -> bool {
+        self.live(now, self.data_centre).contains(&member)
+    }
+
+    /// preferred tells whether this daemon is the one that normally does the
+    /// work on `item` in its data centre. It is a hint against contention, not
+    /// a right.
+    pub fn preferred(&self, now: Millis, item: &str) -> bool {
+        let live = self.live(now, self.data_centre);
+        let best = live
+            .iter()
+            .max_by_key(|member| (weight(item.as_bytes(), member.boot.0), **member));
+        best == Some(&self.me)
+    }
+
+    /// standing returns what is known of a worker from the list and peers.
+    pub fn standing(&self, worker: Name) -> Option<Standing> {
+        let listed = self.roster.get(&worker)?.standing;
+        let told = match self.departing.contains(&worker) {
+            true => Standing::Leaving,
+            false => Standing::Live,
+        };
+        Some(worse(listed, told))
+    }
+
+    /// departing returns the workers known to be leaving or gone.
+    pub fn departing(&self) -> Vec<Name> {
+        let listed = self
+            .roster
+            .values()
+            .filter(|vm| vm.role == Role::Worker && vm.standing != Standing::Live)
+            .map(|vm| vm.name);
+        let all: BTreeSet<Name> = listed.chain(self.departing.iter().copied()).collect();
+        all.into_iter().collect()
+    }
+
+    /// depart notes that a worker is leaving.
+    pub fn depart(&mut self, worker: Name) {
+        self.departing.insert(worker);
+    }
+
+    /// vm returns the listed VM of this name.
+    pub fn vm(&self, name: Name) -> Option<&Vm> {
+        self.roster.get(&name)
+    }
+
+    /// names returns the names of all listed VMs.
+    pub fn names(&self) -> impl Iterator<Item = Name> {
+        self.roster.keys().copied()
+    }
+
+    /// workers returns the listed workers of a rack.
+    pub fn workers(&self, rack: Name) -> impl Iterator<Item = &Vm> {
+        self.roster
+            .values()
+            .filter(move |vm| vm.role == Role::Worker && vm.rack == Some(rack))
+    }
+
+    /// racks returns the racks of the own data centre.
+    pub fn racks(&self) -> BTreeSet<Name> {
+        self.roster
+            .values()
+            .filter(|vm| vm.data_centre == self.data_centre)
+            .filter_map(|vm| vm.rack)
+            .collect()
+    }
+
+    /// data_centres returns all listed data centres, in the one order that all
+    /// daemons use.
+    pub fn data_centres(&self) -> BTreeSet<Name> {
+        self.roster.values().map(|vm| vm.data_centre).collect()
+    }
+
+    /// peers returns the listed entry VMs other than the own one that are not
+    /// gone.
+    pub fn peers(&self) -> impl Iterator<Item = &Vm> {
+        self.roster.values().filter(|vm| {
+            vm.role == Role::Entry && vm.name != self.me.vm && vm.standing != Standing::Gone
+        })
+    }
+
+    /// reachable tells whether any daemon of a data centre was heard of lately.
+    pub fn reachable(&self, now: Millis, data_centre: Name) -> bool {
+        !self.live(now, data_centre).is_empty()
+    }
+
+    fn listed_departing(&self, vm: Name) -> bool {
+        let listed = self.roster.get(&vm).map(|vm| vm.standing);
+        matches!(listed, Some(Standing::Leaving | Standing::Gone))
+    }
+}
+
+fn worse(one: Standing, other: Standing) -> Standing {
+    let rank = |standing: Standing| match standing {
+        Standing::Live => 0,
+        Standing::Leaving => 1,
+        Standing::Gone => 2,
+    };
+    if rank(one) >= rank(other) { one } else { other }
+}
--- /dev/null
+++ b/crates/stackpier-coordination/src/once.rs
@@ -0,0 +1,296 @@
+// SPDX-License-Identifier: Apache-2.0
+//! The receiver's side of requests that run at most once: whom to ask before
+//! a request is sent to an upstream.
+//!
+//! Grants and seals are taken in the one order of data centres that all
+//! daemons use, so that two repeats can't seal each other out.
+
+use std::collections::VecDeque;
+
+use stackpier_core::{
+    Kind, Name, Unix,
+    key::{Boot, Request as Key},
+};
+use stackpier_protocol::peer::{Grant, Held, Seal, Sealing};
+use stackpier_state::{
+    holders::{Map, Member},
+    ledger::{Granting, Record, Reply},
+};
+
+/// Options are the times keys are judged by.
+#[derive(Clone, Copy, Debug)]
+pub struct Options {
+    /// Keys older than this are refused.
+    pub window_ms: u64,
+    /// How far the clocks of callers and daemons may differ.
+    pub allowance_ms: u64,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Options {
+            window_ms: 600_000,
+            allowance_ms: 5_000,
+        }
+    }
+}
+
+impl Options {
+    /// check refuses a key whose time is out of the window.
+    pub fn check(&self, key: Key, now: Unix) -> Result<(), Kind> {
+        let minted = key.minted();
+        if minted > now.plus(self.allowance_ms) {
+            return Err(Kind::KeyFromFuture);
+        }
+        if now.since(minted) > self.window_ms {
+            return Err(Kind::KeyExpired);
+        }
+        Ok(())
+    }
+
+    /// oldest returns the time before which no daemon accepts a key any more,
+    /// so that its record can be dropped.
+    pub fn oldest(&self, now: Unix) -> Unix {
+        Unix(now.0.saturating_sub(self.window_ms + 2 * self.allowance_ms))
+    }
+}
+
+/// Ask is a question to another daemon, or to this one.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Ask {
+    /// Send a seal to a holder. Answered by [`Told::Held`].
+    Seal(Member, Seal),
+    /// Send a grant to a holder. Answered by [`Told::Held`].
+    Grant(Member, Grant),
+    /// Have a key sealed in another data centre. Answered by [`Told::There`].
+    There(Name, Key),
+}
+
+/// Told is the answer to an [`Ask`].
+#[derive(Clone, Debug, PartialEq)]
+pub enum Told {
+    /// The holder's answer.
+    Held(Held),
+    /// The other data centre's answer.
+    There(Sealing),
+    /// No answer came.
+    Silence,
+}
+
+/// Verdict is what to do with the request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Send it to an upstream, and tell this holder the outcome.
+    Run(Member),
+    /// Answer with what an earlier attempt got.
+    Repeat(Reply),
+    /// Refuse it.
+    Refuse(Kind),
+}
+
+/// Progress is the state after an answer.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Progress {
+    /// Ask this next.
+    Ask(Ask),
+    /// The request is decided. A grant that is not used must be returned to
+    /// the holder given here.
+    Decided(Verdict, Option<Member>),
+}
+
+/// Setting is what the receiver knows when the request arrives.
+#[derive(Clone, Copy, Debug)]
+pub struct Setting<'a> {
+    /// The receiver.
+    pub me: Boot,
+    /// Its data centre.
+    pub data_centre: Name,
+    /// The holder map it knows.
+    pub map: &'a Map,
+    /// All data centres, in the common order.
+    pub data_centres: &'a [Name],
+    /// Whether the caller says that this is its first attempt.
+    pub first: bool,
+}
+
+/// Once is the machine for one request.
+#[derive(Debug)]
+pub struct Once {
+    asks: VecDeque<Ask>,
+    first: bool,
+    granted: Option<Member>,
+}
+
+impl Once {
+    /// new starts the machine and returns the first question.
+    pub fn new(key: Key, setting: Setting<'_>, options: Options) -> (Once, Progress) {
+        let mut once = Once {
+            asks: VecDeque::new(),
+            first: setting.first,
+            granted: None,
+        };
+        let known = setting.map.newest().is_some()
+            && (setting.first || setting.data_centres.contains(&setting.data_centre));
+        if !known {
+            let unreachable = once.unreachable();
+            return (once, unreachable);
+        }
+        once.plan(key, setting, options);
+        let progress = once.advance();
+        (once, progress)
+    }
+
+    fn plan(&mut self, key: Key, setting: Setting<'_>, options: Options) {
+        if setting.first {
+            self.plan_here(key, setting, options);
+            return;
+        }
+        for data_centre in setting.data_centres {
+            if *data_centre == setting.data_centre {
+                self.plan_here(key, setting, options);
+            } else {
+                self.asks.push_back(Ask::There(*data_centre, key));
+            }
+        }
+    }
+
+    fn plan_here(&mut self, key: Key, setting: Setting<'_>, options: Options) {
+        self.asks.extend(earlier(key, setting.map, options));
+        let Some(newest) = setting.map.newest() else {
+            return;
+        };
+        if let Some(holder) = newest.holder(key) {
+            let grant = Grant {
+                key,
+                version: newest.number,
+                holder: holder.boot,
+                to: setting.me,
+            };
+            self.asks.push_back(Ask::Grant(holder, grant));
+        }
+    }
+
+    /// tell takes the answer to the last question.
+    pub fn tell(&mut self, told: Told) -> Progress {
+        let Some(asked) = self.asks.pop_front() else {
+            return self.decide(Verdict::Refuse(Kind::Internal));
+        };
+        match (asked, told) {
+            (_, Told::Silence) => self.unreachable(),
+            (Ask::Seal(..), Told::Held(Held::Record(record))) => self.sealed(record),
+            (Ask::There(..), Told::There(Sealing::Sealed)) => self.advance(),
+            (Ask::There(..), Told::There(Sealing::Found(record))) => self.found(record),
+            (Ask::Grant(holder, _), Told::Held(Held::Granting(Granting::Granted))) => {
+                self.granted = Some(holder);
+                self.advance()
+            }
+            (Ask::Grant(..), Told::Held(Held::Granting(Granting::Already(record)))) => {
+                self.found(record)
+            }
+            // A holder that restarted, or a map out of step: it may be known
+            // elsewhere, and coming back soon helps.
+            _ => self.unreachable(),
+        }
+    }
+
+    fn sealed(&mut self, record: Record) -> Progress {
+        match record {
+            Record::Sealed => self.advance(),
+            other => self.found(other),
+        }
+    }
+
+    fn advance(&mut self) -> Progress {
+        match (self.asks.front(), self.granted) {
+            (Some(ask), _) => Progress::Ask(ask.clone()),
+            (None, Some(holder)) => Progress::Decided(Verdict::Run(holder), None),
+            (None, None) => self.decide(Verdict::Refuse(Kind::HolderUnreachable)),
+        }
+    }
+
+    fn found(&mut self, record: Record) -> Progress {
+        let verdict = match record {
+            Record::Done(reply) => Verdict::Repeat(reply),
+            Record::Granted(_) => Verdict::Refuse(Kind::InProgress),
+            Record::Sealed => Verdict::Refuse(Kind::KeySealed),
+            Record::Unknown | Record::NotRun => Verdict::Refuse(Kind::OutcomeUnknown),
+        };
+        self.decide(verdict)
+    }
+
+    /// unreachable refuses as not run only what the caller says it never sent
+    /// before: an earlier attempt may have run where we can't look.
+    fn unreachable(&self) -> Progress {
+        let kind = match self.first {
+            true => Kind::HolderUnreachable,
+            false => Kind::OutcomeUnknown,
+        };
+        self.decide(Verdict::Refuse(kind))
+    }
+
+    fn decide(&self, verdict: Verdict) -> Progress {
+        Progress::Decided(verdict, self.granted)
+    }
+}
+
+/// earlier returns the seals needed at the holders that earlier versions of
+/// the map name for a key.
+fn earlier(key: Key, map: &Map, options: Options) -> Vec<Ask> {
+    let newest = map.newest().and_then(|newest| newest.holder(key));
+    let mut asks: Vec<Ask> = Vec::new();
+    for version in map.relevant(key.minted(), options.allowance_ms) {
+        let Some(holder) = version.holder(key) else {
+            continue;
+        };
+        let seal = Seal {
+            key,
+            holder: holder.boot,
+            newest: None,
+        };
+        let ask = Ask::Seal(holder, seal);
+        if Some(holder) != newest && !asks.contains(&ask) {
+            asks.push(ask);
+        }
+    }
+    asks
+}
+
+/// seals returns the seals that refuse a key in a whole data centre, the
+/// newest holder's last. It is empty while no map is known.
+pub fn seals(key: Key, map: &Map, options: Options) -> Vec<(Member, Seal)> {
+    let Some(newest) = map.newest() else {
+        return Vec::new();
+    };
+    let mut seals: Vec<(Member, Seal)> = Vec::new();
+    for ask in earlier(key, map, options) {
+        if let Ask::Seal(member, seal) = ask {
+            seals.push((member, seal));
+        }
+    }
+    let last = newest.holder(key).map(|holder| {
+        let seal = Seal {
+            key,
+            holder: holder.boot,
+            newest: Some(newest.number),
+        };
+        (holder, seal)
+    });
+    seals.extend(last);
+    seals
+}
+
+/// sealing joins the answers to [`seals`], in their order.
+pub fn sealing(answers: &[Option<Held>]) -> Sealing {
+    let mut all = !answers.is_empty();
+    for answer in answers {
+        match answer {
+            Some(Held::Record(Record::Sealed)) => {}
+            Some(Held::Record(record)) => return Sealing::Found(record.clone()),
+            _ => all = false,
+        }
+    }
+    match all {
+        true => Sealing::Sealed,
+        false => Sealing::Unknown,
+    }
+}
--- /dev/null
+++ b/crates/stackpier-coordination/src/owner.rs
@@ -0,0 +1,759 @@
+// SPDX-License-Identifier: Apache-2.0
+//! The owner of a rack: commits claimed runs to the rack's page, renews the
+//! leases of its workers, and records how runs end.
+//!
+//! The order of steps keeps a task from running in two places:
+//! a claim is read after the rack's revision it is committed at; a claim
+//! moves only after the rack's page shows its run as ended; a run ends in the
+//! page only with evidence from its worker or from its lapsed lease.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use stackpier_core::{Millis, Name, key::Boot};
+use stackpier_protocol::{
+    peer::{Endpoint, Hint, RackReport, Renounced, WorkerReport},
+    platform::Standing,
+    sync::{Call, Clock, Reply, Start},
+};
+use stackpier_state::{
+    Page, Revision,
+    holders::Member,
+    homes,
+    page::{ABSENT, Fetched, Key, Swapped},
+    rack::{Condition, Phase, Rack, Row, Worker},
+    work::{Class, Outcome, Run},
+};
+
+use crate::{
+    effect::{Effect, Event, Note, Writer},
+    membership::Table,
+};
+
+/// BYSTANDER_SWEEPS is how many times longer a daemon that does not renew a
+/// rack waits between two looks at its page.
+const BYSTANDER_SWEEPS: u64 = 6;
+/// URGENT_GAP_MS is the shortest time between two calls to a worker.
+const URGENT_GAP_MS: u64 = 20;
+/// QUIET_SYNCS is the count of missed calls after which a worker is offered
+/// no new tasks.
+const QUIET_SYNCS: u64 = 3;
+
+/// Options are the times and counts an owner goes by.
+#[derive(Clone, Copy, Debug)]
+pub struct Options {
+    /// Length of a worker's lease.
+    pub lease_ms: u64,
+    /// Time added to a lease before it counts as lapsed, for clock drift.
+    pub drift_ms: u64,
+    /// Time between two calls to a worker.
+    pub sync_ms: u64,
+    /// Shortest time between two commits of the page.
+    pub commit_ms: u64,
+    /// Time between two looks at everything, hinted or not.
+    pub sweep_ms: u64,
+    /// Count of shards of homes in the data centre.
+    pub shards: u16,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Options {
+            lease_ms: 10_000,
+            drift_ms: 1_000,
+            sync_ms: 1_000,
+            commit_ms: 250,
+            sweep_ms: 5_000,
+            shards: 8,
+        }
+    }
+}
+
+/// Contact is what the owner knows of one boot of a worker at first hand.
+#[derive(Clone, Debug, Default)]
+struct Contact {
+    boot: Boot,
+    clock: Clock,
+    heard: Millis,
+    running: BTreeSet<Run>,
+    ended: BTreeMap<Run, Outcome>,
+    calling: bool,
+    called: Option<Millis>,
+    slowdown_milli: u32,
+}
+
+/// Step is what the owner waits for.
+#[derive(Clone, Debug)]
+enum Step {
+    Idle,
+    Loading,
+    Reading(Reading),
+    Swapping(Box<Rack>),
+}
+
+/// Reading collects homes read at one revision of the rack's page.
+#[derive(Clone, Debug)]
+struct Reading {
+    waiting: BTreeSet<u16>,
+    got: BTreeMap<u16, homes::Shard>,
+}
+
+/// Owner is the machine for one rack.
+#[derive(Debug)]
+pub struct Owner {
+    rack: Name,
+    me: Member,
+    options: Options,
+    page: Option<(Revision, Rack)>,
+    step: Step,
+    contacts: BTreeMap<Name, Contact>,
+    dirty: BTreeSet<u16>,
+    stale: bool,
+    swept: Option<Millis>,
+    committed: Option<Millis>,
+    /// Since when nobody but this daemon can renew, under its current term.
+    sole_since: Option<(u64, Millis)>,
+    renounced: Option<u64>,
+    report: RackReport,
+}
+
+impl Owner {
+    /// new starts the machine for a rack with nothing known.
+    pub fn new(rack: Name, me: Member, options: Options) -> Owner {
+        Owner {
+            rack,
+            me,
+            options,
+            page: None,
+            step: Step::Idle,
+            contacts: BTreeMap::new(),
+            dirty: BTreeSet::new(),
+            stale: true,
+            swept: None,
+            committed: None,
+            sole_since: None,
+            renounced: None,
+            report: RackReport {
+                rack,
+                term: 0,
+                change: 0,
+                workers: Vec::new(),
+                endpoints: Vec::new(),
+            },
+        }
+    }
+
+    /// step takes one event and returns what to do.
+    pub fn step(
+        &mut self,
+        now: Millis,
+        event: Event,
+        table: &Table,
+        writer: &mut Writer,
+    ) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        match event {
+            Event::Tick => {}
+            Event::Read(Key::Rack(_), fetched) => self.loaded(now, fetched, &mut effects),
+            Event::Read(Key::Homes(_, shard), fetched) => self.homes_read(shard, fetched),
+            Event::Read(_, _) => {}
+            Event::Swapped(_, swap) => self.swapped(now, swap, table, &mut effects),
+            Event::Synced(worker, reply) => self.synced(now, worker, reply),
+            Event::Hint(hint) => self.hinted(hint),
+        }
+        self.note_sole(now, table);
+        self.advance(now, table, writer, &mut effects);
+        self.call_workers(now, table, &mut effects);
+        self.update_report(now);
+        effects
+    }
+
+    /// renews tells whether this daemon is the rack's renewer, by the page it
+    /// last saw.
+    pub fn renews(&self) -> bool {
+        let renewer = self.page.as_ref().and_then(|(_, page)| page.renewer);
+        renewer.is_some_and(|renewer| renewer.boot == self.me.boot)
+    }
+
+    /// report returns the word for the data centre, if this daemon renews.
+    pub fn report(&self) -> Option<&RackReport> {
+        self.renews().then_some(&self.report)
+    }
+
+    /// renounced returns the promise not to renew, if one is due.
+    pub fn renounced(&self) -> Option<Renounced> {
+        self.renounced.map(|below| Renounced {
+            rack: self.rack,
+            below,
+        })
+    }
+
+    /// page returns the rack's page as last read or written.
+    pub fn page(&self) -> Option<&Rack> {
+        self.page.as_ref().map(|(_, page)| page)
+    }
+
+    /// give_up lets another daemon take the rack over, for a planned stop.
+    pub fn give_up(&mut self) {
+        if let Some(renewer) = self.page().and_then(|page| page.renewer)
+            && renewer.boot == self.me.boot
+        {
+            self.renounced = Some(renewer.term + 1);
+        }
+    }
+
+    /// heard_renounced takes another daemon's promise not to renew.
+    pub fn heard_renounced(&mut self, from: Member, below: u64) {
+        let Some((_, page)) = &mut self.page else {
+            return;
+        };
+        let done = |old: &stackpier_state::rack::Renewer| old.boot == from.boot && old.term < below;
+        page.former.retain(|old| !done(old));
+    }
+
+    fn loaded(&mut self, now: Millis, fetched: Fetched, effects: &mut Vec<Effect>) {
+        if !matches!(self.step, Step::Loading) {
+            return;
+        }
+        self.step = Step::Idle;
+        match fetched {
+            Fetched::Found(revision, Page::Rack(page)) => self.adopt(now, revision, page, effects),
+            Fetched::Absent => self.page = Some((ABSENT, Rack::empty())),
+            Fetched::Found(..) | Fetched::Failed => return,
+        }
+        self.stale = false;
+    }
+
+    /// adopt takes a newer page that another daemon may have written.
+    fn adopt(&mut self, now: Millis, revision: Revision, page: Rack, effects: &mut Vec<Effect>) {
+        if self.page.as_ref().is_some_and(|(old, _)| *old > revision) {
+            return;
+        }
+        let mine = |renewer: stackpier_state::rack::Renewer| renewer.boot == self.me.boot;
+        let term = page.renewer.map_or(0, |renewer| renewer.term);
+        let listed = page.former.iter().copied().any(mine);
+        let renews = page.renewer.is_some_and(mine);
+        if !renews && (listed || self.renews()) && self.renounced != Some(term) {
+            self.renounced = Some(term);
+            effects.push(Effect::Note(Note::GaveUp(self.rack, term)));
+        }
+        if renews && !self.renews() {
+            // A lost reply hid that our own take-over was written.
+            self.sole_since = page.former.is_empty().then_some((term, now));
+            self.contacts.clear();
+        }
+        self.page = Some((revision, page));
+    }
+
+    fn homes_read(&mut self, shard: u16, fetched: Fetched) {
+        let Step::Reading(reading) = &mut self.step else {
+            return;
+        };
+        if !reading.waiting.remove(&shard) {
+            return;
+        }
+        match fetched {
+            Fetched::Found(_, Page::Homes(page)) => {
+                reading.got.insert(shard, page);
+            }
+            Fetched::Absent => {
+                reading.got.insert(shard, homes::Shard::default());
+            }
+            Fetched::Found(..) | Fetched::Failed => {
+                self.dirty.insert(shard);
+            }
+        }
+    }
+
+    fn swapped(&mut self, now: Millis, swap: Swapped, table: &Table, effects: &mut Vec<Effect>) {
+        let Step::Swapping(next) = std::mem::replace(&mut self.step, Step::Idle) else {
+            return;
+        };
+        let Swapped::Won(revision) = swap else {
+            // Nothing is believed of an unclear write before it is read back.
+            self.stale = true;
+            self.dirty.extend(0..self.options.shards);
+            return;
+        };
+        let before = self.page.replace((revision, *next));
+        let old = before.map_or_else(Rack::empty, |(_, page)| page);
+        self.note_changes(now, &old, table, effects);
+    }
+
+    fn note_changes(&mut self, now: Millis, old: &Rack, table: &Table, effects: &mut Vec<Effect>) {
+        let Some((_, page)) = &self.page else { return };
+        let mut ended = BTreeSet::new();
+        for row in &page.rows {
+            let before = old.row(row.run).map(|row| row.phase);
+            match row.phase {
+                Phase::Ended(outcome) if before != Some(row.phase) => {
+                    effects.push(Effect::Note(Note::Ended(row.run, outcome)));
+                    ended.insert(shard_of(row, self.options.shards));
+                }
+                Phase::Running if before.is_none() => {
+                    effects.push(Effect::Note(Note::Committed(row.run, row.worker)));
+                }
+                _ => {}
+            }
+        }
+        let rack = self.rack;
+        let hint = |shard| Effect::Hint(Hint::Ended { shard, rack });
+        effects.extend(ended.into_iter().map(hint));
+        let renewer = page.renewer.filter(|renewer| old.renewer != Some(*renewer));
+        if let Some(renewer) = renewer {
+            self.contacts.clear();
+            self.renounced = None;
+            self.sole_since = None;
+            self.note_sole(now, table);
+            effects.push(Effect::Note(Note::TookOver(rack, renewer.term)));
+            effects.push(Effect::Hint(Hint::TakenOver { rack }));
+        }
+    }
+
+    fn hinted(&mut self, hint: Hint) {
+        match hint {
+            Hint::Homes { shard, rack } if rack == self.rack => {
+                self.dirty.insert(shard);
+            }
+            Hint::TakenOver { rack } if rack == self.rack => self.stale = true,
+            _ => {}
+        }
+    }
+
+    fn synced(&mut self, now: Millis, worker: Name, reply: Option<Reply>) {
+        let Some(contact) = self.contacts.get_mut(&worker) else {
+            return;
+        };
+        contact.calling = false;
+        let Some(reply) = reply else { return };
+        if contact.boot == reply.boot && reply.clock < contact.clock {
+            return;
+        }
+        contact.boot = reply.boot;
+        contact.clock = reply.clock;
+        contact.heard = now;
+        contact.running = reply.running.into_iter().collect();
+        contact.ended = reply
+            .ended
+            .into_iter()
+            .map(|e| (e.run, e.outcome))
+            .collect();
+        let slowest = reply.usage.iter().map(|usage| usage.slowdown_milli).max();
+        contact.slowdown_milli = slowest.unwrap_or(1_000);
+    }
+
+    /// note_sole notes the moment from which no former renewer can renew.
+    fn note_sole(&mut self, now: Millis, table: &Table) {
+        let Some((_, page)) = &mut self.page else {
+            return;
+        };
+        let gone = |old: &stackpier_state::rack::Renewer| {
+            table.gone(Member {
+                vm: old.vm,
+                boot: old.boot,
+            })
+        };
+        page.former.retain(|old| !gone(old));
+        let Some(renewer) = page.renewer else { return };
+        let known = self
+            .sole_since
+            .is_some_and(|(term, _)| term == renewer.term);
+        if renewer.boot == self.me.boot && page.former.is_empty() && !known {
+            self.sole_since = Some((renewer.term, now));
+        }
+    }
+
+    fn advance(
+        &mut self,
+        now: Millis,
+        table: &Table,
+        writer: &mut Writer,
+        effects: &mut Vec<Effect>,
+    ) {
+        self.sweep(now, effects);
+        if matches!(self.step, Step::Idle) && self.stale {
+            self.step = Step::Loading;
+            effects.push(Effect::Read(Key::Rack(self.rack)));
+            return;
+        }
+        if self.may_commit(now) && matches!(self.step, Step::Idle) && self.renews() {
+            self.read_homes(table, effects);
+        }
+        self.try_swap(now, table, writer, effects);
+    }
+
+    fn sweep(&mut self, now: Millis, effects: &mut Vec<Effect>) {
+        let factor = if self.renews() { 1 } else { BYSTANDER_SWEEPS };
+        let every = self.options.sweep_ms * factor;
+        if self.swept.is_some_and(|at| now.since(at) < every) {
+            return;
+        }
+        self.swept = Some(now);
+        self.stale = true;
+        if !self.renews() {
+            return;
+        }
+        self.dirty.extend(0..self.options.shards);
+        let Some((_, page)) = &self.page else { return };
+        let rack = self.rack;
+        let ended = page
+            .rows
+            .iter()
+            .filter(|row| matches!(row.phase, Phase::Ended(_)));
+        let shards: BTreeSet<u16> = ended
+            .map(|row| shard_of(row, self.options.shards))
+            .collect();
+        let hint = |shard| Effect::Hint(Hint::Ended { shard, rack });
+        effects.extend(shards.into_iter().map(hint));
+    }
+
+    fn may_commit(&self, now: Millis) -> bool {
+        self.committed
+            .is_none_or(|at| now.since(at) >= self.options.commit_ms)
+    }
+
+    fn read_homes(&mut self, table: &Table, effects: &mut Vec<Effect>) {
+        if self.dirty.is_empty() {
+            return;
+        }
+        let waiting = std::mem::take(&mut self.dirty);
+        let data_centre = table.data_centre();
+        let read = |shard: &u16| Effect::Read(Key::Homes(data_centre, *shard));
+        effects.extend(waiting.iter().map(read));
+        self.step = Step::Reading(Reading {
+            waiting,
+            got: BTreeMap::new(),
+        });
+    }
+
+    fn try_swap(
+        &mut self,
+        now: Millis,
+        table: &Table,
+        writer: &mut Writer,
+        effects: &mut Vec<Effect>,
+    ) {
+        let empty = BTreeMap::new();
+        let homes = match &self.step {
+            Step::Idle if self.may_commit(now) => &empty,
+            Step::Reading(reading) if reading.waiting.is_empty() => &reading.got,
+            _ => return,
+        };
+        let Some((revision, page)) = &self.page else {
+            return;
+        };
+        let mut next = page.clone();
+        self.revise(now, table, homes, &mut next, effects);
+        let unchanged = next == *page;
+        let revision = *revision;
+        self.step = Step::Idle;
+        if unchanged {
+            return;
+        }
+        next.write = writer.number();
+        self.committed = Some(now);
+        let page = Page::Rack(next.clone());
+        self.step = Step::Swapping(Box::new(next));
+        effects.push(Effect::Swap(Key::Rack(self.rack), revision, page));
+    }
+
+    /// revise brings a copy of the page up to what is known.
+    fn revise(
+        &self,
+        now: Millis,
+        table: &Table,
+        homes: &BTreeMap<u16, homes::Shard>,
+        next: &mut Rack,
+        effects: &mut Vec<Effect>,
+    ) {
+        if !self.renews() {
+            self.revise_renewer(now, table, next);
+            return;
+        }
+        self.revise_workers(table, next);
+        for (worker, contact) in &self.contacts {
+            self.revise_contact(now, *worker, contact, next, effects);
+        }
+        for (shard, page) in homes {
+            self.settle_shard(*shard, page, next);
+        }
+    }
+
+    /// revise_renewer takes the rack over if it has no living renewer.
+    fn revise_renewer(&self, now: Millis, table: &Table, next: &mut Rack) {
+        let alive = next.renewer.is_some_and(|renewer| {
+            table.alive(
+                now,
+                Member {
+                    vm: renewer.vm,
+                    boot: renewer.boot,
+                },
+            )
+        });
+        if !alive && !table.stopping() && table.preferred(now, self.rack.as_str()) {
+            next.take_over(self.me.vm, self.me.boot);
+        }
+    }
+
+    /// revise_workers brings the rack's workers in line with the list.
+    fn revise_workers(&self, table: &Table, next: &mut Rack) {
+        for vm in table.workers(self.rack) {
+            if next.worker(vm.name).is_none() && vm.standing != Standing::Gone {
+                next.workers.push(Worker {
+                    name: vm.name,
+                    boot: Boot::default(),
+                    capacity: vm.capacity,
+                    condition: Condition::Up,
+                });
+            }
+        }
+        let names: Vec<Name> = next.workers.iter().map(|worker| worker.name).collect();
+        for name in names {
+            match table.standing(name) {
+                Some(Standing::Leaving) => set_leaving(next, name),
+                Some(Standing::Gone) => set_gone(next, name),
+                Some(Standing::Live) | None => {}
+            }
+        }
+        let rows = &next.rows;
+        let used = |name: Name| rows.iter().any(|row| row.worker == name);
+        next.workers
+            .retain(|worker| worker.condition != Condition::Gone || used(worker.name));
+    }
+
+    /// revise_contact records what a worker said, or that its lease lapsed.
+    fn revise_contact(
+        &self,
+        now: Millis,
+        name: Name,
+        contact: &Contact,
+        next: &mut Rack,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(worker) = next.worker(name).copied() else {
+            return;
+        };
+        if contact.boot != Boot::default() && contact.boot != worker.boot {
+            next.end_all(name);
+            if let Some(worker) = next.worker_mut(name) {
+                worker.boot = contact.boot;
+            }
+            effects.push(Effect::Note(Note::Rebooted(name)));
+            return;
+        }
+        for (run, outcome) in &contact.ended {
+            next.end(*run, *outcome);
+        }
+        if self.lapsed(now, contact) && next.end_all(name) {
+            effects.push(Effect::Note(Note::Lapsed(name)));
+        }
+    }
+
+    /// lapsed tells whether every lease that anybody may have renewed at a
+    /// worker is over.
+    fn lapsed(&self, now: Millis, contact: &Contact) -> bool {
+        let Some((_, sole)) = self.sole_since else {
+            return false;
+        };
+        let last = sole.max(contact.heard);
+        now.since(last) > self.options.lease_ms + self.options.drift_ms
+    }
+
+    /// settle_shard commits the claims of a shard, marks stops, and drops
+    /// ended rows whose home has moved on.
+    fn settle_shard(&self, shard: u16, page: &homes::Shard, next: &mut Rack) {
+        for home in &page.homes {
+            self.settle_home(home, next);
+        }
+        let here = |row: &Row| shard_of(row, self.options.shards) == shard;
+        let keeps = |row: &Row| {
+            !here(row) || !matches!(row.phase, Phase::Ended(_)) || page.claimed(row.run, self.rack)
+        };
+        next.rows.retain(keeps);
+    }
+
+    fn settle_home(&self, home: &homes::Home, next: &mut Rack) {
+        let claim = home.claim().filter(|claim| claim.rack == self.rack);
+        let Some(claim) = claim else { return };
+        let run = home.run();
+        if next.row(run).is_some() {
+            if claim.stop {
+                next.stop(run);
+            }
+            return;
+        }
+        let mut row = Row {
+            run,
+            work: home.work,
+            worker: claim.worker,
+            checkpoint: home.checkpoint,
+            phase: Phase::Running,
+        };
+        if claim.stop || next.commit(row).is_err() {
+            row.phase = Phase::Ended(Outcome::Refused);
+            next.rows.push(row);
+        }
+    }
+
+    fn call_workers(&mut self, now: Millis, table: &Table, effects: &mut Vec<Effect>) {
+        if !self.renews() {
+            self.contacts.clear();
+            return;
+        }
+        let Some((_, page)) = &self.page else { return };
+        let Some(term) = page.renewer.map(|renewer| renewer.term) else {
+            return;
+        };
+        if self.renounced.is_some_and(|below| term < below) {
+            return;
+        }
+        for worker in page
+            .workers
+            .iter()
+            .filter(|w| w.condition != Condition::Gone)
+        {
+            if table.vm(worker.name).is_none() {
+                continue;
+            }
+            let contact = self.contacts.entry(worker.name).or_insert_with(|| Contact {
+                heard: now,
+                ..Contact::default()
+            });
+            let wait = self.options.sync_ms;
+            let due = contact.called.is_none_or(|at| now.since(at) >= wait);
+            let gap = contact
+                .called
+                .is_none_or(|at| now.since(at) >= URGENT_GAP_MS);
+            let urgent = gap && urgent(page, worker, contact);
+            if contact.calling || !(due || urgent) {
+                continue;
+            }
+            contact.calling = true;
+            contact.called = Some(now);
+            let call = call(page, worker, contact, term, self.options.lease_ms);
+            effects.push(Effect::Sync(worker.name, call));
+        }
+    }
+
+    fn update_report(&mut self, now: Millis) {
+        let Some((_, page)) = &self.page else { return };
+        let workers = page
+            .workers
+            .iter()
+            .filter_map(|worker| self.worker_report(now, page, worker));
+        let endpoints = page.rows.iter().filter_map(|row| self.endpoint(page, row));
+        let next = RackReport {
+            rack: self.rack,
+            term: page.renewer.map_or(0, |renewer| renewer.term),
+            change: self.report.change,
+            workers: workers.collect(),
+            endpoints: endpoints.collect(),
+        };
+        if next != self.report {
+            self.report = next;
+            self.report.change += 1;
+        }
+    }
+
+    fn worker_report(&self, now: Millis, page: &Rack, worker: &Worker) -> Option<WorkerReport> {
+        let contact = self.contacts.get(&worker.name)?;
+        if now.since(contact.heard) > QUIET_SYNCS * self.options.sync_ms {
+            return None;
+        }
+        Some(WorkerReport {
+            worker: worker.name,
+            capacity: worker.capacity,
+            free: page.free(worker.name)?,
+            slowdown_milli: contact.slowdown_milli,
+        })
+    }
+
+    fn endpoint(&self, page: &Rack, row: &Row) -> Option<Endpoint> {
+        let up = page.worker(row.worker)?.condition == Condition::Up;
+        let runs = self.contacts.get(&row.worker)?.running.contains(&row.run);
+        let serves = row.work.class == Class::Service && row.phase == Phase::Running;
+        (up && runs && serves).then_some(Endpoint {
+            service: row.work.name,
+            worker: row.worker,
+            run: row.run,
+        })
+    }
+}
+
+/// shard_of returns the shard of homes that a row's task belongs to.
+fn shard_of(row: &Row, shards: u16) -> u16 {
+    stackpier_core::key::shard(row.run.task.job, shards)
+}
+
+fn set_leaving(next: &mut Rack, name: Name) {
+    if let Some(worker) = next.worker_mut(name)
+        && worker.condition == Condition::Up
+    {
+        worker.condition = Condition::Leaving;
+    }
+    let runs: Vec<Run> = next.live(name).map(|row| row.run).collect();
+    for run in runs {
+        next.stop(run);
+    }
+}
+
+fn set_gone(next: &mut Rack, name: Name) {
+    if let Some(worker) = next.worker_mut(name) {
+        worker.condition = Condition::Gone;
+    }
+    next.end_all(name);
+}
+
+/// urgent tells whether a worker has runs to start or stop.
+fn urgent(page: &Rack, worker: &Worker, contact: &Contact) -> bool {
+    if contact.boot != worker.boot || contact.called.is_some_and(|at| at > contact.heard) {
+        return false;
+    }
+    page.live(worker.name).any(|row| match row.phase {
+        Phase::Running => to_start(row, contact),
+        Phase::Stopping => !contact.ended.contains_key(&row.run),
+        Phase::Ended(_) => false,
+    })
+}
+
+fn to_start(row: &Row, contact: &Contact) -> bool {
+    !contact.running.contains(&row.run) && !contact.ended.contains_key(&row.run)
+}
+
+/// call builds the call to a worker from the page and the last reply.
+fn call(page: &Rack, worker: &Worker, contact: &Contact, term: u64, lease_ms: u64) -> Call {
+    let mut call = Call {
+        boot: Boot::default(),
+        term,
+        clock: contact.clock,
+        lease_ms,
+        start: Vec::new(),
+        stop: Vec::new(),
+        forget: Vec::new(),
+    };
+    if contact.boot != worker.boot || worker.boot == Boot::default() {
+        return call;
+    }
+    call.boot = worker.boot;
+    for row in page.live(worker.name) {
+        match row.phase {
+            Phase::Running if to_start(row, contact) => call.start.push(Start {
+                run: row.run,
+                work: row.work,
+                checkpoint: row.checkpoint,
+            }),
+            Phase::Stopping => call.stop.push(row.run),
+            Phase::Running | Phase::Ended(_) => {}
+        }
+    }
+    let open = |run: &Run| {
+        page.row(*run)
+            .is_some_and(|row| !matches!(row.phase, Phase::Ended(_)))
+    };
+    call.forget = contact
+        .ended
+        .keys()
+        .filter(|run| !open(run))
+        .copied()
+        .collect();
+    call
+}
--- /dev/null
+++ b/crates/stackpier-coordination/src/policy.rs
@@ -0,0 +1,75 @@
+// SPDX-License-Identifier: Apache-2.0
+//! The choice of a worker for a task.
+
+use stackpier_core::{Name, Size};
+use stackpier_state::work::{Class, Work};
+
+/// SLOW_MILLI is the slowdown of services, in thousandths, above which batch
+/// work avoids a worker.
+pub const SLOW_MILLI: u32 = 1_250;
+
+/// Candidate is a worker that takes tasks, as last reported.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidate {
+    /// The rack.
+    pub rack: Name,
+    /// The worker.
+    pub worker: Name,
+    /// What it offers in all.
+    pub capacity: Size,
+    /// What is left, claims on their way included.
+    pub free: Size,
+    /// Slowdown of the services on it, in thousandths.
+    pub slowdown_milli: u32,
+    /// Tasks of the same intent on the rack.
+    pub same_on_rack: u32,
+    /// Tasks of the same intent on the worker.
+    pub same_on_worker: u32,
+}
+
+/// choose returns the best candidate that has room, if any has.
+///
+/// Services spread over racks and workers and take the emptiest. Batch work
+/// fills the fullest worker that its services can bear.
+pub fn choose(work: &Work, candidates: &[Candidate]) -> Option<Candidate> {
+    candidates
+        .iter()
+        .filter(|candidate| work.size.fits(&candidate.free))
+        .min_by_key(|candidate| rank(work, candidate))
+        .copied()
+}
+
+/// Rank orders candidates, the lowest first.
+type Rank = (u32, u32, u32, u32, Name);
+
+fn rank(work: &Work, candidate: &Candidate) -> Rank {
+    let left = left_milli(&candidate.free.minus(&work.size), &candidate.capacity);
+    match work.class {
+        Class::Service => (
+            candidate.same_on_rack,
+            candidate.same_on_worker,
+            candidate.slowdown_milli / 100,
+            1_000 - left,
+            candidate.worker,
+        ),
+        Class::Batch => (
+            u32::from(candidate.slowdown_milli > SLOW_MILLI),
+            0,
+            0,
+            left,
+            candidate.worker,
+        ),
+    }
+}
+
+/// left_milli returns the larger of the shares of processors and memory that
+/// stay free, in thousandths.
+fn left_milli(free: &Size, capacity: &Size) -> u32 {
+    let share = |part: u32, whole: u32| {
+        let milli = u64::from(part) * 1_000 / u64::from(whole.max(1));
+        milli.min(1_000) as u32
+    };
+    let cores = share(free.milli_cores, capacity.milli_cores);
+    let memory = share(free.memory_mib, capacity.memory_mib);
+    cores.max(memory)
+}
--- /dev/null
+++ b/crates/stackpier-core/src/arena.rs
@@ -0,0 +1,104 @@
+// SPDX-License-Identifier: Apache-2.0
+//! An arena that hands out small `Copy` indices for its values.
+
+use std::marker::PhantomData;
+
+/// Index points to a value of one arena of `T`.
+#[derive(Debug)]
+pub struct Index<T> {
+    slot: u32,
+    generation: u32,
+    kind: PhantomData<fn() -> T>,
+}
+
+impl<T> Clone for Index<T> {
+    fn clone(&self) -> Self {
+        *self
+    }
+}
+
+impl<T> Copy for Index<T> {}
+
+impl<T> PartialEq for Index<T> {
+    fn eq(&self, other: &Self) -> bool {
+        self.slot == other.slot && self.generation == other.generation
+    }
+}
+
+impl<T> Eq for Index<T> {}
+
+/// Arena stores values in slots that are used again after a removal. An
+/// index of a removed value never reaches the slot's next value.
+#[derive(Debug)]
+pub struct Arena<T> {
+    slots: Vec<Slot<T>>,
+    free: Vec<u32>,
+}
+
+#[derive(Debug)]
+struct Slot<T> {
+    generation: u32,
+    value: Option<T>,
+}
+
+impl<T> Default for Arena<T> {
+    fn default() -> Self {
+        Arena {
+            slots: Vec::new(),
+            free: Vec::new(),
+        }
+    }
+}
+
+impl<T> Arena<T> {
+    /// insert stores a value and returns its index.
+    pub fn insert(&mut self, value: T) -> Index<T> {
+        let slot = self.free.pop().unwrap_or_else(|| {
+            self.slots.push(Slot {
+                generation: 0,
+                value: None,
+            });
+            (self.slots.len() - 1) as u32
+        });
+        let entry = &mut self.slots[slot as usize];
+        entry.value = Some(value);
+        Index {
+            slot,
+            generation: entry.generation,
+            kind: PhantomData,
+        }
+    }
+
+    /// get returns the value, or `None` once it was removed.
+    pub fn get(&self, index: Index<T>) -> Option<&T> {
+        let slot = self.slots.get(index.slot as usize)?;
+        (slot.generation == index.generation)
+            .then_some(slot.value.as_ref())
+            .flatten()
+    }
+
+    /// get_mut returns the value for change, or `None` once it was removed.
+    pub fn get_mut(&mut self, index: Index<T>) -> Option<&mut T> {
+        let slot = self.slots.get_mut(index.slot as usize)?;
+        (slot.generation == index.generation)
+            .then_some(slot.value.as_mut())
+            .flatten()
+    }
+
+    /// remove takes the value out.
+    pub fn remove(&mut self, index: Index<T>) -> Option<T> {
+        let slot = self.slots.get_mut(index.slot as usize)?;
+        if slot.generation != index.generation {
+            return None;
+        }
+        let value = slot.value.take()?;
+        slot.generation = slot.generation.wrapping_add(1);
+        self.free.push(index.slot);
+        Some(value)
+    }
+
+    /// values returns all values present, in slot order.
+    pub fn values(&self) -> impl Iterator<Item = &T> {
+        self.slots.iter().filter_map(|slot| slot.value.as_ref())
+    }
+}
--- /dev/null
+++ b/crates/stackpier-core/src/key.rs
@@ -0,0 +1,106 @@
+// SPDX-License-Identifier: Apache-2.0
+//! Small `Copy` keys of jobs, tasks, process runs and requests.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+use uuid::Uuid;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::{Name, Unix};
+
+/// Job identifies one accepted intent for its whole life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Job(pub u64);
+
+impl Job {
+    /// within returns the key of the intent's share in one data centre.
+    pub fn within(self, data_centre: Name) -> Job {
+        Job(weight(data_centre.as_str().as_bytes(), self.0))
+    }
+}
+
+/// Task identifies one replica of a service or one task of a batch job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Task {
+    /// The intent's share in a data centre, see [`Job::within`].
+    pub job: Job,
+    /// The task's place within its intent, from zero.
+    pub index: u32,
+}
+
+/// Attempt counts the starts of one task, from one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Attempt(pub u32);
+
+impl Attempt {
+    /// next returns the attempt that follows this one.
+    pub fn next(self) -> Attempt {
+        Attempt(self.0 + 1)
+    }
+}
+
+/// Boot identifies one run of a process: a restart has another one.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Boot(pub u64);
+
+/// Write identifies one write to the store, so that a lost reply is settled
+/// by reading the value back.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Write {
+    /// The process run that wrote.
+    pub boot: Boot,
+    /// Its count of writes.
+    pub number: u64,
+}
+
+/// Request is a caller's key for a request that must not be repeated.
+///
+/// It is a UUID of version 7, whose time says when the caller made it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Request(pub u128);
+
+/// NotVersion7 says that a text is no UUID of version 7.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NotVersion7;
+
+/// UUID_TIME_SHIFT is the count of bits behind the 48-bit time of a UUIDv7.
+const UUID_TIME_SHIFT: u32 = 80;
+
+impl Request {
+    /// minted returns when the caller made the key, by the caller's clock.
+    pub fn minted(self) -> Unix {
+        Unix((self.0 >> UUID_TIME_SHIFT) as u64)
+    }
+}
+
+impl TryFrom<&str> for Request {
+    type Error = NotVersion7;
+
+    fn try_from(text: &str) -> Result<Self, NotVersion7> {
+        let uuid = Uuid::try_parse(text).map_err(|_| NotVersion7)?;
+        if uuid.get_version_num() != 7 {
+            return Err(NotVersion7);
+        }
+        Ok(Request(uuid.as_u128()))
+    }
+}
+
+impl fmt::Display for Request {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", Uuid::from_u128(self.0))
+    }
+}
+
+/// weight returns the rendezvous-hash weight of `member` for `item`; the
+/// member with the highest weight is chosen.
+pub fn weight(item: &[u8], member: u64) -> u64 {
+    xxh3_64_with_seed(item, member)
+}
+
+/// shard returns the shard of `job` out of `count` shards.
+pub fn shard(job: Job, count: u16) -> u16 {
+    (xxh3_64_with_seed(&job.0.to_le_bytes(), 0) % u64::from(count.max(1))) as u16
+}
--- /dev/null
+++ b/crates/stackpier-protocol/src/lib.rs
@@ -0,0 +1,9 @@
+// SPDX-License-Identifier: Apache-2.0
+//! Typed messages and their codecs: between daemons, and towards workers,
+//! the platform and operators.
+
+pub mod codec;
+pub mod operator;
+pub mod peer;
+pub mod platform;
+pub mod sync;
--- /dev/null
+++ b/crates/stackpier-standin/src/lib.rs
@@ -0,0 +1,10 @@
+// SPDX-License-Identifier: Apache-2.0
+//! Stand-ins for the systems around stackpier, for tests only: the platform's
+//! store and list of VMs, a worker, and a proxy that injects faults.
+
+pub mod platform;
+pub mod proxy;
+pub mod rate;
+pub mod store;
+pub mod worker;
+pub mod worker_http;
--- /dev/null
+++ b/crates/stackpier-standin/src/proxy.rs
@@ -0,0 +1,165 @@
+// SPDX-License-Identifier: Apache-2.0
+//! A TCP proxy that injects faults, switched over a control port.
+
+use std::{
+    io::{Read, Write},
+    net::{Shutdown, TcpListener, TcpStream},
+    sync::{Arc, Mutex, PoisonError},
+    thread,
+    time::Duration,
+};
+
+use serde::{Deserialize, Serialize};
+use stackpier_protocol::codec::from_json;
+use tiny_http::{Response, Server};
+
+/// POLL is how often a stalled direction looks whether it may go on.
+const POLL: Duration = Duration::from_millis(10);
+/// CHUNK is the most bytes moved at once.
+const CHUNK: usize = 4_096;
+
+/// Mode is what the proxy does to connections.
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Mode {
+    /// Passes everything on.
+    #[default]
+    Pass,
+    /// Refuses new connections and ends the ones there.
+    Cut,
+    /// Accepts, but moves no byte either way.
+    Stall,
+    /// Moves nothing from the server to the client.
+    HalfOpen,
+    /// Waits this many milliseconds before each chunk.
+    Delay(u64),
+    /// Ends the connection after this many bytes from the server.
+    TruncateAnswer(usize),
+    /// Ends the connection after this many bytes from the client.
+    TruncateRequest(usize),
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Way {
+    Request,
+    Answer,
+}
+
+type Switch = Arc<Mutex<Mode>>;
+
+/// Forward is one port of the proxy and where it leads.
+#[derive(Clone, Debug)]
+pub struct Forward {
+    /// Address as `IP:port`.
+    pub listen: String,
+    /// Where connections go, as `IP:port`.
+    pub to: String,
+}
+
+/// run forwards all ports and takes modes for them as JSON on `control`.
+pub fn run(forwards: Vec<Forward>, control: &str) -> anyhow::Result<()> {
+    let switch = Switch::default();
+    let server = Server::http(control).map_err(|error| anyhow::anyhow!(error))?;
+    for one in forwards {
+        let listener = TcpListener::bind(&one.listen)?;
+        let switch = Arc::clone(&switch);
+        thread::spawn(move || accept(&listener, &one.to, &switch));
+    }
+    serve_control(&server, &switch);
+    Ok(())
+}
+
+fn accept(listener: &TcpListener, to: &str, switch: &Switch) {
+    for accepted in listener.incoming() {
+        let Ok(client) = accepted else { continue };
+        let (to, switch) = (to.to_owned(), Arc::clone(switch));
+        thread::spawn(move || forward(client, &to, &switch));
+    }
+}
+
+fn serve_control(server: &Server, switch: &Switch) {
+    while let Ok(mut request) = server.recv() {
+        let mut body = Vec::new();
+        let read = request.as_reader().read_to_end(&mut body).is_ok();
+        let status = match (read, from_json(&body)) {
+            (true, Ok(mode)) => {
+                *switch.lock().unwrap_or_else(PoisonError::into_inner) = mode;
+                200
+            }
+            _ => 400,
+        };
+        let _ = request.respond(Response::empty(status));
+    }
+}
+
+fn mode(switch: &Switch) -> Mode {
+    *switch.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn forward(client: TcpStream, to: &str, switch: &Switch) -> Option<()> {
+    if matches!(mode(switch), Mode::Cut) {
+        return client.shutdown(Shutdown::Both).ok();
+    }
+    let server = TcpStream::connect(to).ok()?;
+    client.set_nodelay(true).ok()?;
+    server.set_nodelay(true).ok()?;
+    let (client_too, server_too) = (client.try_clone().ok()?, server.try_clone().ok()?);
+    let switch_too = Arc::clone(switch);
+    thread::spawn(move || pump(client_too, server_too, Way::Request, &switch_too));
+    pump(server, client, Way::Answer, switch);
+    Some(())
+}
+
+fn pump(mut from: TcpStream, mut to: TcpStream, way: Way, switch: &Switch) {
+    let mut moved = 0;
+    let mut chunk = [0; CHUNK];
+    let _ = from.set_read_timeout(Some(POLL));
+    loop {
+        let count = match from.read(&mut chunk) {
+            Ok(0) => break,
+            Ok(count) => count,
+            Err(error) if waits(&error) => match mode(switch) {
+                Mode::Cut => break,
+                _ => continue,
+            },
+            Err(_) => break,
+        };
+        let Some(allowed) = admit(way, moved, count, switch) else {
+            break;
+        };
+        if to.write_all(&chunk[..allowed]).is_err() || allowed < count {
+            break;
+        }
+        moved += allowed;
+    }
+    let _ = from.shutdown(Shutdown::Both);
+    let _ = to.shutdown(Shutdown::Both);
+}
+
+/// admit waits while the mode holds bytes back, and returns how many of
+/// `count` may go on; `None` ends the connection.
+fn admit(way: Way, moved: usize, count: usize, switch: &Switch) -> Option<usize> {
+    loop {
+        match mode(switch) {
+            Mode::Cut => return None,
+            Mode::Stall => thread::sleep(POLL),
+            Mode::HalfOpen if way == Way::Answer => thread::sleep(POLL),
+            Mode::Delay(ms) => {
+                thread::sleep(Duration::from_millis(ms));
+                return Some(count);
+            }
+            Mode::TruncateAnswer(at) if way == Way::Answer => {
+                return Some(count.min(at.saturating_sub(moved)));
+            }
+            Mode::TruncateRequest(at) if way == Way::Request => {
+                return Some(count.min(at.saturating_sub(moved)));
+            }
+            _ => return Some(count),
+        }
+    }
+}
+
+fn waits(error: &std::io::Error) -> bool {
+    use std::io::ErrorKind::{TimedOut, WouldBlock};
+    matches!(error.kind(), TimedOut | WouldBlock)
+}
--- /dev/null
+++ b/crates/stackpier-standin/src/worker_http.rs
@@ -0,0 +1,224 @@
+// SPDX-License-Identifier: Apache-2.0
+//! The stand-in worker as a process. It echoes requests of its service tasks
+//! and logs each execution.
+
+use std::{
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicUsize, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+use serde::{Deserialize, Serialize};
+use stackpier_core::{
+    Name,
+    key::{Attempt, Boot, Job, Task},
+};
+use stackpier_protocol::{
+    codec::{from_json, to_json},
+    sync::Clock,
+};
+use stackpier_state::work::Run;
+use tiny_http::{Header, Request, Response, Server};
+
+use crate::worker::{Span, Worker};
+
+/// Options describe the worker.
+#[derive(Clone, Copy, Debug)]
+pub struct Options {
+    /// Name of the worker.
+    pub name: Name,
+    /// Requests that run at once.
+    pub slots: usize,
+    /// Requests in service at once, refused ones included.
+    pub connections: usize,
+    /// Time one request takes.
+    pub work_ms: u64,
+}
+
+/// Execution is one request in the log.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Execution {
+    /// Value of the idempotency-key header.
+    pub key: Option<String>,
+    /// Path behind the service's name.
+    pub path: String,
+    /// When it started, by the worker's clock.
+    pub started: Clock,
+}
+
+/// Log is everything the worker ran.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Log {
+    /// The tasks.
+    pub spans: Vec<Span>,
+    /// The requests.
+    pub executions: Vec<Execution>,
+}
+
+/// Knobs are changed by tests while the worker runs.
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Knobs {
+    /// Added to the time each request takes.
+    pub extra_ms: u64,
+    /// Whether every task that is started fails.
+    pub fail_all: bool,
+}
+
+struct Shared {
+    options: Options,
+    start: Instant,
+    model: Mutex<Worker>,
+    executions: Mutex<Vec<Execution>>,
+    knobs: Mutex<Knobs>,
+    busy: AtomicUsize,
+}
+
+/// run serves until the process ends.
+pub fn run(listen: &str, options: Options, boot: Boot) -> anyhow::Result<()> {
+    let server = Server::http(listen).map_err(|error| anyhow::anyhow!(error))?;
+    let server = Arc::new(server);
+    let shared = Arc::new(Shared {
+        options,
+        start: Instant::now(),
+        model: Mutex::new(Worker::new(options.name, boot)),
+        executions: Mutex::default(),
+        knobs: Mutex::default(),
+        busy: AtomicUsize::new(0),
+    });
+    let mut threads = Vec::new();
+    for _ in 0..options.connections {
+        let server = Arc::clone(&server);
+        let shared = Arc::clone(&shared);
+        threads.push(thread::spawn(move || {
+            while let Ok(request) = server.recv() {
+                shared.serve(request);
+            }
+        }));
+    }
+    for thread in threads {
+        let _ = thread.join();
+    }
+    Ok(())
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Shared {
+    fn now(&self) -> Clock {
+        Clock(self.start.elapsed().as_millis() as u64)
+    }
+
+    fn serve(&self, mut request: Request) {
+        let mut body = Vec::new();
+        if request.as_reader().read_to_end(&mut body).is_err() {
+            return;
+        }
+        let url = request.url().to_owned();
+        let response = match url.as_str() {
+            "/sync" => self.sync(&body),
+            "/log" => self.log(),
+            "/knobs" => self.turn(&body),
+            _ => self.execute(&request, &url, body),
+        };
+        let _ = request.respond(response);
+    }
+
+    fn sync(&self, body: &[u8]) -> Response<std::io::Cursor<Vec<u8>>> {
+        let Ok(call) = from_json(body) else {
+            return Response::from_data(Vec::new()).with_status_code(400);
+        };
+        let reply = lock(&self.model).sync(self.now(), &call);
+        Response::from_data(to_json(&reply).unwrap_or_default())
+    }
+
+    fn log(&self) -> Response<std::io::Cursor<Vec<u8>>> {
+        let mut model = lock(&self.model);
+        model.advance(self.now());
+        let log = Log {
+            spans: model.log().to_vec(),
+            executions: lock(&self.executions).clone(),
+        };
+        Response::from_data(to_json(&log).unwrap_or_default())
+    }
+
+    fn turn(&self, body: &[u8]) -> Response<std::io::Cursor<Vec<u8>>> {
+        let Ok(knobs) = from_json::<Knobs>(body) else {
+            return Response::from_data(Vec::new()).with_status_code(400);
+        };
+        lock(&self.model).fail_all(knobs.fail_all);
+        *lock(&self.knobs) = knobs;
+        Response::from_data(Vec::new())
+    }
+
+    fn execute(
+        &self,
+        request: &Request,
+        url: &str,
+        body: Vec<u8>,
+    ) -> Response<std::io::Cursor<Vec<u8>>> {
+        let here = header(request, "stackpier-task")
+            .and_then(|text| run_of(&text))
+            .is_some_and(|run| lock(&self.model).runs(self.now(), run));
+        if !here {
+            return refusal("not-here");
+        }
+        if self.busy.fetch_add(1, Ordering::SeqCst) >= self.options.slots {
+            self.busy.fetch_sub(1, Ordering::SeqCst);
+            return refusal("busy");
+        }
+        lock(&self.executions).push(Execution {
+            key: header(request, "idempotency-key"),
+            path: url.to_owned(),
+            started: self.now(),
+        });
+        let extra = lock(&self.knobs).extra_ms;
+        thread::sleep(Duration::from_millis(self.options.work_ms + extra));
+        self.busy.fetch_sub(1, Ordering::SeqCst);
+        with(
+            Response::from_data(body),
+            "x-worker",
+            self.options.name.as_str(),
+        )
+    }
+}
+
+fn refusal(reason: &str) -> Response<std::io::Cursor<Vec<u8>>> {
+    let response = Response::from_data(Vec::new()).with_status_code(503);
+    with(
+        with(response, "stackpier-ran", "no"),
+        "stackpier-refused",
+        reason,
+    )
+}
+
+fn with(
+    mut response: Response<std::io::Cursor<Vec<u8>>>,
+    name: &str,
+    value: &str,
+) -> Response<std::io::Cursor<Vec<u8>>> {
+    if let Ok(header) = Header::from_bytes(name, value) {
+        response.add_header(header);
+    }
+    response
+}
+
+fn header(request: &Request, name: &str) -> Option<String> {
+    let matches = |header: &&Header| header.field.as_str().as_str().eq_ignore_ascii_case(name);
+    let found = request.headers().iter().find(matches);
+    found.map(|header| header.value.as_str().to_owned())
+}
+
+fn run_of(text: &str) -> Option<Run> {
+    let mut parts = text.split('.');
+    let job = Job(parts.next()?.parse().ok()?);
+    let index = parts.next()?.parse().ok()?;
+    let attempt = Attempt(parts.next()?.parse().ok()?);
+    let task = Task { job, index };
+    Some(Run { task, attempt })
+}
--- /dev/null
+++ b/crates/stackpier-state/src/rack.rs
@@ -0,0 +1,215 @@
+// SPDX-License-Identifier: Apache-2.0
+//! A rack's page: its workers, and each run committed to them.
+//!
+//! The page is the unit of commitment. A change is written by
+//! compare-and-swap, so the sums checked here hold for what is stored.
+
+use serde::{Deserialize, Serialize};
+use stackpier_core::{
+    Name, Size,
+    key::{Boot, Write},
+};
+
+use crate::work::{Checkpoint, Outcome, Run, Work};
+
+/// Renewer is the one daemon that may renew leases in the rack.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Renewer {
+    /// Name of the daemon's VM.
+    pub vm: Name,
+    /// The run of the daemon.
+    pub boot: Boot,
+    /// Counts the renewers of the rack.
+    pub term: u64,
+}
+
+/// Condition is what is known of a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Condition {
+    /// Takes new tasks.
+    Up,
+    /// Keeps its tasks for a few seconds and takes no new ones.
+    Leaving,
+    /// Listed gone by the platform. Nothing runs on it.
+    Gone,
+}
+
+/// Worker is one worker of the rack.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Worker {
+    /// Name of the worker.
+    pub name: Name,
+    /// The run of the worker that the rows below are committed to. Zero until
+    /// the worker was first reached.
+    pub boot: Boot,
+    /// What it offers.
+    pub capacity: Size,
+    /// What is known of it.
+    pub condition: Condition,
+}
+
+/// Phase is the state of a committed run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Phase {
+    /// To be started, or started.
+    Running,
+    /// To be checkpointed and stopped.
+    Stopping,
+    /// Proven not to run any more. Takes no room.
+    Ended(Outcome),
+}
+
+/// Row is one committed run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Row {
+    /// The run.
+    pub run: Run,
+    /// What to run.
+    pub work: Work,
+    /// The worker it is committed to.
+    pub worker: Name,
+    /// Progress to resume from.
+    pub checkpoint: Option<Checkpoint>,
+    /// Its state.
+    pub phase: Phase,
+}
+
+/// Refusal says why a run was not committed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// The rack has no such worker, or it takes no tasks.
+    NoWorker,
+    /// The worker has not enough left.
+    NoRoom,
+    /// The task has a run here that has not ended.
+    AlreadyHere,
+}
+
+/// Rack is the page of one rack.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Rack {
+    /// The write that made this value.
+    pub write: Write,
+    /// The daemon that renews.
+    pub renewer: Option<Renewer>,
+    /// Earlier renewers not yet proven to have stopped renewing.
+    pub former: Vec<Renewer>,
+    /// The rack's workers.
+    pub workers: Vec<Worker>,
+    /// The runs committed to them.
+    pub rows: Vec<Row>,
+}
+
+impl Worker {
+    /// takes_tasks tells whether new runs may be committed to the worker. One
+    /// that was never reached has no boot that a run could be bound to.
+    pub fn takes_tasks(&self) -> bool {
+        self.condition == Condition::Up && self.boot != Boot::default()
+    }
+}
+
+impl Rack {
+    /// empty returns the page of a rack that nobody has written yet.
+    pub fn empty() -> Rack {
+        Rack {
+            write: Write::default(),
+            renewer: None,
+            former: Vec::new(),
+            workers: Vec::new(),
+            rows: Vec::new(),
+        }
+    }
+
+    /// worker returns the worker of this name.
+    pub fn worker(&self, name: Name) -> Option<&Worker> {
+        self.workers.iter().find(|worker| worker.name == name)
+    }
+
+    /// worker_mut returns the worker of this name for change.
+    pub fn worker_mut(&mut self, name: Name) -> Option<&mut Worker> {
+        self.workers.iter_mut().find(|worker| worker.name == name)
+    }
+
+    /// row returns the row of a run.
+    pub fn row(&self, run: Run) -> Option<&Row> {
+        self.rows.iter().find(|row| row.run == run)
+    }
+
+    /// committed returns the sum of the runs on a worker that have not ended.
+    pub fn committed(&self, worker: Name) -> Size {
+        self.live(worker).map(|row| row.work.size).sum()
+    }
+
+    /// live returns the runs on a worker that have not ended.
+    pub fn live(&self, worker: Name) -> impl Iterator<Item = &Row> {
+        self.rows
+            .iter()
+            .filter(move |row| row.worker == worker && !matches!(row.phase, Phase::Ended(_)))
+    }
+
+    /// free returns what is left on a worker that takes tasks.
+    pub fn free(&self, worker: Name) -> Option<Size> {
+        let found = self.worker(worker)?;
+        found
+            .takes_tasks()
+            .then(|| found.capacity.minus(&self.committed(worker)))
+    }
+
+    /// commit adds a run in phase [`Phase::Running`].
+    pub fn commit(&mut self, row: Row) -> Result<(), Refusal> {
+        let here =
+            |other: &Row| other.run.task == row.run.task && !matches!(other.phase, Phase::Ended(_));
+        if self.rows.iter().any(here) {
+            return Err(Refusal::AlreadyHere);
+        }
+        let found = self.worker(row.worker).ok_or(Refusal::NoWorker)?;
+        if !found.takes_tasks() {
+            return Err(Refusal::NoWorker);
+        }
+        let sum = self.committed(row.worker) + row.work.size;
+        if !sum.fits(&found.capacity) {
+            return Err(Refusal::NoRoom);
+        }
+        self.rows.push(row);
+        Ok(())
+    }
+
+    /// stop marks a running run as to be stopped. It returns whether the page
+    /// changed.
+    pub fn stop(&mut self, run: Run) -> bool {
+        let running = |row: &&mut Row| row.run == run && row.phase == Phase::Running;
+        let found = self.rows.iter_mut().find(running);
+        found.map(|row| row.phase = Phase::Stopping).is_some()
+    }
+
+    /// end records how a run ended. The first record stays. It returns
+    /// whether the page changed.
+    pub fn end(&mut self, run: Run, outcome: Outcome) -> bool {
+        let open = |row: &&mut Row| row.run == run && !matches!(row.phase, Phase::Ended(_));
+        let found = self.rows.iter_mut().find(open);
+        found.map(|row| row.phase = Phase::Ended(outcome)).is_some()
+    }
+
+    /// end_all records every open run on a worker as lost. It returns whether
+    /// the page changed.
+    pub fn end_all(&mut self, worker: Name) -> bool {
+        let mut changed = false;
+        for row in &mut self.rows {
+            if row.worker == worker && !matches!(row.phase, Phase::Ended(_)) {
+                row.phase = Phase::Ended(Outcome::Lost);
+                changed = true;
+            }
+        }
+        changed
+    }
+
+    /// take_over makes a daemon the renewer. The renewer before it stays
+    /// listed as former until it is proven to have stopped.
+    pub fn take_over(&mut self, vm: Name, boot: Boot) {
+        let term = self.renewer.map_or(0, |renewer| renewer.term) + 1;
+        self.former.extend(self.renewer);
+        self.renewer = Some(Renewer { vm, boot, term });
+    }
+}
--- /dev/null
+++ b/crates/stackpier-testkit/src/lib.rs
@@ -0,0 +1,9 @@
+// SPDX-License-Identifier: Apache-2.0
+//! Real processes on loopback for the demo and the integration tests: daemons,
+//! stand-ins, and proxies between data centres and towards the platform.
+
+pub mod caller;
+pub mod cluster;
+pub mod ports;
+pub mod process;
+pub mod wait;
--- /dev/null
+++ b/crates/stackpier-testkit/src/ports.rs
@@ -0,0 +1,28 @@
+// SPDX-License-Identifier: Apache-2.0
+//! Free ports on loopback, below the range that outgoing connections use.
+
+use std::{
+    net::{SocketAddr, TcpListener},
+    sync::atomic::{AtomicU32, Ordering},
+};
+
+/// FIRST is the lowest port handed out.
+const FIRST: u32 = 10_000;
+/// COUNT is the count of ports to choose from.
+const COUNT: u32 = 20_000;
+/// STRIDE keeps the ports of test processes that run at once apart.
+const STRIDE: u32 = 397;
+
+static NEXT: AtomicU32 = AtomicU32::new(0);
+
+/// free returns an address nobody listens on.
+pub fn free() -> SocketAddr {
+    let start = std::process::id().wrapping_mul(STRIDE);
+    loop {
+        let number = start.wrapping_add(NEXT.fetch_add(1, Ordering::SeqCst)) % COUNT;
+        let address = SocketAddr::from(([127, 0, 0, 1], (FIRST + number) as u16));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
+}
--- /dev/null
+++ b/crates/stackpier-testkit/src/process.rs
@@ -0,0 +1,95 @@
+// SPDX-License-Identifier: Apache-2.0
+//! Child processes that end with the test that started them.
+
+use std::{
+    fs::File,
+    path::{Path, PathBuf},
+    process::{Child, Command, ExitStatus},
+};
+
+use anyhow::{Context, Result, ensure};
+
+/// Process is a running child.
+pub struct Process {
+    child: Child,
+    stopped: bool,
+}
+
+/// Signal is what a test sends to a child.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Signal {
+    /// Freeze.
+    Stop,
+    /// Thaw.
+    Continue,
+    /// Ask to stop.
+    Terminate,
+}
+
+impl Signal {
+    fn flag(self) -> &'static str {
+        match self {
+            Signal::Stop => "-STOP",
+            Signal::Continue => "-CONT",
+            Signal::Terminate => "-TERM",
+        }
+    }
+}
+
+/// binary returns the path of a program of this workspace, beside the running
+/// one.
+pub fn binary(name: &str) -> Result<PathBuf> {
+    let running = std::env::current_exe()?;
+    let mut folders = running.ancestors().skip(1);
+    let found = folders.find_map(|folder| {
+        let path = folder.join(name);
+        path.is_file().then_some(path)
+    });
+    found.with_context(|| format!("{name} is not built: run `cargo build --workspace`"))
+}
+
+impl Process {
+    /// start runs a program of this workspace with its output in `log`.
+    pub fn start<S: AsRef<std::ffi::OsStr>>(name: &str, args: &[S], log: &Path) -> Result<Process> {
+        let file = File::options().create(true).append(true).open(log)?;
+        let child = Command::new(binary(name)?)
+            .args(args)
+            .stdout(file.try_clone()?)
+            .stderr(file)
+            .spawn()
+            .with_context(|| format!("starting {name}"))?;
+        Ok(Process {
+            child,
+            stopped: false,
+        })
+    }
+
+    /// signal sends a signal to the child.
+    pub fn signal(&mut self, signal: Signal) -> Result<()> {
+        let id = self.child.id().to_string();
+        let status = Command::new("kill").args([signal.flag(), &id]).status()?;
+        ensure!(status.success(), "kill {} {id} failed", signal.flag());
+        self.stopped = signal == Signal::Stop;
+        Ok(())
+    }
+
+    /// kill ends the child at once.
+    pub fn kill(&mut self) -> Result<()> {
+        self.child.kill()?;
+        self.child.wait()?;
+        Ok(())
+    }
+
+    /// exited returns how the child ended, if it has.
+    pub fn exited(&mut self) -> Result<Option<ExitStatus>> {
+        Ok(self.child.try_wait()?)
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // It may have ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
--- /dev/null
+++ b/crates/stackpier-transport/src/callers.rs
@@ -0,0 +1,271 @@
+// SPDX-License-Identifier: Apache-2.0
+//! The callers' port, on `hyper`: `tiny_http` has no bound on callers that
+//! send slowly or stay idle, and one set on its listening socket ends its
+//! accept loop (see `docs/DESIGN.md`).
+
+use std::{convert::Infallible, net::TcpListener, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::{
+    Request as Incoming, Response, body::Incoming as IncomingBody, server::conn::http1,
+    service::service_fn,
+};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use stackpier_core::{Error, Kind};
+use stackpier_protocol::{codec::to_json, operator::Failure};
+use stackpier_state::ledger::{Header, Reply};
+use tokio::sync::{Semaphore, watch};
+
+/// Options are the bounds on callers.
+#[derive(Clone, Copy, Debug)]
+pub struct Options {
+    /// Most connections at once.
+    pub connections: usize,
+    /// Most requests in service at once.
+    pub requests: usize,
+    /// Largest body of a request, in bytes.
+    pub body_bytes: usize,
+    /// Largest head of a request, in bytes; at least 8,192.
+    pub head_bytes: usize,
+    /// Longest time for a request's head, an idle connection's included.
+    pub head_ms: u64,
+    /// Longest time for a request's body.
+    pub body_ms: u64,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Options {
+            connections: 4_096,
+            requests: 512,
+            body_bytes: 1024 * 1024,
+            head_bytes: 16 * 1024,
+            head_ms: 5_000,
+            body_ms: 10_000,
+        }
+    }
+}
+
+/// Request is a caller's whole request.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// HTTP method.
+    pub method: String,
+    /// Path and query.
+    pub path: String,
+    /// Headers, names in lower case.
+    pub headers: Vec<Header>,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+impl Request {
+    /// header returns the value of a header.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let found = self.headers.iter().find(|header| header.name == name);
+        found.map(|header| header.value.as_str())
+    }
+}
+
+/// Service answers requests. It may block.
+pub trait Service: Send + Sync + 'static {
+    /// serve returns the answer, or why there is none.
+    fn serve(&self, request: Request) -> Result<Reply, Error>;
+}
+
+/// Gate stops the port: no new connections, and no new request on the ones
+/// that are there.
+#[derive(Clone, Debug)]
+pub struct Gate {
+    stop: watch::Sender<bool>,
+}
+
+impl Default for Gate {
+    fn default() -> Self {
+        Gate {
+            stop: watch::channel(false).0,
+        }
+    }
+}
+
+impl Gate {
+    /// close stops the port.
+    pub fn close(&self) {
+        self.stop.send_replace(true);
+    }
+}
+
+struct Shared<S> {
+    service: Arc<S>,
+    options: Options,
+    requests: Arc<Semaphore>,
+}
+
+impl<S> Clone for Shared<S> {
+    fn clone(&self) -> Self {
+        Shared {
+            service: Arc::clone(&self.service),
+            options: self.options,
+            requests: Arc::clone(&self.requests),
+        }
+    }
+}
+
+/// run serves callers until the gate is closed and every request in service
+/// is answered.
+pub fn run<S: Service>(
+    listener: TcpListener,
+    service: Arc<S>,
+    options: Options,
+    gate: &Gate,
+) -> std::io::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .max_blocking_threads(options.requests)
+        .build()?;
+    listener.set_nonblocking(true)?;
+    let stop = gate.stop.subscribe();
+    let shared = Shared {
+        service,
+        options,
+        requests: Arc::new(Semaphore::new(options.requests)),
+    };
+    runtime.block_on(accept(listener, shared, stop))
+}
+
+async fn accept<S: Service>(
+    listener: TcpListener,
+    shared: Shared<S>,
+    mut stop: watch::Receiver<bool>,
+) -> std::io::Result<()> {
+    let listener = tokio::net::TcpListener::from_std(listener)?;
+    let most = shared.options.connections;
+    let connections = Arc::new(Semaphore::new(most));
+    let stops = stop.clone();
+    loop {
+        let permit = Arc::clone(&connections).acquire_owned().await;
+        tokio::select! {
+            _ = stop.wait_for(|stop| *stop) => break,
+            accepted = listener.accept() => {
+                let Ok((stream, _)) = accepted else { continue };
+                let connection = connection(stream, shared.clone(), stops.clone());
+                tokio::spawn(async move {
+                    connection.await;
+                    drop(permit);
+                });
+            }
+        }
+    }
+    drop(listener);
+    let _ = connections.acquire_many(most as u32).await;
+    Ok(())
+}
+
+async fn connection<S: Service>(
+    stream: tokio::net::TcpStream,
+    shared: Shared<S>,
+    mut stop: watch::Receiver<bool>,
+) {
+    let _ = stream.set_nodelay(true);
+    let options = shared.options;
+    let service = service_fn(move |request| respond(request, shared.clone()));
+    let serving = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_millis(options.head_ms))
+        .max_buf_size(options.head_bytes)
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(serving);
+    let served = tokio::select! {
+        served = &mut serving => Some(served),
+        _ = stop.wait_for(|stop| *stop) => None,
+    };
+    if served.is_none() {
+        serving.as_mut().graceful_shutdown();
+        let _ = serving.await;
+    }
+}
+
+async fn respond<S: Service>(
+    request: Incoming<IncomingBody>,
+    shared: Shared<S>,
+) -> Result<Response<Full<Bytes>>, Infallible> {
+    let reply = match Arc::clone(&shared.requests).try_acquire_owned() {
+        Err(_) => failure(Error::new(
+            Kind::TooManyCallers,
+            "too many requests at once",
+        )),
+        Ok(permit) => {
+            let reply = answer(request, &shared).await.unwrap_or_else(failure);
+            drop(permit);
+            reply
+        }
+    };
+    Ok(response(reply))
+}
+
+async fn answer<S: Service>(
+    request: Incoming<IncomingBody>,
+    shared: &Shared<S>,
+) -> Result<Reply, Error> {
+    let request = whole(request, shared.options).await?;
+    let service = Arc::clone(&shared.service);
+    let served = tokio::task::spawn_blocking(move || service.serve(request)).await;
+    served.unwrap_or_else(|_| Err(Error::new(Kind::Internal, "the request's thread ended")))
+}
+
+async fn whole(request: Incoming<IncomingBody>, options: Options) -> Result<Request, Error> {
+    let (head, body) = request.into_parts();
+    let limited = Limited::new(body, options.body_bytes).collect();
+    let limit = Duration::from_millis(options.body_ms);
+    let slow = |_| Error::new(Kind::TooSlow, format!("the body took over {limit:?}"));
+    let collected = tokio::time::timeout(limit, limited).await.map_err(slow)?;
+    let body = collected.map_err(|error| match error.is::<LengthLimitError>() {
+        true => {
+            let text = format!("a body has at most {} bytes", options.body_bytes);
+            Error::new(Kind::TooLarge, text)
+        }
+        false => Error::new(Kind::BadInput, format!("the body ended early: {error}")),
+    })?;
+    let headers = head.headers.iter().map(|(name, value)| Header {
+        name: name.as_str().to_owned(),
+        value: String::from_utf8_lossy(value.as_bytes()).into_owned(),
+    });
+    let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
+    Ok(Request {
+        method: head.method.as_str().to_owned(),
+        path: path.to_owned(),
+        headers: headers.collect(),
+        body: body.to_bytes().to_vec(),
+    })
+}
+
+/// failure builds the answer to a request that got an error.
+pub fn failure(error: Error) -> Reply {
+    let answer = error.kind.answer();
+    let header = |name: &str, value: String| Header {
+        name: name.to_owned(),
+        value,
+    };
+    let mut headers = vec![header("content-type", "application/json".to_owned())];
+    let after = error.retry_after_s();
+    headers.extend(after.map(|seconds| header("retry-after", seconds.to_string())));
+    Reply {
+        status: answer.status,
+        headers,
+        body: to_json(&Failure::from(error)).unwrap_or_default(),
+    }
+}
+
+fn response(reply: Reply) -> Response<Full<Bytes>> {
+    let mut builder = Response::builder().status(reply.status);
+    for header in &reply.headers {
+        builder = builder.header(&header.name, &header.value);
+    }
+    let body = Full::new(Bytes::from(reply.body));
+    builder.body(body).unwrap_or_else(|_| {
+        let mut broken = Response::new(Full::new(Bytes::new()));
+        *broken.status_mut() = hyper::StatusCode::BAD_GATEWAY;
+        broken
+    })
+}
--- /dev/null
+++ b/crates/stackpierd/src/acceptance.rs
@@ -0,0 +1,50 @@
+// SPDX-License-Identifier: Apache-2.0
+//! The I/O around the acceptance of an operator's change.
+
+use slog::info;
+use stackpier_coordination::accept::{Acceptance, Change, Next};
+use stackpier_core::Result;
+use stackpier_protocol::{operator::Accepted, peer::ShardPage};
+use stackpier_state::{catalogue::shard_of, page::Key};
+
+use crate::{
+    backend::Backend,
+    daemon::{Daemon, lock},
+};
+
+impl<B: Backend> Daemon<B> {
+    /// accept brings a change to its final answer.
+    pub fn accept(&self, change: Change) -> Result<Accepted> {
+        let name = change.name();
+        let shard = shard_of(name);
+        let (mut acceptance, mut next) = Acceptance::new(change);
+        loop {
+            next = match next {
+                Next::Read => {
+                    let fetched = self.backend.read(Key::Intents(shard));
+                    acceptance.read(fetched, &mut lock(&self.writer))
+                }
+                Next::Swap(revision, page) => {
+                    let swapped = self.backend.swap(Key::Intents(shard), revision, &page);
+                    acceptance.swapped(swapped)
+                }
+                Next::Answer(answer, page) => {
+                    if let Some((revision, page)) = page {
+                        let page = ShardPage {
+                            shard,
+                            revision,
+                            page,
+                        };
+                        self.take_shard(page, "operator");
+                        self.bump_index(shard);
+                    }
+                    let word = answer
+                        .as_ref()
+                        .map_or_else(|e| e.kind.as_str(), |_| "accepted");
+                    info!(self.log, "config: change settled"; "name" => %name, "result" => word);
+                    return answer;
+                }
+            };
+        }
+    }
+}
--- /dev/null
+++ b/crates/stackpierd/src/holders.rs
@@ -0,0 +1,168 @@
+// SPDX-License-Identifier: Apache-2.0
+//! The upkeep of the data centre's holder map: reading it, adding versions
+//! when daemons come and go, and acknowledging them.
+
+use std::{
+    sync::{Arc, atomic::Ordering},
+    thread,
+    time::Duration,
+};
+
+use slog::info;
+use stackpier_core::Millis;
+use stackpier_protocol::peer::{Hint, Request, Response};
+use stackpier_state::{
+    Page, Revision,
+    holders::{Map, Member},
+    page::{ABSENT, Fetched, Key, Swapped},
+};
+
+use crate::{
+    backend::Backend,
+    clock,
+    daemon::{Daemon, lock},
+};
+
+/// PAUSE is the time between two looks.
+const PAUSE: Duration = Duration::from_millis(250);
+/// SWEEP_MS is the longest time between two reads of the page.
+const SWEEP_MS: u64 = 3_000;
+/// SETTLE_MS is how long the set of daemons must stay as it is before it
+/// becomes a version.
+const SETTLE_MS: u64 = 1_000;
+
+/// start keeps the map on a thread of its own.
+pub fn start<B: Backend>(daemon: &Arc<Daemon<B>>) -> std::io::Result<()> {
+    let daemon = Arc::clone(daemon);
+    thread::Builder::new()
+        .name("holders".to_owned())
+        .spawn(move || {
+            let mut keeper = Keeper {
+                daemon: &daemon,
+                read: None,
+                seen: Vec::new(),
+                since: Millis(0),
+            };
+            loop {
+                keeper.round();
+                thread::sleep(PAUSE);
+            }
+        })?;
+    Ok(())
+}
+
+struct Keeper<'a, B> {
+    daemon: &'a Daemon<B>,
+    read: Option<Millis>,
+    seen: Vec<Member>,
+    since: Millis,
+}
+
+impl<B: Backend> Keeper<'_, B> {
+    fn round(&mut self) {
+        let now = clock::now();
+        let daemon = self.daemon;
+        let live = lock(&daemon.table).live(now, daemon.settings.data_centre);
+        if live != self.seen {
+            self.seen = live;
+            self.since = now;
+        }
+        let settled = now.since(self.since) >= SETTLE_MS;
+        let known = lock(&daemon.holder).map().clone();
+        let told = daemon.holders_due.swap(false, Ordering::SeqCst);
+        let due = told || self.read.is_none_or(|at| now.since(at) >= SWEEP_MS);
+        let keeps = lock(&daemon.table).preferred(now, "holders");
+        let differs = known.newest().map(|newest| &newest.members) != Some(&self.seen);
+        if due || (keeps && settled && differs) || self.owes(&known) {
+            self.read = Some(now);
+            self.update(keeps && settled);
+        }
+        let oldest = daemon.settings.once.oldest(clock::unix());
+        lock(&daemon.holder).drop_old(oldest);
+    }
+
+    /// owes tells whether this daemon has not acknowledged the newest version.
+    fn owes(&self, map: &Map) -> bool {
+        let me = &self.daemon.me;
+        let earlier = map.versions.iter().rev().skip(1);
+        let open = |v: &stackpier_state::holders::Version| {
+            v.members.contains(me) && !v.stopped.contains(me)
+        };
+        earlier.clone().any(open)
+    }
+
+    fn update(&self, may_renew: bool) {
+        match self
+            .daemon
+            .backend
+            .read(Key::Holders(self.daemon.settings.data_centre))
+        {
+            Fetched::Found(revision, Page::Holders(map)) => self.revise(revision, map, may_renew),
+            Fetched::Absent => self.revise(ABSENT, Map::default(), may_renew),
+            Fetched::Found(..) | Fetched::Failed => self.ask_peers(),
+        }
+    }
+
+    /// ask_peers lets a fresh daemon learn the map while the store is away.
+    fn ask_peers(&self) {
+        if lock(&self.daemon.holder).map().number() > 0 {
+            return;
+        }
+        for address in self.daemon.neighbours() {
+            let answer = self
+                .daemon
+                .peers
+                .call(address, &Request::Map, crate::daemon::PEER_LIMIT);
+            if let Ok(Response::Map(map)) = answer {
+                lock(&self.daemon.holder).learn(map);
+            }
+        }
+    }
+
+    fn revise(&self, revision: Revision, map: Map, may_renew: bool) {
+        let daemon = self.daemon;
+        // From here on nothing is granted under an earlier version, so the
+        // acknowledgement below is true when it is written.
+        lock(&daemon.holder).learn(map.clone());
+        let mut next = map.clone();
+        if may_renew {
+            next.renew(self.seen.clone());
+        }
+        let now = clock::unix();
+        let number = map.number();
+        next.acknowledge(daemon.me, number, now);
+        self.acknowledge_gone(&mut next, number);
+        let window = daemon.settings.once.window_ms + 2 * daemon.settings.once.allowance_ms;
+        next.drop_old(now, window);
+        if next == map {
+            return;
+        }
+        next.write = lock(&daemon.writer).number();
+        let key = Key::Holders(daemon.settings.data_centre);
+        let swapped = daemon
+            .backend
+            .swap(key, revision, &Page::Holders(next.clone()));
+        if let Swapped::Won(_) = swapped {
+            let grown = next.number() > number;
+            lock(&daemon.holder).learn(next);
+            if grown {
+                let version = number + 1;
+                info!(daemon.log, "member: holder map changed";
+                    "version" => version, "members" => self.seen.len());
+                let _ = daemon.tell_data_centre(&Request::Hint(Hint::Holders));
+            }
+        }
+    }
+
+    /// acknowledge_gone notes members that are proven to be over.
+    fn acknowledge_gone(&self, next: &mut Map, number: u64) {
+        let members: Vec<Member> = {
+            let table = lock(&self.daemon.table);
+            let all = next.versions.iter().flat_map(|version| &version.members);
+            all.filter(|member| table.gone(**member)).copied().collect()
+        };
+        for member in members {
+            next.acknowledge(member, number, clock::unix());
+        }
+    }
+}
--- /dev/null
+++ b/crates/stackpierd/src/intents.rs
@@ -0,0 +1,125 @@
+// SPDX-License-Identifier: Apache-2.0
+//! How the accepted intents reach this daemon from the store: a watch on the
+//! index, and a slow poll of one page after the other. Peers are the third
+//! way, see [`crate::heartbeat`].
+
+use std::{sync::Arc, thread, time::Duration};
+
+use stackpier_protocol::peer::ShardPage;
+use stackpier_state::{
+    Page, Revision,
+    catalogue::SHARDS,
+    page::{Fetched, Index, Key},
+};
+
+use crate::{
+    backend::Backend,
+    daemon::{Daemon, lock},
+};
+
+/// WATCH_MS is how long one watch waits.
+const WATCH_MS: u64 = 10_000;
+/// GAP is the shortest time between two looks at the index.
+const GAP: Duration = Duration::from_millis(200);
+
+/// start watches and polls on threads of their own.
+pub fn start<B: Backend>(daemon: &Arc<Daemon<B>>) -> std::io::Result<()> {
+    let watching = Arc::clone(daemon);
+    thread::Builder::new()
+        .name("watch".to_owned())
+        .spawn(move || {
+            read_all(&watching);
+            let mut seen = Seen::default();
+            loop {
+                watch(&watching, &mut seen);
+                thread::sleep(GAP);
+            }
+        })?;
+    let polling = Arc::clone(daemon);
+    thread::Builder::new()
+        .name("poll".to_owned())
+        .spawn(move || {
+            let start = (polling.me.boot.0 % u64::from(SHARDS)) as u16;
+            for round in 0.. {
+                let shard = (start + (round % u64::from(SHARDS)) as u16) % SHARDS;
+                read_shard(&polling, shard);
+                thread::sleep(Duration::from_millis(polling.settings.poll_ms));
+            }
+        })?;
+    Ok(())
+}
+
+#[derive(Default)]
+struct Seen {
+    revision: Revision,
+    index: Index,
+}
+
+fn watch<B: Backend>(daemon: &Daemon<B>, seen: &mut Seen) {
+    daemon.metrics.store_reads.add(1, &[]);
+    let Some(revision) = daemon.backend.watch(Key::Index, seen.revision, WATCH_MS) else {
+        return;
+    };
+    if revision <= seen.revision {
+        return;
+    }
+    daemon.metrics.store_reads.add(1, &[]);
+    if let Fetched::Found(revision, Page::Index(index)) = daemon.backend.read(Key::Index) {
+        let changed = index.changed(&seen.index);
+        let read = changed
+            .iter()
+            .filter(|shard| read_shard(daemon, **shard))
+            .count();
+        // A page that was not read is still owed, so the index counts as seen
+        // only when all were.
+        if read == changed.len() {
+            *seen = Seen { revision, index };
+        }
+    }
+}
+
+fn read_all<B: Backend>(daemon: &Daemon<B>) {
+    for shard in 0..SHARDS {
+        read_shard(daemon, shard);
+    }
+}
+
+/// read_shard reads one intents page and returns whether the store answered.
+fn read_shard<B: Backend>(daemon: &Daemon<B>, shard: u16) -> bool {
+    daemon.metrics.store_reads.add(1, &[]);
+    match daemon.backend.read(Key::Intents(shard)) {
+        Fetched::Found(revision, Page::Intents(page)) => {
+            let page = ShardPage {
+                shard,
+                revision,
+                page,
+            };
+            daemon.take_shard(page, "store");
+            true
+        }
+        Fetched::Absent => true,
+        Fetched::Found(..) | Fetched::Failed => false,
+    }
+}
+
+impl<B: Backend> Daemon<B> {
+    /// bump_index tells the watches of all daemons that a shard changed. It is
+    /// only a hint, so a failure is left to the polls.
+    pub fn bump_index(&self, shard: u16) {
+        use stackpier_state::page::{ABSENT, Swapped};
+        const ROUNDS: usize = 8;
+        for _ in 0..ROUNDS {
+            let (revision, mut index) = match self.backend.read(Key::Index) {
+                Fetched::Found(revision, Page::Index(index)) => (revision, index),
+                Fetched::Absent => (ABSENT, Index::default()),
+                Fetched::Found(..) | Fetched::Failed => return,
+            };
+            index.bump(shard);
+            index.write = lock(&self.writer).number();
+            let swapped = self.backend.swap(Key::Index, revision, &Page::Index(index));
+            if matches!(swapped, Swapped::Won(_)) {
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/stackpierd/src/lib.rs
@@ -0,0 +1,20 @@
+// SPDX-License-Identifier: Apache-2.0
+//! The daemon of an entry VM: a shell of I/O around the decisions in
+//! `stackpier-coordination`.
+
+pub mod acceptance;
+pub mod backend;
+pub mod clock;
+pub mod daemon;
+pub mod heartbeat;
+pub mod holders;
+pub mod intents;
+pub mod logging;
+pub mod metrics;
+pub mod operators;
+pub mod peers;
+pub mod request;
+pub mod routing;
+pub mod scheduler;
+pub mod sender;
+pub mod settings;
--- /dev/null
+++ b/crates/stackpierd/src/metrics.rs
@@ -0,0 +1,75 @@
+// SPDX-License-Identifier: Apache-2.0
+//! The daemon's metrics: `opentelemetry` instruments, read as Prometheus text.
+
+use opentelemetry::{
+    KeyValue,
+    metrics::{Counter, Histogram, MeterProvider},
+};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+
+/// LATENCY_BOUNDS are the upper bounds of the latency buckets, in seconds.
+const LATENCY_BOUNDS: [f64; 14] = [
+    0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0,
+];
+
+/// Metrics are the instruments of one daemon.
+pub struct Metrics {
+    registry: Registry,
+    /// Keeps the instruments alive.
+    _provider: SdkMeterProvider,
+    /// Answers to callers, by kind.
+    pub answers: Counter<u64>,
+    /// Time from a request's arrival to its answer, in seconds.
+    pub latency: Histogram<f64>,
+    /// Requests sent to another upstream again.
+    pub retries: Counter<u64>,
+    /// Reads of the store.
+    pub store_reads: Counter<u64>,
+    /// Swaps in the store.
+    pub store_swaps: Counter<u64>,
+    /// Calls to workers.
+    pub worker_calls: Counter<u64>,
+    /// Decisions of placement, by word.
+    pub placements: Counter<u64>,
+}
+
+impl Metrics {
+    /// new registers all instruments.
+    pub fn new() -> anyhow::Result<Metrics> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("stackpier");
+        let count = |name: &'static str| meter.u64_counter(name).build();
+        let latency = meter
+            .f64_histogram("stackpier_request_seconds")
+            .with_boundaries(LATENCY_BOUNDS.to_vec())
+            .build();
+        Ok(Metrics {
+            answers: count("stackpier_answers"),
+            latency,
+            retries: count("stackpier_retries"),
+            store_reads: count("stackpier_store_reads"),
+            store_swaps: count("stackpier_store_swaps"),
+            worker_calls: count("stackpier_worker_calls"),
+            placements: count("stackpier_placements"),
+            registry,
+            _provider: provider,
+        })
+    }
+
+    /// text returns all metrics in the text format of Prometheus.
+    pub fn text(&self) -> anyhow::Result<Vec<u8>> {
+        let mut text = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
+        Ok(text)
+    }
+}
+
+/// kind returns the label that tells counts apart.
+pub fn kind(word: &'static str) -> [KeyValue; 1] {
+    [KeyValue::new("kind", word)]
+}
--- /dev/null
+++ b/crates/stackpierd/src/peers.rs
@@ -0,0 +1,75 @@
+// SPDX-License-Identifier: Apache-2.0
+//! What this daemon answers to messages of other daemons.
+
+use std::sync::{Arc, atomic::Ordering};
+
+use stackpier_core::Name;
+use stackpier_protocol::{
+    peer::{Hint, Request, Response, ShardPage},
+    platform::{Roster, Vm},
+};
+use stackpier_transport::peers::Service;
+
+use crate::{
+    backend::Backend,
+    daemon::{Daemon, lock},
+    scheduler::Input,
+};
+
+/// Peers is the service behind the peers' port.
+pub struct Peers<B> {
+    daemon: Arc<Daemon<B>>,
+}
+
+impl<B: Backend> Peers<B> {
+    /// new serves the other daemons.
+    pub fn new(daemon: Arc<Daemon<B>>) -> Peers<B> {
+        Peers { daemon }
+    }
+
+    fn shards(&self, wanted: &[u16]) -> Vec<ShardPage> {
+        let catalogue = lock(&self.daemon.catalogue);
+        let page = |shard: &u16| {
+            let (revision, page) = catalogue.page(*shard)?;
+            Some(ShardPage {
+                shard: *shard,
+                revision: *revision,
+                page: page.clone(),
+            })
+        };
+        wanted.iter().filter_map(page).collect()
+    }
+
+    fn roster(&self) -> Roster {
+        let table = lock(&self.daemon.table);
+        let names: Vec<Name> = table.names().collect();
+        let vms: Vec<Vm> = names
+            .into_iter()
+            .filter_map(|name| table.vm(name).cloned())
+            .collect();
+        Roster { vms }
+    }
+}
+
+impl<B: Backend> Service for Peers<B> {
+    fn serve(&self, request: Request) -> Response {
+        let daemon = &self.daemon;
+        match request {
+            Request::Heartbeat(beat) => Response::Heartbeat(daemon.take_heartbeat(&beat)),
+            Request::Digest => Response::Digest(lock(&daemon.catalogue).digest()),
+            Request::Shards(wanted) => Response::Shards(self.shards(&wanted)),
+            Request::SealThere(key) => Response::SealedThere(daemon.seal_here(key)),
+            Request::Map => Response::Map(lock(&daemon.holder).map().clone()),
+            Request::Roster => Response::Roster(self.roster()),
+            Request::Hint(Hint::Holders) => {
+                daemon.holders_due.store(true, Ordering::SeqCst);
+                Response::Taken
+            }
+            Request::Hint(hint) => {
+                let _ = daemon.scheduler.send(Input::Hint(hint));
+                Response::Taken
+            }
+            held @ (Request::Grant(_) | Request::Seal(_) | Request::Finish(_)) => daemon.hold(held),
+        }
+    }
+}
--- /dev/null
+++ b/crates/stackpierd/src/routing.rs
@@ -0,0 +1,168 @@
+// SPDX-License-Identifier: Apache-2.0
+//! The router behind a lock, and the requests that wait for a slot.
+
+use std::{collections::HashMap, sync::Mutex, time::Duration};
+
+use flume::Sender;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use stackpier_coordination::{
+    queue::Ticket,
+    route::{Choice, Key, Options, Outcome, Router},
+};
+use stackpier_core::{Millis, Name, key::Boot};
+use stackpier_protocol::peer::Endpoint;
+
+use crate::{clock, daemon::lock};
+
+/// Routing hands out upstreams.
+pub struct Routing {
+    inner: Mutex<Inner>,
+}
+
+struct Inner {
+    router: Router,
+    waiting: HashMap<Ticket, Sender<Slot>>,
+    rng: ChaCha8Rng,
+    next: u64,
+}
+
+/// Slot is a place at an upstream, which must be given back.
+#[derive(Clone, Copy, Debug)]
+pub struct Slot {
+    /// The service.
+    pub service: Name,
+    /// The upstream.
+    pub key: Key,
+    /// Where it runs.
+    pub endpoint: Endpoint,
+}
+
+/// Acquired is the outcome of asking for a slot.
+#[derive(Clone, Copy, Debug)]
+pub enum Acquired {
+    /// Use this one.
+    Slot(Slot),
+    /// The wait would pass the deadline; come back after this long.
+    Shed(u64),
+    /// The service has no upstream.
+    NoUpstream,
+    /// The deadline passed while waiting.
+    DeadlinePassed,
+}
+
+impl Routing {
+    /// new starts with no upstream; `boot` seeds the random choices.
+    pub fn new(options: Options, boot: Boot) -> Routing {
+        Routing {
+            inner: Mutex::new(Inner {
+                router: Router::new(options),
+                waiting: HashMap::new(),
+                rng: ChaCha8Rng::seed_from_u64(boot.0),
+                next: 0,
+            }),
+        }
+    }
+
+    /// acquire asks for a slot and waits for one at most until the deadline.
+    pub fn acquire(&self, service: Name, deadline: Millis, avoid: &[Name]) -> Acquired {
+        let (granted, given) = flume::bounded(1);
+        let ticket = {
+            let mut inner = lock(&self.inner);
+            let ticket = Ticket(inner.next);
+            inner.next += 1;
+            match inner.arrive(service, deadline, ticket, avoid) {
+                Choice::Send(key) => return inner.acquired(service, key),
+                Choice::Shed(ms) => return Acquired::Shed(ms),
+                Choice::NoUpstream => return Acquired::NoUpstream,
+                Choice::Wait => {}
+            }
+            inner.waiting.insert(ticket, granted);
+            ticket
+        };
+        let wait = deadline.since(clock::now());
+        if let Ok(slot) = given.recv_timeout(Duration::from_millis(wait)) {
+            return Acquired::Slot(slot);
+        }
+        let mut inner = lock(&self.inner);
+        inner.waiting.remove(&ticket);
+        inner.router.service(service).leave(deadline, ticket);
+        // A slot may have come between the time-out and the lock.
+        if let Ok(slot) = given.try_recv() {
+            inner.router.service(service).cancel(slot.key);
+            inner.hand_out(service);
+        }
+        Acquired::DeadlinePassed
+    }
+
+    /// done gives a slot back with the outcome of its request.
+    pub fn done(&self, slot: Slot, took_ms: u64, outcome: Outcome) {
+        let mut inner = lock(&self.inner);
+        let service = inner.router.service(slot.service);
+        service.done(clock::now(), slot.key, took_ms, outcome);
+        inner.hand_out(slot.service);
+    }
+
+    /// may_retry takes a retry from the budget of a service.
+    pub fn may_retry(&self, service: Name) -> bool {
+        lock(&self.inner).router.service(service).may_retry()
+    }
+
+    /// update takes the endpoints there are now.
+    pub fn update(&self, endpoints: &[Endpoint]) {
+        let mut inner = lock(&self.inner);
+        inner.router.update(endpoints);
+        let names: Vec<Name> = inner.router.names().collect();
+        for name in names {
+            inner.hand_out(name);
+        }
+    }
+
+    /// upstreams returns the count of upstreams of a service.
+    pub fn upstreams(&self, service: Name) -> usize {
+        lock(&self.inner).router.service(service).len()
+    }
+}
+
+impl Inner {
+    fn arrive(
+        &mut self,
+        service: Name,
+        deadline: Millis,
+        ticket: Ticket,
+        avoid: &[Name],
+    ) -> Choice {
+        let state = self.router.service(service);
+        state.arrive(clock::now(), deadline, ticket, avoid, &mut self.rng)
+    }
+
+    fn acquired(&mut self, service: Name, key: Key) -> Acquired {
+        let state = self.router.service(service);
+        let slot = state.upstream(key).map(|upstream| Slot {
+            service,
+            key,
+            endpoint: upstream.endpoint,
+        });
+        slot.map_or(Acquired::NoUpstream, Acquired::Slot)
+    }
+
+    /// hand_out gives free slots to the requests that wait.
+    fn hand_out(&mut self, service: Name) {
+        let state = self.router.service(service);
+        for (ticket, key) in state.freed(clock::now(), &mut self.rng) {
+            let slot = state.upstream(key).map(|upstream| Slot {
+                service,
+                key,
+                endpoint: upstream.endpoint,
+            });
+            let waiter = self.waiting.remove(&ticket);
+            let taken = match (slot, waiter) {
+                (Some(slot), Some(waiter)) => waiter.send(slot).is_ok(),
+                _ => false,
+            };
+            if !taken {
+                state.cancel(key);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/stackpierd/src/scheduler.rs
@@ -0,0 +1,302 @@
+// SPDX-License-Identifier: Apache-2.0
+//! The thread that drives the owners of racks and the placers of homes, and
+//! the threads that do their I/O.
+
+use std::{collections::BTreeMap, sync::Arc, thread, time::Duration};
+
+use flume::{Receiver, RecvTimeoutError, Sender};
+use slog::info;
+use stackpier_coordination::{
+    effect::{Effect, Event, Note},
+    owner::Owner,
+    placer::{Placer, View},
+};
+use stackpier_core::Name;
+use stackpier_protocol::{
+    peer::{Hint, RackReport, Renounced, Request},
+    sync::{Call, Reply},
+};
+use stackpier_state::{Page, Revision, holders::Member, page::Key, work::Run};
+
+use crate::{
+    backend::Backend,
+    clock,
+    daemon::{Daemon, lock},
+    metrics,
+};
+
+/// TICK is the time between two looks at the clock.
+const TICK: Duration = Duration::from_millis(50);
+/// IO_THREADS is the count of threads for store and worker calls.
+const IO_THREADS: usize = 12;
+
+/// Target is the machine an event is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Target {
+    /// The owner of a rack.
+    Rack(Name),
+    /// The placer of a shard.
+    Homes(u16),
+}
+
+/// Input is what the scheduler's thread is told.
+#[derive(Debug)]
+pub enum Input {
+    /// The outcome of an effect.
+    Event(Target, Event),
+    /// A page changed.
+    Hint(Hint),
+    /// Another daemon promises not to renew racks.
+    Renounced(Member, Vec<Renounced>),
+    /// Give up all racks, for a planned stop.
+    GiveUp,
+}
+
+/// Task is a piece of I/O for one machine.
+enum Task {
+    Read(Target, Key),
+    Swap(Target, Key, Revision, Box<Page>),
+    Sync(Target, Name, Call),
+}
+
+/// start runs the scheduler on threads of its own for the life of the process.
+pub fn start<B: Backend>(daemon: &Arc<Daemon<B>>, inputs: Receiver<Input>) -> std::io::Result<()> {
+    let (tasks, taken) = flume::unbounded();
+    for number in 0..IO_THREADS {
+        let daemon = Arc::clone(daemon);
+        let taken: Receiver<Task> = taken.clone();
+        let thread = thread::Builder::new().name(format!("io-{number}"));
+        thread.spawn(move || {
+            for task in taken {
+                let (target, event) = perform(&daemon, task);
+                let _ = daemon.scheduler.send(Input::Event(target, event));
+            }
+        })?;
+    }
+    let mut scheduler = Scheduler::new(Arc::clone(daemon), tasks);
+    let thread = thread::Builder::new().name("scheduler".to_owned());
+    thread.spawn(move || scheduler.run(&inputs))?;
+    Ok(())
+}
+
+fn perform<B: Backend>(daemon: &Daemon<B>, task: Task) -> (Target, Event) {
+    match task {
+        Task::Read(target, key) => {
+            daemon.metrics.store_reads.add(1, &[]);
+            (target, Event::Read(key, daemon.backend.read(key)))
+        }
+        Task::Swap(target, key, expect, page) => {
+            daemon.metrics.store_swaps.add(1, &[]);
+            (
+                target,
+                Event::Swapped(key, daemon.backend.swap(key, expect, &page)),
+            )
+        }
+        Task::Sync(target, worker, call) => {
+            daemon.metrics.worker_calls.add(1, &[]);
+            (target, Event::Synced(worker, sync(daemon, worker, &call)))
+        }
+    }
+}
+
+fn sync<B: Backend>(daemon: &Daemon<B>, worker: Name, call: &Call) -> Option<Reply> {
+    let address = {
+        let table = lock(&daemon.table);
+        table.vm(worker).map(|vm| vm.address.clone())
+    };
+    daemon.backend.sync(&address?, call)
+}
+
+struct Scheduler<B> {
+    daemon: Arc<Daemon<B>>,
+    tasks: Sender<Task>,
+    owners: BTreeMap<Name, Owner>,
+    placers: BTreeMap<u16, Placer>,
+}
+
+impl<B: Backend> Scheduler<B> {
+    fn new(daemon: Arc<Daemon<B>>, tasks: Sender<Task>) -> Scheduler<B> {
+        let options = daemon.settings.placer;
+        let placers = (0..options.shards).map(|shard| (shard, Placer::new(shard, options)));
+        Scheduler {
+            placers: placers.collect(),
+            owners: BTreeMap::new(),
+            daemon,
+            tasks,
+        }
+    }
+
+    fn run(&mut self, inputs: &Receiver<Input>) {
+        let mut next = clock::now();
+        loop {
+            let wait = Duration::from_millis(next.since(clock::now()));
+            match inputs.recv_timeout(wait) {
+                Ok(input) => self.take(input),
+                Err(RecvTimeoutError::Disconnected) => return,
+                Err(RecvTimeoutError::Timeout) => {
+                    self.tick();
+                    next = clock::now().plus(TICK.as_millis() as u64);
+                }
+            }
+        }
+    }
+
+    fn take(&mut self, input: Input) {
+        match input {
+            Input::Event(Target::Rack(rack), event) => self.step_owner(rack, event),
+            Input::Event(Target::Homes(shard), event) => self.step_placer(shard, event),
+            Input::Hint(hint) => self.hint(hint),
+            Input::Renounced(from, all) => {
+                for promise in all {
+                    if let Some(owner) = self.owners.get_mut(&promise.rack) {
+                        owner.heard_renounced(from, promise.below);
+                    }
+                }
+            }
+            Input::GiveUp => {
+                self.owners.values_mut().for_each(Owner::give_up);
+                self.publish();
+            }
+        }
+    }
+
+    fn hint(&mut self, hint: Hint) {
+        match hint {
+            Hint::Homes { rack, .. } | Hint::TakenOver { rack } => {
+                self.step_owner(rack, Event::Hint(hint));
+            }
+            Hint::Ended { shard, .. } => self.step_placer(shard, Event::Hint(hint)),
+            Hint::Holders => {}
+        }
+    }
+
+    fn tick(&mut self) {
+        let racks = lock(&self.daemon.table).racks();
+        for rack in racks {
+            let options = self.daemon.settings.owner;
+            let me = self.daemon.me;
+            self.owners
+                .entry(rack)
+                .or_insert_with(|| Owner::new(rack, me, options));
+            self.step_owner(rack, Event::Tick);
+        }
+        let shards: Vec<u16> = self.placers.keys().copied().collect();
+        for shard in shards {
+            self.step_placer(shard, Event::Tick);
+        }
+        self.publish();
+    }
+
+    fn step_owner(&mut self, rack: Name, event: Event) {
+        let Some(owner) = self.owners.get_mut(&rack) else {
+            return;
+        };
+        let effects = {
+            let table = lock(&self.daemon.table);
+            let mut writer = lock(&self.daemon.writer);
+            owner.step(clock::now(), event, &table, &mut writer)
+        };
+        for effect in effects {
+            self.act(Target::Rack(rack), effect);
+        }
+    }
+
+    fn step_placer(&mut self, shard: u16, event: Event) {
+        let Some(placer) = self.placers.get_mut(&shard) else {
+            return;
+        };
+        let effects = {
+            let table = lock(&self.daemon.table);
+            let catalogue = lock(&self.daemon.catalogue);
+            let racks = lock(&self.daemon.racks);
+            let mut writer = lock(&self.daemon.writer);
+            let view = View {
+                table: &table,
+                catalogue: &catalogue,
+                racks: &racks,
+            };
+            placer.step(clock::now(), event, view, &mut writer)
+        };
+        for effect in effects {
+            self.act(Target::Homes(shard), effect);
+        }
+    }
+
+    fn act(&mut self, target: Target, effect: Effect) {
+        let task = match effect {
+            Effect::Read(key) => Task::Read(target, key),
+            Effect::Swap(key, expect, page) => Task::Swap(target, key, expect, Box::new(page)),
+            Effect::Sync(worker, call) => Task::Sync(target, worker, call),
+            Effect::Hint(hint) => {
+                let _ = self.daemon.tell_data_centre(&Request::Hint(hint));
+                let _ = self.daemon.scheduler.send(Input::Hint(hint));
+                return;
+            }
+            Effect::Note(note) => {
+                self.note(target, note);
+                return;
+            }
+        };
+        let _ = self.tasks.send(task);
+    }
+
+    /// publish hands the reports of own racks to the rest of the daemon.
+    fn publish(&self) {
+        let reports: Vec<RackReport> = self
+            .owners
+            .values()
+            .filter_map(Owner::report)
+            .cloned()
+            .collect();
+        let renounced = self.owners.values().filter_map(Owner::renounced).collect();
+        let changed = reports
+            .iter()
+            .filter(|report| self.daemon.take_report(report))
+            .count()
+            > 0;
+        {
+            let mut own = lock(&self.daemon.own);
+            own.reports = reports;
+            own.renounced = renounced;
+        }
+        if changed {
+            self.daemon.refresh_routes();
+        }
+    }
+
+    fn note(&self, target: Target, note: Note) {
+        let log = &self.daemon.log;
+        let count = |word| self.daemon.metrics.placements.add(1, &metrics::kind(word));
+        let task = |run: Run| format!("{:x}.{}.{}", run.task.job.0, run.task.index, run.attempt.0);
+        match note {
+            Note::Committed(run, worker) => {
+                count("committed");
+                info!(log, "place: run committed"; "run" => task(run), "worker" => %worker);
+            }
+            Note::Ended(run, outcome) => {
+                count("ended");
+                info!(log, "place: run ended"; "run" => task(run), "outcome" => ?outcome);
+            }
+            Note::Claimed(run, worker) => {
+                count("claimed");
+                info!(log, "place: task claimed"; "run" => task(run), "worker" => %worker);
+            }
+            Note::Unplaced(run) => {
+                count("unplaced");
+                slog::debug!(log, "place: no worker has room"; "run" => task(run));
+            }
+            Note::TookOver(rack, term) => {
+                info!(log, "lease: rack taken over"; "rack" => %rack, "term" => term);
+            }
+            Note::GaveUp(rack, term) => {
+                info!(log, "lease: rack given up"; "rack" => %rack, "term" => term);
+            }
+            Note::Lapsed(worker) => {
+                info!(log, "lease: lease lapsed"; "worker" => %worker, "target" => ?target);
+            }
+            Note::Rebooted(worker) => {
+                info!(log, "lease: worker has a new boot"; "worker" => %worker);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/xtask/src/demo.rs
@@ -0,0 +1,61 @@
+// SPDX-License-Identifier: Apache-2.0
+//! The demo: an intent and requests go the whole way through real processes.
+
+use anyhow::{Result, ensure};
+use stackpier_testkit::{
+    caller::{Answer, Call},
+    cluster::{Cluster, Plan, batch, service},
+    wait,
+};
+
+/// run starts three daemons in two data centres, submits a service and a
+/// batch job, calls the service through each daemon, and kills one.
+pub fn run() -> Result<()> {
+    println!("starting: 1 platform, 2 data centres with 2 daemons and 2 workers each");
+    let mut cluster = Cluster::start(Plan {
+        data_centres: 2,
+        daemons: 2,
+        ..Plan::default()
+    })?;
+    cluster.submit(0, &service("fleet", &[2, 1]))?;
+    println!("accepted: service 'fleet', 2 replicas in dc-a and 1 in dc-b");
+    cluster.await_running(0, "fleet", 2)?;
+    cluster.submit(1, &batch("ledger", 3, 1_000, 500))?;
+    println!("accepted: batch job 'ledger', 3 tasks");
+    for place in 0..cluster.daemons.len() {
+        call(&cluster, place)?;
+    }
+    wait::until("the batch job is done", || {
+        let shown = cluster.tool(0, &["status", "ledger"]);
+        shown.is_ok_and(|(_, text)| text.matches("finished").count() == 3)
+    })?;
+    println!("{}", cluster.tool(0, &["status", "fleet"])?.1.trim_end());
+    println!("{}", cluster.tool(0, &["status", "ledger"])?.1.trim_end());
+    cluster.kill_daemon(0)?;
+    println!("killed: {}", cluster.daemons[0].vm);
+    for place in 1..cluster.daemons.len() {
+        call(&cluster, place)?;
+    }
+    println!("the whole path works");
+    Ok(())
+}
+
+fn call(cluster: &Cluster, place: usize) -> Result<()> {
+    let daemon = &cluster.daemons[place];
+    let body = format!("hello from {}", daemon.vm);
+    wait::until("the daemon answers a call", || {
+        Call::get(daemon.callers, "fleet", &body).send() == Answer::Done(body.clone())
+    })?;
+    let mut answer = Answer::Nothing;
+    wait::until("a request that must not be repeated is run", || {
+        let once = Call::once(daemon.callers, "fleet", &body);
+        answer = once.send();
+        answer == Answer::Done(body.clone())
+    })?;
+    ensure!(answer == Answer::Done(body.clone()), "{answer:?}");
+    println!(
+        "answered: {} ({}): '{body}', also at most once",
+        daemon.vm, daemon.data_centre
+    );
+    Ok(())
+}
