Stateful fuzz of placement; four faults it found, mended

Cause: nothing proved that a task can't run in two places. The fuzz drives the daemon's own owners and placers over a fake store, list and workers.

An intent cancelled and submitted again before any placer looked left the first job's tasks running for good. Jobs under a name now count their generation, and a home of an earlier one is unwanted. 2. A task ran in two places. A swap that ended runs because their lease had lapsed was under way when the worker answered again; the next call renewed the lease and started a run that the swap was ending. Ruled out: clock drift (3,250 of 3,600 ms at worst) and late calls (void at the worker). Such a worker now only gets calls without effect until the page shows the runs as ended, and the same swap is tried until it does. 3. That rule alone left a run waiting for good when the swap was lost and the worker answered meanwhile; the evidence is now kept until written. 4. A daemon that took a rack over again after another one waited for its own earlier term to be given up, so no lease could lapse.

Red first: with the store taking any revision, with workers keeping leases longer than the renewer waits, and with late calls renewing, the oracle fails (three tests assert that).

--- a/crates/stackpier-coordination/src/accept.rs
+++ b/crates/stackpier-coordination/src/accept.rs
@@ -75,6 +75,7 @@
         match &self.wanted {
             Wanted::Submit(intent) => Ok(Object {
                 job: self.job(old),
+                generation: generation(old),
                 version,
                 submissions,
                 cancelled: false,
@@ -103,6 +104,11 @@
     }
 }
 
+/// generation counts on when a cancelled intent is submitted again.
+fn generation(old: Option<&Object>) -> u32 {
+    old.map_or(1, |old| old.generation + u32::from(old.cancelled))
+}
+
 /// Next is what the acceptance needs done.
 #[derive(Clone, Debug)]
 pub enum Next {
--- a/crates/stackpier-coordination/src/owner.rs
+++ b/crates/stackpier-coordination/src/owner.rs
@@ -106,6 +106,10 @@
     page: Option<(Revision, Rack)>,
     step: Step,
     contacts: BTreeMap<Name, Contact>,
+    /// Runs that a swap on its way ends because their worker's lease lapsed.
+    /// The worker's lease is not renewed before the page shows them as ended:
+    /// else such a run could start while the swap is under way.
+    lapsing: BTreeMap<Name, BTreeSet<Run>>,
     dirty: BTreeSet<u16>,
     stale: bool,
     swept: Option<Millis>,
@@ -126,6 +130,7 @@
             page: None,
             step: Step::Idle,
             contacts: BTreeMap::new(),
+            lapsing: BTreeMap::new(),
             dirty: BTreeSet::new(),
             stale: true,
             swept: None,
@@ -301,6 +306,7 @@
         let renewer = page.renewer.filter(|renewer| old.renewer != Some(*renewer));
         if let Some(renewer) = renewer {
             self.contacts.clear();
+            self.lapsing.clear();
             self.renounced = None;
             self.sole_since = None;
             self.note_sole(now, table);
@@ -352,7 +358,10 @@
                 boot: old.boot,
             })
         };
-        page.former.retain(|old| !gone(old));
+        // What this very process sent under an earlier term quotes clock
+        // readings that it got before now, so it is no other renewer.
+        let me = self.me.boot;
+        page.former.retain(|old| old.boot != me && !gone(old));
         let Some(renewer) = page.renewer else { return };
         let known = self
             .sole_since
@@ -441,6 +450,7 @@
         let Some((revision, page)) = &self.page else {
             return;
         };
+        let lapsing = self.lapsed_runs(now, page);
         let mut next = page.clone();
         self.revise(now, table, homes, &mut next, effects);
         let unchanged = next == *page;
@@ -450,6 +460,9 @@
             return;
         }
         next.write = writer.number();
+        for (worker, runs) in lapsing {
+            self.lapsing.entry(worker).or_default().extend(runs);
+        }
         self.committed = Some(now);
         let page = Page::Rack(next.clone());
         self.step = Step::Swapping(Box::new(next));
@@ -470,11 +483,14 @@
             return;
         }
         self.revise_workers(table, next);
+        for run in self.lapsing.values().flatten() {
+            next.end(*run, Outcome::Lost);
+        }
         for (worker, contact) in &self.contacts {
             self.revise_contact(now, *worker, contact, next, effects);
         }
         for (shard, page) in homes {
-            self.settle_shard(*shard, page, next);
+            self.settle_shard(now, *shard, page, next);
         }
     }
 
@@ -548,6 +564,16 @@
         }
     }
 
+    /// lapsed_runs returns the open runs on workers whose lease has lapsed.
+    fn lapsed_runs(&self, now: Millis, page: &Rack) -> BTreeMap<Name, BTreeSet<Run>> {
+        let lapsed = self
+            .contacts
+            .iter()
+            .filter(|(_, contact)| self.lapsed(now, contact));
+        let runs = |name: Name| page.live(name).map(|row| row.run).collect();
+        lapsed.map(|(name, _)| (*name, runs(*name))).collect()
+    }
+
     /// lapsed tells whether every lease that anybody may have renewed at a
     /// worker is over.
     fn lapsed(&self, now: Millis, contact: &Contact) -> bool {
@@ -560,9 +586,9 @@
 
     /// settle_shard commits the claims of a shard, marks stops, and drops
     /// ended rows whose home has moved on.
-    fn settle_shard(&self, shard: u16, page: &homes::Shard, next: &mut Rack) {
+    fn settle_shard(&self, now: Millis, shard: u16, page: &homes::Shard, next: &mut Rack) {
         for home in &page.homes {
-            self.settle_home(home, next);
+            self.settle_home(now, home, next);
         }
         let here = |row: &Row| shard_of(row, self.options.shards) == shard;
         let keeps = |row: &Row| {
@@ -571,7 +597,7 @@
         next.rows.retain(keeps);
     }
 
-    fn settle_home(&self, home: &homes::Home, next: &mut Rack) {
+    fn settle_home(&self, now: Millis, home: &homes::Home, next: &mut Rack) {
         let claim = home.claim().filter(|claim| claim.rack == self.rack);
         let Some(claim) = claim else { return };
         let run = home.run();
@@ -588,7 +614,11 @@
             checkpoint: home.checkpoint,
             phase: Phase::Running,
         };
-        if claim.stop || next.commit(row).is_err() {
+        let lapsed = self
+            .contacts
+            .get(&claim.worker)
+            .is_some_and(|c| self.lapsed(now, c));
+        if claim.stop || lapsed || next.commit(row).is_err() {
             row.phase = Phase::Ended(Outcome::Refused);
             next.rows.push(row);
         }
@@ -597,6 +627,7 @@
     fn call_workers(&mut self, now: Millis, table: &Table, effects: &mut Vec<Effect>) {
         if !self.renews() {
             self.contacts.clear();
+            self.lapsing.clear();
             return;
         }
         let Some((_, page)) = &self.page else { return };
@@ -606,6 +637,9 @@
         if self.renounced.is_some_and(|below| term < below) {
             return;
         }
+        let open = |worker: Name, run: &Run| page.live(worker).any(|row| row.run == *run);
+        self.lapsing
+            .retain(|worker, runs| runs.iter().any(|run| open(*worker, run)));
         for worker in page
             .workers
             .iter()
@@ -629,7 +663,10 @@
             }
             contact.calling = true;
             contact.called = Some(now);
-            let call = call(page, worker, contact, term, self.options.lease_ms);
+            let mut call = call(page, worker, contact, term, self.options.lease_ms);
+            if self.lapsing.contains_key(&worker.name) {
+                call = probe(&call);
+            }
             effects.push(Effect::Sync(worker.name, call));
         }
     }
@@ -715,6 +752,17 @@
     })
 }
 
+/// probe asks a worker for its reply and has no effect there.
+fn probe(call: &Call) -> Call {
+    Call {
+        boot: Boot::default(),
+        start: Vec::new(),
+        stop: Vec::new(),
+        forget: Vec::new(),
+        ..*call
+    }
+}
+
 fn to_start(row: &Row, contact: &Contact) -> bool {
     !contact.running.contains(&row.run) && !contact.ended.contains_key(&row.run)
 }
--- a/crates/stackpier-coordination/src/placer.rs
+++ b/crates/stackpier-coordination/src/placer.rs
@@ -326,10 +326,10 @@
         }
         for home in &mut next.homes {
             let task = home.work.task;
-            if wanted
+            let shrunk = wanted
                 .get(&task.job)
-                .is_some_and(|count| task.index >= *count)
-            {
+                .is_some_and(|count| task.index >= *count);
+            if shrunk || superseded(view.catalogue, home) {
                 unwant(home);
             }
         }
@@ -345,12 +345,19 @@
     Work {
         task,
         name: object.intent.name,
+        generation: object.generation,
         class,
         size: object.intent.size,
         run_time_ms,
     }
 }
 
+/// superseded tells whether a later job has taken the name of a home's job.
+fn superseded(catalogue: &Catalogue, home: &Home) -> bool {
+    let object = catalogue.object(home.work.name);
+    object.is_some_and(|object| object.generation > home.work.generation)
+}
+
 /// want brings a home in line with its intent.
 fn want(home: &mut Home, work: Work) {
     home.unwanted = false;
--- /dev/null
+++ b/crates/stackpier-fuzz/tests/placement.rs
@@ -0,0 +1,167 @@
+// SPDX-License-Identifier: Apache-2.0
+//! Stateful fuzz of placement: no worker over-committed, no task in two
+//! places, evicted work resumed once, under kills, freezes, lost and late
+//! calls, and races.
+
+use proptest::{
+    prelude::*,
+    test_runner::{FileFailurePersistence, RngSeed, TestRunner},
+};
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
+use rstest::rstest;
+use stackpier_fuzz::{
+    counts,
+    placement::{Guard, Step, World},
+};
+
+/// SEED is used unless PROPTEST_RNG_SEED names another one.
+const SEED: u64 = 20_261;
+/// CASES is used unless PROPTEST_CASES names another count.
+const CASES: u32 = 96;
+
+/// step generates one transition.
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        8 => any::<u8>().prop_map(Step::Tick),
+        6 => (0..700_u16).prop_map(Step::Wait),
+        20 => any::<u8>().prop_map(Step::Deliver),
+        3 => any::<u8>().prop_map(Step::LoseAnswer),
+        2 => any::<u8>().prop_map(Step::LoseCall),
+        3 => any::<u8>().prop_map(Step::Detach),
+        3 => any::<u8>().prop_map(Step::Late),
+        2 => any::<u8>().prop_map(Step::Freeze),
+        2 => any::<u8>().prop_map(Step::Thaw),
+        1 => any::<u8>().prop_map(Step::Restart),
+        6 => (any::<u8>(), any::<u8>()).prop_map(|(from, to)| Step::Beat(from, to)),
+        10 => any::<u8>().prop_map(Step::Arrive),
+        2 => any::<u8>().prop_map(Step::Vanish),
+        1 => any::<u8>().prop_map(Step::Reboot),
+        2 => (any::<u8>(), any::<bool>()).prop_map(|(n, cut)| Step::Cut(n, cut)),
+        1 => (2..4_u8).prop_map(Step::Leave),
+        1 => any::<u8>().prop_map(Step::Gone),
+        1 => any::<u8>().prop_map(Step::Lost),
+        3 => (any::<u8>(), any::<u8>()).prop_map(|(n, count)| Step::Scale(n, count)),
+        3 => any::<u8>().prop_map(Step::Submit),
+        2 => any::<u8>().prop_map(Step::Cancel),
+        3 => any::<u8>().prop_map(Step::Learn),
+        3 => any::<u8>().prop_map(Step::List),
+        4 => any::<u8>().prop_map(Step::Calm),
+    ]
+}
+
+/// REGRESSIONS keeps the seeds of failures found.
+const REGRESSIONS: &str = "regressions/placement.txt";
+/// RED_CASES is the most cases tried to see a missing guard.
+const RED_CASES: u32 = 2_000;
+
+/// Oracle generates transitions; what must hold is asserted on the world.
+struct Oracle;
+
+impl ReferenceStateMachine for Oracle {
+    type State = usize;
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<usize> {
+        Just(0).boxed()
+    }
+
+    fn transitions(_: &usize) -> BoxedStrategy<Step> {
+        step().boxed()
+    }
+
+    fn apply(count: usize, _: &Step) -> usize {
+        count + 1
+    }
+}
+
+struct Placement;
+
+impl StateMachineTest for Placement {
+    type SystemUnderTest = World;
+    type Reference = Oracle;
+
+    fn init_test(_: &usize) -> World {
+        counts::hit("cases");
+        World::new(Guard::Whole)
+    }
+
+    fn apply(mut world: World, _: &usize, step: Step) -> World {
+        counts::hit("transitions");
+        world.step(step);
+        world.check();
+        world
+    }
+
+    fn teardown(mut world: World, _: usize) {
+        world.settle();
+        world.check_rest();
+    }
+}
+
+fn config() -> ProptestConfig {
+    let defaults = ProptestConfig::default();
+    let seed = match defaults.rng_seed {
+        RngSeed::Random => RngSeed::Fixed(SEED),
+        fixed => fixed,
+    };
+    let cases = match std::env::var("PROPTEST_CASES") {
+        Ok(_) => defaults.cases,
+        Err(_) => CASES,
+    };
+    ProptestConfig {
+        rng_seed: seed,
+        cases,
+        max_shrink_iters: 4_000,
+        failure_persistence: Some(Box::new(FileFailurePersistence::Direct(REGRESSIONS))),
+        ..defaults
+    }
+}
+
+prop_state_machine! {
+    #![proptest_config(config())]
+    fn run_placement(sequential 50..300 => Placement);
+}
+
+#[test]
+fn no_worker_over_committed_no_task_in_two_places_evicted_resumes_once() {
+    run_placement();
+    counts::print("placement");
+    counts::require(&[
+        "branch: late swap lost",
+        "branch: lease lapsed as evidence",
+        "branch: worker's new boot as evidence",
+        "branch: run evicted with a checkpoint",
+        "branch: promise not to renew heard",
+        "branch: worker ignored a call older than its lease",
+        "rest: every wanted service task runs",
+    ]);
+}
+
+/// fails_without tells whether random steps break an invariant once a guard is
+/// taken away.
+fn fails_without(guard: Guard) -> bool {
+    let mut runner = TestRunner::new(ProptestConfig {
+        cases: RED_CASES,
+        max_shrink_iters: 0,
+        failure_persistence: None,
+        ..config()
+    });
+    let steps = proptest::collection::vec(step(), 300);
+    let run = |steps: Vec<Step>| {
+        let mut world = World::new(guard);
+        for step in steps {
+            world.step(step);
+            world.check();
+        }
+        Ok(())
+    };
+    runner.run(&steps, run).is_err()
+}
+
+#[rstest]
+#[case::swap_without_compare(Guard::NoCompare)]
+#[case::lease_longer_than_the_wait(Guard::NoLeaseWait)]
+#[case::late_calls_renew(Guard::NoStaleCheck)]
+fn oracle_sees_a_missing_guard(#[case] guard: Guard) {
+    assert!(fails_without(guard), "{guard:?} was not seen");
+}
--- a/crates/stackpier-state/src/intent.rs
+++ b/crates/stackpier-state/src/intent.rs
@@ -135,6 +135,9 @@
 pub struct Object {
     /// Key of the intent for its whole life.
     pub job: Job,
+    /// Counts the jobs under this name: one submitted again after it was
+    /// cancelled is a new job.
+    pub generation: u32,
     /// Counts the accepted changes of the intent, from one.
     pub version: u64,
     /// The last submissions, the newest last; the same one twice is one.
--- a/crates/stackpier-state/src/work.rs
+++ b/crates/stackpier-state/src/work.rs
@@ -21,6 +21,8 @@
     pub task: key::Task,
     /// The name of its intent.
     pub name: Name,
+    /// The generation of the intent.
+    pub generation: u32,
     /// Service or batch.
     pub class: Class,
     /// What the task is committed on a worker.
