Fuzz of at most once and of accepted intents; process tests of placement

Cause: a key's record could be taken in two places, and nothing showed it.

A daemon with an old holder map sealed the key for another data centre at the old holder only, where it had already moved on to the new one; the answer "sealed" was taken for the whole data centre. Ruled out: lost or late messages (the shortest case has none). Change: a holder now closes a key either as moved (a later holder was asked) or as sealed (nowhere here any more); moved at the newest holder known shows that the map is out of date, and the answer is "unknown".

Also changed on the way: a grant carries a number, so that a late word on one try is not taken for another; an error says "not run" of a repeat only when the holders have settled it, else "unknown" (a repeat refused at the door says nothing of the attempt before it).

Red first: not asking earlier holders, not asking other data centres, taking silence for no record, retiring a version at once: the oracle fails for each. Accepted intents: taking no answer for a refusal, taking any page, not looking for the submission: it fails for each.

--- a/crates/stackpier-coordination/src/holder.rs
+++ b/crates/stackpier-coordination/src/holder.rs
@@ -56,7 +56,7 @@
     pub fn seal(&mut self, seal: Seal) -> Held {
         match self.refusal(seal.holder, seal.newest, seal.key) {
             Some(held) => held,
-            None => Held::Record(self.ledger.seal(seal.key)),
+            None => Held::Record(self.ledger.close(seal.key, seal.closing)),
         }
     }
 
--- a/crates/stackpier-coordination/src/once.rs
+++ b/crates/stackpier-coordination/src/once.rs
@@ -7,14 +7,11 @@
 
 use std::collections::VecDeque;
 
-use stackpier_core::{
-    Kind, Name, Unix,
-    key::{Boot, Request as Key},
-};
+use stackpier_core::{Kind, Name, Unix, key::Request as Key};
 use stackpier_protocol::peer::{Grant, Held, Seal, Sealing};
 use stackpier_state::{
     holders::{Map, Member},
-    ledger::{Granting, Record, Reply},
+    ledger::{Closing, Grantee, Granting, Record, Reply},
 };
 
 /// Options are the times keys are judged by.
@@ -101,8 +98,8 @@
 /// Setting is what the receiver knows when the request arrives.
 #[derive(Clone, Copy, Debug)]
 pub struct Setting<'a> {
-    /// The receiver.
-    pub me: Boot,
+    /// This try of the receiver.
+    pub me: Grantee,
     /// Its data centre.
     pub data_centre: Name,
     /// The holder map it knows.
@@ -155,7 +152,8 @@
     }
 
     fn plan_here(&mut self, key: Key, setting: Setting<'_>, options: Options) {
-        self.asks.extend(earlier(key, setting.map, options));
+        self.asks
+            .extend(earlier(key, setting.map, options, Closing::Moved));
         let Some(newest) = setting.map.newest() else {
             return;
         };
@@ -176,8 +174,13 @@
             return self.decide(Verdict::Refuse(Kind::Internal));
         };
         match (asked, told) {
+            (Ask::Grant(holder, _), Told::Silence) => {
+                // The grant may have been made; it is returned unused.
+                self.granted = Some(holder);
+                self.unreachable()
+            }
             (_, Told::Silence) => self.unreachable(),
-            (Ask::Seal(..), Told::Held(Held::Record(record))) => self.sealed(record),
+            (Ask::Seal(..), Told::Held(Held::Record(record))) => self.moved(record),
             (Ask::There(..), Told::There(Sealing::Sealed)) => self.advance(),
             (Ask::There(..), Told::There(Sealing::Found(record))) => self.found(record),
             (Ask::Grant(holder, _), Told::Held(Held::Granting(Granting::Granted))) => {
@@ -193,9 +196,9 @@
         }
     }
 
-    fn sealed(&mut self, record: Record) -> Progress {
+    fn moved(&mut self, record: Record) -> Progress {
         match record {
-            Record::Sealed => self.advance(),
+            Record::Moved => self.advance(),
             other => self.found(other),
         }
     }
@@ -212,7 +215,7 @@
         let verdict = match record {
             Record::Done(reply) => Verdict::Repeat(reply),
             Record::Granted(_) => Verdict::Refuse(Kind::InProgress),
-            Record::Sealed => Verdict::Refuse(Kind::KeySealed),
+            Record::Sealed | Record::Moved => Verdict::Refuse(Kind::KeySealed),
             Record::Unknown | Record::NotRun => Verdict::Refuse(Kind::OutcomeUnknown),
         };
         self.decide(verdict)
@@ -235,7 +238,7 @@
 
 /// earlier returns the seals needed at the holders that earlier versions of
 /// the map name for a key.
-fn earlier(key: Key, map: &Map, options: Options) -> Vec<Ask> {
+fn earlier(key: Key, map: &Map, options: Options, closing: Closing) -> Vec<Ask> {
     let newest = map.newest().and_then(|newest| newest.holder(key));
     let mut asks: Vec<Ask> = Vec::new();
     for version in map.relevant(key.minted(), options.allowance_ms) {
@@ -245,6 +248,7 @@
         let seal = Seal {
             key,
             holder: holder.boot,
+            closing,
             newest: None,
         };
         let ask = Ask::Seal(holder, seal);
@@ -262,7 +266,7 @@
         return Vec::new();
     };
     let mut seals: Vec<(Member, Seal)> = Vec::new();
-    for ask in earlier(key, map, options) {
+    for ask in earlier(key, map, options, Closing::Sealed) {
         if let Ask::Seal(member, seal) = ask {
             seals.push((member, seal));
         }
@@ -271,6 +275,7 @@
         let seal = Seal {
             key,
             holder: holder.boot,
+            closing: Closing::Sealed,
             newest: Some(newest.number),
         };
         (holder, seal)
@@ -280,13 +285,19 @@
 }
 
 /// sealing joins the answers to [`seals`], in their order.
+///
+/// A key that moved on from an earlier holder is settled by a later one. One
+/// that moved on from the newest holder shows that the map is out of date.
 pub fn sealing(answers: &[Option<Held>]) -> Sealing {
     let mut all = !answers.is_empty();
-    for answer in answers {
+    for (place, answer) in answers.iter().enumerate() {
+        let newest = place + 1 == answers.len();
         match answer {
             Some(Held::Record(Record::Sealed)) => {}
+            Some(Held::Record(Record::Moved)) if !newest => {}
+            Some(Held::Record(Record::Moved)) | None => all = false,
             Some(Held::Record(record)) => return Sealing::Found(record.clone()),
-            _ => all = false,
+            Some(_) => all = false,
         }
     }
     match all {
--- a/crates/stackpier-core/src/error.rs
+++ b/crates/stackpier-core/src/error.rs
@@ -93,8 +93,8 @@
     row(Kind::WrongMethod, 405, 2, Ran::No, None),
     row(Kind::NotFound, 404, 3, Ran::No, None),
     row(Kind::BadKey, 400, 2, Ran::No, None),
-    row(Kind::KeyExpired, 410, 2, Ran::No, None),
-    row(Kind::KeyFromFuture, 400, 2, Ran::No, None),
+    row(Kind::KeyExpired, 410, 7, Ran::Unknown, None),
+    row(Kind::KeyFromFuture, 400, 7, Ran::Unknown, None),
     row(Kind::KeySealed, 409, 7, Ran::Unknown, None),
     row(Kind::InProgress, 409, 7, Ran::Unknown, Some(1)),
     row(Kind::TooManyCallers, 503, 6, Ran::No, Some(1)),
@@ -173,6 +173,9 @@
     /// the table says.
     #[serde(default)]
     pub retry_after_ms: Option<u64>,
+    /// Whether the work was done, where more is known than the table says.
+    #[serde(default)]
+    pub ran: Option<Ran>,
 }
 
 impl Error {
@@ -182,6 +185,7 @@
             kind,
             message: message.into(),
             retry_after_ms: None,
+            ran: None,
         }
     }
 
@@ -193,6 +197,19 @@
         }
     }
 
+    /// with_ran sets whether the work was done.
+    pub fn with_ran(self, ran: Ran) -> Error {
+        Error {
+            ran: Some(ran),
+            ..self
+        }
+    }
+
+    /// ran tells whether the work was done.
+    pub fn ran(&self) -> Ran {
+        self.ran.unwrap_or(self.kind.answer().ran)
+    }
+
     /// retry_after_s returns the whole seconds after which coming back helps,
     /// if it does.
     pub fn retry_after_s(&self) -> Option<u32> {
--- a/crates/stackpier-fuzz/src/counts.rs
+++ b/crates/stackpier-fuzz/src/counts.rs
@@ -2,20 +2,16 @@
 //! Counts of what a fuzz run reached, so that a run that never reaches a
 //! branch is seen to prove nothing about it.
 
-use std::{
-    collections::BTreeMap,
-    sync::{Mutex, MutexGuard, PoisonError},
-};
+use std::{cell::RefCell, collections::BTreeMap};
 
-static COUNTS: Mutex<BTreeMap<&'static str, u64>> = Mutex::new(BTreeMap::new());
-
-fn counts() -> MutexGuard<'static, BTreeMap<&'static str, u64>> {
-    COUNTS.lock().unwrap_or_else(PoisonError::into_inner)
+thread_local! {
+    /// COUNTS belongs to one test, which runs on one thread.
+    static COUNTS: RefCell<BTreeMap<&'static str, u64>> = const { RefCell::new(BTreeMap::new()) };
 }
 
 /// hit counts one occurrence.
 pub fn hit(what: &'static str) {
-    *counts().entry(what).or_default() += 1;
+    COUNTS.with_borrow_mut(|counts| *counts.entry(what).or_default() += 1);
 }
 
 /// TRACE names the environment variable that prints what happens.
@@ -32,15 +28,17 @@
 
 /// count returns how often something occurred.
 pub fn count(what: &'static str) -> u64 {
-    counts().get(what).copied().unwrap_or(0)
+    COUNTS.with_borrow(|counts| counts.get(what).copied().unwrap_or(0))
 }
 
 /// print prints all counts.
 pub fn print(title: &str) {
     println!("{title}:");
-    for (what, count) in counts().iter() {
-        println!("  {count:>9}  {what}");
-    }
+    COUNTS.with_borrow(|counts| {
+        for (what, count) in counts {
+            println!("  {count:>9}  {what}");
+        }
+    });
 }
 
 /// require fails unless each of these occurred.
--- a/crates/stackpier-fuzz/src/lib.rs
+++ b/crates/stackpier-fuzz/src/lib.rs
@@ -3,6 +3,8 @@
 //! fake store, list and workers, and faults as ordinary transitions. The
 //! machines are the ones that the daemon runs.
 
+pub mod config;
 pub mod counts;
+pub mod once;
 pub mod placement;
 pub mod time;
--- a/crates/stackpier-fuzz/tests/placement.rs
+++ b/crates/stackpier-fuzz/tests/placement.rs
@@ -3,10 +3,9 @@
 //! places, evicted work resumed once, under kills, freezes, lost and late
 //! calls, and races.
 
-use proptest::{
-    prelude::*,
-    test_runner::{FileFailurePersistence, RngSeed, TestRunner},
-};
+mod common;
+
+use proptest::prelude::*;
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
 use rstest::rstest;
 use stackpier_fuzz::{
@@ -14,8 +13,6 @@
     placement::{Guard, Step, World},
 };
 
-/// SEED is used unless PROPTEST_RNG_SEED names another one.
-const SEED: u64 = 20_261;
 /// CASES is used unless PROPTEST_CASES names another count.
 const CASES: u32 = 96;
 
@@ -49,11 +46,6 @@
     ]
 }
 
-/// REGRESSIONS keeps the seeds of failures found.
-const REGRESSIONS: &str = "regressions/placement.txt";
-/// RED_CASES is the most cases tried to see a missing guard.
-const RED_CASES: u32 = 2_000;
-
 /// Oracle generates transitions; what must hold is asserted on the world.
 struct Oracle;
 
@@ -98,27 +90,8 @@
     }
 }
 
-fn config() -> ProptestConfig {
-    let defaults = ProptestConfig::default();
-    let seed = match defaults.rng_seed {
-        RngSeed::Random => RngSeed::Fixed(SEED),
-        fixed => fixed,
-    };
-    let cases = match std::env::var("PROPTEST_CASES") {
-        Ok(_) => defaults.cases,
-        Err(_) => CASES,
-    };
-    ProptestConfig {
-        rng_seed: seed,
-        cases,
-        max_shrink_iters: 4_000,
-        failure_persistence: Some(Box::new(FileFailurePersistence::Direct(REGRESSIONS))),
-        ..defaults
-    }
-}
-
 prop_state_machine! {
-    #![proptest_config(config())]
+    #![proptest_config(common::config(CASES, "regressions/placement.txt"))]
     fn run_placement(sequential 50..300 => Placement);
 }
 
@@ -137,31 +110,17 @@
     ]);
 }
 
-/// fails_without tells whether random steps break an invariant once a guard is
-/// taken away.
-fn fails_without(guard: Guard) -> bool {
-    let mut runner = TestRunner::new(ProptestConfig {
-        cases: RED_CASES,
-        max_shrink_iters: 0,
-        failure_persistence: None,
-        ..config()
-    });
-    let steps = proptest::collection::vec(step(), 300);
+#[rstest]
+#[case::swap_without_compare(Guard::NoCompare)]
+#[case::lease_longer_than_the_wait(Guard::NoLeaseWait)]
+#[case::late_calls_renew(Guard::NoStaleCheck)]
+fn oracle_sees_a_missing_guard(#[case] guard: Guard) {
     let run = |steps: Vec<Step>| {
         let mut world = World::new(guard);
         for step in steps {
             world.step(step);
             world.check();
         }
-        Ok(())
     };
-    runner.run(&steps, run).is_err()
-}
-
-#[rstest]
-#[case::swap_without_compare(Guard::NoCompare)]
-#[case::lease_longer_than_the_wait(Guard::NoLeaseWait)]
-#[case::late_calls_renew(Guard::NoStaleCheck)]
-fn oracle_sees_a_missing_guard(#[case] guard: Guard) {
-    assert!(fails_without(guard), "{guard:?} was not seen");
+    assert!(common::fails(step(), 300, run), "{guard:?} was not seen");
 }
--- a/crates/stackpier-protocol/src/lib.rs
+++ b/crates/stackpier-protocol/src/lib.rs
@@ -2,6 +2,7 @@
 //! Typed messages and their codecs: between daemons, and towards workers,
 //! the platform and operators.
 
+pub mod caller;
 pub mod codec;
 pub mod operator;
 pub mod peer;
--- a/crates/stackpier-protocol/src/operator.rs
+++ b/crates/stackpier-protocol/src/operator.rs
@@ -84,7 +84,7 @@
 impl From<Error> for Failure {
     fn from(error: Error) -> Failure {
         Failure {
-            ran: error.kind.answer().ran,
+            ran: error.ran(),
             retry_after_s: error.retry_after_s(),
             error,
         }
--- a/crates/stackpier-protocol/src/peer.rs
+++ b/crates/stackpier-protocol/src/peer.rs
@@ -12,7 +12,7 @@
     catalogue::Digest,
     holders::{Map, Member},
     intent,
-    ledger::{Granting, Record},
+    ledger::{Closing, Grantee, Granting, Record},
     work::Run,
 };
 
@@ -27,7 +27,7 @@
     Shards(Vec<u16>),
     /// Asks a holder to grant a key under a version of the holder map.
     Grant(Grant),
-    /// Asks a holder to refuse a key for good.
+    /// Asks a holder to grant a key no more.
     Seal(Seal),
     /// Tells a holder the outcome of a key.
     Finish(Finish),
@@ -164,17 +164,19 @@
     pub version: u64,
     /// The holder it is meant for.
     pub holder: Boot,
-    /// The daemon that will run it.
-    pub to: Boot,
+    /// The try that will run it.
+    pub to: Grantee,
 }
 
-/// Seal asks a holder to refuse a key for good.
+/// Seal asks a holder to grant a key no more.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Seal {
     /// The key.
     pub key: Key,
     /// The holder it is meant for.
     pub holder: Boot,
+    /// Why: the record is taken at a later holder, or nowhere here.
+    pub closing: Closing,
     /// The version the sender takes for the newest, at that version's holder;
     /// `None` at the holders of earlier versions.
     pub newest: Option<u64>,
@@ -185,8 +187,8 @@
 pub struct Finish {
     /// The key.
     pub key: Key,
-    /// The daemon it was granted to.
-    pub by: Boot,
+    /// The try it was granted to.
+    pub by: Grantee,
     /// What is known of the run.
     pub record: Record,
 }
--- a/crates/stackpier-standin/src/worker_http.rs
+++ b/crates/stackpier-standin/src/worker_http.rs
@@ -8,7 +8,7 @@
         atomic::{AtomicUsize, Ordering},
     },
     thread,
-    time::{Duration, Instant},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 use serde::{Deserialize, Serialize};
@@ -71,6 +71,9 @@
 struct Shared {
     options: Options,
     start: Instant,
+    /// Wall-clock time at the start, so that the logs of several workers on one
+    /// machine can be compared.
+    offset: u64,
     model: Mutex<Worker>,
     executions: Mutex<Vec<Execution>>,
     knobs: Mutex<Knobs>,
@@ -84,6 +87,7 @@
     let shared = Arc::new(Shared {
         options,
         start: Instant::now(),
+        offset: unix_ms(),
         model: Mutex::new(Worker::new(options.name, boot)),
         executions: Mutex::default(),
         knobs: Mutex::default(),
@@ -105,13 +109,18 @@
     Ok(())
 }
 
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64)
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 impl Shared {
     fn now(&self) -> Clock {
-        Clock(self.start.elapsed().as_millis() as u64)
+        Clock(self.offset + self.start.elapsed().as_millis() as u64)
     }
 
     fn serve(&self, mut request: Request) {
--- a/crates/stackpier-state/src/ledger.rs
+++ b/crates/stackpier-state/src/ledger.rs
@@ -29,18 +29,40 @@
     pub body: Vec<u8>,
 }
 
+/// Grantee is one try of a daemon to run a key. Another try has another number,
+/// so that a late word on one is never taken for the other.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Grantee {
+    /// The daemon.
+    pub boot: Boot,
+    /// Its count of tries.
+    pub number: u64,
+}
+
 /// Record is what is known of one key.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Record {
     /// A daemon may run it or is running it.
-    Granted(Boot),
+    Granted(Grantee),
     /// It ran, and this is the answer.
     Done(Reply),
     /// It provably did not run, and may be granted again.
     NotRun,
     /// It may have run.
     Unknown,
-    /// It is refused here for good.
+    /// A later version of the holder map names another holder, which was
+    /// asked: this one grants it no more.
+    Moved,
+    /// It is refused in the whole data centre for good.
+    Sealed,
+}
+
+/// Closing is what a key is closed as, where it is free.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Closing {
+    /// [`Record::Moved`].
+    Moved,
+    /// [`Record::Sealed`].
     Sealed,
 }
 
@@ -66,8 +88,8 @@
 }
 
 impl Ledger {
-    /// grant records a key for the daemon `to`, if it is free.
-    pub fn grant(&mut self, key: Request, to: Boot) -> Granting {
+    /// grant records a key for the try `to`, if it is free.
+    pub fn grant(&mut self, key: Request, to: Grantee) -> Granting {
         match self.entries.get(&key).map(|entry| &entry.record) {
             None | Some(Record::NotRun) => {
                 self.set(key, Record::Granted(to));
@@ -77,20 +99,23 @@
         }
     }
 
-    /// seal refuses a key for good if it is free, and returns what is known
-    /// of it then.
-    pub fn seal(&mut self, key: Request) -> Record {
+    /// close closes a key if it is free, and returns what is known of it then.
+    pub fn close(&mut self, key: Request, closing: Closing) -> Record {
         match self.entries.get(&key).map(|entry| &entry.record) {
             None | Some(Record::NotRun) => {
-                self.set(key, Record::Sealed);
-                Record::Sealed
+                let record = match closing {
+                    Closing::Moved => Record::Moved,
+                    Closing::Sealed => Record::Sealed,
+                };
+                self.set(key, record.clone());
+                record
             }
             Some(record) => record.clone(),
         }
     }
 
     /// finish records the outcome of a key that was granted to `by`.
-    pub fn finish(&mut self, key: Request, by: Boot, record: Record) {
+    pub fn finish(&mut self, key: Request, by: Grantee, record: Record) {
         let granted = Record::Granted(by);
         if self
             .entries
--- a/crates/stackpier-transport/src/callers.rs
+++ b/crates/stackpier-transport/src/callers.rs
@@ -12,8 +12,12 @@
     service::service_fn,
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
-use stackpier_core::{Error, Kind};
-use stackpier_protocol::{codec::to_json, operator::Failure};
+use stackpier_core::{Error, Kind, error::Ran};
+use stackpier_protocol::{
+    caller::{ATTEMPT_HEADER, FIRST_ATTEMPT, KEY_HEADER},
+    codec::to_json,
+    operator::Failure,
+};
 use stackpier_state::ledger::{Header, Reply};
 use tokio::sync::{Semaphore, watch};
 
@@ -190,20 +194,40 @@
     request: Incoming<IncomingBody>,
     shared: Shared<S>,
 ) -> Result<Response<Full<Bytes>>, Infallible> {
-    let reply = match Arc::clone(&shared.requests).try_acquire_owned() {
-        Err(_) => failure(Error::new(
+    let repeats = repeats(request.headers());
+    let answered = match Arc::clone(&shared.requests).try_acquire_owned() {
+        Err(_) => Err(Error::new(
             Kind::TooManyCallers,
             "too many requests at once",
         )),
         Ok(permit) => {
-            let reply = answer(request, &shared).await.unwrap_or_else(failure);
+            let answered = answer(request, &shared).await;
             drop(permit);
-            reply
+            answered
         }
     };
+    let reply = answered.unwrap_or_else(|error| failure(honest(error, repeats)));
     Ok(response(reply))
 }
 
+/// repeats tells whether a request with these headers may have been sent
+/// before.
+fn repeats(headers: &hyper::HeaderMap) -> bool {
+    let first = headers
+        .get(ATTEMPT_HEADER)
+        .is_some_and(|value| value == FIRST_ATTEMPT);
+    headers.contains_key(KEY_HEADER) && !first
+}
+
+/// honest keeps an error from saying that a request was not run when only this
+/// attempt at it is known not to have been.
+fn honest(error: Error, repeats: bool) -> Error {
+    match repeats && error.ran.is_none() {
+        true => error.with_ran(Ran::Unknown),
+        false => error,
+    }
+}
+
 async fn answer<S: Service>(
     request: Incoming<IncomingBody>,
     shared: &Shared<S>,
--- a/crates/stackpierd/src/request.rs
+++ b/crates/stackpierd/src/request.rs
@@ -1,7 +1,13 @@
 // SPDX-License-Identifier: Apache-2.0
 //! A caller's request from arrival to its one final answer.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
 
 use flume::Sender;
 use slog::info;
@@ -9,14 +15,14 @@
     once::{self, Ask, Once, Progress, Setting, Told, Verdict},
     route::Outcome,
 };
-use stackpier_core::{
-    Error, Kind, Millis, Name, Result,
-    key::{Boot, Request as Key},
+use stackpier_core::{Error, Kind, Millis, Name, Result, error::Ran, key::Request as Key};
+use stackpier_protocol::{
+    caller::{ATTEMPT_HEADER, DEADLINE_HEADER, FIRST_ATTEMPT, KEY_HEADER, REPEATABLE_HEADER},
+    peer::{Finish, Held as HolderAnswer, Request as Message, Response},
 };
-use stackpier_protocol::peer::{Finish, Held, Request as Message, Response};
 use stackpier_state::{
     holders::Member,
-    ledger::{Record, Reply},
+    ledger::{Grantee, Record, Reply},
 };
 use stackpier_transport::{
     callers,
@@ -32,14 +38,6 @@
     sender::{Job, Pool},
 };
 
-/// KEY_HEADER carries the key of a request that must not be repeated.
-pub const KEY_HEADER: &str = "idempotency-key";
-/// DEADLINE_HEADER carries how long the caller waits, in milliseconds.
-pub const DEADLINE_HEADER: &str = "stackpier-deadline-ms";
-/// REPEATABLE_HEADER says `yes` or `no`, against the method's default.
-pub const REPEATABLE_HEADER: &str = "stackpier-repeatable";
-/// ATTEMPT_HEADER is `1` on the caller's first attempt with a key.
-pub const ATTEMPT_HEADER: &str = "stackpier-attempt";
 /// MAX_DEADLINE_MS is the longest a caller may wait.
 const MAX_DEADLINE_MS: u64 = 600_000;
 /// MAX_SENDS bounds how often one request is sent.
@@ -60,10 +58,19 @@
     request: Arc<Request>,
 }
 
+/// Held is a grant that must be finished at its holder.
+#[derive(Clone, Copy, Debug)]
+struct Held {
+    key: Key,
+    holder: Member,
+    by: Grantee,
+}
+
 /// Callers is the service behind the callers' port.
 pub struct Callers<B: Backend> {
     daemon: Arc<Daemon<B>>,
     pool: Pool<Sending<B>>,
+    tries: AtomicU64,
 }
 
 impl<B: Backend> Callers<B> {
@@ -72,6 +79,7 @@
         Callers {
             daemon,
             pool: Pool::default(),
+            tries: AtomicU64::new(0),
         }
     }
 }
@@ -113,10 +121,15 @@
     /// of its key allows.
     fn dispatch_once(&self, call: &Call, key: Key) -> Result<Reply> {
         let options = self.daemon.settings.once;
-        options.check(key, clock::unix()).map_err(refusal)?;
+        let in_time = options.check(key, clock::unix());
+        in_time.map_err(|kind| untimely(kind, call.first))?;
         loop {
-            match self.settle(call, key) {
-                Verdict::Run(holder) => return self.dispatch(call, Some((key, holder))),
+            let (verdict, by) = self.settle(call, key);
+            match verdict {
+                Verdict::Run(holder) => {
+                    let held = Held { key, holder, by };
+                    return self.dispatch(call, Some(held));
+                }
                 Verdict::Repeat(reply) => return Ok(reply),
                 Verdict::Refuse(Kind::InProgress) if clock::now() < call.deadline => {
                     std::thread::sleep(JOIN_PAUSE);
@@ -130,11 +143,13 @@
     }
 
     /// settle asks the holders until the key is decided.
-    fn settle(&self, call: &Call, key: Key) -> Verdict {
+    fn settle(&self, call: &Call, key: Key) -> (Verdict, Grantee) {
         let mut verdict = Verdict::Refuse(Kind::HolderUnreachable);
+        let mut by = self.grantee();
         for _ in 0..ASK_ROUNDS {
+            by = self.grantee();
             let before = lock(&self.daemon.holder).map().number();
-            verdict = self.settle_round(call, key);
+            verdict = self.settle_round(call, key, by);
             let newer = lock(&self.daemon.holder).map().number() > before;
             let unreachable = matches!(
                 verdict,
@@ -144,16 +159,23 @@
                 break;
             }
         }
-        verdict
+        (verdict, by)
+    }
+
+    fn grantee(&self) -> Grantee {
+        Grantee {
+            boot: self.daemon.me.boot,
+            number: self.tries.fetch_add(1, Ordering::Relaxed),
+        }
     }
 
-    fn settle_round(&self, call: &Call, key: Key) -> Verdict {
+    fn settle_round(&self, call: &Call, key: Key, by: Grantee) -> Verdict {
         let map = lock(&self.daemon.holder).map().clone();
         let table = lock(&self.daemon.table);
         let data_centres: Vec<Name> = table.data_centres().into_iter().collect();
         drop(table);
         let setting = Setting {
-            me: self.daemon.me.boot,
+            me: by,
             data_centre: self.daemon.settings.data_centre,
             map: &map,
             data_centres: &data_centres,
@@ -165,8 +187,7 @@
                 Progress::Ask(ask) => progress = once.tell(self.ask(&ask)),
                 Progress::Decided(verdict, unused) => {
                     if let Some(holder) = unused {
-                        self.daemon
-                            .finish(key, holder, self.daemon.me.boot, Record::NotRun);
+                        self.daemon.finish(Held { key, holder, by }, Record::NotRun);
                     }
                     return verdict;
                 }
@@ -183,7 +204,7 @@
     }
 
     /// dispatch sends a request to upstreams until it has a final answer.
-    fn dispatch(&self, call: &Call, held: Option<(Key, Member)>) -> Result<Reply> {
+    fn dispatch(&self, call: &Call, held: Option<Held>) -> Result<Reply> {
         let mut avoid: Vec<Name> = Vec::new();
         let mut last = Error::new(
             Kind::NoUpstream,
@@ -216,9 +237,10 @@
                 }
             }
         }
-        if let Some((key, holder)) = held {
-            self.daemon
-                .finish(key, holder, self.daemon.me.boot, Record::NotRun);
+        if let Some(held) = held {
+            self.daemon.finish(held, Record::NotRun);
+            // The holders have settled that no attempt with this key ran.
+            return Err(last.with_ran(Ran::No));
         }
         Err(last)
     }
@@ -250,7 +272,7 @@
     }
 
     /// send sends a request once and waits until the deadline.
-    fn send(&self, call: &Call, slot: Slot, held: Option<(Key, Member)>) -> Attempt {
+    fn send(&self, call: &Call, slot: Slot, held: Option<Held>) -> Attempt {
         let (reply, answered) = flume::bounded(1);
         self.pool.run(Sending {
             daemon: Arc::clone(&self.daemon),
@@ -299,7 +321,7 @@
     daemon: Arc<Daemon<B>>,
     call: Call,
     slot: Slot,
-    held: Option<(Key, Member)>,
+    held: Option<Held>,
     reply: Sender<Attempt>,
 }
 
@@ -312,8 +334,8 @@
         self.daemon
             .routing
             .done(self.slot, took, outcome(&sent, late));
-        if let (Some((key, holder)), Some(record)) = (self.held, record(&sent)) {
-            self.daemon.finish(key, holder, self.daemon.me.boot, record);
+        if let (Some(held), Some(record)) = (self.held, record(&sent)) {
+            self.daemon.finish(held, record);
         }
         // The caller may have given up; then nobody listens.
         let _ = self.reply.send(attempt(sent));
@@ -378,7 +400,7 @@
         };
         match response {
             Some(Response::Held(held)) => {
-                if let Held::Newer(map) = &held {
+                if let HolderAnswer::Newer(map) = &held {
                     lock(&self.holder).learn(map.clone());
                 }
                 Told::Held(held)
@@ -403,7 +425,8 @@
 
     /// finish tells the holder of a key its outcome. A lost word leaves the
     /// key granted, which refuses repeats as in progress.
-    fn finish(&self, key: Key, holder: Member, by: Boot, record: Record) {
+    fn finish(&self, held: Held, record: Record) {
+        let Held { key, holder, by } = held;
         let message = Message::Finish(Finish { key, by, record });
         if holder.boot == self.me.boot {
             self.hold(message);
@@ -435,11 +458,21 @@
             Told::Held(held) => Some(held),
             Told::There(_) | Told::Silence => None,
         };
-        let answers: Vec<Option<Held>> = seals.into_iter().map(ask).collect();
+        let answers: Vec<Option<HolderAnswer>> = seals.into_iter().map(ask).collect();
         once::sealing(&answers)
     }
 }
 
+/// untimely refuses a key whose time is out of the window. Only of a first
+/// attempt it is known that none before it ran.
+fn untimely(kind: Kind, first: bool) -> Error {
+    let error = refusal(kind);
+    match first {
+        true => Error::new(Kind::BadKey, error.message),
+        false => error,
+    }
+}
+
 fn refusal(kind: Kind) -> Error {
     let text = match kind {
         Kind::KeyExpired => "the key is older than the window in which repeats are known",
@@ -470,7 +503,7 @@
             return Err(Error::new(Kind::BadKey, text));
         }
     };
-    let first = raw.header(ATTEMPT_HEADER) == Some("1");
+    let first = raw.header(ATTEMPT_HEADER) == Some(FIRST_ATTEMPT);
     Ok(Call {
         service,
         deadline: arrived.plus(wait),
