Routing by expected time to an answer; the routing experiment

Cause: power of two choices on in-flight times smoothed latency let chance steer (a latency sample of 30% over the mean moved load), sent one request in many to an upstream known to be slow, and queued up to the deadline.

Ruled out: fewer in flight per upstream (no change to p99 below 0.95 of capacity, where the limits don't bind); a limit on refusals only (refusals do not come before 64 connections are taken).

Change: the cheapest of all open upstreams by latency x load / success^2; latencies within 1.6 of the median count as the median; what is known of an unused upstream fades with a half life of 3 s; no one waits over 250 ms.

--- a/crates/stackpier-coordination/src/route.rs
+++ b/crates/stackpier-coordination/src/route.rs
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
-//! The choice of an upstream for a request, per service: power of two choices
-//! on load and latency, within per-upstream limits, behind a bounded queue.
+//! The choice of an upstream for a request, per service: the lowest expected
+//! time to an answer by load and latency, within per-upstream limits, behind a bounded queue.
 
 use std::collections::BTreeMap;
 
@@ -35,6 +35,14 @@
     pub smoothing: f64,
     /// Latency assumed of an upstream that has not answered yet.
     pub assumed_ms: f64,
+    /// Longest expected wait for a slot; a longer queue only adds delay.
+    pub longest_wait_ms: u64,
+    /// Latencies up to this many times the median count as the median, so that
+    /// chance does not steer.
+    pub noise: f64,
+    /// Time in which what is known of an unused upstream's latency loses half
+    /// its weight.
+    pub half_life_ms: f64,
 }
 
 impl Default for Options {
@@ -47,6 +55,9 @@
             ejected_milli: 500,
             smoothing: 0.2,
             assumed_ms: 10.0,
+            longest_wait_ms: 250,
+            noise: 1.6,
+            half_life_ms: 3_000.0,
         }
     }
 }
@@ -58,6 +69,8 @@
     pub endpoint: Endpoint,
     in_flight: u32,
     latency_ms: f64,
+    /// When the latency was last measured.
+    measured: Millis,
     success: f64,
     limit: Limit,
     breaker: Breaker,
@@ -149,7 +162,8 @@
         Upstream {
             endpoint,
             in_flight: 0,
-            latency_ms: self.options.assumed_ms,
+            latency_ms: self.median_ms(),
+            measured: Millis(0),
             success: 1.0,
             limit: Limit::new(self.options.limit),
             breaker: Breaker::new(self.options.breaker),
@@ -195,7 +209,9 @@
             return Choice::Send(key);
         }
         let wait = self.expected_wait_ms(deadline);
-        if now.plus(wait as u64) >= deadline || !self.queue.push(deadline, ticket) {
+        let too_long = wait as u64 > self.options.longest_wait_ms;
+        let too_late = now.plus(wait as u64) >= deadline;
+        if too_long || too_late || !self.queue.push(deadline, ticket) {
             return Choice::Shed((wait as u64).max(1));
         }
         Choice::Wait
@@ -241,6 +257,7 @@
         match outcome {
             Outcome::Answered => {
                 upstream.latency_ms = smooth(upstream.latency_ms, took_ms as f64);
+                upstream.measured = now;
                 upstream.success = smooth(upstream.success, 1.0);
                 upstream.limit.answered(in_flight.saturating_sub(1));
                 upstream.breaker.succeeded();
@@ -258,6 +275,7 @@
             }
             Outcome::TimedOut => {
                 upstream.latency_ms = smooth(upstream.latency_ms, took_ms as f64);
+                upstream.measured = now;
                 upstream.breaker.failed(now, may_eject);
             }
         }
@@ -302,23 +320,26 @@
         if pool.is_empty() {
             pool = open;
         }
-        let key = self.two_choices(&pool, rng)?;
+        let key = self.cheapest(now, &pool, rng)?;
         let upstream = self.upstreams.get_mut(key)?;
         upstream.in_flight += 1;
         upstream.breaker.sent();
         Some(key)
     }
 
-    fn two_choices<R: Rng>(&self, pool: &[Key], rng: &mut R) -> Option<Key> {
+    /// cheapest returns the upstream with the lowest cost; of equal ones it
+    /// takes any, so that entry VMs don't all take the same.
+    fn cheapest<R: Rng>(&self, now: Millis, pool: &[Key], rng: &mut R) -> Option<Key> {
         if pool.is_empty() {
             return None;
         }
-        let one = pool[rng.random_range(0..pool.len())];
-        let other = pool[rng.random_range(0..pool.len())];
-        match self.cost(one) <= self.cost(other) {
-            true => Some(one),
-            false => Some(other),
-        }
+        let median = self.median_ms();
+        let start = rng.random_range(0..pool.len());
+        let order = (0..pool.len()).map(|step| pool[(start + step) % pool.len()]);
+        order.min_by(|one, other| {
+            let (one, other) = (self.cost(now, median, *one), self.cost(now, median, *other));
+            one.total_cmp(&other)
+        })
     }
 
     fn takes(&self, now: Millis, key: Key) -> bool {
@@ -327,14 +348,37 @@
         })
     }
 
-    /// cost is the expected time to an answer; an upstream that fails fast is
+    /// cost is the expected time to an answer. An upstream that fails fast is
     /// dear, not cheap.
-    fn cost(&self, key: Key) -> f64 {
+    fn cost(&self, now: Millis, median: f64, key: Key) -> f64 {
         self.upstreams.get(key).map_or(f64::MAX, |upstream| {
-            let load = f64::from(upstream.in_flight + 1);
-            load * upstream.latency_ms / upstream.success.max(0.01).powi(2)
+            let load = 1.0 + f64::from(upstream.in_flight) / self.options.limit.start;
+            let latency = self.believed_ms(now, median, upstream);
+            load * latency / upstream.success.max(0.01).powi(2)
         })
     }
+
+    /// believed_ms returns an upstream's latency as far as it tells: noise and
+    /// old samples count as the median.
+    fn believed_ms(&self, now: Millis, median: f64, upstream: &Upstream) -> f64 {
+        let age = now.since(upstream.measured) as f64;
+        let weight = 0.5_f64.powf(age / self.options.half_life_ms);
+        let latency = median + (upstream.latency_ms - median) * weight;
+        match latency <= median * self.options.noise {
+            true => median,
+            false => latency,
+        }
+    }
+
+    /// median_ms returns the median latency of the upstreams.
+    fn median_ms(&self) -> f64 {
+        let mut all: Vec<f64> = self.upstreams.values().map(|u| u.latency_ms).collect();
+        if all.is_empty() {
+            return self.options.assumed_ms;
+        }
+        let middle = all.len() / 2;
+        *all.select_nth_unstable_by(middle, f64::total_cmp).1
+    }
 }
 
 /// Router holds the routing state of all services.
--- /dev/null
+++ b/crates/stackpier-load/src/main.rs
@@ -0,0 +1,42 @@
+// SPDX-License-Identifier: Apache-2.0
+//! `stackpier-load routing | placement | capacity --seed S`: seeded
+//! experiments with the decisions, as tables and JSON.
+
+mod routing;
+mod table;
+
+use anyhow::{Result, bail};
+use lexopt::{Arg, Parser, ValueExt};
+
+const HELP: &str = "\
+Usage: stackpier-load COMMAND [--seed N] [--json]
+
+Commands:
+  routing    compare routing policies over scenarios and loads
+";
+
+/// DEFAULT_SEED is used when none is given.
+const DEFAULT_SEED: u64 = 1;
+
+fn main() -> Result<()> {
+    let mut parser = Parser::from_env();
+    let mut command = String::new();
+    let mut seed = DEFAULT_SEED;
+    let mut json = false;
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Arg::Value(value) if command.is_empty() => command = value.string()?,
+            Arg::Long("seed") => seed = parser.value()?.parse()?,
+            Arg::Long("json") => json = true,
+            Arg::Long("help") => {
+                print!("{HELP}");
+                return Ok(());
+            }
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    match command.as_str() {
+        "routing" => routing::run(seed, json),
+        _ => bail!("no such command\n{HELP}"),
+    }
+}
--- /dev/null
+++ b/crates/stackpier-load/src/table.rs
@@ -0,0 +1,64 @@
+// SPDX-License-Identifier: Apache-2.0
+//! Rows of figures as aligned text or as JSON.
+
+use anyhow::Result;
+use serde::Serialize;
+use serde_json::Value;
+
+/// print prints rows with their field names as the head.
+pub fn print<T: Serialize>(title: &str, rows: &[T], json: bool) -> Result<()> {
+    if json {
+        println!("{}", serde_json::to_string_pretty(rows)?);
+        return Ok(());
+    }
+    println!("\n{title}");
+    let values: Vec<Value> = rows
+        .iter()
+        .map(serde_json::to_value)
+        .collect::<Result<_, _>>()?;
+    let Some(Value::Object(first)) = values.first() else {
+        return Ok(());
+    };
+    let names: Vec<&String> = first.keys().collect();
+    let mut lines = vec![
+        names
+            .iter()
+            .map(|name| (*name).clone())
+            .collect::<Vec<String>>(),
+    ];
+    for value in &values {
+        lines.push(
+            names
+                .iter()
+                .map(|name| cell(&value[name.as_str()]))
+                .collect(),
+        );
+    }
+    let widths: Vec<usize> = (0..names.len())
+        .map(|column| {
+            lines
+                .iter()
+                .map(|line| line[column].len())
+                .max()
+                .unwrap_or(0)
+        })
+        .collect();
+    for line in lines {
+        let cells = line
+            .iter()
+            .zip(&widths)
+            .map(|(cell, width)| format!("{cell:>width$}"));
+        println!("{}", cells.collect::<Vec<_>>().join("  "));
+    }
+    Ok(())
+}
+
+fn cell(value: &Value) -> String {
+    match value {
+        Value::String(text) => text.clone(),
+        Value::Number(number) if number.is_f64() => {
+            format!("{:.2}", number.as_f64().unwrap_or(0.0))
+        }
+        other => other.to_string(),
+    }
+}
