--- a/crates/stackpier-load/src/main.rs
+++ b/crates/stackpier-load/src/main.rs
@@ -2,6 +2,7 @@
 //! `stackpier-load routing | placement | capacity --seed S`: seeded
 //! experiments with the decisions, as tables and JSON.
 
+mod capacity;
 mod routing;
 mod table;
 
@@ -12,6 +13,7 @@
 Usage: stackpier-load COMMAND [--seed N] [--json]
 
 Commands:
+  capacity   bytes and processor time of decisions at several sizes
   routing    compare routing policies over scenarios and loads
 ";
 
@@ -36,6 +38,7 @@
         }
     }
     match command.as_str() {
+        "capacity" => capacity::run(json),
         "routing" => routing::run(seed, json),
         _ => bail!("no such command\n{HELP}"),
     }
