--- a/crates/stackpier-coordination/src/membership.rs
+++ b/crates/stackpier-coordination/src/membership.rs
@@ -177,15 +177,17 @@
         self.live(now, self.data_centre).contains(&member)
     }
 
-    /// preferred tells whether this daemon is the one that normally does the
-    /// work on `item` in its data centre. It is a hint against contention, not
-    /// a right.
-    pub fn preferred(&self, now: Millis, item: &str) -> bool {
+    /// chosen returns the daemon that normally does the work on `item` in this
+    /// data centre. It is a hint against contention, not a right.
+    pub fn chosen(&self, now: Millis, item: &str) -> Option<Member> {
         let live = self.live(now, self.data_centre);
-        let best = live
-            .iter()
-            .max_by_key(|member| (weight(item.as_bytes(), member.boot.0), **member));
-        best == Some(&self.me)
+        let by_weight = |member: &Member| (weight(item.as_bytes(), member.boot.0), *member);
+        live.into_iter().max_by_key(by_weight)
+    }
+
+    /// preferred tells whether this daemon is the chosen one.
+    pub fn preferred(&self, now: Millis, item: &str) -> bool {
+        self.chosen(now, item) == Some(self.me)
     }
 
     /// standing returns what is known of a worker from the list and peers.
--- a/crates/stackpier-coordination/src/owner.rs
+++ b/crates/stackpier-coordination/src/owner.rs
@@ -2,18 +2,19 @@
 //! The owner of a rack: commits claimed runs to the rack's page, renews the
 //! leases of its workers, and records how runs end.
 //!
-//! The order of steps keeps a task from running in two places:
-//! a claim is read after the rack's revision it is committed at; a claim
-//! moves only after the rack's page shows its run as ended; a run ends in the
-//! page only with evidence from its worker or from its lapsed lease.
+//! What keeps a task from running in two places: a claim moves only after the
+//! rack's page shows its run as ended, so what a revision of the homes claims
+//! stands until then; the page remembers by which revision ended rows were
+//! dropped, and takes no claim of an earlier one; a run ends in the page only
+//! with evidence from its worker or from its lapsed lease.
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use stackpier_core::{Millis, Name, key::Boot};
 use stackpier_protocol::{
-    peer::{Endpoint, Hint, RackReport, Renounced, WorkerReport},
+    peer::{Claims, Endpoint, Hint, RackReport, Renounced, WorkerReport, claims_sum},
     platform::Standing,
-    sync::{Call, Clock, Reply, Start},
+    sync::{Call, Clock, Ended, Reply, Start},
 };
 use stackpier_state::{
     Page, Revision,
@@ -29,9 +30,6 @@
     membership::Table,
 };
 
-/// BYSTANDER_SWEEPS is how many times longer a daemon that does not renew a
-/// rack waits between two looks at its page.
-const BYSTANDER_SWEEPS: u64 = 6;
 /// URGENT_GAP_MS is the shortest time between two calls to a worker.
 const URGENT_GAP_MS: u64 = 20;
 /// QUIET_SYNCS is the count of missed calls after which a worker is offered
@@ -90,13 +88,16 @@
     Swapping(Box<Rack>),
 }
 
-/// Reading collects homes read at one revision of the rack's page.
+/// Reading collects shards of homes.
 #[derive(Clone, Debug)]
 struct Reading {
     waiting: BTreeSet<u16>,
-    got: BTreeMap<u16, homes::Shard>,
+    got: Snapshots,
 }
 
+/// Snapshots are shards of homes with the revisions they were read at.
+type Snapshots = BTreeMap<u16, (Revision, homes::Shard)>;
+
 /// Owner is the machine for one rack.
 #[derive(Debug)]
 pub struct Owner {
@@ -111,6 +112,10 @@
     /// else such a run could start while the swap is under way.
     lapsing: BTreeMap<Name, BTreeSet<Run>>,
     dirty: BTreeSet<u16>,
+    /// Words of placers not yet written to the page.
+    told: Vec<Claims>,
+    /// Those of them that the swap on its way writes.
+    taken: Vec<Claims>,
     stale: bool,
     swept: Option<Millis>,
     committed: Option<Millis>,
@@ -132,6 +137,8 @@
             contacts: BTreeMap::new(),
             lapsing: BTreeMap::new(),
             dirty: BTreeSet::new(),
+            told: Vec::new(),
+            taken: Vec::new(),
             stale: true,
             swept: None,
             committed: None,
@@ -139,6 +146,7 @@
             renounced: None,
             report: RackReport {
                 rack,
+                renewer: me.vm,
                 term: 0,
                 change: 0,
                 workers: Vec::new(),
@@ -257,11 +265,11 @@
             return;
         }
         match fetched {
-            Fetched::Found(_, Page::Homes(page)) => {
-                reading.got.insert(shard, page);
+            Fetched::Found(revision, Page::Homes(page)) => {
+                reading.got.insert(shard, (revision, page));
             }
             Fetched::Absent => {
-                reading.got.insert(shard, homes::Shard::default());
+                reading.got.insert(shard, (ABSENT, homes::Shard::default()));
             }
             Fetched::Found(..) | Fetched::Failed => {
                 self.dirty.insert(shard);
@@ -276,9 +284,10 @@
         let Swapped::Won(revision) = swap else {
             // Nothing is believed of an unclear write before it is read back.
             self.stale = true;
-            self.dirty.extend(0..self.options.shards);
+            self.told.append(&mut self.taken);
             return;
         };
+        self.taken.clear();
         let before = self.page.replace((revision, *next));
         let old = before.map_or_else(Rack::empty, |(_, page)| page);
         self.note_changes(now, &old, table, effects);
@@ -286,13 +295,13 @@
 
     fn note_changes(&mut self, now: Millis, old: &Rack, table: &Table, effects: &mut Vec<Effect>) {
         let Some((_, page)) = &self.page else { return };
-        let mut ended = BTreeSet::new();
+        let mut ended = Vec::new();
         for row in &page.rows {
             let before = old.row(row.run).map(|row| row.phase);
             match row.phase {
                 Phase::Ended(outcome) if before != Some(row.phase) => {
                     effects.push(Effect::Note(Note::Ended(row.run, outcome)));
-                    ended.insert(shard_of(row, self.options.shards));
+                    ended.push(*row);
                 }
                 Phase::Running if before.is_none() => {
                     effects.push(Effect::Note(Note::Committed(row.run, row.worker)));
@@ -301,30 +310,108 @@
             }
         }
         let rack = self.rack;
-        let hint = |shard| Effect::Hint(Hint::Ended { shard, rack });
-        effects.extend(ended.into_iter().map(hint));
+        effects.extend(self.ended_hints(ended.iter()));
         let renewer = page.renewer.filter(|renewer| old.renewer != Some(*renewer));
         if let Some(renewer) = renewer {
             self.contacts.clear();
             self.lapsing.clear();
+            self.dirty.extend(0..self.options.shards);
             self.renounced = None;
             self.sole_since = None;
             self.note_sole(now, table);
             effects.push(Effect::Note(Note::TookOver(rack, renewer.term)));
-            effects.push(Effect::Hint(Hint::TakenOver { rack }));
+            effects.extend(self.renewer_hint());
         }
     }
 
     fn hinted(&mut self, hint: Hint) {
         match hint {
-            Hint::Homes { shard, rack } if rack == self.rack => {
-                self.dirty.insert(shard);
-            }
-            Hint::TakenOver { rack } if rack == self.rack => self.stale = true,
+            Hint::Claims(claims) if claims.rack == self.rack => self.hear(claims),
+            Hint::TakenOver {
+                rack,
+                renewer,
+                term,
+            } if rack == self.rack => self.hear_renewer(renewer, term),
             _ => {}
         }
     }
 
+    /// hear_renewer has the page read again if it concerns this daemon: it may
+    /// have lost the rack, or won it by a swap whose answer was lost.
+    fn hear_renewer(&mut self, renewer: Member, term: u64) {
+        let known = self.page().and_then(|page| page.renewer);
+        let newer = term > known.map_or(0, |renewer| renewer.term);
+        let concerned = self.renews() || renewer.boot == self.me.boot;
+        self.stale |= newer && concerned;
+    }
+
+    /// renewer_hint tells all daemons whom the page names as renewer.
+    fn renewer_hint(&self) -> Option<Effect> {
+        let renewer = self.page()?.renewer?;
+        Some(Effect::Hint(Hint::TakenOver {
+            rack: self.rack,
+            renewer: Member {
+                vm: renewer.vm,
+                boot: renewer.boot,
+            },
+            term: renewer.term,
+        }))
+    }
+
+    /// hear takes a placer's word, or reads its shard if the word is older than
+    /// what the page was settled by.
+    fn hear(&mut self, claims: Claims) {
+        let Some((_, page)) = &self.page else { return };
+        if claims.revision < page.settled_by(claims.shard) {
+            self.dirty.insert(claims.shard);
+        } else if self.renews() {
+            self.told.push(claims);
+        }
+    }
+
+    /// differing returns the shards whose claims differ from the page's rows
+    /// even after their placers' words were taken: some word was lost.
+    fn differing(&self, next: &Rack) -> BTreeSet<u16> {
+        let mut sums = BTreeMap::new();
+        for claims in &self.told {
+            let newest = sums
+                .entry(claims.shard)
+                .or_insert((claims.revision, claims.sum));
+            if claims.revision >= newest.0 {
+                *newest = (claims.revision, claims.sum);
+            }
+        }
+        let here = |shard: u16| {
+            let rows = next.rows.iter();
+            let ours = rows.filter(move |row| shard_of(row, self.options.shards) == shard);
+            claims_sum(ours.map(|row| row.run))
+        };
+        let differs = sums
+            .iter()
+            .filter(|(shard, (_, sum))| here(**shard) != *sum);
+        differs.map(|(shard, _)| *shard).collect()
+    }
+
+    /// ended_hints tells the placers of shards which of their runs ended.
+    fn ended_hints<'a>(&self, rows: impl Iterator<Item = &'a Row>) -> Vec<Effect> {
+        let mut by_shard: BTreeMap<u16, Vec<Ended>> = BTreeMap::new();
+        for row in rows {
+            if let Phase::Ended(outcome) = row.phase {
+                let ended = Ended {
+                    run: row.run,
+                    outcome,
+                };
+                by_shard
+                    .entry(shard_of(row, self.options.shards))
+                    .or_default()
+                    .push(ended);
+            }
+        }
+        let rack = self.rack;
+        let hint = |(shard, ended)| Effect::Hint(Hint::Ended { shard, rack, ended });
+        by_shard.into_iter().map(hint).collect()
+    }
+
     fn synced(&mut self, now: Millis, worker: Name, reply: Option<Reply>) {
         let Some(contact) = self.contacts.get_mut(&worker) else {
             return;
@@ -378,7 +465,7 @@
         writer: &mut Writer,
         effects: &mut Vec<Effect>,
     ) {
-        self.sweep(now, effects);
+        self.sweep(now, table, effects);
         if matches!(self.step, Step::Idle) && self.stale {
             self.step = Step::Loading;
             effects.push(Effect::Read(Key::Rack(self.rack)));
@@ -390,29 +477,23 @@
         self.try_swap(now, table, writer, effects);
     }
 
-    fn sweep(&mut self, now: Millis, effects: &mut Vec<Effect>) {
-        let factor = if self.renews() { 1 } else { BYSTANDER_SWEEPS };
-        let every = self.options.sweep_ms * factor;
-        if self.swept.is_some_and(|at| now.since(at) < every) {
+    fn sweep(&mut self, now: Millis, table: &Table, effects: &mut Vec<Effect>) {
+        let due = self
+            .swept
+            .is_none_or(|at| now.since(at) >= self.options.sweep_ms);
+        // A daemon that neither renews nor would take over need not look.
+        let concerned = self.renews() || table.preferred(now, self.rack.as_str());
+        if !(due && concerned) {
             return;
         }
         self.swept = Some(now);
         self.stale = true;
         if !self.renews() {
+            effects.extend(self.renewer_hint());
             return;
         }
-        self.dirty.extend(0..self.options.shards);
         let Some((_, page)) = &self.page else { return };
-        let rack = self.rack;
-        let ended = page
-            .rows
-            .iter()
-            .filter(|row| matches!(row.phase, Phase::Ended(_)));
-        let shards: BTreeSet<u16> = ended
-            .map(|row| shard_of(row, self.options.shards))
-            .collect();
-        let hint = |shard| Effect::Hint(Hint::Ended { shard, rack });
-        effects.extend(shards.into_iter().map(hint));
+        effects.extend(self.ended_hints(page.rows.iter()));
     }
 
     fn may_commit(&self, now: Millis) -> bool {
@@ -453,6 +534,9 @@
         let lapsing = self.lapsed_runs(now, page);
         let mut next = page.clone();
         self.revise(now, table, homes, &mut next, effects);
+        let differing = self.differing(&next);
+        self.dirty.extend(differing);
+        self.taken = std::mem::take(&mut self.told);
         let unchanged = next == *page;
         let revision = *revision;
         self.step = Step::Idle;
@@ -474,7 +558,7 @@
         &self,
         now: Millis,
         table: &Table,
-        homes: &BTreeMap<u16, homes::Shard>,
+        homes: &Snapshots,
         next: &mut Rack,
         effects: &mut Vec<Effect>,
     ) {
@@ -489,8 +573,11 @@
         for (worker, contact) in &self.contacts {
             self.revise_contact(now, *worker, contact, next, effects);
         }
-        for (shard, page) in homes {
-            self.settle_shard(now, *shard, page, next);
+        for (shard, (revision, page)) in homes {
+            self.settle_shard(now, *shard, *revision, page, next);
+        }
+        for claims in &self.told {
+            self.settle_claims(now, claims, next);
         }
     }
 
@@ -586,15 +673,35 @@
 
     /// settle_shard commits the claims of a shard, marks stops, and drops
     /// ended rows whose home has moved on.
-    fn settle_shard(&self, now: Millis, shard: u16, page: &homes::Shard, next: &mut Rack) {
+    fn settle_shard(
+        &self,
+        now: Millis,
+        shard: u16,
+        revision: Revision,
+        page: &homes::Shard,
+        next: &mut Rack,
+    ) {
+        if revision < next.settled_by(shard) {
+            return;
+        }
         for home in &page.homes {
             self.settle_home(now, home, next);
         }
-        let here = |row: &Row| shard_of(row, self.options.shards) == shard;
-        let keeps = |row: &Row| {
-            !here(row) || !matches!(row.phase, Phase::Ended(_)) || page.claimed(row.run, self.rack)
-        };
-        next.rows.retain(keeps);
+        let shards = self.options.shards;
+        let moved = |row: &Row| shard_of(row, shards) == shard && !page.claimed(row.run, self.rack);
+        next.drop_rows(shard, revision, moved);
+    }
+
+    /// settle_claims does the same by a placer's word.
+    fn settle_claims(&self, now: Millis, claims: &Claims, next: &mut Rack) {
+        if claims.revision < next.settled_by(claims.shard) {
+            return;
+        }
+        for home in &claims.claimed {
+            self.settle_home(now, home, next);
+        }
+        let released = |row: &Row| claims.released.contains(&row.run);
+        next.drop_rows(claims.shard, claims.revision, released);
     }
 
     fn settle_home(&self, now: Millis, home: &homes::Home, next: &mut Rack) {
@@ -628,6 +735,7 @@
         if !self.renews() {
             self.contacts.clear();
             self.lapsing.clear();
+            self.told.clear();
             return;
         }
         let Some((_, page)) = &self.page else { return };
@@ -680,6 +788,7 @@
         let endpoints = page.rows.iter().filter_map(|row| self.endpoint(page, row));
         let next = RackReport {
             rack: self.rack,
+            renewer: self.me.vm,
             term: page.renewer.map_or(0, |renewer| renewer.term),
             change: self.report.change,
             workers: workers.collect(),
--- a/crates/stackpier-coordination/src/placer.rs
+++ b/crates/stackpier-coordination/src/placer.rs
@@ -3,18 +3,17 @@
 //! intents, claims places for waiting tasks, and moves tasks on whose runs
 //! ended.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use stackpier_core::{Millis, Name, Size, key};
-use stackpier_protocol::peer::{Hint, RackReport};
+use stackpier_protocol::peer::{Claims, Hint, RackReport, claims_sum};
 use stackpier_state::{
     Page, Revision,
     catalogue::Catalogue,
     homes::{Claim, End, Home, Place, Shard},
     intent::{Kind, Object},
     page::{ABSENT, Fetched, Key, Swapped},
-    rack::{Phase, Rack},
-    work::{Class, Run, Work},
+    work::{Class, Outcome, Run, Work},
 };
 
 use crate::{
@@ -44,6 +43,12 @@
     }
 }
 
+/// item returns what the choice of a shard's placer goes by, see
+/// [`Table::chosen`].
+pub fn item(data_centre: Name, shard: u16) -> String {
+    format!("homes/{data_centre}/{shard}")
+}
+
 /// View is what a placer sees beside its own page.
 #[derive(Clone, Copy)]
 pub struct View<'a> {
@@ -59,16 +64,11 @@
 enum Step {
     Idle,
     Loading,
-    Reading(Reading),
     Swapping(Box<Shard>),
 }
 
-/// Reading collects the pages of racks whose runs may have ended.
-#[derive(Clone, Debug)]
-struct Reading {
-    waiting: BTreeSet<Name>,
-    got: BTreeMap<Name, Rack>,
-}
+/// Ends are runs that ended on racks, and how.
+type Ends = BTreeMap<(Name, Run), Outcome>;
 
 /// Placer is the machine for one shard of a data centre's homes.
 #[derive(Debug)]
@@ -77,10 +77,24 @@
     options: Options,
     page: Option<(Revision, Shard)>,
     step: Step,
-    dirty: BTreeSet<Name>,
+    /// Ended runs not yet written to the page.
+    told: Ends,
+    /// Those of them that the swap on its way writes.
+    taken: Ends,
     stale: bool,
     swept: Option<Millis>,
     committed: Option<Millis>,
+    /// The intents and the page that the last look was at.
+    seen: Option<Seen>,
+    /// Whether tasks wait for a worker, and when that was tried last.
+    waiting: Option<Millis>,
+}
+
+/// Seen is what a look at the shard went by.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Seen {
+    changes: u64,
+    revision: Revision,
 }
 
 impl Placer {
@@ -91,10 +105,13 @@
             options,
             page: None,
             step: Step::Idle,
-            dirty: BTreeSet::new(),
+            told: Ends::new(),
+            taken: Ends::new(),
             stale: true,
             swept: None,
             committed: None,
+            seen: None,
+            waiting: None,
         }
     }
 
@@ -114,10 +131,10 @@
         let mut effects = Vec::new();
         match event {
             Event::Read(Key::Homes(..), fetched) => self.loaded(fetched),
-            Event::Read(Key::Rack(rack), fetched) => self.rack_read(rack, fetched),
-            Event::Swapped(_, swap) => self.swapped(swap, view, &mut effects),
-            Event::Hint(Hint::Ended { shard, rack }) if shard == self.shard => {
-                self.dirty.insert(rack);
+            Event::Swapped(_, swap) => self.swapped(swap, &mut effects),
+            Event::Hint(Hint::Ended { shard, rack, ended }) if shard == self.shard => {
+                let ends = ended.iter().map(|e| ((rack, e.run), e.outcome));
+                self.told.extend(ends);
             }
             Event::Tick | Event::Read(..) | Event::Synced(..) | Event::Hint(_) => {}
         }
@@ -138,39 +155,22 @@
         self.stale = false;
     }
 
-    fn rack_read(&mut self, rack: Name, fetched: Fetched) {
-        let Step::Reading(reading) = &mut self.step else {
-            return;
-        };
-        if !reading.waiting.remove(&rack) {
-            return;
-        }
-        match fetched {
-            Fetched::Found(_, Page::Rack(page)) => {
-                reading.got.insert(rack, page);
-            }
-            Fetched::Absent => {}
-            Fetched::Found(..) | Fetched::Failed => {
-                self.dirty.insert(rack);
-            }
-        }
-    }
-
-    fn swapped(&mut self, swap: Swapped, view: View<'_>, effects: &mut Vec<Effect>) {
+    fn swapped(&mut self, swap: Swapped, effects: &mut Vec<Effect>) {
         let Step::Swapping(next) = std::mem::replace(&mut self.step, Step::Idle) else {
             return;
         };
         let Swapped::Won(revision) = swap else {
             // Nothing is believed of an unclear write before it is read back.
             self.stale = true;
-            self.sweep_racks(view);
+            self.told.append(&mut self.taken);
             return;
         };
+        self.taken.clear();
         let old = self.page.replace((revision, *next)).map(|(_, page)| page);
         self.tell_racks(&old.unwrap_or_default(), effects);
     }
 
-    /// tell_racks hints each rack whose claims have changed.
+    /// tell_racks tells each rack what changed of its claims.
     fn tell_racks(&self, old: &Shard, effects: &mut Vec<Effect>) {
         let Some((_, page)) = &self.page else { return };
         let before: BTreeMap<key::Task, &Home> = old
@@ -178,22 +178,48 @@
             .iter()
             .map(|home| (home.work.task, home))
             .collect();
-        let mut racks = BTreeSet::new();
+        let mut racks: BTreeMap<Name, Claims> = BTreeMap::new();
         for home in &page.homes {
             let was = before.get(&home.work.task).copied();
             if was == Some(home) {
                 continue;
             }
-            racks.extend(was.and_then(Home::claim).map(|claim| claim.rack));
-            racks.extend(home.claim().map(|claim| claim.rack));
-            let new = was.and_then(Home::claim).is_none();
-            if let Some(claim) = home.claim().filter(|_| new) {
-                effects.push(Effect::Note(Note::Claimed(home.run(), claim.worker)));
+            if let Some((run, claim)) = was.and_then(|was| Some((was.run(), was.claim()?)))
+                && !page.claimed(run, claim.rack)
+            {
+                self.claims(&mut racks, claim.rack).released.push(run);
             }
+            if let Some(claim) = home.claim() {
+                self.claims(&mut racks, claim.rack).claimed.push(*home);
+                if was.and_then(Home::claim).is_none() {
+                    effects.push(Effect::Note(Note::Claimed(home.run(), claim.worker)));
+                }
+            }
+        }
+        self.send_claims(racks, effects);
+    }
+
+    /// claims returns the word to a rack, made on first use.
+    fn claims<'a>(&self, racks: &'a mut BTreeMap<Name, Claims>, rack: Name) -> &'a mut Claims {
+        let revision = self.page.as_ref().map_or(ABSENT, |(revision, _)| *revision);
+        racks.entry(rack).or_insert_with(|| Claims {
+            shard: self.shard,
+            rack,
+            revision,
+            claimed: Vec::new(),
+            released: Vec::new(),
+            sum: 0,
+        })
+    }
+
+    /// send_claims fills in the sums and sends the words.
+    fn send_claims(&self, racks: BTreeMap<Name, Claims>, effects: &mut Vec<Effect>) {
+        let Some((_, page)) = &self.page else { return };
+        for (rack, mut claims) in racks {
+            let here = |home: &&Home| home.claim().is_some_and(|claim| claim.rack == rack);
+            claims.sum = claims_sum(page.homes.iter().filter(here).map(Home::run));
+            effects.push(Effect::Hint(Hint::Claims(claims)));
         }
-        let shard = self.shard;
-        let hint = |rack| Effect::Hint(Hint::Homes { shard, rack });
-        effects.extend(racks.into_iter().map(hint));
     }
 
     fn advance(
@@ -203,7 +229,7 @@
         writer: &mut Writer,
         effects: &mut Vec<Effect>,
     ) {
-        let item = format!("homes/{}/{}", view.table.data_centre(), self.shard);
+        let item = item(view.table.data_centre(), self.shard);
         let mine = view.table.preferred(now, &item);
         if !mine {
             // Another daemon normally does this; start afresh if that changes.
@@ -212,7 +238,7 @@
             }
             return;
         }
-        self.sweep(now, view);
+        self.sweep(now, view, effects);
         if matches!(self.step, Step::Idle) && self.stale {
             self.step = Step::Loading;
             effects.push(Effect::Read(Key::Homes(
@@ -224,42 +250,38 @@
         let may_commit = self
             .committed
             .is_none_or(|at| now.since(at) >= self.options.commit_ms);
-        if matches!(self.step, Step::Idle) && may_commit {
-            self.read_racks(effects);
-        }
         self.try_swap(now, may_commit, view, writer, effects);
     }
 
-    fn sweep(&mut self, now: Millis, view: View<'_>) {
+    /// sweep reads the page again, and tells each rack the sum of its claims,
+    /// which shows a word that was lost.
+    fn sweep(&mut self, now: Millis, view: View<'_>, effects: &mut Vec<Effect>) {
         let due = |at| now.since(at) >= self.options.sweep_ms;
         if self.swept.is_some_and(|at| !due(at)) {
             return;
         }
         self.swept = Some(now);
         self.stale = true;
-        self.sweep_racks(view);
-    }
-
-    fn sweep_racks(&mut self, view: View<'_>) {
-        let claims = self.page.iter().flat_map(|(_, page)| &page.homes);
-        let claimed: Vec<Name> = claims.filter_map(Home::claim).map(|c| c.rack).collect();
-        self.dirty.extend(claimed);
-        if self.page.is_none() {
-            self.dirty.extend(view.table.racks());
-        }
-    }
-
-    fn read_racks(&mut self, effects: &mut Vec<Effect>) {
-        if self.dirty.is_empty() {
+        let Some((_, page)) = self
+            .page
+            .as_ref()
+            .filter(|_| matches!(self.step, Step::Idle))
+        else {
             return;
+        };
+        let mut racks = BTreeMap::new();
+        for rack in view.table.racks() {
+            self.claims(&mut racks, rack);
+        }
+        // The sum does not show stops, so they are told again until done.
+        let claimed = page
+            .homes
+            .iter()
+            .filter_map(|home| Some((home, home.claim()?)));
+        for (home, claim) in claimed.filter(|(_, claim)| claim.stop) {
+            self.claims(&mut racks, claim.rack).claimed.push(*home);
         }
-        let waiting = std::mem::take(&mut self.dirty);
-        let read = |rack: &Name| Effect::Read(Key::Rack(*rack));
-        effects.extend(waiting.iter().map(read));
-        self.step = Step::Reading(Reading {
-            waiting,
-            got: BTreeMap::new(),
-        });
+        self.send_claims(racks, effects);
     }
 
     fn try_swap(
@@ -270,19 +292,30 @@
         writer: &mut Writer,
         effects: &mut Vec<Effect>,
     ) {
-        let empty = BTreeMap::new();
-        let racks = match &self.step {
-            Step::Idle if may_commit => &empty,
-            Step::Reading(reading) if reading.waiting.is_empty() => &reading.got,
-            _ => return,
-        };
+        if !(may_commit && matches!(self.step, Step::Idle)) {
+            return;
+        }
         let Some((revision, page)) = &self.page else {
             return;
         };
+        let seen = Seen {
+            changes: view.catalogue.changes(),
+            revision: *revision,
+        };
+        let retry = self
+            .waiting
+            .is_some_and(|at| now.since(at) >= self.options.commit_ms);
+        if self.seen == Some(seen) && self.told.is_empty() && !retry {
+            return;
+        }
+        self.seen = Some(seen);
         let mut next = page.clone();
-        release(racks, &mut next);
+        release(&self.told, &mut next);
         self.reconcile(view, &mut next);
         place(view, &mut next, effects);
+        let waits = next.homes.iter().any(|home| home.place == Place::Pending);
+        self.waiting = waits.then_some(now);
+        self.taken = std::mem::take(&mut self.told);
         let unchanged = next == *page;
         let revision = *revision;
         self.step = Step::Idle;
@@ -383,18 +416,13 @@
 }
 
 /// release moves homes on whose claimed run has ended on its rack's page.
-fn release(racks: &BTreeMap<Name, Rack>, next: &mut Shard) {
-    let mut ended: BTreeMap<(Name, Run), stackpier_state::work::Outcome> = BTreeMap::new();
-    for (rack, page) in racks {
-        for row in &page.rows {
-            if let Phase::Ended(outcome) = row.phase {
-                ended.insert((*rack, row.run), outcome);
-            }
-        }
+fn release(ends: &Ends, next: &mut Shard) {
+    if ends.is_empty() {
+        return;
     }
     for home in &mut next.homes {
         let Some(claim) = home.claim() else { continue };
-        if let Some(outcome) = ended.get(&(claim.rack, home.run())) {
+        if let Some(outcome) = ends.get(&(claim.rack, home.run())) {
             home.release(*outcome);
         }
     }
--- a/crates/stackpier-fuzz/src/placement.rs
+++ b/crates/stackpier-fuzz/src/placement.rs
@@ -16,7 +16,7 @@
     key::{Boot, Task},
 };
 use stackpier_protocol::{
-    peer::{Heartbeat, Hint, RackReport},
+    peer::{Claims, Heartbeat, Hint, RackReport},
     platform::{Role, Roster, Standing, Vm},
     sync::{Call, Clock as WorkerClock},
 };
@@ -85,6 +85,8 @@
     NoLeaseWait,
     /// The worker takes calls that are older than their lease.
     NoStaleCheck,
+    /// A rack's page forgets by which revision ended rows were dropped.
+    NoSettled,
 }
 
 /// Step is one transition. Numbers choose among what is there.
@@ -114,6 +116,10 @@
     Beat(u8, u8),
     /// Deliver a heartbeat or hint under way.
     Arrive(u8),
+    /// Hold a message back; a copy arrives as usual.
+    Hold(u8),
+    /// Deliver a message that was held back.
+    Release(u8),
     /// Lose a heartbeat or hint under way.
     Vanish(u8),
     /// Start a worker anew.
@@ -210,6 +216,7 @@
     under_way: Vec<Operation>,
     detached: Vec<Operation>,
     messages: Vec<(usize, Message)>,
+    held: Vec<(usize, Message)>,
 }
 
 fn name(text: &str) -> Name {
@@ -241,6 +248,7 @@
             under_way: Vec::new(),
             detached: Vec::new(),
             messages: Vec::new(),
+            held: Vec::new(),
         };
         for number in 0..DAEMONS {
             world.roster.vms.push(vm(&format!("entry-{number}"), None));
@@ -321,6 +329,8 @@
                 self.beat(usize::from(from) % DAEMONS, usize::from(to) % DAEMONS)
             }
             Step::Arrive(n) => self.arrive(n),
+            Step::Hold(n) => self.hold(n),
+            Step::Release(n) => self.release(n),
             Step::Vanish(n) => drop(pick(&mut self.messages, n)),
             Step::Reboot(n) => self.reboot(usize::from(n) % WORKERS),
             Step::Cut(n, cut) => self.workers[usize::from(n) % WORKERS].cut = cut,
@@ -394,7 +404,7 @@
             Effect::Sync(worker, call) => Work::Sync(worker, call),
             Effect::Hint(hint) => {
                 for other in 0..DAEMONS {
-                    self.messages.push((other, Message::Hint(hint)));
+                    self.messages.push((other, Message::Hint(hint.clone())));
                 }
                 return;
             }
@@ -510,7 +520,11 @@
         }
         self.revision += 1;
         let revision = Revision(self.revision);
-        self.store.insert(key, (revision, page.clone()));
+        let mut page = page.clone();
+        if let (Guard::NoSettled, Page::Rack(rack)) = (self.guard, &mut page) {
+            rack.settled.clear();
+        }
+        self.store.insert(key, (revision, page));
         Swapped::Won(revision)
     }
 
@@ -528,7 +542,7 @@
         match self.guard {
             Guard::NoStaleCheck => call.clock = now,
             Guard::NoLeaseWait => call.lease_ms *= 4,
-            Guard::Whole | Guard::NoCompare => {}
+            Guard::Whole | Guard::NoCompare | Guard::NoSettled => {}
         }
         if now.0 > call.clock.0 + call.lease_ms && call.boot != Boot::default() {
             hit("branch: worker ignored a call older than its lease");
@@ -605,6 +619,22 @@
         self.take(to, message);
     }
 
+    /// hold keeps a copy of a placer's word under way.
+    fn hold(&mut self, n: u8) {
+        let claims = |entry: &&(usize, Message)| matches!(entry.1, Message::Hint(Hint::Claims(_)));
+        let words: Vec<(usize, Message)> = self.messages.iter().filter(claims).cloned().collect();
+        if !words.is_empty() {
+            self.held.push(words[usize::from(n) % words.len()].clone());
+        }
+    }
+
+    fn release(&mut self, n: u8) {
+        if let Some((to, message)) = pick(&mut self.held, n) {
+            hit("fault: placer's word arrived late");
+            self.take(to, message);
+        }
+    }
+
     fn take(&mut self, to: usize, message: Message) {
         let time = self.time;
         let daemon = &mut self.daemons[to];
@@ -613,7 +643,7 @@
         }
         match message {
             Message::Hint(hint) => match hint {
-                Hint::Homes { rack, .. } | Hint::TakenOver { rack } => {
+                Hint::Claims(Claims { rack, .. }) | Hint::TakenOver { rack, .. } => {
                     self.machine(to, Target::Rack(rack), Event::Hint(hint));
                 }
                 Hint::Ended { shard, .. } => {
--- a/crates/stackpier-fuzz/tests/placement.rs
+++ b/crates/stackpier-fuzz/tests/placement.rs
@@ -32,6 +32,8 @@
         6 => (any::<u8>(), any::<u8>()).prop_map(|(from, to)| Step::Beat(from, to)),
         10 => any::<u8>().prop_map(Step::Arrive),
         2 => any::<u8>().prop_map(Step::Vanish),
+        6 => any::<u8>().prop_map(Step::Hold),
+        4 => any::<u8>().prop_map(Step::Release),
         1 => any::<u8>().prop_map(Step::Reboot),
         2 => (any::<u8>(), any::<bool>()).prop_map(|(n, cut)| Step::Cut(n, cut)),
         1 => (2..4_u8).prop_map(Step::Leave),
@@ -101,6 +103,7 @@
     counts::print("placement");
     counts::require(&[
         "branch: late swap lost",
+        "fault: placer's word arrived late",
         "branch: lease lapsed as evidence",
         "branch: worker's new boot as evidence",
         "branch: run evicted with a checkpoint",
@@ -114,6 +117,7 @@
 #[case::swap_without_compare(Guard::NoCompare)]
 #[case::lease_longer_than_the_wait(Guard::NoLeaseWait)]
 #[case::late_calls_renew(Guard::NoStaleCheck)]
+#[case::late_claims_are_taken(Guard::NoSettled)]
 fn oracle_sees_a_missing_guard(#[case] guard: Guard) {
     let run = |steps: Vec<Step>| {
         let mut world = World::new(guard);
--- a/crates/stackpier-load/src/capacity.rs
+++ b/crates/stackpier-load/src/capacity.rs
@@ -17,9 +17,10 @@
 use stackpier_core::{Millis, key::Boot};
 use stackpier_protocol::{
     codec::{encode, to_json},
-    peer::Request,
+    peer::{Claims, Hint, Request},
+    platform::Swap,
 };
-use stackpier_state::Page;
+use stackpier_state::{Page, Revision};
 
 use self::fit::{Line, line};
 use crate::table;
@@ -60,18 +61,18 @@
     measure: fn(usize) -> Result<f64>,
 }
 
-const SUBJECTS: [Subject; 12] = [
+const SUBJECTS: [Subject; 13] = [
     subject("rack page", "runs", "bytes", 16, |n| {
-        json_bytes(&Page::Rack(build::rack(n)))
+        page_bytes(Page::Rack(build::rack(n)))
     }),
     subject("homes page", "tasks", "bytes", 50, |n| {
-        json_bytes(&Page::Homes(build::homes(n)))
+        page_bytes(Page::Homes(build::homes(n)))
     }),
     subject("intents page", "intents", "bytes", 8, |n| {
-        json_bytes(&Page::Intents(build::intents(n)))
+        page_bytes(Page::Intents(build::intents(n)))
     }),
     subject("holder map", "versions", "bytes", 2, |n| {
-        json_bytes(&Page::Holders(build::holders(n)))
+        page_bytes(Page::Holders(build::holders(n)))
     }),
     subject(
         "heartbeat in the data centre",
@@ -80,6 +81,17 @@
         8,
         |n| Ok(encode(&Request::Heartbeat(build::heartbeat(n)))?.len() as f64),
     ),
+    subject("placer's word to a rack", "claims", "bytes", 2, |n| {
+        let claims = Claims {
+            shard: 3,
+            rack: build::rack_name(),
+            revision: Revision(123_456),
+            claimed: build::homes(n).homes,
+            released: Vec::new(),
+            sum: u64::MAX,
+        };
+        Ok(encode(&Request::Hint(Hint::Claims(claims)))?.len() as f64)
+    }),
     subject(
         "worker call, nothing to start",
         "ended runs",
@@ -150,6 +162,14 @@
     table::print("lines: fixed + per_item x count", &slopes, json)
 }
 
+/// page_bytes returns the bytes of a page in a call to the store.
+fn page_bytes(page: Page) -> Result<f64> {
+    json_bytes(&Swap {
+        expect: Revision(123_456),
+        page,
+    })
+}
+
 fn json_bytes<T: Serialize>(value: &T) -> Result<f64> {
     Ok(to_json(value)?.len() as f64)
 }
@@ -183,7 +203,7 @@
         racks: &racks,
     };
     let mut placer = build::placer(tasks, view, &mut writer);
-    let mut now = 1_000;
+    let mut now = 60_000;
     Ok(timed(|| {
         now += 50;
         placer.step(Millis(now), Event::Tick, view, &mut writer);
--- a/crates/stackpier-load/src/capacity/build.rs
+++ b/crates/stackpier-load/src/capacity/build.rs
@@ -6,7 +6,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use stackpier_coordination::{
-    effect::{Event, Writer},
+    effect::{Effect, Event, Writer},
     membership::{self, Table},
     owner::{self, Owner},
     placer::{self, Placer, View},
@@ -27,7 +27,7 @@
     holders::{Map, Member},
     homes::{self, Claim, Home, Place},
     intent::{Batch, Intent, Kind, Object},
-    page::{Fetched, Key},
+    page::{Fetched, Key, Swapped},
     rack::{Condition, Phase, Rack, Renewer, Row, Worker},
     work::{Class, Outcome, Run, Work},
 };
@@ -39,6 +39,10 @@
     boot: Boot(1_780_000_000_000 << 20),
     number: 12_345,
 };
+/// MOST_WRITES bounds the writes after which a machine is at rest.
+const MOST_WRITES: u64 = 5;
+/// WRITE_GAP_MS is the time between them.
+const WRITE_GAP_MS: u64 = 1_000;
 const CAPACITY: Size = Size {
     milli_cores: 3_200_000,
     memory_mib: 125_000_000,
@@ -128,6 +132,7 @@
         former: Vec::new(),
         workers: (0..WORKERS_PER_RACK).map(worker).collect(),
         rows: (0..runs).map(row).collect(),
+        settled: vec![Revision(123_456); 8],
     }
 }
 
@@ -207,6 +212,11 @@
     map
 }
 
+/// rack_name returns the name of a rack.
+pub fn rack_name() -> Name {
+    numbered("rack", 0)
+}
+
 fn report(rack: usize, endpoints: usize) -> RackReport {
     let worker = |number: usize| WorkerReport {
         worker: worker(number),
@@ -221,6 +231,7 @@
     };
     RackReport {
         rack: numbered("rack", rack),
+        renewer: member(0).vm,
         term: 12,
         change: 340,
         workers: (0..WORKERS_PER_RACK).map(worker).collect(),
@@ -351,7 +362,18 @@
     let page = Page::Homes(homes(tasks));
     let key = Key::Homes(data_centre(), 0);
     let read = Event::Read(key, Fetched::Found(Revision(1), page));
-    placer.step(Millis(0), read, view, writer);
+    let mut effects = placer.step(Millis(0), read, view, writer);
+    // Its first writes bring the homes in line with the intents.
+    for round in 1..=MOST_WRITES {
+        let written = effects
+            .iter()
+            .any(|effect| matches!(effect, Effect::Swap(..)));
+        if !written {
+            break;
+        }
+        let won = Event::Swapped(key, Swapped::Won(Revision(1 + round)));
+        effects = placer.step(Millis(round * WRITE_GAP_MS), won, view, writer);
+    }
     placer
 }
 
--- a/crates/stackpier-protocol/src/lib.rs
+++ b/crates/stackpier-protocol/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod caller;
 pub mod codec;
 pub mod operator;
+pub mod packed;
 pub mod peer;
 pub mod platform;
 pub mod sync;
--- a/crates/stackpier-protocol/src/peer.rs
+++ b/crates/stackpier-protocol/src/peer.rs
@@ -1,16 +1,17 @@
 // SPDX-License-Identifier: Apache-2.0
 //! Messages between daemons, sent as `bincode` on `h2` streams.
 
-use crate::platform::Roster;
+use crate::{platform::Roster, sync::Ended};
 use serde::{Deserialize, Serialize};
 use stackpier_core::{
     Kind, Name, Size,
-    key::{Boot, Request as Key},
+    key::{Boot, Request as Key, weight},
 };
 use stackpier_state::{
     Revision,
     catalogue::Digest,
     holders::{Map, Member},
+    homes::Home,
     intent,
     ledger::{Closing, Grantee, Granting, Record},
     work::Run,
@@ -110,6 +111,8 @@
 pub struct RackReport {
     /// The rack.
     pub rack: Name,
+    /// The VM of the renewer.
+    pub renewer: Name,
     /// The renewer's term; a report with a lower one is out of date.
     pub term: u64,
     /// Counts the changes of the report within the term.
@@ -219,27 +222,60 @@
     Unknown,
 }
 
+/// Claims says what the homes of a shard claim on a rack, as stored at one
+/// revision. A claim stands until the rack's page shows its run as ended, so
+/// the word may be taken late, but not after rows were dropped by a later
+/// revision.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Claims {
+    /// The shard of the data centre.
+    pub shard: u16,
+    /// The rack.
+    pub rack: Name,
+    /// The revision of the shard.
+    pub revision: Revision,
+    /// Claims that are new or are to be stopped.
+    pub claimed: Vec<Home>,
+    /// Runs that are claimed here no more.
+    pub released: Vec<Run>,
+    /// Checksum of all runs claimed here, see [`claims_sum`].
+    pub sum: u64,
+}
+
+/// claims_sum returns a checksum of runs that does not depend on their order.
+pub fn claims_sum(runs: impl Iterator<Item = Run>) -> u64 {
+    let hash = |run: Run| {
+        let mut bytes = [0; 16];
+        bytes[..8].copy_from_slice(&run.task.job.0.to_le_bytes());
+        bytes[8..12].copy_from_slice(&run.task.index.to_le_bytes());
+        bytes[12..].copy_from_slice(&run.attempt.0.to_le_bytes());
+        weight(&bytes, 0)
+    };
+    runs.map(hash).fold(0, u64::wrapping_add)
+}
+
 /// Hint says that a page changed, so that its readers need not poll.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Hint {
-    /// The homes of a shard changed for a rack.
-    Homes {
-        /// The shard of the data centre.
-        shard: u16,
-        /// The rack.
-        rack: Name,
-    },
-    /// Runs of a shard ended on a rack.
+    /// What a shard of homes claims on a rack changed.
+    Claims(Claims),
+    /// Runs of a shard ended on a rack, by the rack's page.
     Ended {
         /// The shard of the data centre.
         shard: u16,
         /// The rack.
         rack: Name,
+        /// The runs and how they ended.
+        ended: Vec<Ended>,
     },
-    /// Another daemon renews the rack now.
+    /// The rack's page names this renewer.
     TakenOver {
         /// The rack.
         rack: Name,
+        /// The renewer.
+        renewer: Member,
+        /// Its term.
+        term: u64,
     },
     /// The holder map of the data centre changed.
     Holders,
--- a/crates/stackpier-protocol/src/platform.rs
+++ b/crates/stackpier-protocol/src/platform.rs
@@ -12,6 +12,7 @@
     /// The revision of this value.
     pub revision: Revision,
     /// The value.
+    #[serde(with = "crate::packed")]
     pub page: Page,
 }
 
@@ -21,6 +22,7 @@
     /// The expected revision, zero for a value that must not exist.
     pub expect: Revision,
     /// The new value.
+    #[serde(with = "crate::packed")]
     pub page: Page,
 }
 
--- a/crates/stackpier-state/src/catalogue.rs
+++ b/crates/stackpier-state/src/catalogue.rs
@@ -44,6 +44,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Catalogue {
     shards: BTreeMap<u16, (Revision, Shard)>,
+    changes: u64,
 }
 
 impl Catalogue {
@@ -54,9 +55,15 @@
             return false;
         }
         self.shards.insert(shard, (revision, page));
+        self.changes += 1;
         true
     }
 
+    /// changes counts the pages taken so far.
+    pub fn changes(&self) -> u64 {
+        self.changes
+    }
+
     /// revision returns the known revision of a shard.
     pub fn revision(&self, shard: u16) -> Revision {
         self.shards
--- a/crates/stackpier-state/src/rack.rs
+++ b/crates/stackpier-state/src/rack.rs
@@ -10,7 +10,10 @@
     key::{Boot, Write},
 };
 
-use crate::work::{Checkpoint, Outcome, Run, Work};
+use crate::{
+    page::Revision,
+    work::{Checkpoint, Outcome, Run, Work},
+};
 
 /// Renewer is the one daemon that may renew leases in the rack.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -100,6 +103,9 @@
     pub workers: Vec<Worker>,
     /// The runs committed to them.
     pub rows: Vec<Row>,
+    /// By shard of homes: the revision by which rows were last dropped. What
+    /// an earlier revision says of claims is out of date.
+    pub settled: Vec<Revision>,
 }
 
 impl Worker {
@@ -119,6 +125,7 @@
             former: Vec::new(),
             workers: Vec::new(),
             rows: Vec::new(),
+            settled: Vec::new(),
         }
     }
 
@@ -205,6 +212,31 @@
         changed
     }
 
+    /// settled_by returns the revision of a shard of homes by which rows were
+    /// last dropped.
+    pub fn settled_by(&self, shard: u16) -> Revision {
+        self.settled
+            .get(usize::from(shard))
+            .copied()
+            .unwrap_or_default()
+    }
+
+    /// drop_rows drops ended rows of a shard that its homes at `revision` do
+    /// not claim any more. The rows to drop are those `dropped` names.
+    pub fn drop_rows<F: Fn(&Row) -> bool>(&mut self, shard: u16, revision: Revision, dropped: F) {
+        let before = self.rows.len();
+        let ended = |row: &Row| matches!(row.phase, Phase::Ended(_));
+        self.rows.retain(|row| !(ended(row) && dropped(row)));
+        if self.rows.len() == before {
+            return;
+        }
+        let place = usize::from(shard);
+        if self.settled.len() <= place {
+            self.settled.resize(place + 1, Revision::default());
+        }
+        self.settled[place] = self.settled[place].max(revision);
+    }
+
     /// take_over makes a daemon the renewer. The renewer before it stays
     /// listed as former until it is proven to have stopped.
     pub fn take_over(&mut self, vm: Name, boot: Boot) {
--- a/crates/stackpierd/src/daemon.rs
+++ b/crates/stackpierd/src/daemon.rs
@@ -13,14 +13,15 @@
 
 use flume::Sender;
 use slog::Logger;
-use stackpier_coordination::{effect::Writer, holder::Holder, membership::Table};
+use stackpier_coordination::{effect::Writer, holder::Holder, membership::Table, placer};
 use stackpier_core::{Name, Result, key::Boot};
 use stackpier_protocol::peer::{Endpoint, RackReport, Renounced, Request, Response};
 use stackpier_state::{catalogue::Catalogue, holders::Member};
 use stackpier_transport::peers::Peers;
 
 use crate::{
-    backend::Backend, metrics::Metrics, routing::Routing, scheduler::Input, settings::Settings,
+    backend::Backend, clock, metrics::Metrics, routing::Routing, scheduler::Input,
+    settings::Settings,
 };
 
 /// PEER_LIMIT bounds a message to another daemon.
@@ -153,6 +154,18 @@
         Ok(())
     }
 
+    /// renewer returns the VM of the daemon that renews a rack, as reported.
+    pub fn renewer(&self, rack: Name) -> Option<Name> {
+        lock(&self.racks).get(&rack).map(|report| report.renewer)
+    }
+
+    /// placer returns the VM of the daemon that normally places a shard.
+    pub fn placer(&self, shard: u16) -> Option<Name> {
+        let table = lock(&self.table);
+        let item = placer::item(table.data_centre(), shard);
+        table.chosen(clock::now(), &item).map(|member| member.vm)
+    }
+
     /// neighbours returns the other daemons of the data centre.
     pub fn neighbours(&self) -> Vec<SocketAddr> {
         let table = lock(&self.table);
--- a/crates/stackpierd/src/scheduler.rs
+++ b/crates/stackpierd/src/scheduler.rs
@@ -13,7 +13,7 @@
 };
 use stackpier_core::Name;
 use stackpier_protocol::{
-    peer::{Hint, RackReport, Renounced, Request},
+    peer::{Claims, Hint, RackReport, Renounced, Request},
     sync::{Call, Reply},
 };
 use stackpier_state::{Page, Revision, holders::Member, page::Key, work::Run};
@@ -21,7 +21,7 @@
 use crate::{
     backend::Backend,
     clock,
-    daemon::{Daemon, lock},
+    daemon::{Daemon, PEER_LIMIT, lock},
     metrics,
 };
 
@@ -162,7 +162,7 @@
 
     fn hint(&mut self, hint: Hint) {
         match hint {
-            Hint::Homes { rack, .. } | Hint::TakenOver { rack } => {
+            Hint::Claims(Claims { rack, .. }) | Hint::TakenOver { rack, .. } => {
                 self.step_owner(rack, Event::Hint(hint));
             }
             Hint::Ended { shard, .. } => self.step_placer(shard, Event::Hint(hint)),
@@ -228,8 +228,7 @@
             Effect::Swap(key, expect, page) => Task::Swap(target, key, expect, Box::new(page)),
             Effect::Sync(worker, call) => Task::Sync(target, worker, call),
             Effect::Hint(hint) => {
-                let _ = self.daemon.tell_data_centre(&Request::Hint(hint));
-                let _ = self.daemon.scheduler.send(Input::Hint(hint));
+                self.send_hint(hint);
                 return;
             }
             Effect::Note(note) => {
@@ -240,6 +239,30 @@
         let _ = self.tasks.send(task);
     }
 
+    /// send_hint sends a hint to the daemon that it concerns, or to all where
+    /// that is not known.
+    fn send_hint(&self, hint: Hint) {
+        let concerned = match &hint {
+            Hint::Claims(claims) => self.daemon.renewer(claims.rack),
+            Hint::Ended { shard, .. } => self.daemon.placer(*shard),
+            Hint::TakenOver { .. } | Hint::Holders => None,
+        };
+        let message = Request::Hint(hint.clone());
+        match concerned {
+            Some(vm) if vm == self.daemon.me.vm => {}
+            Some(vm) => {
+                let address = self.daemon.address(vm);
+                let sent = address.map(|to| self.daemon.peers.send(to, &message, PEER_LIMIT));
+                drop(sent);
+                return;
+            }
+            None => {
+                let _ = self.daemon.tell_data_centre(&message);
+            }
+        }
+        let _ = self.daemon.scheduler.send(Input::Hint(hint));
+    }
+
     /// publish hands the reports of own racks to the rest of the daemon.
     fn publish(&self) {
         let reports: Vec<RackReport> = self
