--- a/crates/stackpier-testkit/src/cluster.rs
+++ b/crates/stackpier-testkit/src/cluster.rs
@@ -40,6 +40,8 @@
     pub workers_per_rack: usize,
     /// Slots of a worker.
     pub slots: usize,
+    /// Requests in service at a worker at once, refused ones included.
+    pub connections: usize,
     /// Time a request takes at a worker, in milliseconds.
     pub work_ms: u64,
     /// Settings merged into every daemon's.
@@ -54,6 +56,7 @@
             workers: 2,
             workers_per_rack: 1,
             slots: 8,
+            connections: 64,
             work_ms: 2,
             times: json!({}),
         }
@@ -305,6 +308,8 @@
             worker.name.to_string(),
             "--slots".to_owned(),
             self.plan.slots.to_string(),
+            "--connections".to_owned(),
+            self.plan.connections.to_string(),
             "--work-ms".to_owned(),
             self.plan.work_ms.to_string(),
         ];
--- a/crates/stackpier-testkit/src/process.rs
+++ b/crates/stackpier-testkit/src/process.rs
@@ -64,6 +64,11 @@
         })
     }
 
+    /// id returns the child's process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// signal sends a signal to the child.
     pub fn signal(&mut self, signal: Signal) -> Result<()> {
         let id = self.child.id().to_string();
--- a/crates/stackpierd/src/daemon.rs
+++ b/crates/stackpierd/src/daemon.rs
@@ -105,9 +105,9 @@
         Ok(Daemon {
             me,
             backend: parts.backend,
+            metrics: Metrics::new(&parts.peers)?,
             peers: parts.peers,
             log: parts.log,
-            metrics: Metrics::new()?,
             table: Mutex::new(table),
             catalogue: Mutex::default(),
             racks: Mutex::default(),
--- a/crates/stackpierd/src/heartbeat.rs
+++ b/crates/stackpierd/src/heartbeat.rs
@@ -7,7 +7,7 @@
 //! the square of all daemons.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, HashMap},
     net::SocketAddr,
     sync::{Arc, atomic::Ordering},
     thread,
@@ -15,9 +15,9 @@
 };
 
 use slog::{debug, info};
-use stackpier_core::Name;
+use stackpier_core::{Name, key::Boot};
 use stackpier_protocol::{
-    peer::{Heartbeat, HeartbeatReply, Request, Response, ShardPage},
+    peer::{Heartbeat, HeartbeatReply, RackReport, Request, Response, ShardPage},
     platform::Roster,
 };
 
@@ -34,8 +34,9 @@
     thread::Builder::new()
         .name("heartbeat".to_owned())
         .spawn(move || {
+            let mut known = Known::default();
             for round in 0.. {
-                beat(&beating, round);
+                beat(&beating, round, &mut known);
                 thread::sleep(Duration::from_millis(beating.settings.heartbeat_ms));
             }
         })?;
@@ -80,23 +81,91 @@
     daemon.refresh_routes();
 }
 
+/// Known is what other daemons have acknowledged of this daemon's reports.
+#[derive(Debug, Default)]
+struct Known {
+    by_address: HashMap<SocketAddr, Acknowledged>,
+}
+
+/// Acknowledged is what one run of another daemon has of this one's reports.
+#[derive(Debug, Default)]
+struct Acknowledged {
+    boot: Boot,
+    racks: BTreeMap<Name, Mark>,
+}
+
+/// Mark names one state of a rack's report.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Mark {
+    term: u64,
+    change: u64,
+}
+
+impl Known {
+    /// news returns the reports that a daemon does not have yet.
+    fn news(&self, address: SocketAddr, reports: &[RackReport]) -> Vec<RackReport> {
+        let known = self.by_address.get(&address);
+        let has = |report: &&RackReport| {
+            let mark = known.and_then(|known| known.racks.get(&report.rack));
+            mark == Some(&mark_of(report))
+        };
+        reports
+            .iter()
+            .filter(|report| !has(report))
+            .cloned()
+            .collect()
+    }
+
+    /// acknowledged notes that a run of a daemon took these reports. An earlier
+    /// run's are forgotten, as the new one does not have them.
+    fn acknowledged(&mut self, address: SocketAddr, boot: Boot, reports: &[RackReport]) {
+        let known = self.by_address.entry(address).or_default();
+        if known.boot != boot {
+            *known = Acknowledged {
+                boot,
+                racks: BTreeMap::new(),
+            };
+        }
+        let marks = reports.iter().map(|report| (report.rack, mark_of(report)));
+        known.racks.extend(marks);
+    }
+}
+
+fn mark_of(report: &RackReport) -> Mark {
+    Mark {
+        term: report.term,
+        change: report.change,
+    }
+}
+
 /// beat sends one round of heartbeats and takes the replies.
-pub fn beat<B: Backend>(daemon: &Daemon<B>, round: usize) {
+fn beat<B: Backend>(daemon: &Daemon<B>, round: usize, known: &mut Known) {
     let (near, far) = targets(daemon, round);
     let full = heartbeat(daemon, true);
     let brief = heartbeat(daemon, false);
-    let near = near.into_iter().map(|address| (address, full.clone()));
+    let near = near.into_iter().map(|address| {
+        let racks = known.news(address, &full.racks);
+        (
+            address,
+            Heartbeat {
+                racks,
+                ..full.clone()
+            },
+        )
+    });
     let far = far.into_iter().map(|address| (address, brief.clone()));
     let sent: Vec<_> = near
         .chain(far)
         .filter_map(|(address, beat)| {
+            let reports = beat.racks.clone();
             let message = Request::Heartbeat(beat);
             let answer = daemon.peers.send(address, &message, PEER_LIMIT).ok()?;
-            Some((address, answer))
+            Some((address, reports, answer))
         })
         .collect();
-    for (address, answer) in sent {
+    for (address, reports, answer) in sent {
         if let Ok(Ok(Response::Heartbeat(reply))) = answer.recv() {
+            known.acknowledged(address, reply.from.boot, &reports);
             take_reply(daemon, address, &reply);
         }
     }
--- a/crates/stackpierd/src/metrics.rs
+++ b/crates/stackpierd/src/metrics.rs
@@ -1,12 +1,15 @@
 // SPDX-License-Identifier: Apache-2.0
 //! The daemon's metrics: `opentelemetry` instruments, read as Prometheus text.
 
+use std::sync::atomic::{AtomicU64, Ordering};
+
 use opentelemetry::{
     KeyValue,
-    metrics::{Counter, Histogram, MeterProvider},
+    metrics::{AsyncInstrument, Counter, Histogram, Meter, MeterProvider},
 };
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
+use stackpier_transport::peers::{Counters, Peers};
 
 /// LATENCY_BOUNDS are the upper bounds of the latency buckets, in seconds.
 const LATENCY_BOUNDS: [f64; 14] = [
@@ -36,13 +39,14 @@
 
 impl Metrics {
     /// new registers all instruments.
-    pub fn new() -> anyhow::Result<Metrics> {
+    pub fn new(peers: &Peers) -> anyhow::Result<Metrics> {
         let registry = Registry::new();
         let exporter = opentelemetry_prometheus::exporter()
             .with_registry(registry.clone())
             .build()?;
         let provider = SdkMeterProvider::builder().with_reader(exporter).build();
         let meter = provider.meter("stackpier");
+        observe(&meter, peers);
         let count = |name: &'static str| meter.u64_counter(name).build();
         let latency = meter
             .f64_histogram("stackpier_request_seconds")
@@ -69,6 +73,28 @@
     }
 }
 
+/// observe registers the counts that the peer transport keeps.
+fn observe(meter: &Meter, peers: &Peers) {
+    let register = |name: &'static str, count: fn(&Counters) -> &AtomicU64| {
+        let peers = peers.clone();
+        let read = move |observer: &dyn AsyncInstrument<u64>| {
+            observer.observe(count(peers.counters()).load(Ordering::Relaxed), &[]);
+        };
+        meter
+            .u64_observable_counter(name)
+            .with_callback(read)
+            .build();
+    };
+    register("stackpier_peer_messages_sent", |counters| &counters.sent);
+    register("stackpier_peer_bytes_sent", |counters| &counters.sent_bytes);
+    register("stackpier_peer_messages_received", |counters| {
+        &counters.received
+    });
+    register("stackpier_peer_bytes_received", |counters| {
+        &counters.received_bytes
+    });
+}
+
 /// kind returns the label that tells counts apart.
 pub fn kind(word: &'static str) -> [KeyValue; 1] {
     [KeyValue::new("kind", word)]
--- a/crates/stackpierd/src/scheduler.rs
+++ b/crates/stackpierd/src/scheduler.rs
@@ -26,7 +26,7 @@
 };
 
 /// TICK is the time between two looks at the clock.
-const TICK: Duration = Duration::from_millis(50);
+const TICK: Duration = Duration::from_millis(100);
 /// IO_THREADS is the count of threads for store and worker calls.
 const IO_THREADS: usize = 12;
 
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -2,6 +2,7 @@
 //! `cargo xtask demo | test`: the two commands of the README.
 
 mod demo;
+mod measure;
 
 use std::process::Command;
 
@@ -11,6 +12,11 @@
 Usage:
   cargo xtask demo    run the whole path on loopback and say what was seen
   cargo xtask test    run all tests
+  cargo xtask fuzz --cases N --seed S
+                      run the stateful fuzz with many cases
+  cargo xtask measure routing [--seed S]
+  cargo xtask measure capacity
+                      run an experiment and print its tables
 ";
 
 fn main() -> Result<()> {
@@ -25,10 +31,62 @@
             cargo(&["build", "--workspace"])?;
             cargo(&["test", "--workspace"])
         }
+        ["measure", "capacity"] => {
+            cargo(&["build", "--workspace", "--release"])?;
+            load(&["capacity"])?;
+            cargo(&[
+                "run",
+                "--quiet",
+                "--release",
+                "--package",
+                "xtask",
+                "--",
+                "measure-daemons",
+            ])
+        }
+        ["measure-daemons"] => measure::run(),
+        ["measure", experiment @ "routing"] => load(&[*experiment]),
+        ["measure", experiment @ "routing", "--seed", seed] => {
+            load(&[*experiment, "--seed", *seed])
+        }
+        ["fuzz", "--cases", cases, "--seed", seed] => fuzz(cases, seed),
         _ => bail!("no such command\n{HELP}"),
     }
 }
 
+/// load runs the experiment tool.
+fn load(words: &[&str]) -> Result<()> {
+    let mut all = vec![
+        "run",
+        "--quiet",
+        "--release",
+        "--package",
+        "stackpier-load",
+        "--",
+    ];
+    all.extend(words);
+    cargo(&all)
+}
+
+/// fuzz runs all stateful fuzz tests with many cases, and prints what they
+/// reached.
+fn fuzz(cases: &str, seed: &str) -> Result<()> {
+    let status = Command::new(env!("CARGO"))
+        .args([
+            "test",
+            "--release",
+            "--package",
+            "stackpier-fuzz",
+            "--",
+            "--nocapture",
+        ])
+        .env("PROPTEST_CASES", cases)
+        .env("PROPTEST_RNG_SEED", seed)
+        .status()?;
+    ensure!(status.success(), "the fuzz failed");
+    Ok(())
+}
+
 fn cargo(words: &[&str]) -> Result<()> {
     let status = Command::new(env!("CARGO")).args(words).status()?;
     ensure!(status.success(), "cargo {} failed", words.join(" "));
