--- a/crates/stackpier-coordination/src/effect.rs
+++ b/crates/stackpier-coordination/src/effect.rs
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 //! What the placement machines ask for, and what they are told.
 
+use crate::reaction::Action;
 use stackpier_core::{Name, key::Write};
 use stackpier_protocol::{
     peer::Hint,
@@ -43,6 +44,8 @@
     TookOver(Name, u64),
     /// This daemon renews the rack no more, as this term is there.
     GaveUp(Name, u64),
+    /// A batch task was throttled, released or evicted for a service's sake.
+    Reacted(Action, Name),
     /// A worker's lease has lapsed and its runs are over.
     Lapsed(Name),
     /// A worker has started anew and its runs are over.
--- /dev/null
+++ b/crates/stackpier-coordination/src/history.rs
@@ -0,0 +1,44 @@
+// SPDX-License-Identifier: Apache-2.0
+//! What ran on a worker at earlier times, so that a usage sample that arrives
+//! late is matched with the placement it was taken under.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use stackpier_core::Name;
+use stackpier_protocol::sync::Clock;
+
+/// KEPT is how many changes are remembered.
+const KEPT: usize = 64;
+
+/// History holds the batch tasks of one worker, by job, at each change.
+#[derive(Clone, Debug, Default)]
+pub struct History {
+    states: VecDeque<State>,
+}
+
+#[derive(Clone, Debug)]
+struct State {
+    since: Clock,
+    batch: BTreeMap<Name, u32>,
+}
+
+impl History {
+    /// record notes what runs at a reading of the worker's clock.
+    pub fn record(&mut self, now: Clock, batch: BTreeMap<Name, u32>) {
+        if self.states.back().is_some_and(|last| last.batch == batch) {
+            return;
+        }
+        self.states.push_back(State { since: now, batch });
+        if self.states.len() > KEPT {
+            self.states.pop_front();
+        }
+    }
+
+    /// at returns what ran at a reading of the worker's clock, if that is
+    /// still known.
+    pub fn at(&self, clock: Clock) -> Option<&BTreeMap<Name, u32>> {
+        let states = self.states.iter().rev();
+        let found = states.into_iter().find(|state| state.since <= clock);
+        found.map(|state| &state.batch)
+    }
+}
--- /dev/null
+++ b/crates/stackpier-coordination/src/interference.rs
@@ -0,0 +1,159 @@
+// SPDX-License-Identifier: Apache-2.0
+//! What is learnt of how much batch work slows services down, pair by pair.
+//!
+//! The slowdown of a service task is taken as the sum of what each neighbour
+//! adds, times the service's load. Each pair has a mean and a variance, which a
+//! scalar Kalman filter updates with every sample; a pair that was never seen
+//! together has the prior.
+
+use std::collections::BTreeMap;
+
+use stackpier_core::Name;
+use stackpier_protocol::peer::PairReport;
+
+/// LEAST_REPORTED is the least excess of a pair that placers are told.
+pub const LEAST_REPORTED: f64 = 0.1;
+/// LEAST_LOAD is the load that an idle service counts with.
+const LEAST_LOAD: f64 = 0.1;
+/// MILLI turns shares into thousandths.
+const MILLI: f64 = 1_000.0;
+
+/// Options are the filter's constants. Excess is the slowdown beyond one, at
+/// full load.
+#[derive(Clone, Copy, Debug)]
+pub struct Options {
+    /// Mean of a pair that was never seen.
+    pub prior_mean: f64,
+    /// Variance of a pair that was never seen.
+    pub prior_variance: f64,
+    /// Variance of one sample.
+    pub noise: f64,
+    /// What each sample adds to a pair's variance, as pairs change.
+    pub drift: f64,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Options {
+            prior_mean: 0.02,
+            prior_variance: 0.25,
+            noise: 0.02,
+            drift: 0.000_1,
+        }
+    }
+}
+
+/// Pair is a service and a batch job that share a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Pair {
+    /// The service that is slowed down.
+    pub victim: Name,
+    /// The batch job beside it.
+    pub neighbour: Name,
+}
+
+/// Estimate is what is believed of a pair.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Estimate {
+    /// Excess that one neighbour adds at full load.
+    pub mean: f64,
+    /// How uncertain that is.
+    pub variance: f64,
+}
+
+/// Sample is one observation of a service task.
+#[derive(Clone, Debug)]
+pub struct Sample<'a> {
+    /// The service.
+    pub victim: Name,
+    /// The batch tasks on its worker when the sample was taken, by job.
+    pub neighbours: &'a BTreeMap<Name, u32>,
+    /// The service's load, from 0 to 1.
+    pub load: f64,
+    /// Time per unit of work against running alone.
+    pub slowdown: f64,
+}
+
+/// Model holds all pairs that were seen.
+#[derive(Clone, Debug)]
+pub struct Model {
+    options: Options,
+    pairs: BTreeMap<Pair, Estimate>,
+}
+
+impl Model {
+    /// new starts with no pair seen.
+    pub fn new(options: Options) -> Model {
+        Model {
+            options,
+            pairs: BTreeMap::new(),
+        }
+    }
+
+    /// estimate returns what is believed of a pair.
+    pub fn estimate(&self, pair: Pair) -> Estimate {
+        self.pairs.get(&pair).copied().unwrap_or(Estimate {
+            mean: self.options.prior_mean,
+            variance: self.options.prior_variance,
+        })
+    }
+
+    /// observe learns from one sample.
+    pub fn observe(&mut self, sample: &Sample<'_>) {
+        let load = sample.load.max(LEAST_LOAD);
+        let pair = |neighbour: &Name| Pair {
+            victim: sample.victim,
+            neighbour: *neighbour,
+        };
+        let weight = |count: &u32| f64::from(*count) * load;
+        let mut predicted = 0.0;
+        let mut spread = self.options.noise;
+        for (neighbour, count) in sample.neighbours {
+            let estimate = self.estimate(pair(neighbour));
+            predicted += estimate.mean * weight(count);
+            spread += estimate.variance * weight(count).powi(2);
+        }
+        let surprise = sample.slowdown - 1.0 - predicted;
+        for (neighbour, count) in sample.neighbours {
+            let old = self.estimate(pair(neighbour));
+            let gain = old.variance * weight(count) / spread;
+            let new = Estimate {
+                mean: (old.mean + gain * surprise).max(0.0),
+                variance: old.variance * (1.0 - gain * weight(count)) + self.options.drift,
+            };
+            self.pairs.insert(pair(neighbour), new);
+        }
+    }
+
+    /// report returns the pairs whose excess at full load is above `least`.
+    pub fn report(&self, least: f64) -> Vec<PairReport> {
+        let worth = |(_, estimate): &(&Pair, &Estimate)| estimate.mean >= least;
+        let row = |(pair, estimate): (&Pair, &Estimate)| PairReport {
+            victim: pair.victim,
+            neighbour: pair.neighbour,
+            excess_milli: (estimate.mean * MILLI) as u32,
+            deviation_milli: (estimate.variance.sqrt() * MILLI) as u32,
+        };
+        self.pairs.iter().filter(worth).map(row).collect()
+    }
+
+    /// take joins another daemon's estimate with the own one, each weighted by
+    /// its certainty.
+    pub fn take(&mut self, report: &PairReport) {
+        let pair = Pair {
+            victim: report.victim,
+            neighbour: report.neighbour,
+        };
+        let theirs = Estimate {
+            mean: f64::from(report.excess_milli) / MILLI,
+            variance: (f64::from(report.deviation_milli) / MILLI)
+                .powi(2)
+                .max(self.options.drift),
+        };
+        let joined = match self.pairs.get(&pair) {
+            Some(ours) if ours.variance <= theirs.variance => *ours,
+            _ => theirs,
+        };
+        self.pairs.insert(pair, joined);
+    }
+}
--- a/crates/stackpier-coordination/src/lib.rs
+++ b/crates/stackpier-coordination/src/lib.rs
@@ -9,7 +9,9 @@
 pub mod accept;
 pub mod breaker;
 pub mod effect;
+pub mod history;
 pub mod holder;
+pub mod interference;
 pub mod limit;
 pub mod membership;
 pub mod once;
@@ -17,5 +19,6 @@
 pub mod placer;
 pub mod policy;
 pub mod queue;
+pub mod reaction;
 pub mod retry;
 pub mod route;
--- a/crates/stackpier-coordination/src/owner.rs
+++ b/crates/stackpier-coordination/src/owner.rs
@@ -14,7 +14,7 @@
 use stackpier_protocol::{
     peer::{Claims, Endpoint, Hint, RackReport, Renounced, WorkerReport, claims_sum},
     platform::Standing,
-    sync::{Call, Clock, Ended, Reply, Start},
+    sync::{Call, Clock, Ended, Reply, Start, Usage},
 };
 use stackpier_state::{
     Page, Revision,
@@ -26,10 +26,23 @@
 };
 
 use crate::{
+    breaker::{self, Breaker},
     effect::{Effect, Event, Note, Writer},
+    history::History,
+    interference::{self, LEAST_REPORTED, Model, Pair, Sample},
     membership::Table,
+    placer::URGENT_SPEEDUP,
+    reaction::{self, Action, Budget, Suspect, Watch},
 };
 
+/// NO_SLOWDOWN_MILLI is the slowdown of a task that runs as if alone.
+const NO_SLOWDOWN_MILLI: u32 = 1_000;
+/// WORKER_BREAKER takes a worker that fails what it starts out of placement.
+const WORKER_BREAKER: breaker::Options = breaker::Options {
+    failures: 3,
+    pause_ms: 10_000,
+    longest_ms: 600_000,
+};
 /// URGENT_GAP_MS is the shortest time between two calls to a worker.
 const URGENT_GAP_MS: u64 = 20;
 /// QUIET_SYNCS is the count of missed calls after which a worker is offered
@@ -77,6 +90,10 @@
     calling: bool,
     called: Option<Millis>,
     slowdown_milli: u32,
+    history: History,
+    /// Clock of the newest usage sample that was learnt from.
+    sampled: Clock,
+    watch: Watch,
 }
 
 /// Step is what the owner waits for.
@@ -107,6 +124,12 @@
     page: Option<(Revision, Rack)>,
     step: Step,
     contacts: BTreeMap<Name, Contact>,
+    /// What is learnt of batch work beside services.
+    model: Model,
+    evictions: Budget,
+    /// Runs to be stopped for the sake of services.
+    evict: BTreeSet<Run>,
+    breakers: BTreeMap<Name, Breaker>,
     /// Runs that a swap on its way ends because their worker's lease lapsed.
     /// The worker's lease is not renewed before the page shows them as ended:
     /// else such a run could start while the swap is under way.
@@ -135,6 +158,10 @@
             page: None,
             step: Step::Idle,
             contacts: BTreeMap::new(),
+            model: Model::new(interference::Options::default()),
+            evictions: Budget::new(reaction::Options::default()),
+            evict: BTreeSet::new(),
+            breakers: BTreeMap::new(),
             lapsing: BTreeMap::new(),
             dirty: BTreeSet::new(),
             told: Vec::new(),
@@ -151,6 +178,7 @@
                 change: 0,
                 workers: Vec::new(),
                 endpoints: Vec::new(),
+                pairs: Vec::new(),
             },
         }
     }
@@ -170,7 +198,7 @@
             Event::Read(Key::Homes(_, shard), fetched) => self.homes_read(shard, fetched),
             Event::Read(_, _) => {}
             Event::Swapped(_, swap) => self.swapped(now, swap, table, &mut effects),
-            Event::Synced(worker, reply) => self.synced(now, worker, reply),
+            Event::Synced(worker, reply) => self.synced(now, worker, reply, &mut effects),
             Event::Hint(hint) => self.hinted(hint),
         }
         self.note_sole(now, table);
@@ -309,6 +337,15 @@
                 _ => {}
             }
         }
+        for row in &ended {
+            let breaker = self.breakers.entry(row.worker);
+            let breaker = breaker.or_insert_with(|| Breaker::new(WORKER_BREAKER));
+            match row.phase {
+                Phase::Ended(Outcome::Failed) => breaker.failed(now, true),
+                Phase::Ended(Outcome::Finished | Outcome::Stopped(_)) => breaker.succeeded(),
+                Phase::Ended(_) | Phase::Running | Phase::Stopping => {}
+            }
+        }
         let rack = self.rack;
         effects.extend(self.ended_hints(ended.iter()));
         let renewer = page.renewer.filter(|renewer| old.renewer != Some(*renewer));
@@ -412,7 +449,13 @@
         by_shard.into_iter().map(hint).collect()
     }
 
-    fn synced(&mut self, now: Millis, worker: Name, reply: Option<Reply>) {
+    fn synced(
+        &mut self,
+        now: Millis,
+        worker: Name,
+        reply: Option<Reply>,
+        effects: &mut Vec<Effect>,
+    ) {
         let Some(contact) = self.contacts.get_mut(&worker) else {
             return;
         };
@@ -431,7 +474,70 @@
             .map(|e| (e.run, e.outcome))
             .collect();
         let slowest = reply.usage.iter().map(|usage| usage.slowdown_milli).max();
-        contact.slowdown_milli = slowest.unwrap_or(1_000);
+        contact.slowdown_milli = slowest.unwrap_or(NO_SLOWDOWN_MILLI);
+        self.learn(now, worker, &reply.usage, effects);
+    }
+
+    /// learn matches usage samples with what ran when they were taken, and
+    /// reacts to services that are slowed down.
+    fn learn(&mut self, now: Millis, worker: Name, usage: &[Usage], effects: &mut Vec<Effect>) {
+        let Some((_, page)) = &self.page else { return };
+        let Some(contact) = self.contacts.get_mut(&worker) else {
+            return;
+        };
+        let rows = || {
+            page.rows
+                .iter()
+                .filter(|row| contact.running.contains(&row.run))
+        };
+        let batch = || rows().filter(|row| row.work.class == Class::Batch);
+        let mut by_job: BTreeMap<Name, u32> = BTreeMap::new();
+        batch().for_each(|row| *by_job.entry(row.work.name).or_default() += 1);
+        contact.history.record(contact.clock, by_job);
+        let news = usage.iter().filter(|usage| usage.sampled > contact.sampled);
+        let mut worst: Option<Victim> = None;
+        for usage in news {
+            let row = rows().find(|row| row.run == usage.run);
+            let Some(row) = row.filter(|row| row.work.class == Class::Service) else {
+                continue;
+            };
+            let Some(neighbours) = contact.history.at(usage.sampled) else {
+                continue;
+            };
+            let victim = Victim::new(row, usage);
+            self.model.observe(&Sample {
+                victim: victim.name,
+                neighbours,
+                load: victim.load,
+                slowdown: victim.slowdown,
+            });
+            if worst.is_none_or(|worst| worst.slowdown < victim.slowdown) {
+                worst = Some(victim);
+            }
+        }
+        let newest = usage.iter().map(|usage| usage.sampled).max();
+        contact.sampled = newest.map_or(contact.sampled, |newest| contact.sampled.max(newest));
+        let Some(worst) = worst else { return };
+        let suspect = |row: &Row| {
+            let pair = Pair {
+                victim: worst.name,
+                neighbour: row.work.name,
+            };
+            Suspect {
+                run: row.run,
+                blame: self.model.estimate(pair).mean * worst.load,
+            }
+        };
+        let suspects: Vec<Suspect> = batch().map(suspect).collect();
+        let options = reaction::Options::default();
+        let budget = &mut self.evictions;
+        let action = contact
+            .watch
+            .sample(now, worst.slowdown, &suspects, options, budget);
+        if let Some(Action::Evict(run)) = action {
+            self.evict.insert(run);
+        }
+        effects.extend(action.map(|action| Effect::Note(Note::Reacted(action, worker))));
     }
 
     /// note_sole notes the moment from which no former renewer can renew.
@@ -496,9 +602,16 @@
         effects.extend(self.ended_hints(page.rows.iter()));
     }
 
+    /// may_commit tells whether the interval between commits has passed, which
+    /// is shorter while urgent work waits.
     fn may_commit(&self, now: Millis) -> bool {
-        self.committed
-            .is_none_or(|at| now.since(at) >= self.options.commit_ms)
+        let mut claimed = self.told.iter().flat_map(|claims| &claims.claimed);
+        let urgent = claimed.any(|home| home.work.urgent);
+        let interval = match urgent {
+            true => self.options.commit_ms / URGENT_SPEEDUP,
+            false => self.options.commit_ms,
+        };
+        self.committed.is_none_or(|at| now.since(at) >= interval)
     }
 
     fn read_homes(&mut self, table: &Table, effects: &mut Vec<Effect>) {
@@ -570,6 +683,9 @@
         for run in self.lapsing.values().flatten() {
             next.end(*run, Outcome::Lost);
         }
+        for run in &self.evict {
+            next.stop(*run);
+        }
         for (worker, contact) in &self.contacts {
             self.revise_contact(now, *worker, contact, next, effects);
         }
@@ -771,6 +887,11 @@
             }
             contact.calling = true;
             contact.called = Some(now);
+            let open = |run: &Run| {
+                page.row(*run)
+                    .is_some_and(|row| row.phase == Phase::Running)
+            };
+            self.evict.retain(open);
             let mut call = call(page, worker, contact, term, self.options.lease_ms);
             if self.lapsing.contains_key(&worker.name) {
                 call = probe(&call);
@@ -793,6 +914,7 @@
             change: self.report.change,
             workers: workers.collect(),
             endpoints: endpoints.collect(),
+            pairs: self.model.report(LEAST_REPORTED),
         };
         if next != self.report {
             self.report = next;
@@ -802,7 +924,12 @@
 
     fn worker_report(&self, now: Millis, page: &Rack, worker: &Worker) -> Option<WorkerReport> {
         let contact = self.contacts.get(&worker.name)?;
-        if now.since(contact.heard) > QUIET_SYNCS * self.options.sync_ms {
+        let quiet = now.since(contact.heard) > QUIET_SYNCS * self.options.sync_ms;
+        let broken = self
+            .breakers
+            .get(&worker.name)
+            .is_some_and(|b| !b.ready(now));
+        if quiet || broken {
             return None;
         }
         Some(WorkerReport {
@@ -825,6 +952,25 @@
     }
 }
 
+/// Victim is a service task as one usage sample shows it.
+#[derive(Clone, Copy, Debug)]
+struct Victim {
+    name: Name,
+    load: f64,
+    slowdown: f64,
+}
+
+impl Victim {
+    fn new(row: &Row, usage: &Usage) -> Victim {
+        let size = f64::from(row.work.size.milli_cores.max(1));
+        Victim {
+            name: row.work.name,
+            load: (f64::from(usage.milli_cores) / size).min(1.0),
+            slowdown: f64::from(usage.slowdown_milli) / f64::from(NO_SLOWDOWN_MILLI),
+        }
+    }
+}
+
 /// shard_of returns the shard of homes that a row's task belongs to.
 fn shard_of(row: &Row, shards: u16) -> u16 {
     stackpier_core::key::shard(row.run.task.job, shards)
@@ -867,6 +1013,7 @@
         boot: Boot::default(),
         start: Vec::new(),
         stop: Vec::new(),
+        throttle: Vec::new(),
         forget: Vec::new(),
         ..*call
     }
@@ -885,6 +1032,7 @@
         lease_ms,
         start: Vec::new(),
         stop: Vec::new(),
+        throttle: contact.watch.throttled().iter().copied().collect(),
         forget: Vec::new(),
     };
     if contact.boot != worker.boot || worker.boot == Boot::default() {
--- a/crates/stackpier-coordination/src/placer.rs
+++ b/crates/stackpier-coordination/src/placer.rs
@@ -6,22 +6,27 @@
 use std::collections::BTreeMap;
 
 use stackpier_core::{Millis, Name, Size, key};
-use stackpier_protocol::peer::{Claims, Hint, RackReport, claims_sum};
+use stackpier_protocol::peer::{Claims, Hint, PairReport, RackReport, claims_sum};
 use stackpier_state::{
     Page, Revision,
     catalogue::Catalogue,
     homes::{Claim, End, Home, Place, Shard},
-    intent::{Kind, Object},
+    intent::{Kind, Object, URGENT_PRIORITY},
     page::{ABSENT, Fetched, Key, Swapped},
     work::{Class, Outcome, Run, Work},
 };
 
 use crate::{
     effect::{Effect, Event, Note, Writer},
+    interference::Pair,
     membership::Table,
-    policy::{Candidate, choose},
+    policy::{self, Candidate, choose},
 };
 
+/// URGENT_SPEEDUP is how many times shorter the interval between commits is
+/// for urgent work.
+pub const URGENT_SPEEDUP: u64 = 8;
+
 /// Options are the times and counts a placer goes by.
 #[derive(Clone, Copy, Debug)]
 pub struct Options {
@@ -31,6 +36,8 @@
     pub sweep_ms: u64,
     /// Count of shards of homes in the data centre.
     pub shards: u16,
+    /// The choice of workers.
+    pub policy: policy::Options,
 }
 
 impl Default for Options {
@@ -39,6 +46,7 @@
             commit_ms: 250,
             sweep_ms: 10_000,
             shards: 8,
+            policy: policy::Options::default(),
         }
     }
 }
@@ -88,6 +96,8 @@
     seen: Option<Seen>,
     /// Whether tasks wait for a worker, and when that was tried last.
     waiting: Option<Millis>,
+    /// Whether an accepted intent is urgent and may not be on the page yet.
+    urgent: bool,
 }
 
 /// Seen is what a look at the shard went by.
@@ -112,6 +122,7 @@
             committed: None,
             seen: None,
             waiting: None,
+            urgent: false,
         }
     }
 
@@ -247,12 +258,30 @@
             )));
             return;
         }
+        if self
+            .seen
+            .is_none_or(|seen| seen.changes != view.catalogue.changes())
+        {
+            let urgent = |object: &Object| object.intent.priority >= URGENT_PRIORITY;
+            self.urgent = view.catalogue.objects().any(urgent);
+        }
         let may_commit = self
             .committed
-            .is_none_or(|at| now.since(at) >= self.options.commit_ms);
+            .is_none_or(|at| now.since(at) >= self.interval());
         self.try_swap(now, may_commit, view, writer, effects);
     }
 
+    /// interval is the shortest time between two commits: shorter while urgent
+    /// work waits.
+    fn interval(&self) -> u64 {
+        let waits = |home: &Home| home.work.urgent && home.place == Place::Pending;
+        let urgent = self.page().is_some_and(|page| page.homes.iter().any(waits));
+        match urgent || self.urgent {
+            true => self.options.commit_ms / URGENT_SPEEDUP,
+            false => self.options.commit_ms,
+        }
+    }
+
     /// sweep reads the page again, and tells each rack the sum of its claims,
     /// which shows a word that was lost.
     fn sweep(&mut self, now: Millis, view: View<'_>, effects: &mut Vec<Effect>) {
@@ -309,10 +338,11 @@
             return;
         }
         self.seen = Some(seen);
+        self.urgent = false;
         let mut next = page.clone();
         release(&self.told, &mut next);
         self.reconcile(view, &mut next);
-        place(view, &mut next, effects);
+        place(view, self.options.policy, &mut next, effects);
         let waits = next.homes.iter().any(|home| home.place == Place::Pending);
         self.waiting = waits.then_some(now);
         self.taken = std::mem::take(&mut self.told);
@@ -379,6 +409,7 @@
         task,
         name: object.intent.name,
         generation: object.generation,
+        urgent: object.intent.priority >= URGENT_PRIORITY,
         class,
         size: object.intent.size,
         run_time_ms,
@@ -429,7 +460,7 @@
 }
 
 /// place claims workers for the waiting tasks, services first.
-fn place(view: View<'_>, next: &mut Shard, effects: &mut Vec<Effect>) {
+fn place(view: View<'_>, policy: policy::Options, next: &mut Shard, effects: &mut Vec<Effect>) {
     let mut waiting: Vec<usize> = (0..next.homes.len())
         .filter(|place| next.homes[*place].place == Place::Pending)
         .collect();
@@ -438,10 +469,11 @@
     }
     waiting.sort_by_key(|place| order(view.catalogue, &next.homes[*place]));
     let mut candidates = candidates(view, next);
+    let excess = excess(view);
     for place in waiting {
         let home = &mut next.homes[place];
-        let same = same(&candidates, &home.work);
-        match choose(&home.work, &same) {
+        let same = same(&candidates, &excess, &home.work);
+        match choose(&home.work, &same, policy) {
             Some(chosen) => {
                 home.place = Place::Claimed(Claim {
                     rack: chosen.rack,
@@ -473,6 +505,7 @@
 struct Offer {
     candidate: Candidate,
     names: Vec<Name>,
+    services: Vec<Name>,
 }
 
 fn candidates(view: View<'_>, next: &Shard) -> Vec<Offer> {
@@ -491,10 +524,12 @@
                     capacity: worker.capacity,
                     free: worker.free,
                     slowdown_milli: worker.slowdown_milli,
+                    excess_milli: 0,
                     same_on_rack: 0,
                     same_on_worker: 0,
                 },
                 names: Vec::new(),
+                services: services(report, worker.worker),
             });
         }
     }
@@ -510,8 +545,39 @@
     offers
 }
 
+/// Excess is the slowdown that pairs are known for, in thousandths.
+type Excess = BTreeMap<Pair, u32>;
+
+/// excess joins what the owners of racks have learnt; of two estimates of a
+/// pair the more certain one counts.
+fn excess(view: View<'_>) -> Excess {
+    let mut best: BTreeMap<Pair, PairReport> = BTreeMap::new();
+    for report in view.racks.values().flat_map(|report| &report.pairs) {
+        let pair = Pair {
+            victim: report.victim,
+            neighbour: report.neighbour,
+        };
+        let known = best.entry(pair).or_insert(*report);
+        if report.deviation_milli < known.deviation_milli {
+            *known = *report;
+        }
+    }
+    best.into_iter()
+        .map(|(pair, report)| (pair, report.excess_milli))
+        .collect()
+}
+
+/// services returns the services that run on a worker.
+fn services(report: &RackReport, worker: Name) -> Vec<Name> {
+    let here = report
+        .endpoints
+        .iter()
+        .filter(|endpoint| endpoint.worker == worker);
+    here.map(|endpoint| endpoint.service).collect()
+}
+
 /// same fills in how many tasks of the same intent each candidate has.
-fn same(offers: &[Offer], work: &Work) -> Vec<Candidate> {
+fn same(offers: &[Offer], excess: &Excess, work: &Work) -> Vec<Candidate> {
     let count = |offer: &Offer| {
         offer
             .names
@@ -523,7 +589,15 @@
     for offer in offers {
         *racks.entry(offer.candidate.rack).or_default() += count(offer) as u32;
     }
+    let added = |offer: &Offer| -> u32 {
+        let beside = offer.services.iter().map(|service| Pair {
+            victim: *service,
+            neighbour: work.name,
+        });
+        beside.filter_map(|pair| excess.get(&pair)).sum()
+    };
     let filled = |offer: &Offer| Candidate {
+        excess_milli: added(offer),
         same_on_worker: count(offer) as u32,
         same_on_rack: racks.get(&offer.candidate.rack).copied().unwrap_or(0),
         ..offer.candidate
--- a/crates/stackpier-coordination/src/policy.rs
+++ b/crates/stackpier-coordination/src/policy.rs
@@ -8,6 +8,10 @@
 /// work avoids a worker.
 pub const SLOW_MILLI: u32 = 1_250;
 
+/// EXCESS_STEP_MILLI is the difference of added slowdown, in thousandths, below
+/// which two workers count as equal for batch work.
+const EXCESS_STEP_MILLI: u32 = 100;
+
 /// Candidate is a worker that takes tasks, as last reported.
 #[derive(Clone, Copy, Debug)]
 pub struct Candidate {
@@ -21,20 +25,44 @@
     pub free: Size,
     /// Slowdown of the services on it, in thousandths.
     pub slowdown_milli: u32,
+    /// Slowdown that the task would add to the services on it, as far as its
+    /// job is known beside them, in thousandths.
+    pub excess_milli: u32,
     /// Tasks of the same intent on the rack.
     pub same_on_rack: u32,
     /// Tasks of the same intent on the worker.
     pub same_on_worker: u32,
 }
 
+/// Options weigh the two users' measures against each other.
+#[derive(Clone, Copy, Debug)]
+pub struct Options {
+    /// Batch work waits rather than add more slowdown than this to the services
+    /// of a worker, in thousandths. A low limit favours tail latency, a high
+    /// one batch throughput.
+    pub most_excess_milli: u32,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Options {
+            most_excess_milli: 300,
+        }
+    }
+}
+
 /// choose returns the best candidate that has room, if any has.
 ///
 /// Services spread over racks and workers and take the emptiest. Batch work
 /// fills the fullest worker that its services can bear.
-pub fn choose(work: &Work, candidates: &[Candidate]) -> Option<Candidate> {
+pub fn choose(work: &Work, candidates: &[Candidate], options: Options) -> Option<Candidate> {
+    let bearable = |candidate: &&Candidate| {
+        work.class == Class::Service || candidate.excess_milli <= options.most_excess_milli
+    };
     candidates
         .iter()
         .filter(|candidate| work.size.fits(&candidate.free))
+        .filter(bearable)
         .min_by_key(|candidate| rank(work, candidate))
         .copied()
 }
@@ -53,9 +81,9 @@
             candidate.worker,
         ),
         Class::Batch => (
+            candidate.excess_milli / EXCESS_STEP_MILLI,
             u32::from(candidate.slowdown_milli > SLOW_MILLI),
             0,
-            0,
             left,
             candidate.worker,
         ),
--- /dev/null
+++ b/crates/stackpier-coordination/src/reaction.rs
@@ -0,0 +1,163 @@
+// SPDX-License-Identifier: Apache-2.0
+//! What to do about a worker whose services are slowed down: throttle the
+//! worst neighbour, then evict it, with hysteresis and a budget of evictions.
+
+use std::collections::BTreeSet;
+
+use stackpier_core::Millis;
+use stackpier_state::work::Run;
+
+/// Options are the thresholds and budgets of reactions.
+#[derive(Clone, Copy, Debug)]
+pub struct Options {
+    /// Slowdown above which a sample is a breach.
+    pub high: f64,
+    /// Slowdown below which a sample is calm.
+    pub low: f64,
+    /// Breaches in a row before a neighbour is throttled, and again before it
+    /// is evicted.
+    pub breaches: u32,
+    /// Calm samples in a row before a throttled neighbour is released.
+    pub calms: u32,
+    /// Least excess a neighbour must be blamed for to be evicted.
+    pub least_blame: f64,
+    /// Time in which a rack earns one eviction.
+    pub eviction_ms: u64,
+    /// Evictions a rack can save up.
+    pub evictions: u32,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Options {
+            high: 1.25,
+            low: 1.1,
+            breaches: 2,
+            calms: 6,
+            least_blame: 0.1,
+            eviction_ms: 20_000,
+            evictions: 4,
+        }
+    }
+}
+
+/// Budget bounds the evictions of one rack.
+#[derive(Clone, Copy, Debug)]
+pub struct Budget {
+    options: Options,
+    saved: f64,
+    at: Millis,
+}
+
+impl Budget {
+    /// new starts with all that can be saved up.
+    pub fn new(options: Options) -> Budget {
+        Budget {
+            options,
+            saved: f64::from(options.evictions),
+            at: Millis(0),
+        }
+    }
+
+    /// spend takes one eviction, if one is there.
+    pub fn spend(&mut self, now: Millis) -> bool {
+        let earned = now.since(self.at) as f64 / self.options.eviction_ms as f64;
+        self.saved = (self.saved + earned).min(f64::from(self.options.evictions));
+        self.at = now;
+        if self.saved < 1.0 {
+            return false;
+        }
+        self.saved -= 1.0;
+        true
+    }
+}
+
+/// Suspect is a batch task beside a slowed service.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Suspect {
+    /// The task's run.
+    pub run: Run,
+    /// Excess it is blamed for.
+    pub blame: f64,
+}
+
+/// Action is what to do with one run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Let it run slower.
+    Throttle(Run),
+    /// Let it run as before.
+    Release(Run),
+    /// Checkpoint it, stop it, and place it elsewhere.
+    Evict(Run),
+}
+
+/// Watch is the state of one worker.
+#[derive(Clone, Debug, Default)]
+pub struct Watch {
+    breaches: u32,
+    calms: u32,
+    throttled: BTreeSet<Run>,
+}
+
+impl Watch {
+    /// throttled returns the runs that are to run slower.
+    pub fn throttled(&self) -> &BTreeSet<Run> {
+        &self.throttled
+    }
+
+    /// sample takes the worst slowdown of the worker's services and the batch
+    /// tasks that may cause it, and returns what to do.
+    pub fn sample(
+        &mut self,
+        now: Millis,
+        slowdown: f64,
+        suspects: &[Suspect],
+        options: Options,
+        budget: &mut Budget,
+    ) -> Option<Action> {
+        self.throttled
+            .retain(|run| suspects.iter().any(|suspect| suspect.run == *run));
+        if slowdown > options.high {
+            self.calms = 0;
+            self.breaches += 1;
+            return self.breached(now, suspects, options, budget);
+        }
+        self.breaches = 0;
+        self.calms = if slowdown < options.low {
+            self.calms + 1
+        } else {
+            0
+        };
+        if self.calms < options.calms {
+            return None;
+        }
+        self.calms = 0;
+        self.throttled.pop_first().map(Action::Release)
+    }
+
+    fn breached(
+        &mut self,
+        now: Millis,
+        suspects: &[Suspect],
+        options: Options,
+        budget: &mut Budget,
+    ) -> Option<Action> {
+        if self.breaches < options.breaches {
+            return None;
+        }
+        self.breaches = 0;
+        let blamed = suspects
+            .iter()
+            .filter(|suspect| suspect.blame >= options.least_blame);
+        let worst = blamed.max_by(|one, other| one.blame.total_cmp(&other.blame))?;
+        if self.throttled.insert(worst.run) {
+            return Some(Action::Throttle(worst.run));
+        }
+        if !budget.spend(now) {
+            return None;
+        }
+        self.throttled.remove(&worst.run);
+        Some(Action::Evict(worst.run))
+    }
+}
--- a/crates/stackpier-fuzz/src/placement.rs
+++ b/crates/stackpier-fuzz/src/placement.rs
@@ -10,6 +10,7 @@
     membership::{self, Table},
     owner::{self, Owner},
     placer::{self, Placer, View},
+    policy,
 };
 use stackpier_core::{
     Name, Size,
@@ -71,6 +72,9 @@
     commit_ms: 50,
     sweep_ms: 1_000,
     shards: SHARDS,
+    policy: policy::Options {
+        most_excess_milli: 300,
+    },
 };
 
 /// Guard is a safety rule that a test can take away, to see the oracle fail.
@@ -952,6 +956,7 @@
         Note::Unplaced(_) => hit("branch: no room"),
         Note::TookOver(..) => hit("branch: rack taken over"),
         Note::GaveUp(..) => hit("branch: rack given up"),
+        Note::Reacted(..) => hit("branch: reaction to a slowed service"),
         Note::Lapsed(_) => hit("branch: lease lapsed as evidence"),
         Note::Rebooted(_) => hit("branch: worker's new boot as evidence"),
     }
--- a/crates/stackpier-load/src/capacity/build.rs
+++ b/crates/stackpier-load/src/capacity/build.rs
@@ -81,6 +81,7 @@
         task: task(number),
         name: numbered("ledger-reconciliation", number / 8),
         generation: 1,
+        urgent: false,
         class: if number.is_multiple_of(6) {
             Class::Service
         } else {
@@ -236,6 +237,7 @@
         change: 340,
         workers: (0..WORKERS_PER_RACK).map(worker).collect(),
         endpoints: (0..endpoints).map(endpoint).collect(),
+        pairs: Vec::new(),
     }
 }
 
@@ -274,6 +276,7 @@
         lease_ms: 10_000,
         start: (0..start).map(started).collect(),
         stop: Vec::new(),
+        throttle: Vec::new(),
         forget: (0..forget).map(run).collect(),
     }
 }
--- a/crates/stackpier-load/src/main.rs
+++ b/crates/stackpier-load/src/main.rs
@@ -3,6 +3,7 @@
 //! experiments with the decisions, as tables and JSON.
 
 mod capacity;
+mod placement;
 mod routing;
 mod table;
 
@@ -14,6 +15,7 @@
 
 Commands:
   capacity   bytes and processor time of decisions at several sizes
+  placement  compare placement policies over two seasons
   routing    compare routing policies over scenarios and loads
 ";
 
@@ -39,6 +41,7 @@
     }
     match command.as_str() {
         "capacity" => capacity::run(json),
+        "placement" => placement::run(seed, json),
         "routing" => routing::run(seed, json),
         _ => bail!("no such command\n{HELP}"),
     }
--- a/crates/stackpier-protocol/src/peer.rs
+++ b/crates/stackpier-protocol/src/peer.rs
@@ -121,6 +121,8 @@
     pub workers: Vec<WorkerReport>,
     /// The service tasks that run.
     pub endpoints: Vec<Endpoint>,
+    /// Pairs known to interfere.
+    pub pairs: Vec<PairReport>,
 }
 
 /// WorkerReport says what is left on a worker.
@@ -136,6 +138,20 @@
     pub slowdown_milli: u32,
 }
 
+/// PairReport is what is believed of a service beside a batch job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PairReport {
+    /// The service.
+    pub victim: Name,
+    /// The batch job.
+    pub neighbour: Name,
+    /// Slowdown that one task of the job adds to a fully loaded service task,
+    /// in thousandths.
+    pub excess_milli: u32,
+    /// Standard deviation of that, in thousandths.
+    pub deviation_milli: u32,
+}
+
 /// Endpoint is a running service task.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Endpoint {
--- a/crates/stackpier-protocol/src/sync.rs
+++ b/crates/stackpier-protocol/src/sync.rs
@@ -42,6 +42,8 @@
     pub start: Vec<Start>,
     /// Runs to checkpoint and stop, and never to start again.
     pub stop: Vec<Run>,
+    /// All runs that are to run slower for now.
+    pub throttle: Vec<Run>,
     /// Ended runs whose end is recorded; they need no further report.
     pub forget: Vec<Run>,
 }
--- a/crates/stackpier-state/src/intent.rs
+++ b/crates/stackpier-state/src/intent.rs
@@ -14,6 +14,9 @@
 pub const MAX_TASKS: u32 = 2_000;
 /// MAX_PRIORITY is the highest priority.
 pub const MAX_PRIORITY: u16 = 1_000;
+/// URGENT_PRIORITY is the priority from which work is urgent: its commits do
+/// not wait for the usual interval.
+pub const URGENT_PRIORITY: u16 = 900;
 /// MAX_RUN_TIME_MS is the longest declared run time: 30 days.
 pub const MAX_RUN_TIME_MS: u64 = 30 * 24 * 3_600 * 1_000;
 /// MAX_LATENCY_MS is the longest latency target.
--- a/crates/stackpier-state/src/work.rs
+++ b/crates/stackpier-state/src/work.rs
@@ -25,6 +25,8 @@
     pub generation: u32,
     /// Service or batch.
     pub class: Class,
+    /// Whether it is committed ahead of the usual interval.
+    pub urgent: bool,
     /// What the task is committed on a worker.
     pub size: Size,
     /// Declared run time of a batch task in milliseconds, zero for a service.
--- a/crates/stackpierd/src/heartbeat.rs
+++ b/crates/stackpierd/src/heartbeat.rs
@@ -44,22 +44,47 @@
     thread::Builder::new()
         .name("list".to_owned())
         .spawn(move || {
+            let mut read = read_list(&listing);
             loop {
-                read_list(&listing);
-                thread::sleep(Duration::from_millis(listing.settings.list_ms));
+                thread::sleep(until_next_turn(listing.settings.list_ms));
+                if !read || has_turn(&listing) {
+                    read = read_list(&listing);
+                }
             }
         })?;
     Ok(())
 }
 
-fn read_list<B: Backend>(daemon: &Daemon<B>) {
+/// until_next_turn returns the time to the next full `list_ms` of the wall
+/// clock, so that the turns of several daemons follow each other.
+fn until_next_turn(list_ms: u64) -> Duration {
+    Duration::from_millis(list_ms - clock::unix().0 % list_ms)
+}
+
+/// has_turn tells whether it is this daemon's turn to read the list. Together
+/// the daemons of a data centre read it once in `list_ms`, and heartbeats pass
+/// on the word of leaving workers. A daemon that could not read it does not
+/// wait for its turn.
+fn has_turn<B: Backend>(daemon: &Daemon<B>) -> bool {
+    let live = lock(&daemon.table).live(clock::now(), daemon.settings.data_centre);
+    let turn = clock::unix().0 / daemon.settings.list_ms % live.len().max(1) as u64;
+    let place = live.iter().position(|member| *member == daemon.me);
+    place.is_none_or(|place| place as u64 == turn)
+}
+
+/// read_list reads the list and returns whether it was read.
+fn read_list<B: Backend>(daemon: &Daemon<B>) -> bool {
     match daemon.backend.list() {
-        Ok(roster) => take_list(daemon, roster),
+        Ok(roster) => {
+            take_list(daemon, roster);
+            true
+        }
         Err(error) => {
             debug!(daemon.log, "member: no list of VMs"; "why" => %error);
             if lock(&daemon.table).racks().is_empty() {
                 seed(daemon);
             }
+            false
         }
     }
 }
--- a/crates/stackpierd/src/scheduler.rs
+++ b/crates/stackpierd/src/scheduler.rs
@@ -314,6 +314,11 @@
             Note::GaveUp(rack, term) => {
                 info!(log, "lease: rack given up"; "rack" => %rack, "term" => term);
             }
+            Note::Reacted(action, worker) => {
+                count("reacted");
+                info!(log, "place: reaction to a slowed service";
+                    "action" => ?action, "worker" => %worker);
+            }
             Note::Lapsed(worker) => {
                 info!(log, "lease: lease lapsed"; "worker" => %worker, "target" => ?target);
             }
--- a/crates/stackpierd/src/settings.rs
+++ b/crates/stackpierd/src/settings.rs
@@ -5,7 +5,7 @@
 use std::{net::SocketAddr, path::Path};
 
 use serde::Deserialize;
-use stackpier_coordination::{membership, once, owner, placer, route};
+use stackpier_coordination::{membership, once, owner, placer, policy, route};
 use stackpier_core::{
     Error, Kind, Name, Result,
     field::{Invalid, invalid, within},
@@ -33,6 +33,12 @@
     times: RawTimes,
     #[serde(default = "default_shards")]
     home_shards: u16,
+    #[serde(default = "default_excess")]
+    most_excess_milli: u32,
+}
+
+fn default_excess() -> u32 {
+    policy::Options::default().most_excess_milli
 }
 
 fn default_shards() -> u16 {
@@ -206,6 +212,12 @@
     fn try_from(raw: Raw) -> std::result::Result<Settings, Invalid> {
         let times = check_times(&raw.times)?;
         let limits = check_limits(&raw.limits)?;
+        within(
+            "most_excess_milli",
+            raw.most_excess_milli,
+            0..=100_000,
+            "thousandths",
+        )?;
         let shards = within("home_shards", raw.home_shards, 1..=64, "shards")?;
         let seeds = raw.seeds.iter().map(|seed| address("seeds", seed));
         let mut route = route::Options {
@@ -248,6 +260,9 @@
                 commit_ms: times.commit_ms,
                 sweep_ms: times.sweep_ms,
                 shards,
+                policy: policy::Options {
+                    most_excess_milli: raw.most_excess_milli,
+                },
             },
             once: once::Options {
                 window_ms: times.key_window_ms,
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -15,6 +15,7 @@
   cargo xtask fuzz --cases N --seed S
                       run the stateful fuzz with many cases
   cargo xtask measure routing [--seed S]
+  cargo xtask measure placement [--seed S]
   cargo xtask measure capacity
                       run an experiment and print its tables
 ";
@@ -45,10 +46,13 @@
             ])
         }
         ["measure-daemons"] => measure::run(),
-        ["measure", experiment @ "routing"] => load(&[*experiment]),
-        ["measure", experiment @ "routing", "--seed", seed] => {
-            load(&[*experiment, "--seed", *seed])
-        }
+        ["measure", experiment @ ("routing" | "placement")] => load(&[*experiment]),
+        [
+            "measure",
+            experiment @ ("routing" | "placement"),
+            "--seed",
+            seed,
+        ] => load(&[*experiment, "--seed", *seed]),
         ["fuzz", "--cases", cases, "--seed", seed] => fuzz(cases, seed),
         _ => bail!("no such command\n{HELP}"),
     }
