--- /dev/null
+++ b/crates/stackpier-coordination/src/owner/calls.rs
@@ -0,0 +1,167 @@
+// SPDX-License-Identifier: Apache-2.0
+//! The owner's calls to its workers, and their replies.
+
+use stackpier_core::{Millis, Name, key::Boot};
+use stackpier_protocol::sync::{Call, Reply, Start};
+use stackpier_state::{
+    rack::{Condition, Phase, Rack, Row, Worker},
+    work::Run,
+};
+
+use super::{Contact, NO_SLOWDOWN_MILLI, Owner};
+use crate::{effect::Effect, membership::Table};
+
+/// URGENT_GAP_MS is the shortest time between two calls to a worker.
+const URGENT_GAP_MS: u64 = 20;
+
+impl Owner {
+    pub(super) fn synced(
+        &mut self,
+        now: Millis,
+        worker: Name,
+        reply: Option<Reply>,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(contact) = self.contacts.get_mut(&worker) else {
+            return;
+        };
+        contact.calling = false;
+        let Some(reply) = reply else { return };
+        if contact.boot == reply.boot && reply.clock < contact.clock {
+            return;
+        }
+        contact.boot = reply.boot;
+        contact.clock = reply.clock;
+        contact.heard = now;
+        contact.running = reply.running.into_iter().collect();
+        contact.ended = reply
+            .ended
+            .into_iter()
+            .map(|e| (e.run, e.outcome))
+            .collect();
+        let slowest = reply.usage.iter().map(|usage| usage.slowdown_milli).max();
+        contact.slowdown_milli = slowest.unwrap_or(NO_SLOWDOWN_MILLI);
+        self.learn(now, worker, &reply.usage, effects);
+    }
+
+    pub(super) fn call_workers(&mut self, now: Millis, table: &Table, effects: &mut Vec<Effect>) {
+        if !self.renews() {
+            self.contacts.clear();
+            self.lapsing.clear();
+            self.told.clear();
+            return;
+        }
+        let Some((_, page)) = &self.page else { return };
+        let Some(term) = page.renewer.map(|renewer| renewer.term) else {
+            return;
+        };
+        if self.renounced.is_some_and(|below| term < below) {
+            return;
+        }
+        let open = |worker: Name, run: &Run| page.live(worker).any(|row| row.run == *run);
+        self.lapsing
+            .retain(|worker, runs| runs.iter().any(|run| open(*worker, run)));
+        for worker in page
+            .workers
+            .iter()
+            .filter(|w| w.condition != Condition::Gone)
+        {
+            if table.vm(worker.name).is_none() {
+                continue;
+            }
+            let contact = self.contacts.entry(worker.name).or_insert_with(|| Contact {
+                heard: now,
+                ..Contact::default()
+            });
+            let wait = self.options.sync_ms;
+            let due = contact.called.is_none_or(|at| now.since(at) >= wait);
+            let gap = contact
+                .called
+                .is_none_or(|at| now.since(at) >= URGENT_GAP_MS);
+            let urgent = gap && urgent(page, worker, contact);
+            if contact.calling || !(due || urgent) {
+                continue;
+            }
+            contact.calling = true;
+            contact.called = Some(now);
+            let open = |run: &Run| {
+                page.row(*run)
+                    .is_some_and(|row| row.phase == Phase::Running)
+            };
+            self.evict.retain(open);
+            let mut call = call(page, worker, contact, term, self.options.lease_ms);
+            if self.lapsing.contains_key(&worker.name) {
+                call = probe(&call);
+            }
+            effects.push(Effect::Sync(worker.name, call));
+        }
+    }
+}
+
+/// urgent tells whether a worker has runs to start or stop.
+fn urgent(page: &Rack, worker: &Worker, contact: &Contact) -> bool {
+    if contact.boot != worker.boot || contact.called.is_some_and(|at| at > contact.heard) {
+        return false;
+    }
+    page.live(worker.name).any(|row| match row.phase {
+        Phase::Running => to_start(row, contact),
+        Phase::Stopping => !contact.ended.contains_key(&row.run),
+        Phase::Ended(_) => false,
+    })
+}
+
+/// probe asks a worker for its reply and has no effect there.
+fn probe(call: &Call) -> Call {
+    Call {
+        boot: Boot::default(),
+        start: Vec::new(),
+        stop: Vec::new(),
+        throttle: Vec::new(),
+        forget: Vec::new(),
+        ..*call
+    }
+}
+
+fn to_start(row: &Row, contact: &Contact) -> bool {
+    !contact.running.contains(&row.run) && !contact.ended.contains_key(&row.run)
+}
+
+/// call builds the call to a worker from the page and the last reply.
+fn call(page: &Rack, worker: &Worker, contact: &Contact, term: u64, lease_ms: u64) -> Call {
+    let mut call = Call {
+        boot: Boot::default(),
+        term,
+        clock: contact.clock,
+        lease_ms,
+        start: Vec::new(),
+        stop: Vec::new(),
+        throttle: contact.watch.throttled().iter().copied().collect(),
+        forget: Vec::new(),
+    };
+    if contact.boot != worker.boot || worker.boot == Boot::default() {
+        return call;
+    }
+    call.boot = worker.boot;
+    for row in page.live(worker.name) {
+        match row.phase {
+            Phase::Running if to_start(row, contact) => call.start.push(Start {
+                run: row.run,
+                work: row.work,
+                checkpoint: row.checkpoint,
+            }),
+            Phase::Stopping => call.stop.push(row.run),
+            Phase::Running | Phase::Ended(_) => {}
+        }
+    }
+    let open = |run: &Run| {
+        page.row(*run)
+            .is_some_and(|row| !matches!(row.phase, Phase::Ended(_)))
+    };
+    call.forget = contact
+        .ended
+        .keys()
+        .filter(|run| !open(run))
+        .copied()
+        .collect();
+    call
+}
--- /dev/null
+++ b/crates/stackpier-coordination/src/owner/report.rs
@@ -0,0 +1,74 @@
+// SPDX-License-Identifier: Apache-2.0
+//! The owner's report on its rack to the data centre.
+
+use stackpier_core::Millis;
+use stackpier_protocol::peer::{Endpoint, RackReport, WorkerReport};
+use stackpier_state::{
+    rack::{Condition, Phase, Rack, Row, Worker},
+    work::Class,
+};
+
+use super::Owner;
+use crate::interference::LEAST_REPORTED;
+
+/// QUIET_SYNCS is the count of missed calls after which a worker is offered
+/// no new tasks.
+const QUIET_SYNCS: u64 = 3;
+
+impl Owner {
+    pub(super) fn update_report(&mut self, now: Millis) {
+        let Some((_, page)) = &self.page else { return };
+        let workers = page
+            .workers
+            .iter()
+            .filter_map(|worker| self.worker_report(now, page, worker));
+        let endpoints = page.rows.iter().filter_map(|row| self.endpoint(page, row));
+        let next = RackReport {
+            rack: self.rack,
+            renewer: self.me.vm,
+            term: page.renewer.map_or(0, |renewer| renewer.term),
+            change: self.report.change,
+            workers: workers.collect(),
+            endpoints: endpoints.collect(),
+            pairs: self.model.report(LEAST_REPORTED),
+        };
+        if next != self.report {
+            self.report = next;
+            self.report.change += 1;
+        }
+    }
+
+    pub(super) fn worker_report(
+        &self,
+        now: Millis,
+        page: &Rack,
+        worker: &Worker,
+    ) -> Option<WorkerReport> {
+        let contact = self.contacts.get(&worker.name)?;
+        let quiet = now.since(contact.heard) > QUIET_SYNCS * self.options.sync_ms;
+        let broken = self
+            .breakers
+            .get(&worker.name)
+            .is_some_and(|b| !b.ready(now));
+        if quiet || broken {
+            return None;
+        }
+        Some(WorkerReport {
+            worker: worker.name,
+            capacity: worker.capacity,
+            free: page.free(worker.name)?,
+            slowdown_milli: contact.slowdown_milli,
+        })
+    }
+
+    pub(super) fn endpoint(&self, page: &Rack, row: &Row) -> Option<Endpoint> {
+        let up = page.worker(row.worker)?.condition == Condition::Up;
+        let runs = self.contacts.get(&row.worker)?.running.contains(&row.run);
+        let serves = row.work.class == Class::Service && row.phase == Phase::Running;
+        (up && runs && serves).then_some(Endpoint {
+            service: row.work.name,
+            worker: row.worker,
+            run: row.run,
+        })
+    }
+}
--- /dev/null
+++ b/crates/stackpier-coordination/src/owner/revise.rs
@@ -0,0 +1,222 @@
+// SPDX-License-Identifier: Apache-2.0
+//! How the rack's page is brought up to what the owner knows.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use stackpier_core::{Millis, Name, key::Boot};
+use stackpier_protocol::{peer::Claims, platform::Standing};
+use stackpier_state::{
+    Revision,
+    holders::Member,
+    homes,
+    rack::{Condition, Phase, Rack, Row, Worker},
+    work::{Outcome, Run},
+};
+
+use super::{Contact, Owner, Snapshots, shard_of};
+use crate::{
+    effect::{Effect, Note},
+    membership::Table,
+};
+
+impl Owner {
+    /// revise brings a copy of the page up to what is known.
+    pub(super) fn revise(
+        &self,
+        now: Millis,
+        table: &Table,
+        homes: &Snapshots,
+        next: &mut Rack,
+        effects: &mut Vec<Effect>,
+    ) {
+        if !self.renews() {
+            self.revise_renewer(now, table, next);
+            return;
+        }
+        self.revise_workers(table, next);
+        for run in self.lapsing.values().flatten() {
+            next.end(*run, Outcome::Lost);
+        }
+        for run in &self.evict {
+            next.stop(*run);
+        }
+        for (worker, contact) in &self.contacts {
+            self.revise_contact(now, *worker, contact, next, effects);
+        }
+        for (shard, (revision, page)) in homes {
+            self.settle_shard(now, *shard, *revision, page, next);
+        }
+        for claims in &self.told {
+            self.settle_claims(now, claims, next);
+        }
+    }
+
+    /// revise_renewer takes the rack over if it has no living renewer.
+    pub(super) fn revise_renewer(&self, now: Millis, table: &Table, next: &mut Rack) {
+        let alive = next.renewer.is_some_and(|renewer| {
+            table.alive(
+                now,
+                Member {
+                    vm: renewer.vm,
+                    boot: renewer.boot,
+                },
+            )
+        });
+        if !alive && !table.stopping() && table.preferred(now, self.rack.as_str()) {
+            next.take_over(self.me.vm, self.me.boot);
+        }
+    }
+
+    /// revise_workers brings the rack's workers in line with the list.
+    pub(super) fn revise_workers(&self, table: &Table, next: &mut Rack) {
+        for vm in table.workers(self.rack) {
+            if next.worker(vm.name).is_none() && vm.standing != Standing::Gone {
+                next.workers.push(Worker {
+                    name: vm.name,
+                    boot: Boot::default(),
+                    capacity: vm.capacity,
+                    condition: Condition::Up,
+                });
+            }
+        }
+        let names: Vec<Name> = next.workers.iter().map(|worker| worker.name).collect();
+        for name in names {
+            match table.standing(name) {
+                Some(Standing::Leaving) => set_leaving(next, name),
+                Some(Standing::Gone) => set_gone(next, name),
+                Some(Standing::Live) | None => {}
+            }
+        }
+        let rows = &next.rows;
+        let used = |name: Name| rows.iter().any(|row| row.worker == name);
+        next.workers
+            .retain(|worker| worker.condition != Condition::Gone || used(worker.name));
+    }
+
+    /// revise_contact records what a worker said, or that its lease lapsed.
+    pub(super) fn revise_contact(
+        &self,
+        now: Millis,
+        name: Name,
+        contact: &Contact,
+        next: &mut Rack,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(worker) = next.worker(name).copied() else {
+            return;
+        };
+        if contact.boot != Boot::default() && contact.boot != worker.boot {
+            next.end_all(name);
+            if let Some(worker) = next.worker_mut(name) {
+                worker.boot = contact.boot;
+            }
+            effects.push(Effect::Note(Note::Rebooted(name)));
+            return;
+        }
+        for (run, outcome) in &contact.ended {
+            next.end(*run, *outcome);
+        }
+        if self.lapsed(now, contact) && next.end_all(name) {
+            effects.push(Effect::Note(Note::Lapsed(name)));
+        }
+    }
+
+    /// lapsed_runs returns the open runs on workers whose lease has lapsed.
+    pub(super) fn lapsed_runs(&self, now: Millis, page: &Rack) -> BTreeMap<Name, BTreeSet<Run>> {
+        let lapsed = self
+            .contacts
+            .iter()
+            .filter(|(_, contact)| self.lapsed(now, contact));
+        let runs = |name: Name| page.live(name).map(|row| row.run).collect();
+        lapsed.map(|(name, _)| (*name, runs(*name))).collect()
+    }
+
+    /// lapsed tells whether every lease that anybody may have renewed at a
+    /// worker is over.
+    pub(super) fn lapsed(&self, now: Millis, contact: &Contact) -> bool {
+        let Some((_, sole)) = self.sole_since else {
+            return false;
+        };
+        let last = sole.max(contact.heard);
+        now.since(last) > self.options.lease_ms + self.options.drift_ms
+    }
+
+    /// settle_shard commits the claims of a shard, marks stops, and drops
+    /// ended rows whose home has moved on.
+    pub(super) fn settle_shard(
+        &self,
+        now: Millis,
+        shard: u16,
+        revision: Revision,
+        page: &homes::Shard,
+        next: &mut Rack,
+    ) {
+        if revision < next.settled_by(shard) {
+            return;
+        }
+        for home in &page.homes {
+            self.settle_home(now, home, next);
+        }
+        let shards = self.options.shards;
+        let moved = |row: &Row| shard_of(row, shards) == shard && !page.claimed(row.run, self.rack);
+        next.drop_rows(shard, revision, moved);
+    }
+
+    /// settle_claims does the same by a placer's word.
+    pub(super) fn settle_claims(&self, now: Millis, claims: &Claims, next: &mut Rack) {
+        if claims.revision < next.settled_by(claims.shard) {
+            return;
+        }
+        for home in &claims.claimed {
+            self.settle_home(now, home, next);
+        }
+        let released = |row: &Row| claims.released.contains(&row.run);
+        next.drop_rows(claims.shard, claims.revision, released);
+    }
+
+    pub(super) fn settle_home(&self, now: Millis, home: &homes::Home, next: &mut Rack) {
+        let claim = home.claim().filter(|claim| claim.rack == self.rack);
+        let Some(claim) = claim else { return };
+        let run = home.run();
+        if next.row(run).is_some() {
+            if claim.stop {
+                next.stop(run);
+            }
+            return;
+        }
+        let mut row = Row {
+            run,
+            work: home.work,
+            worker: claim.worker,
+            checkpoint: home.checkpoint,
+            phase: Phase::Running,
+        };
+        let lapsed = self
+            .contacts
+            .get(&claim.worker)
+            .is_some_and(|c| self.lapsed(now, c));
+        if claim.stop || lapsed || next.commit(row).is_err() {
+            row.phase = Phase::Ended(Outcome::Refused);
+            next.rows.push(row);
+        }
+    }
+}
+
+fn set_leaving(next: &mut Rack, name: Name) {
+    if let Some(worker) = next.worker_mut(name)
+        && worker.condition == Condition::Up
+    {
+        worker.condition = Condition::Leaving;
+    }
+    let runs: Vec<Run> = next.live(name).map(|row| row.run).collect();
+    for run in runs {
+        next.stop(run);
+    }
+}
+
+fn set_gone(next: &mut Rack, name: Name) {
+    if let Some(worker) = next.worker_mut(name) {
+        worker.condition = Condition::Gone;
+    }
+    next.end_all(name);
+}
--- /dev/null
+++ b/crates/stackpier-coordination/src/owner/words.rs
@@ -0,0 +1,106 @@
+// SPDX-License-Identifier: Apache-2.0
+//! What the owner hears from placers and other daemons, and tells them.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use stackpier_protocol::{
+    peer::{Claims, Hint, claims_sum},
+    sync::Ended,
+};
+use stackpier_state::{
+    holders::Member,
+    rack::{Phase, Rack, Row},
+};
+
+use super::{Owner, shard_of};
+use crate::effect::Effect;
+
+impl Owner {
+    pub(super) fn hinted(&mut self, hint: Hint) {
+        match hint {
+            Hint::Claims(claims) if claims.rack == self.rack => self.hear(claims),
+            Hint::TakenOver {
+                rack,
+                renewer,
+                term,
+            } if rack == self.rack => self.hear_renewer(renewer, term),
+            _ => {}
+        }
+    }
+
+    /// hear_renewer has the page read again if it concerns this daemon: it may
+    /// have lost the rack, or won it by a swap whose answer was lost.
+    pub(super) fn hear_renewer(&mut self, renewer: Member, term: u64) {
+        let known = self.page().and_then(|page| page.renewer);
+        let newer = term > known.map_or(0, |renewer| renewer.term);
+        let concerned = self.renews() || renewer.boot == self.me.boot;
+        self.stale |= newer && concerned;
+    }
+
+    /// renewer_hint tells all daemons whom the page names as renewer.
+    pub(super) fn renewer_hint(&self) -> Option<Effect> {
+        let renewer = self.page()?.renewer?;
+        Some(Effect::Hint(Hint::TakenOver {
+            rack: self.rack,
+            renewer: Member {
+                vm: renewer.vm,
+                boot: renewer.boot,
+            },
+            term: renewer.term,
+        }))
+    }
+
+    /// hear takes a placer's word, or reads its shard if the word is older than
+    /// what the page was settled by.
+    pub(super) fn hear(&mut self, claims: Claims) {
+        let Some((_, page)) = &self.page else { return };
+        if claims.revision < page.settled_by(claims.shard) {
+            self.dirty.insert(claims.shard);
+        } else if self.renews() {
+            self.told.push(claims);
+        }
+    }
+
+    /// differing returns the shards whose claims differ from the page's rows
+    /// even after their placers' words were taken: some word was lost.
+    pub(super) fn differing(&self, next: &Rack) -> BTreeSet<u16> {
+        let mut sums = BTreeMap::new();
+        for claims in &self.told {
+            let newest = sums
+                .entry(claims.shard)
+                .or_insert((claims.revision, claims.sum));
+            if claims.revision >= newest.0 {
+                *newest = (claims.revision, claims.sum);
+            }
+        }
+        let here = |shard: u16| {
+            let rows = next.rows.iter();
+            let ours = rows.filter(move |row| shard_of(row, self.options.shards) == shard);
+            claims_sum(ours.map(|row| row.run))
+        };
+        let differs = sums
+            .iter()
+            .filter(|(shard, (_, sum))| here(**shard) != *sum);
+        differs.map(|(shard, _)| *shard).collect()
+    }
+
+    /// ended_hints tells the placers of shards which of their runs ended.
+    pub(super) fn ended_hints<'a>(&self, rows: impl Iterator<Item = &'a Row>) -> Vec<Effect> {
+        let mut by_shard: BTreeMap<u16, Vec<Ended>> = BTreeMap::new();
+        for row in rows {
+            if let Phase::Ended(outcome) = row.phase {
+                let ended = Ended {
+                    run: row.run,
+                    outcome,
+                };
+                by_shard
+                    .entry(shard_of(row, self.options.shards))
+                    .or_default()
+                    .push(ended);
+            }
+        }
+        let rack = self.rack;
+        let hint = |(shard, ended)| Effect::Hint(Hint::Ended { shard, rack, ended });
+        by_shard.into_iter().map(hint).collect()
+    }
+}
--- a/crates/stackpier-fuzz/tests/common/mod.rs
+++ b/crates/stackpier-fuzz/tests/common/mod.rs
@@ -53,3 +53,30 @@
     };
     runner.run(&steps, run).is_err()
 }
+
+/// oracle defines `Oracle`, which generates the transitions of `step()` for
+/// every state. What must hold is asserted in the world, so the state only
+/// names the kind of world, as drawn from `$state`.
+#[macro_export]
+macro_rules! oracle {
+    ($step:ty, $state:expr) => {
+        struct Oracle;
+
+        impl proptest_state_machine::ReferenceStateMachine for Oracle {
+            type State = usize;
+            type Transition = $step;
+
+            fn init_state() -> BoxedStrategy<usize> {
+                $state.boxed()
+            }
+
+            fn transitions(_: &usize) -> BoxedStrategy<$step> {
+                step().boxed()
+            }
+
+            fn apply(state: usize, _: &$step) -> usize {
+                state
+            }
+        }
+    };
+}
--- a/crates/stackpier-fuzz/tests/once.rs
+++ b/crates/stackpier-fuzz/tests/once.rs
@@ -6,7 +6,7 @@
 mod common;
 
 use proptest::prelude::*;
-use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
+use proptest_state_machine::{StateMachineTest, prop_state_machine};
 use rstest::rstest;
 use stackpier_fuzz::{
     counts,
@@ -43,26 +43,8 @@
     ]
 }
 
-/// Oracle generates transitions; what must hold is asserted in the world.
-struct Oracle;
-
-impl ReferenceStateMachine for Oracle {
-    /// The count of data centres.
-    type State = usize;
-    type Transition = Step;
-
-    fn init_state() -> BoxedStrategy<usize> {
-        (2..4_usize).boxed()
-    }
-
-    fn transitions(_: &usize) -> BoxedStrategy<Step> {
-        step().boxed()
-    }
-
-    fn apply(centres: usize, _: &Step) -> usize {
-        centres
-    }
-}
+// The state is the count of data centres.
+oracle!(Step, (2..4_usize));
 
 struct AtMostOnce;
 
--- a/crates/stackpier-fuzz/tests/placement.rs
+++ b/crates/stackpier-fuzz/tests/placement.rs
@@ -6,7 +6,7 @@
 mod common;
 
 use proptest::prelude::*;
-use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
+use proptest_state_machine::{StateMachineTest, prop_state_machine};
 use rstest::rstest;
 use stackpier_fuzz::{
     counts,
@@ -48,25 +48,7 @@
     ]
 }
 
-/// Oracle generates transitions; what must hold is asserted on the world.
-struct Oracle;
-
-impl ReferenceStateMachine for Oracle {
-    type State = usize;
-    type Transition = Step;
-
-    fn init_state() -> BoxedStrategy<usize> {
-        Just(0).boxed()
-    }
-
-    fn transitions(_: &usize) -> BoxedStrategy<Step> {
-        step().boxed()
-    }
-
-    fn apply(count: usize, _: &Step) -> usize {
-        count + 1
-    }
-}
+oracle!(Step, Just(0_usize));
 
 struct Placement;
 
--- a/crates/stackpier-testkit/src/cluster.rs
+++ b/crates/stackpier-testkit/src/cluster.rs
@@ -22,6 +22,7 @@
 };
 
 use crate::{
+    caller::{Answer, Call},
     ports,
     process::{Process, binary},
     wait,
@@ -440,6 +441,18 @@
         Ok(())
     }
 
+    /// await_answers waits until each daemon answers a keyed request to a
+    /// service.
+    pub fn await_answers(&self, service: &str) -> Result<()> {
+        for daemon in &self.daemons {
+            wait::until("the daemon answers", || {
+                let once = Call::once(daemon.callers, service, "ready");
+                once.send() == Answer::Done("ready".to_owned())
+            })?;
+        }
+        Ok(())
+    }
+
     /// log returns what a worker has run.
     pub fn log(&self, place: usize) -> Result<Log> {
         let bytes = get(self.workers[place].address, "/log")?;
--- a/crates/stackpier-testkit/tests/leaving.rs
+++ b/crates/stackpier-testkit/tests/leaving.rs
@@ -34,12 +34,7 @@
     })?;
     cluster.submit(0, &service("fleet", &[3]))?;
     cluster.await_running(0, "fleet", 3)?;
-    for daemon in &cluster.daemons {
-        wait::until("the daemon answers", || {
-            let call = Call::once(daemon.callers, "fleet", "ready");
-            call.send() == Answer::Done("ready".to_owned())
-        })?;
-    }
+    cluster.await_answers("fleet")?;
     Ok(cluster)
 }
 
--- a/crates/stackpier-testkit/tests/once.rs
+++ b/crates/stackpier-testkit/tests/once.rs
@@ -37,12 +37,7 @@
         ..Plan::default()
     })?;
     cluster.submit(0, &service("fleet", &vec![2; data_centres]))?;
-    for daemon in &cluster.daemons {
-        wait::until("the daemon answers", || {
-            let once = Call::once(daemon.callers, "fleet", "ready");
-            once.send() == Answer::Done("ready".to_owned())
-        })?;
-    }
+    cluster.await_answers("fleet")?;
     Ok(cluster)
 }
 
--- a/crates/stackpier-testkit/tests/requests.rs
+++ b/crates/stackpier-testkit/tests/requests.rs
@@ -34,12 +34,7 @@
         ..Plan::default()
     })?;
     cluster.submit(0, &service("fleet", &[1]))?;
-    for daemon in &cluster.daemons {
-        wait::until("the daemon answers", || {
-            let once = Call::once(daemon.callers, "fleet", "ready");
-            once.send() == Answer::Done("ready".to_owned())
-        })?;
-    }
+    cluster.await_answers("fleet")?;
     Ok(cluster)
 }
 
