An ejected upstream is tried again

Cause: choosing the cheapest upstream left one whose success rate had fallen to nothing unused for good, also after its breaker's pause: its cost never came down while others were there.

Ruled out: the breaker (it was ready), the share of ejected ones.

Change: what is known of an upstream's successes fades like its latency, and below a twentieth of its weight counts for nothing, so that it ties with the others and gets the one probe that its breaker lets through.

Before -> after: the test of probes fails -> passes; 10 tests of the crate pass.

--- a/crates/stackpier-coordination/src/route.rs
+++ b/crates/stackpier-coordination/src/route.rs
@@ -18,6 +18,11 @@
     retry::{self, Budget},
 };
 
+/// LEAST_SUCCESS is the lowest share of successes that costs are reckoned with.
+const LEAST_SUCCESS: f64 = 0.01;
+/// FORGOTTEN is the weight below which old knowledge counts for nothing.
+const FORGOTTEN: f64 = 0.05;
+
 /// Options are the bounds and shares routing goes by.
 #[derive(Clone, Copy, Debug)]
 pub struct Options {
@@ -69,7 +74,7 @@
     pub endpoint: Endpoint,
     in_flight: u32,
     latency_ms: f64,
-    /// When the latency was last measured.
+    /// When it last answered or failed.
     measured: Millis,
     success: f64,
     limit: Limit,
@@ -271,6 +276,7 @@
             }
             Outcome::Refused | Outcome::Broken => {
                 upstream.success = smooth(upstream.success, 0.0);
+                upstream.measured = now;
                 upstream.breaker.failed(now, may_eject);
             }
             Outcome::TimedOut => {
@@ -349,20 +355,23 @@
     }
 
     /// cost is the expected time to an answer. An upstream that fails fast is
-    /// dear, not cheap.
+    /// dear, not cheap; what is known of one that is not used fades, so that it
+    /// is tried again.
     fn cost(&self, now: Millis, median: f64, key: Key) -> f64 {
         self.upstreams.get(key).map_or(f64::MAX, |upstream| {
+            let age = now.since(upstream.measured) as f64;
+            let faded = 0.5_f64.powf(age / self.options.half_life_ms);
+            let weight = if faded < FORGOTTEN { 0.0 } else { faded };
+            let success = 1.0 - (1.0 - upstream.success) * weight;
+            let latency = self.believed_ms(weight, median, upstream);
             let load = 1.0 + f64::from(upstream.in_flight) / self.options.limit.start;
-            let latency = self.believed_ms(now, median, upstream);
-            load * latency / upstream.success.max(0.01).powi(2)
+            load * latency / success.max(LEAST_SUCCESS).powi(2)
         })
     }
 
-    /// believed_ms returns an upstream's latency as far as it tells: noise and
-    /// old samples count as the median.
-    fn believed_ms(&self, now: Millis, median: f64, upstream: &Upstream) -> f64 {
-        let age = now.since(upstream.measured) as f64;
-        let weight = 0.5_f64.powf(age / self.options.half_life_ms);
+    /// believed_ms returns an upstream's latency as far as it tells: noise
+    /// counts as the median, and old samples count with their `weight`.
+    fn believed_ms(&self, weight: f64, median: f64, upstream: &Upstream) -> f64 {
         let latency = median + (upstream.latency_ms - median) * weight;
         match latency <= median * self.options.noise {
             true => median,
