A placer looks again after a swap that did not take effect

A placer looks only when the intents or the page's revision changed. Its swap, which claimed the waiting task, was lost; the page read back had the old revision, so it counted as seen, and as the lost page had no waiting task, nothing was due.

Change: what was seen is forgotten when a swap is not known to have won.

--- a/crates/stackpier-coordination/src/placer.rs
+++ b/crates/stackpier-coordination/src/placer.rs
@@ -174,6 +174,7 @@
         let Swapped::Won(revision) = swap else {
             // Nothing is believed of an unclear write before it is read back.
             self.stale = true;
+            self.seen = None;
             self.told.append(&mut self.taken);
             return;
         };
