--- /dev/null
+++ b/crates/stackpier-cell/src/drain.rs
@@ -0,0 +1,59 @@
+// SPDX-License-Identifier: Apache-2.0
+//! Moving work off workers that are about to leave.
+
+use crate::{
+    Cell,
+    arena::{RunKey, WorkerKey},
+    job::{Phase, Run},
+    worker::Life,
+};
+
+/// LEAVE_MARGIN_MS is how long before a draining worker may leave its runs
+/// are to be over: a stop takes up to 900 ms.
+const LEAVE_MARGIN_MS: u64 = 1_100;
+/// LEAVE_MS is how long a draining worker is taken to stay when it does not
+/// say: the least that the platform promises.
+const LEAVE_MS: u64 = 2_000;
+
+impl Cell {
+    /// check_drains stops runs on draining workers that would not end in time.
+    pub(crate) fn check_drains(&mut self) {
+        for key in self.live_now() {
+            let worker = self.worker(key);
+            if !worker.info.draining || worker.life != Life::Met {
+                continue;
+            }
+            for run in worker.runs.clone() {
+                self.check_leaving(key, run);
+            }
+        }
+    }
+
+    fn check_leaving(&mut self, worker: WorkerKey, key: RunKey) {
+        let now = self.now.mono;
+        let entry = self.worker(worker);
+        let seen = entry.drain_seen.unwrap_or(now);
+        let stays = entry.info.remaining_ms.unwrap_or(LEAVE_MS).max(LEAVE_MARGIN_MS);
+        let left = (seen.0 + stays - LEAVE_MARGIN_MS).saturating_sub(now.0);
+        let Some(run) = self.runs.get(key) else {
+            return;
+        };
+        if run.phase != Phase::Running || self.ends_within(run, left) {
+            return;
+        }
+        let name = self.name(run.task);
+        self.note("drain", Some(name), "stopped: its worker is leaving".to_owned());
+        self.stop(key);
+    }
+
+    /// ends_within tells whether a run is expected to end in some
+    /// milliseconds, or to lose less by waiting than by stopping.
+    fn ends_within(&self, run: &Run, ms: u64) -> bool {
+        if run.lasting {
+            return false;
+        }
+        let shape = self.shape(run.step);
+        let left = u64::from(shape.estimate_ms) * u64::from(100 - run.percent.min(100)) / 100;
+        left <= ms
+    }
+}
--- /dev/null
+++ b/crates/stackpier-cell/src/ends.rs
@@ -0,0 +1,144 @@
+// SPDX-License-Identifier: Apache-2.0
+//! Runs that ended, and what follows for their tasks and jobs.
+
+use stackpier_state::job::State;
+
+use crate::{
+    Cell, End, How,
+    arena::{JobKey, TaskKey, WorkerKey},
+};
+
+/// SICK_FAILURES is how many failures a job's task may have left to spend
+/// before it is started only on workers that lately did work.
+pub(crate) const SICK_FAILURES: u16 = 1;
+
+impl Cell {
+    /// take_ends takes in the ends that are new.
+    pub(crate) fn take_ends(&mut self, worker: WorkerKey, ends: Vec<End>) {
+        let mut news = false;
+        for end in ends {
+            if end.number <= self.worker(worker).taken {
+                continue;
+            }
+            self.worker_mut(worker).taken = end.number;
+            news = true;
+            self.take_end(worker, &end);
+        }
+        if news {
+            let after = self.saver.next();
+            self.worker_mut(worker).note_after_save = after;
+        }
+    }
+
+    fn take_end(&mut self, worker: WorkerKey, end: &End) {
+        let Some(task) = self.find(end.task) else {
+            let text = "end of a run whose job is not known".to_owned();
+            self.note("end", Some(end.task), text);
+            return;
+        };
+        let entry = self.task_mut(task);
+        entry.next_run = entry.next_run.max(end.run + 1);
+        if let Some(run) = self.run_on(task, worker, end.run) {
+            self.drop_run(run);
+        }
+        match end.how {
+            How::Done => self.end_done(task, worker),
+            How::Failed => self.end_failed(task, worker, end.run),
+            How::Stopped | How::Lapsed | How::Broken | How::Alone => self.end_early(task, end),
+        }
+    }
+
+    fn end_done(&mut self, task: TaskKey, worker: WorkerKey) {
+        let now = self.now.mono;
+        self.worker_mut(worker).health.work(now);
+        let step = self.task(task).step;
+        let shape = self.shape(step);
+        if shape.lasting {
+            // A task that lasts is started again however it ends.
+            self.make_ready(task);
+            return;
+        }
+        let entry = self.step_of(step);
+        let members = if shape.gang { entry.first_task.0..entry.first_task.0 + entry.count } else { task.0..task.0 + 1 };
+        for member in members.map(TaskKey) {
+            self.finish(member);
+        }
+        let job = self.step_of(step).job;
+        self.dirty(job);
+        if self.job(job).left == 0 && !self.job(job).state.is_final() {
+            self.end_job(job, State::Completed);
+            let name = self.name(task);
+            self.note("job", Some(name), "job completed".to_owned());
+        }
+    }
+
+    /// finish notes that a task is done and stops copies of it.
+    fn finish(&mut self, task: TaskKey) {
+        self.unqueue(task);
+        if self.finish_task(task) {
+            for copy in self.task(task).runs.clone() {
+                self.stop(copy);
+            }
+        }
+    }
+
+    fn end_failed(&mut self, task: TaskKey, worker: WorkerKey, run: u32) {
+        let now = self.now.mono;
+        self.worker_mut(worker).health.fail(now);
+        self.fail_on(task, worker);
+        let entry = self.task_mut(task);
+        if run <= entry.last_failed_run {
+            self.make_ready(task);
+            return;
+        }
+        entry.last_failed_run = run;
+        entry.failures += 1;
+        let failures = entry.failures;
+        let step = entry.step;
+        let text = format!("failed run {run} on worker {}, failure {failures}", self.worker(worker).info.id);
+        let name = self.name(task);
+        self.note("end", Some(name), text);
+        let job = self.step_of(step).job;
+        if self.shape(step).lasting {
+            self.make_ready(task);
+            return;
+        }
+        self.dirty(job);
+        if failures >= self.attempts(job) && !self.task(task).done && !self.job(job).state.is_final() {
+            self.end_job(job, State::Failed);
+            self.note("job", Some(name), format!("job failed after {failures} failed runs of this task"));
+            return;
+        }
+        self.make_ready(task);
+    }
+
+    /// attempts returns how many failed runs of a task fail its job.
+    pub(crate) fn attempts(&self, job: JobKey) -> u16 {
+        let queue = self.queues.get(&self.job(job).queue);
+        queue.map_or(u16::MAX, |queue| queue.attempts.max(1))
+    }
+
+    fn end_early(&mut self, task: TaskKey, end: &End) {
+        if !end.checkpoint.is_empty() && !self.task(task).done {
+            let step = self.task(task).step;
+            let entry = self.step_of(step);
+            let members = if self.shape(step).gang { entry.first_task.0..entry.first_task.0 + entry.count } else { task.0..task.0 + 1 };
+            for member in members.map(TaskKey) {
+                self.task_mut(member).checkpoint = Some(end.checkpoint.clone());
+            }
+            let job = self.step_of(step).job;
+            self.dirty(job);
+        }
+        self.make_ready(task);
+    }
+
+    /// unqueue takes a task out of its step's list of tasks to place.
+    pub(crate) fn unqueue(&mut self, task: TaskKey) {
+        if !self.task(task).ready {
+            return;
+        }
+        self.task_mut(task).ready = false;
+        let step = self.task(task).step;
+        self.step_mut(step).ready.retain(|other| *other != task);
+    }
+}
--- /dev/null
+++ b/crates/stackpier-cell/src/hold.rs
@@ -0,0 +1,376 @@
+// SPDX-License-Identifier: Apache-2.0
+//! Holds: renewing a worker's lease, and taking in its report.
+
+use stackpier_core::Millis;
+
+use crate::{
+    Cell, Effect, Held, Hold, Report, Row, TaskName,
+    arena::{RunKey, WorkerKey},
+    job::Phase,
+    worker::{Clock, Info, Life, Worker},
+};
+
+/// IDLE_MS is the pause between two holds on a worker that runs nothing. It
+/// only has to keep the reading of its clock fresh.
+const IDLE_MS: u64 = 5_000;
+/// PERCENT_DONE is the percent of a lasting task that is at work.
+const PERCENT_DONE: u8 = 100;
+
+impl Cell {
+    /// add_roster takes in the workers that an earlier owner may have used.
+    pub fn add_roster(&mut self, entry: &crate::RosterEntry) {
+        if self.worker_keys.contains_key(&entry.id) {
+            return;
+        }
+        let info = Info {
+            id: entry.id.clone(),
+            service: String::new(),
+            address: entry.address.clone(),
+            data_centre: String::new(),
+            capacity: stackpier_core::Size::default(),
+            labels: Vec::new(),
+            rack: String::new(),
+            draining: false,
+            remaining_ms: None,
+        };
+        let key = self.add_worker(info);
+        let now = self.now.mono;
+        let worker = self.worker_mut(key);
+        worker.inherited = true;
+        worker.rostered = true;
+        worker.unlisted_since = Some(now);
+    }
+
+    pub(crate) fn list(&mut self, info: Info) {
+        let Some(key) = self.worker_keys.get(&info.id).copied() else {
+            self.add_worker(info);
+            return;
+        };
+        let (service, rack) = (self.services.number(&info.service), self.racks.number(&info.rack));
+        let now = self.now.mono;
+        let worker = self.worker_mut(key);
+        if worker.life == Life::Over {
+            // It was given up while it could not be reached, and shows again.
+            worker.life = Life::New;
+            worker.clock = None;
+            worker.hold_after = now;
+        }
+        let newly_draining = info.draining && !worker.info.draining;
+        worker.info = info;
+        worker.service = service;
+        worker.rack = rack;
+        worker.unlisted_since = None;
+        if newly_draining {
+            worker.drain_seen = Some(now);
+            let text = format!("worker {} is draining", worker.info.id);
+            self.note("worker", None, text);
+            self.check_drains();
+        }
+        self.place_wanted = true;
+    }
+
+    fn add_worker(&mut self, info: Info) -> WorkerKey {
+        let key = WorkerKey(self.workers.len() as u32);
+        let worker = Worker {
+            service: self.services.number(&info.service),
+            rack: self.racks.number(&info.rack),
+            life: Life::New,
+            unlisted_since: None,
+            rostered: false,
+            inherited: false,
+            runs: Vec::new(),
+            reserved: stackpier_core::Size::default(),
+            clock: None,
+            deadline_ms: 0,
+            holding: false,
+            hold_after: Millis(0),
+            silent_since: None,
+            taken: 0,
+            noted: 0,
+            note_after_save: 0,
+            health: crate::health::Health::default(),
+            full_until: Millis(0),
+            drain_seen: info.draining.then_some(self.now.mono),
+            info,
+        };
+        let text = format!("worker {} at {} is known", worker.info.id, worker.info.address);
+        self.worker_keys.insert(worker.info.id.clone(), key);
+        self.workers.push(worker);
+        self.note("worker", None, text);
+        self.hold_now(key);
+        key
+    }
+
+    pub(crate) fn unlist(&mut self, id: &str) {
+        let Some(key) = self.worker_keys.get(id).copied() else {
+            return;
+        };
+        let now = self.now.mono;
+        let worker = self.worker_mut(key);
+        if worker.unlisted_since.is_none() {
+            worker.unlisted_since = Some(now);
+        }
+    }
+
+    /// hold_now sends a hold that does not wait, unless one is on its way.
+    pub(crate) fn hold_now(&mut self, key: WorkerKey) {
+        self.hold(key, 0);
+    }
+
+    /// hold_soon sends a hold that waits for an end, unless one is on its way.
+    pub(crate) fn hold_soon(&mut self, key: WorkerKey) {
+        let worker = self.worker(key);
+        let serves = |run: &RunKey| self.runs.get(*run).is_some_and(|run| run.serving);
+        let samples = worker.runs.iter().any(serves);
+        let wait = if samples { self.options.sample_ms } else { self.options.hold_wait_ms };
+        self.hold(key, wait);
+    }
+
+    fn hold(&mut self, key: WorkerKey, wait_ms: u64) {
+        let (now, lease_ms) = (self.now.mono, self.options.lease_ms);
+        let (fence, authority) = (self.fence, self.has_authority());
+        let worker = self.worker_mut(key);
+        if worker.holding || worker.life == Life::Over || !authority {
+            return;
+        }
+        let unnoted = worker.taken > worker.noted;
+        worker.holding = true;
+        let deadline_ms = worker.lease(now, lease_ms);
+        let hold = Hold {
+            worker: key,
+            address: worker.info.address.clone(),
+            life: worker.info.id.clone(),
+            fence,
+            deadline_ms,
+            noted: worker.noted,
+            // Ends that are not noted are listed again at once.
+            wait_ms: if unnoted { 0 } else { wait_ms },
+        };
+        self.effects.push(Effect::Hold(hold));
+    }
+
+    pub(crate) fn held(&mut self, key: WorkerKey, sent: Millis, outcome: Held) {
+        self.worker_mut(key).holding = false;
+        match outcome {
+            Held::Report(report) => self.take_report(key, sent, report),
+            Held::Fenced => self.depose(),
+            Held::OtherLife => self.end_life(key, "its address answers for another life"),
+            Held::Silent => self.miss(key),
+        }
+    }
+
+    fn miss(&mut self, key: WorkerKey) {
+        let (now, retry) = (self.now.mono, self.options.retry_ms);
+        let worker = self.worker_mut(key);
+        worker.hold_after = now.plus(retry);
+        if worker.silent_since.is_none() {
+            worker.silent_since = Some(now);
+            let text = format!("worker {} does not answer", worker.info.id);
+            self.note("worker", None, text);
+        }
+    }
+
+    fn take_report(&mut self, key: WorkerKey, sent: Millis, report: Report) {
+        let now = self.now.mono;
+        let worker = self.worker_mut(key);
+        worker.clock = Some(Clock {
+            at: now,
+            ms: report.clock_ms,
+        });
+        if worker.silent_since.take().is_some() {
+            let text = format!("worker {} answers again", worker.info.id);
+            self.note("worker", None, text);
+        }
+        let first = self.worker(key).life == Life::New;
+        self.worker_mut(key).life = Life::Met;
+        self.take_ends(key, report.ended);
+        for row in &report.running {
+            self.take_row(key, row);
+        }
+        self.miss_runs(key, sent, &report.running);
+        if first {
+            self.meet(key);
+        }
+        self.learn(key);
+        self.set_paces(key);
+        self.next_hold(key);
+    }
+
+    fn meet(&mut self, key: WorkerKey) {
+        let worker = self.worker(key);
+        let text = format!(
+            "worker {} answered for the first time, {} runs there",
+            worker.info.id,
+            worker.runs.len()
+        );
+        self.note("worker", None, text);
+        self.saver.roster_changed = true;
+        self.place_wanted = true;
+    }
+
+    /// next_hold sends the next hold on a worker that runs something, or sets
+    /// when it comes.
+    fn next_hold(&mut self, key: WorkerKey) {
+        let now = self.now.mono;
+        let worker = self.worker_mut(key);
+        if worker.taken > worker.noted {
+            // The save that is on its way sends the next hold.
+            worker.hold_after = now.plus(crate::Options::default().retry_ms);
+            return;
+        }
+        if worker.runs.is_empty() {
+            worker.hold_after = now.plus(IDLE_MS);
+            return;
+        }
+        self.hold_soon(key);
+    }
+
+    /// take_row takes in one run that a worker reports.
+    fn take_row(&mut self, key: WorkerKey, row: &Row) {
+        let Some(task) = self.find(row.task) else {
+            self.report_unknown(key, row.task);
+            return;
+        };
+        let run = match self.run_on(task, key, row.run) {
+            Some(run) => run,
+            None => {
+                self.unqueue(task);
+                let run = self.adopt(task, key, row.run);
+                self.judge_adopted(task, run);
+                run
+            }
+        };
+        self.refresh(run, row);
+    }
+
+    fn report_unknown(&mut self, key: WorkerKey, name: TaskName) {
+        let text = format!(
+            "worker {} runs a task of a job that is not known",
+            self.worker(key).info.id
+        );
+        self.note("worker", Some(name), text);
+    }
+
+    /// judge_adopted stops an adopted run that must not go on.
+    fn judge_adopted(&mut self, task: crate::TaskKey, run: RunKey) {
+        let others = self.task(task).runs.len() > 1;
+        let copies = self.shape(self.task(task).step).speculative;
+        let over = self.task(task).done || self.job_of(task).state.is_final();
+        let text = "run of an earlier owner taken over".to_owned();
+        self.note("takeover", Some(self.name(task)), text);
+        if over || (others && !copies) {
+            self.stop(run);
+        }
+    }
+
+    /// run_on returns the run of a task on a worker, by its number.
+    pub(crate) fn run_on(&self, task: crate::TaskKey, worker: WorkerKey, number: u32) -> Option<RunKey> {
+        let here = |key: &&RunKey| {
+            let run = self.runs.get(**key);
+            run.is_some_and(|run| run.worker == worker && run.number == number)
+        };
+        self.task(task).runs.iter().find(here).copied()
+    }
+
+    fn refresh(&mut self, key: RunKey, row: &Row) {
+        let now = self.now.mono;
+        let Some(run) = self.runs.get(key) else {
+            return;
+        };
+        let (task, step) = (run.task, run.step);
+        let target_ms = self.shape(step).target_ms;
+        let Some(run) = self.runs.get_mut(key) else {
+            return;
+        };
+        if matches!(run.phase, Phase::Starting | Phase::Unsure(_)) {
+            run.phase = Phase::Running;
+            run.confirmed = Some(now);
+        }
+        if run.percent != row.percent {
+            run.percent = row.percent;
+            run.moved = now;
+        }
+        if run.serving {
+            let tail = row.figure.filter(|_| row.percent == PERCENT_DONE);
+            run.take_tail(now, tail, target_ms);
+        } else {
+            run.used_milli = row.figure;
+        }
+        self.begin(task);
+    }
+
+    /// miss_runs ends the runs that a report does not show though it was
+    /// asked for after they were known to be there, or known to be refused.
+    fn miss_runs(&mut self, key: WorkerKey, sent: Millis, rows: &[Row]) {
+        for run in self.worker(key).runs.clone() {
+            let Some(entry) = self.runs.get(run) else {
+                continue;
+            };
+            let name = self.name(entry.task);
+            let shown = |row: &Row| row.task == name && row.run == entry.number;
+            if rows.iter().any(shown) {
+                continue;
+            }
+            match entry.phase {
+                Phase::Unsure(since) if sent >= since => self.stop(run),
+                Phase::Running if entry.confirmed.is_some_and(|at| sent >= at) => {
+                    self.note("end", Some(name), "run is gone without an end".to_owned());
+                    self.requeue(run);
+                }
+                Phase::Stopping if entry.stop_taken.is_some_and(|at| sent >= at) => {
+                    self.note("end", Some(name), "stopped run never came".to_owned());
+                    self.requeue(run);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// check_workers sends holds that are due, and ends leases.
+    pub(crate) fn check_workers(&mut self) {
+        let now = self.now.mono;
+        for key in self.live_now() {
+            let worker = self.worker(key);
+            if worker.silent_since.is_some() && worker.lapsed(now) {
+                self.lapse(key);
+            }
+            self.retire(key);
+            let worker = self.worker(key);
+            if !worker.holding && now >= worker.hold_after {
+                self.hold_now(key);
+            }
+        }
+    }
+
+    /// lapse ends all runs on a worker whose lease is over by its own clock.
+    fn lapse(&mut self, key: WorkerKey) {
+        let runs = self.worker(key).runs.clone();
+        if runs.is_empty() {
+            return;
+        }
+        let text = format!(
+            "lease of worker {} is over, {} runs ended with it",
+            self.worker(key).info.id,
+            runs.len()
+        );
+        self.note("worker", None, text);
+        for run in runs {
+            self.requeue(run);
+        }
+    }
+
+    /// retire forgets a worker that left the list, runs nothing and does not
+    /// answer.
+    fn retire(&mut self, key: WorkerKey) {
+        let now = self.now.mono;
+        let worker = self.worker(key);
+        let long = |since: Option<Millis>| {
+            since.is_some_and(|since| now.since(since) > self.options.max_lease_ms)
+        };
+        let unused = worker.runs.is_empty() && (!worker.inherited || worker.life == Life::Met);
+        let past = self.now.mono >= self.inherited_until;
+        if long(worker.unlisted_since) && long(worker.silent_since) && (unused || past) {
+            self.end_life(key, "it left the list and does not answer");
+        }
+    }
+}
--- /dev/null
+++ b/crates/stackpier-cell/src/interference.rs
@@ -0,0 +1,142 @@
+// SPDX-License-Identifier: Apache-2.0
+//! What is learnt of how much filling tasks slow serving tasks down, by pair
+//! of images.
+//!
+//! The *strain* of a serving task is the logarithm of its tail latency over
+//! its target: zero at the target. It is taken as a base for the serving image
+//! plus, for each filling image beside it, a coefficient times the processors
+//! that these use. Base and coefficients each have a mean and a variance; a
+//! Kalman filter with independent terms corrects them with every sample.
+
+use crate::arena::ImageKey;
+
+/// Estimate is what is believed of one term.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Estimate {
+    /// The expected value.
+    pub mean: f64,
+    /// How uncertain it is.
+    pub variance: f64,
+}
+
+/// Options are the filter's constants.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Options {
+    /// The base of an image that was never seen: on the users' sheets a
+    /// target is six times the undisturbed tail.
+    pub base: Estimate,
+    /// The coefficient of a pair that was never seen, for one core.
+    pub pair: Estimate,
+    /// The variance of one sample: the load of a serving task swings.
+    pub noise: f64,
+    /// What each sample adds to a variance, as the terms change.
+    pub drift: f64,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Options {
+            base: Estimate {
+                mean: -1.5,
+                variance: 0.5,
+            },
+            pair: Estimate {
+                mean: 0.03,
+                variance: 0.004,
+            },
+            noise: 0.15,
+            drift: 0.000_01,
+        }
+    }
+}
+
+/// Load is a filling image on a worker, with the cores that it uses there.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Load {
+    /// The image.
+    pub image: ImageKey,
+    /// The cores in use.
+    pub cores: f64,
+}
+
+/// Model holds all terms.
+#[derive(Debug, Default)]
+pub struct Model {
+    options: Options,
+    bases: Vec<Option<Estimate>>,
+    /// By serving image, then by filling image.
+    pairs: Vec<Vec<Option<Estimate>>>,
+}
+
+impl Model {
+    /// new starts with nothing learnt.
+    pub fn new(options: Options) -> Model {
+        Model {
+            options,
+            ..Model::default()
+        }
+    }
+
+    /// base returns what is believed of an undisturbed image.
+    pub fn base(&self, serving: ImageKey) -> Estimate {
+        let known = self.bases.get(usize::from(serving.0)).copied().flatten();
+        known.unwrap_or(self.options.base)
+    }
+
+    /// pair returns what is believed of a pair of images, for one core.
+    pub fn pair(&self, serving: ImageKey, filling: ImageKey) -> Estimate {
+        let row = self.pairs.get(usize::from(serving.0));
+        let known = row.and_then(|row| row.get(usize::from(filling.0)).copied().flatten());
+        known.unwrap_or(self.options.pair)
+    }
+
+    /// predict returns the expected strain beside some loads.
+    pub fn predict(&self, serving: ImageKey, loads: &[Load]) -> f64 {
+        let part = |load: &Load| self.pair(serving, load.image).mean * load.cores;
+        self.base(serving).mean + loads.iter().map(part).sum::<f64>()
+    }
+
+    /// observe learns from one sample.
+    pub fn observe(&mut self, serving: ImageKey, loads: &[Load], strain: f64) {
+        let surprise = strain - self.predict(serving, loads);
+        let base = self.base(serving);
+        let spread = |load: &Load| self.pair(serving, load.image).variance * load.cores.powi(2);
+        let total = self.options.noise + base.variance + loads.iter().map(spread).sum::<f64>();
+        for load in loads {
+            let old = self.pair(serving, load.image);
+            let mut new = self.correct(old, load.cores, surprise, total);
+            // No image makes another faster.
+            new.mean = new.mean.max(0.0);
+            *self.pair_mut(serving, load.image) = Some(new);
+        }
+        *self.base_mut(serving) = Some(self.correct(base, 1.0, surprise, total));
+    }
+
+    fn correct(&self, old: Estimate, weight: f64, surprise: f64, total: f64) -> Estimate {
+        let gain = old.variance * weight / total;
+        Estimate {
+            mean: old.mean + gain * surprise,
+            variance: old.variance * (1.0 - gain * weight) + self.options.drift,
+        }
+    }
+
+    fn base_mut(&mut self, serving: ImageKey) -> &mut Option<Estimate> {
+        let place = usize::from(serving.0);
+        if self.bases.len() <= place {
+            self.bases.resize(place + 1, None);
+        }
+        &mut self.bases[place]
+    }
+
+    fn pair_mut(&mut self, serving: ImageKey, filling: ImageKey) -> &mut Option<Estimate> {
+        let (row, place) = (usize::from(serving.0), usize::from(filling.0));
+        if self.pairs.len() <= row {
+            self.pairs.resize(row + 1, Vec::new());
+        }
+        let row = &mut self.pairs[row];
+        if row.len() <= place {
+            row.resize(place + 1, None);
+        }
+        &mut row[place]
+    }
+}
--- /dev/null
+++ b/crates/stackpier-cell/src/lib.rs
@@ -0,0 +1,40 @@
+// SPDX-License-Identifier: Apache-2.0
+//! The decisions of the daemon that owns a cell.
+//!
+//! A *cell* is a set of workers that one daemon schedules. [`Cell`] holds what
+//! its owner believes of jobs, tasks and workers, and decides what runs where:
+//! `step(now, event)` takes one event and returns the effects to carry out.
+//! Nothing here does I/O or reads a clock.
+//!
+//! The workers are the record of what runs: they refuse orders with a lower
+//! fence, end everything whose lease is over, and list each end until they are
+//! told that it was noted. The store keeps only what no worker knows: jobs,
+//! which tasks are done or failed, and which workers were ever used.
+
+mod arena;
+mod cell;
+mod drain;
+mod ends;
+mod health;
+mod hold;
+pub mod interference;
+mod job;
+mod names;
+mod options;
+mod order;
+mod pace;
+mod place;
+mod save;
+mod speculate;
+mod takeover;
+mod wire;
+mod worker;
+
+pub use arena::{JobKey, StepKey, TaskKey, WorkerKey};
+pub use cell::Cell;
+pub use options::Options;
+pub use wire::{
+    Effect, End, Event, Held, Hold, How, Note, Now, Order, Pace, Queue, Report, RosterEntry, Row,
+    Save, Start, Started, Stop, Stopped, TaskName,
+};
+pub use worker::Info;
--- /dev/null
+++ b/crates/stackpier-cell/src/names.rs
@@ -0,0 +1,23 @@
+// SPDX-License-Identifier: Apache-2.0
+//! Names turned into small numbers, so that comparisons are cheap.
+
+use std::collections::HashMap;
+
+/// Names numbers the texts it has seen, from zero.
+#[derive(Debug, Default)]
+pub(crate) struct Names {
+    numbers: HashMap<String, u16>,
+}
+
+impl Names {
+    /// number returns the number of a text, a new one if it was not seen yet.
+    /// Past 65,535 texts all further ones share the last number.
+    pub(crate) fn number(&mut self, text: &str) -> u16 {
+        if let Some(number) = self.numbers.get(text) {
+            return *number;
+        }
+        let number = u16::try_from(self.numbers.len()).unwrap_or(u16::MAX);
+        self.numbers.insert(text.to_owned(), number);
+        number
+    }
+}
--- /dev/null
+++ b/crates/stackpier-cell/src/options.rs
@@ -0,0 +1,88 @@
+// SPDX-License-Identifier: Apache-2.0
+//! The settings of a cell's decisions.
+
+/// Options are the times, limits and weights of a cell. Times are in
+/// milliseconds.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Options {
+    /// How long a lease lasts from the moment it is sent. Long enough to ride
+    /// out a cut of five seconds, short enough that the tasks of a dead worker
+    /// start elsewhere within seven.
+    pub lease_ms: u64,
+    /// The longest lease a worker grants; leases of an earlier owner are taken
+    /// to have lasted this long.
+    pub max_lease_ms: u64,
+    /// How long this daemon acts as the owner without a confirmation by the
+    /// store. A successor waits this long before it takes an earlier owner to
+    /// have stopped.
+    pub authority_ms: u64,
+    /// How long an idle hold on a worker waits for an end.
+    pub hold_wait_ms: u64,
+    /// The same on a worker with serving tasks, whose latency is wanted often.
+    pub sample_ms: u64,
+    /// The pause before a hold that failed is tried again.
+    pub retry_ms: u64,
+    /// The pause before an unanswered stop is sent again.
+    pub stop_retry_ms: u64,
+    /// The longest time a worker takes to stop a run.
+    pub stop_ms: u64,
+    /// The least time between two saves, so that ends are saved together.
+    pub save_gap_ms: u64,
+    /// The pause before a failed save is tried again.
+    pub save_retry_ms: u64,
+    /// How long an idle owner goes without asking who owns the cell.
+    pub confirm_ms: u64,
+    /// How long a finished job is shown.
+    pub show_ms: u64,
+    /// How long a worker that left the list may still get starts.
+    pub unlisted_ms: u64,
+    /// How much earlier than its due time a round may start.
+    pub early_ms: u64,
+    /// Share of a serving task's reservation that it is taken to use, in
+    /// thousandths. Trials packed best at 600.
+    pub serving_use_milli: u32,
+    /// Memory kept free of filling tasks on each worker, in MiB, so that short
+    /// tasks find room: two of the largest short tasks of the users' sheets.
+    pub fill_reserve_mib: u32,
+    /// The highest expected rise in the number of serving tasks over target
+    /// that placing a filling task may cause.
+    pub most_harm: f64,
+    /// How much run time of a filling task may be lost by moving it, if it has
+    /// no checkpoint.
+    pub move_loss_ms: u64,
+    /// A run whose progress stands still for this long is moved.
+    pub stall_ms: u64,
+    /// A copy of a speculative task starts once it has run for this many
+    /// percent of its estimate.
+    pub speculate_percent: u64,
+    /// Whether a task that fills may run beside a task that serves.
+    pub colocate: bool,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Options {
+            lease_ms: 6_000,
+            max_lease_ms: 10_000,
+            authority_ms: 5_000,
+            hold_wait_ms: 500,
+            sample_ms: 300,
+            retry_ms: 200,
+            stop_retry_ms: 300,
+            stop_ms: 900,
+            save_gap_ms: 40,
+            save_retry_ms: 200,
+            confirm_ms: 1_000,
+            show_ms: 150_000,
+            unlisted_ms: 2_500,
+            early_ms: 0,
+            serving_use_milli: 600,
+            fill_reserve_mib: 18_000,
+            most_harm: 0.06,
+            move_loss_ms: 600,
+            stall_ms: 1_500,
+            speculate_percent: 180,
+            colocate: true,
+        }
+    }
+}
--- /dev/null
+++ b/crates/stackpier-cell/src/order.rs
@@ -0,0 +1,196 @@
+// SPDX-License-Identifier: Apache-2.0
+//! Starts and stops, and what their answers prove.
+
+use stackpier_core::Millis;
+
+use crate::{
+    Cell, Effect, Order, Start, Started, Stop, Stopped,
+    arena::{RunKey, TaskKey, WorkerKey},
+    cell::counted,
+    job::{Phase, Run},
+};
+
+/// INVALID_PAUSE_MS is the pause before a start that a worker called invalid
+/// is tried again elsewhere.
+const INVALID_PAUSE_MS: u64 = 1_000;
+/// FULL_MS is the pause before a worker that said it had no room is asked
+/// again: about the time in which a report tells what fills it.
+const FULL_MS: u64 = 250;
+
+impl Cell {
+    /// start gives a task to a worker.
+    pub(crate) fn start(&mut self, task: TaskKey, worker: WorkerKey) {
+        let now = self.now.mono;
+        let lease = self.options.lease_ms;
+        let Some(deadline_ms) = self.worker_mut(worker).lease(now, lease) else {
+            return;
+        };
+        let run = self.new_run(task, worker);
+        let size = counted(&run);
+        let number = run.number;
+        let key = self.runs.insert(run);
+        let entry = self.worker_mut(worker);
+        entry.reserved += size;
+        entry.runs.push(key);
+        let entry = self.task_mut(task);
+        entry.runs.push(key);
+        entry.next_run = number + 1;
+        let start = Start {
+            order: self.order(key),
+            payload: self.job_of(task).payload.clone(),
+            deadline_ms,
+            checkpoint: self.task(task).checkpoint.clone(),
+        };
+        self.effects.push(Effect::Start(start));
+        self.hold_soon(worker);
+    }
+
+    fn new_run(&self, task: TaskKey, worker: WorkerKey) -> Run {
+        let step = self.task(task).step;
+        let shape = self.shape(step);
+        Run {
+            task,
+            step,
+            worker,
+            number: self.task(task).next_run,
+            phase: Phase::Starting,
+            size: shape.size,
+            fills: shape.fills,
+            lasting: shape.lasting,
+            serving: shape.lasting && shape.target_ms > 0,
+            image: self.step_of(step).image,
+            since: self.now.mono,
+            confirmed: None,
+            stop_taken: None,
+            stop_sent: false,
+            stop_after: Millis(0),
+            percent: 0,
+            moved: self.now.mono,
+            used_milli: None,
+            strain: None,
+            residual: 0.0,
+            over_since: None,
+            pace: 100,
+            slowed_since: None,
+        }
+    }
+
+    /// adopt takes in a run that an earlier owner started.
+    pub(crate) fn adopt(&mut self, task: TaskKey, worker: WorkerKey, number: u32) -> RunKey {
+        let mut run = self.new_run(task, worker);
+        run.number = number;
+        run.phase = Phase::Running;
+        run.confirmed = Some(self.now.mono);
+        let size = counted(&run);
+        let key = self.runs.insert(run);
+        let entry = self.worker_mut(worker);
+        entry.reserved += size;
+        entry.runs.push(key);
+        let entry = self.task_mut(task);
+        entry.runs.push(key);
+        entry.next_run = entry.next_run.max(number + 1);
+        self.begin(task);
+        key
+    }
+
+    /// order names a run for a call to its worker.
+    pub(crate) fn order(&self, key: RunKey) -> Order {
+        let run = self.runs.get(key).expect("the run is there");
+        let worker = self.worker(run.worker);
+        Order {
+            key,
+            address: worker.info.address.clone(),
+            life: worker.info.id.clone(),
+            task: self.name(run.task),
+            run: run.number,
+            fence: self.fence,
+        }
+    }
+
+    /// stop orders a run to end, until the worker has taken the order.
+    pub(crate) fn stop(&mut self, key: RunKey) {
+        let now = self.now.mono;
+        let authority = self.has_authority();
+        let Some(run) = self.runs.get_mut(key) else {
+            return;
+        };
+        run.phase = Phase::Stopping;
+        if run.stop_sent || run.stop_taken.is_some() || now < run.stop_after || !authority {
+            return;
+        }
+        run.stop_sent = true;
+        let order = self.order(key);
+        self.effects.push(Effect::Stop(Stop { order }));
+    }
+
+    pub(crate) fn started(&mut self, key: RunKey, outcome: Started) {
+        let now = self.now.mono;
+        let Some(run) = self.runs.get_mut(key) else {
+            return;
+        };
+        let (worker, task) = (run.worker, run.task);
+        match outcome {
+            Started::Yes => {
+                if run.confirmed.is_none() {
+                    run.confirmed = Some(now);
+                    run.moved = now;
+                }
+                if matches!(run.phase, Phase::Starting | Phase::Unsure(_)) {
+                    run.phase = Phase::Running;
+                }
+                self.begin(task);
+            }
+            Started::Silent => {
+                if run.phase == Phase::Starting {
+                    run.phase = Phase::Unsure(now);
+                }
+                self.hold_now(worker);
+            }
+            Started::Fenced => self.depose(),
+            Started::OtherLife => self.end_life(worker, "its address answers for another life"),
+            refused => self.refused(key, refused),
+        }
+    }
+
+    /// refused requeues a task whose start the worker refused: the run is not
+    /// there, and a later arrival of the same order would be refused as well.
+    fn refused(&mut self, key: RunKey, outcome: Started) {
+        let now = self.now.mono;
+        let Some(run) = self.runs.get(key) else {
+            return;
+        };
+        let (worker, task) = (run.worker, run.task);
+        let text = format!("worker {} refused a start: {outcome:?}", self.worker(worker).info.id);
+        self.note("order", Some(self.name(task)), text);
+        match outcome {
+            Started::NoRoom => self.worker_mut(worker).full_until = now.plus(FULL_MS),
+            Started::Unhealthy => self.worker_mut(worker).health.refuse(now),
+            Started::Invalid => {
+                self.task_mut(task).not_before = now.plus(INVALID_PAUSE_MS);
+                self.fail_on(task, worker);
+            }
+            _ => {}
+        }
+        self.hold_now(worker);
+        self.requeue(key);
+    }
+
+    pub(crate) fn stopped(&mut self, key: RunKey, outcome: Stopped) {
+        let now = self.now.mono;
+        let retry = self.options.stop_retry_ms;
+        let Some(run) = self.runs.get_mut(key) else {
+            return;
+        };
+        run.stop_sent = false;
+        let worker = run.worker;
+        match outcome {
+            Stopped::Yes => {
+                run.stop_taken = Some(now);
+                self.hold_now(worker);
+            }
+            Stopped::Silent => run.stop_after = now.plus(retry),
+            Stopped::Fenced => self.depose(),
+            Stopped::OtherLife => self.end_life(worker, "its address answers for another life"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/stackpier-cell/src/save.rs
@@ -0,0 +1,216 @@
+// SPDX-License-Identifier: Apache-2.0
+//! Saving progress to the store: jobs that changed go together, one save at a
+//! time. Ends are told to be noted only after the save that holds them.
+
+use stackpier_core::Millis;
+use stackpier_state::job::{Checkpoint, Failures, Progress};
+
+use crate::{
+    Cell, Effect, RosterEntry, Save,
+    arena::{JobKey, TaskKey, WorkerKey},
+    worker::{Life, Worker},
+};
+
+/// FORGOTTEN_PER_SAVE bounds the jobs removed from the store in one save.
+const FORGOTTEN_PER_SAVE: usize = 20;
+
+/// Saver tracks what is to be saved and what is on its way.
+#[derive(Debug, Default)]
+pub(crate) struct Saver {
+    dirty: Vec<JobKey>,
+    /// Jobs whose removal from the store is due.
+    forgotten: Vec<JobKey>,
+    pub roster_changed: bool,
+    /// Saves that were sent.
+    sent: u64,
+    /// Saves that were acknowledged.
+    done: u64,
+    in_flight: Option<InFlight>,
+    not_before: Millis,
+}
+
+#[derive(Debug)]
+struct InFlight {
+    jobs: Vec<JobKey>,
+    forgotten: Vec<JobKey>,
+    roster: Vec<WorkerKey>,
+    roster_sent: bool,
+    sent_at: Millis,
+}
+
+impl Saver {
+    /// next returns the number of the save that will hold a change made now.
+    pub(crate) fn next(&self) -> u64 {
+        self.sent + 1
+    }
+
+    /// is_busy tells whether a save is on its way.
+    pub(crate) fn is_busy(&self) -> bool {
+        self.in_flight.is_some()
+    }
+
+    fn is_empty(&self) -> bool {
+        self.dirty.is_empty() && self.forgotten.is_empty() && !self.roster_changed
+    }
+}
+
+impl Cell {
+    /// dirty notes that a job's progress must be saved.
+    pub(crate) fn dirty(&mut self, key: JobKey) {
+        if !self.job(key).dirty {
+            self.job_mut(key).dirty = true;
+            self.saver.dirty.push(key);
+        }
+    }
+
+    /// save sends what changed, if no save is on its way.
+    pub(crate) fn save(&mut self) {
+        let now = self.now.mono;
+        if self.saver.is_busy() || now < self.saver.not_before {
+            return;
+        }
+        if self.saver.is_empty() {
+            self.note_all();
+            return;
+        }
+        let keys = std::mem::take(&mut self.saver.dirty);
+        for key in &keys {
+            self.job_mut(*key).dirty = false;
+        }
+        let jobs = keys.iter().map(|key| (self.job(*key).id, self.progress(*key)));
+        let jobs = jobs.collect();
+        let forgotten = std::mem::take(&mut self.saver.forgotten);
+        let roster_sent = std::mem::take(&mut self.saver.roster_changed);
+        let roster = if roster_sent { self.roster() } else { Vec::new() };
+        let save = Save {
+            jobs,
+            roster: roster_sent.then(|| roster.iter().map(|key| self.entry(*key)).collect()),
+            forgotten: forgotten.iter().map(|key| self.job(*key).id).collect(),
+        };
+        self.saver.sent += 1;
+        self.saver.in_flight = Some(InFlight {
+            jobs: keys,
+            forgotten,
+            roster,
+            roster_sent,
+            sent_at: now,
+        });
+        self.effects.push(Effect::Save(save));
+    }
+
+    fn roster(&self) -> Vec<WorkerKey> {
+        let used = |worker: &Worker| worker.life == Life::Met || worker.inherited;
+        let known = |key: &WorkerKey| {
+            let worker = self.worker(*key);
+            worker.life != Life::Over && used(worker)
+        };
+        self.live().filter(known).collect()
+    }
+
+    fn entry(&self, key: WorkerKey) -> RosterEntry {
+        let info = &self.worker(key).info;
+        RosterEntry {
+            id: info.id.clone(),
+            address: info.address.clone(),
+        }
+    }
+
+    /// progress returns what the store is to keep of a job.
+    fn progress(&self, key: JobKey) -> Progress {
+        let job = self.job(key);
+        let mut progress = Progress {
+            state: job.state,
+            ended_ms: job.ended_unix_ms,
+            ..Progress::default()
+        };
+        for place in 0..job.tasks {
+            let task = self.task(TaskKey(job.first_task.0 + place));
+            if task.done {
+                progress.set_done(place);
+                continue;
+            }
+            if task.failures > 0 {
+                progress.failures.push(Failures {
+                    task: place,
+                    count: task.failures,
+                    last_run: task.last_failed_run,
+                });
+            }
+            let wanted = !job.state.is_final();
+            if let Some(text) = task.checkpoint.clone().filter(|_| wanted) {
+                progress.checkpoints.push(Checkpoint { task: place, text });
+            }
+        }
+        progress
+    }
+
+    pub(crate) fn saved(&mut self, done: bool) {
+        let now = self.now.mono;
+        let Some(sent) = self.saver.in_flight.take() else {
+            return;
+        };
+        if !done {
+            self.resave(sent);
+            return;
+        }
+        self.saver.done = self.saver.sent;
+        self.saver.not_before = now.plus(self.options.save_gap_ms);
+        self.confirmed = self.confirmed.max(sent.sent_at);
+        for key in sent.roster {
+            let worker = self.worker_mut(key);
+            if !worker.rostered {
+                worker.rostered = true;
+                self.place_wanted = true;
+            }
+        }
+        self.note_all();
+    }
+
+    /// resave keeps what a failed save held for the next one.
+    fn resave(&mut self, sent: InFlight) {
+        for key in sent.jobs {
+            self.dirty(key);
+        }
+        self.saver.forgotten.extend(sent.forgotten);
+        self.saver.roster_changed |= sent.roster_sent;
+        self.saver.not_before = self.now.mono.plus(self.options.save_retry_ms);
+        // The ends it held wait for the next save.
+        let next = self.saver.next();
+        for worker in &mut self.workers {
+            if worker.taken > worker.noted {
+                worker.note_after_save = next;
+            }
+        }
+    }
+
+    /// note_all lets workers forget the ends that are saved.
+    fn note_all(&mut self) {
+        let idle = self.saver.is_empty() && !self.saver.is_busy();
+        let done = self.saver.done;
+        for key in self.live_now() {
+            let worker = self.worker_mut(key);
+            if worker.taken > worker.noted && (idle || worker.note_after_save <= done) {
+                worker.noted = worker.taken;
+                self.hold_soon(key);
+            }
+        }
+    }
+
+    /// forget_jobs removes jobs that were shown for long enough.
+    pub(crate) fn forget_jobs(&mut self) {
+        let now = self.now.mono;
+        let show_ms = self.options.show_ms;
+        let due = |job: &crate::job::Job| {
+            !job.forgotten && job.ended_at.is_some_and(|at| now.since(at) > show_ms)
+        };
+        let due: Vec<JobKey> = (0..self.jobs.len() as u32)
+            .map(JobKey)
+            .filter(|key| due(self.job(*key)))
+            .take(FORGOTTEN_PER_SAVE)
+            .collect();
+        for key in due {
+            self.job_mut(key).forgotten = true;
+            self.saver.forgotten.push(key);
+        }
+    }
+}
--- /dev/null
+++ b/crates/stackpier-cell/src/speculate.rs
@@ -0,0 +1,96 @@
+// SPDX-License-Identifier: Apache-2.0
+//! Runs that stand still or lag: moved, or started a second time where copies
+//! are allowed.
+
+use crate::{
+    Cell,
+    arena::{RunKey, TaskKey},
+    job::Phase,
+};
+
+/// LEAST_LAG_MS is the least time by which a run lags before a copy starts.
+const LEAST_LAG_MS: u64 = 400;
+/// START_MS is how long a lasting task may take to be at work.
+const START_MS: u64 = 4_000;
+
+impl Cell {
+    /// check_runs moves runs that stand still and sends stops again.
+    pub(crate) fn check_runs(&mut self) {
+        let runs: Vec<RunKey> = self.workers.iter().flat_map(|worker| worker.runs.clone()).collect();
+        for key in runs {
+            let Some(run) = self.runs.get(key) else {
+                continue;
+            };
+            match run.phase {
+                Phase::Stopping => self.stop(key),
+                Phase::Running => self.check_stall(key),
+                Phase::Starting | Phase::Unsure(_) => {}
+            }
+        }
+    }
+
+    fn check_stall(&mut self, key: RunKey) {
+        let now = self.now.mono;
+        let Some(run) = self.runs.get(key) else {
+            return;
+        };
+        let worker = self.worker(run.worker);
+        let estimate = u64::from(self.shape(run.step).estimate_ms);
+        // One percent of a long task takes long by itself.
+        let limit = self.options.stall_ms + estimate / 10;
+        let limit = if run.lasting { START_MS } else { limit };
+        let heard = worker.silent_since.is_none();
+        let at_work = run.lasting && run.percent >= 100;
+        if !heard || at_work || run.pace < 100 || now.since(run.moved) < limit {
+            return;
+        }
+        let (worker, task) = (run.worker, run.task);
+        let still_ms = now.since(run.moved);
+        let text = format!("stopped: no progress at {}% for {still_ms} ms", run.percent);
+        self.note("stall", Some(self.name(task)), text);
+        self.worker_mut(worker).health.stall(now);
+        self.fail_on(task, worker);
+        self.stop(key);
+    }
+
+    /// check_copies readies a second run of tasks that lag, where copies are
+    /// allowed.
+    pub(crate) fn check_copies(&mut self) {
+        let runs: Vec<RunKey> = self.workers.iter().flat_map(|worker| worker.runs.clone()).collect();
+        for key in runs {
+            if let Some(task) = self.lagging(key) {
+                self.copy(task);
+            }
+        }
+    }
+
+    fn lagging(&self, key: RunKey) -> Option<TaskKey> {
+        let run = self.runs.get(key)?;
+        let shape = self.shape(run.step);
+        let task = self.task(run.task);
+        let alone = task.runs.len() == 1 && !task.done && !task.ready;
+        if !shape.speculative || !alone || shape.lasting || shape.gang {
+            return None;
+        }
+        let estimate = u64::from(shape.estimate_ms);
+        let limit = estimate * self.options.speculate_percent / 100;
+        let late = self.now.mono.since(run.since) > limit.max(estimate + LEAST_LAG_MS);
+        let expected = self.now.mono.since(run.since) * 100 / estimate.max(1);
+        let lags = u64::from(run.percent) * 2 < expected;
+        (late && lags).then_some(run.task)
+    }
+
+    fn copy(&mut self, task: TaskKey) {
+        let now = self.now.mono;
+        let Some(worker) = self.find_room(task, now) else {
+            return;
+        };
+        let here = |key: &RunKey| self.runs.get(*key).is_some_and(|run| run.worker == worker);
+        if self.task(task).runs.iter().any(here) {
+            return;
+        }
+        let name = self.name(task);
+        self.note("speculate", Some(name), "a copy starts: the first run lags".to_owned());
+        self.start(task, worker);
+    }
+}
--- /dev/null
+++ b/crates/stackpier-cell/src/wire.rs
@@ -0,0 +1,341 @@
+// SPDX-License-Identifier: Apache-2.0
+//! Events that the cell takes and effects that it returns.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+use stackpier_core::{Millis, Unix, arena::Index, key};
+use stackpier_state::job::{Progress, Record};
+
+use crate::{arena::WorkerKey, job::Run, worker::Info};
+
+/// Now is the time of an event.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Now {
+    /// The daemon's own monotonic clock.
+    pub mono: Millis,
+    /// The wall clock.
+    pub unix: Unix,
+}
+
+/// TaskName names a task across owners.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct TaskName {
+    /// The job.
+    pub job: key::Job,
+    /// The round, from zero.
+    pub round: u32,
+    /// The step, from zero.
+    pub step: u16,
+    /// The task's place in its step, from zero.
+    pub index: u32,
+}
+
+impl fmt::Display for TaskName {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let TaskName {
+            job,
+            round,
+            step,
+            index,
+        } = self;
+        write!(f, "{:016x}.{round}.{step}.{index}", job.0)
+    }
+}
+
+/// Queue is what the configuration says of one queue.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Queue {
+    /// The queue's name.
+    pub name: String,
+    /// The service whose workers run its tasks.
+    pub service: String,
+    /// Zero goes first.
+    pub priority: u8,
+    /// Failed runs of a task after which its job has failed.
+    pub attempts: u16,
+    /// The factor on a job's longest chain of work in its latency objective.
+    pub stretch: f64,
+    /// What is added to the objective, in milliseconds.
+    pub target_ms: u64,
+    /// Whether the queue's service guards its capacity by itself.
+    pub guarded: bool,
+}
+
+/// Event is something that happened, as the owner sees it.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// A configuration came into force.
+    Queues(Vec<Queue>),
+    /// The list of workers shows this one.
+    Listed(Info),
+    /// The list of workers no longer shows this one.
+    Unlisted(String),
+    /// The store holds this job.
+    Accepted {
+        /// The job.
+        job: key::Job,
+        /// What the store keeps of it.
+        record: Box<Record>,
+        /// How far it was under an earlier owner.
+        progress: Option<Box<Progress>>,
+        /// Whether its cancelling is in the store.
+        cancelled: bool,
+    },
+    /// The store holds the cancelling of this job.
+    Cancelled(key::Job),
+    /// A start was answered or was not.
+    Started {
+        /// The run.
+        run: Index<Run>,
+        /// The answer.
+        outcome: Started,
+    },
+    /// A stop was answered or was not.
+    Stopped {
+        /// The run.
+        run: Index<Run>,
+        /// The answer.
+        outcome: Stopped,
+    },
+    /// A hold was answered or was not.
+    Held {
+        /// The worker.
+        worker: WorkerKey,
+        /// When the hold was sent.
+        sent: Millis,
+        /// The answer.
+        outcome: Held,
+    },
+    /// A save was answered.
+    Saved(bool),
+    /// The store confirmed, by a read sent at this time, that this daemon
+    /// still owns the cell.
+    Confirmed(Millis),
+    /// Time has passed.
+    Tick,
+}
+
+/// Started is the outcome of a start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Started {
+    /// The run is there.
+    Yes,
+    /// The worker has seen a higher fence.
+    Fenced,
+    /// The run's number is not above one that ended there.
+    Old,
+    /// The lease was already over when the order arrived.
+    Late,
+    /// The task does not fit.
+    NoRoom,
+    /// The worker refused it and did nothing, for a while.
+    Unhealthy,
+    /// The worker refused it for good.
+    Invalid,
+    /// The worker has another life.
+    OtherLife,
+    /// There was no answer: the run may be there, or may come later.
+    Silent,
+}
+
+/// Stopped is the outcome of a stop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stopped {
+    /// The worker stops the run, or refuses it from now on.
+    Yes,
+    /// The worker has seen a higher fence.
+    Fenced,
+    /// The worker has another life.
+    OtherLife,
+    /// There was no answer, or a refusal.
+    Silent,
+}
+
+/// Held is the outcome of a hold.
+#[derive(Clone, Debug)]
+pub enum Held {
+    /// The worker renewed its lease and reported.
+    Report(Report),
+    /// The worker has seen a higher fence.
+    Fenced,
+    /// The worker has another life.
+    OtherLife,
+    /// There was no answer, or a refusal.
+    Silent,
+}
+
+/// Report is a worker's word of what runs and what ended.
+#[derive(Clone, Debug, Default)]
+pub struct Report {
+    /// The worker's clock, in milliseconds.
+    pub clock_ms: u64,
+    /// What runs.
+    pub running: Vec<Row>,
+    /// What ended and was not yet noted.
+    pub ended: Vec<End>,
+}
+
+/// Row is one run in a report.
+#[derive(Clone, Debug)]
+pub struct Row {
+    /// The task.
+    pub task: TaskName,
+    /// The number of the run.
+    pub run: u32,
+    /// How far the run is, from 0 to 100.
+    pub percent: u8,
+    /// The tail latency in milliseconds of a task that serves; the processor
+    /// in use, in thousandths of a core, of any other.
+    pub figure: Option<u32>,
+}
+
+/// How tells the way a run ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum How {
+    /// It did its work.
+    Done,
+    /// It failed by its own or the worker's fault.
+    Failed,
+    /// It was told to stop.
+    Stopped,
+    /// Its lease ran out.
+    Lapsed,
+    /// Another member of its gang ended.
+    Broken,
+    /// The other members of its gang did not come.
+    Alone,
+}
+
+/// End is one run that ended.
+#[derive(Clone, Debug)]
+pub struct End {
+    /// The worker's count of ends in this life, from one.
+    pub number: u64,
+    /// The task.
+    pub task: TaskName,
+    /// The number of the run.
+    pub run: u32,
+    /// The way it ended.
+    pub how: How,
+    /// The saved progress, empty if there is none.
+    pub checkpoint: String,
+}
+
+/// Order names a run on a worker, for the calls that concern it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Order {
+    /// The run, for the event that answers.
+    pub key: Index<Run>,
+    /// The worker's address.
+    pub address: String,
+    /// The life of the worker that is meant.
+    pub life: String,
+    /// The task.
+    pub task: TaskName,
+    /// The number of the run.
+    pub run: u32,
+    /// The owner's fence.
+    pub fence: u64,
+}
+
+/// Start asks a worker to start a run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Start {
+    /// The run.
+    pub order: Order,
+    /// The job's payload.
+    pub payload: std::rc::Rc<str>,
+    /// The end of the lease, by the worker's clock in milliseconds.
+    pub deadline_ms: u64,
+    /// The saved progress to resume from.
+    pub checkpoint: Option<String>,
+}
+
+/// Stop asks a worker to stop a run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Stop {
+    /// The run.
+    pub order: Order,
+}
+
+/// Pace asks a worker to let a run work at a share.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Pace {
+    /// The run.
+    pub order: Order,
+    /// The share, from 0 to 100.
+    pub percent: u8,
+}
+
+/// Hold renews a worker's lease and asks for its report.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Hold {
+    /// The worker, for the event that answers.
+    pub worker: WorkerKey,
+    /// The worker's address.
+    pub address: String,
+    /// The life of the worker that is meant.
+    pub life: String,
+    /// The owner's fence.
+    pub fence: u64,
+    /// The end of the lease, by the worker's clock in milliseconds.
+    pub deadline_ms: Option<u64>,
+    /// The count of ends that are noted and may be forgotten.
+    pub noted: u64,
+    /// How long the answer may wait for an end, in milliseconds.
+    pub wait_ms: u64,
+}
+
+/// RosterEntry is a worker that may run something for this cell.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RosterEntry {
+    /// The life's id.
+    pub id: String,
+    /// The worker's address.
+    pub address: String,
+}
+
+/// Save writes progress to the store, under the condition that this daemon
+/// still owns the cell.
+#[derive(Clone, Debug)]
+pub struct Save {
+    /// The jobs that changed.
+    pub jobs: Vec<(key::Job, Progress)>,
+    /// The workers that may run something, if that list changed.
+    pub roster: Option<Vec<RosterEntry>>,
+    /// Jobs whose time of being shown is over.
+    pub forgotten: Vec<key::Job>,
+}
+
+/// Note is a decision worth a log line.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Note {
+    /// The part that decided.
+    pub part: &'static str,
+    /// The task or job concerned, if one is.
+    pub subject: Option<TaskName>,
+    /// What was decided, and from what.
+    pub text: String,
+}
+
+/// Effect is something to carry out.
+#[derive(Clone, Debug)]
+pub enum Effect {
+    /// Start a run; answer with [`Event::Started`].
+    Start(Start),
+    /// Stop a run; answer with [`Event::Stopped`].
+    Stop(Stop),
+    /// Set the pace of a run. No answer is needed: the next report shows it.
+    Pace(Pace),
+    /// Renew a lease; answer with [`Event::Held`].
+    Hold(Hold),
+    /// Write progress; answer with [`Event::Saved`].
+    Save(Save),
+    /// Ask the store who owns the cell; answer with [`Event::Confirmed`].
+    Confirm,
+    /// Another daemon owns the cell: carry out nothing more.
+    Deposed,
+    /// Write a log line.
+    Note(Note),
+}
--- /dev/null
+++ b/crates/stackpier-cell/src/worker.rs
@@ -0,0 +1,119 @@
+// SPDX-License-Identifier: Apache-2.0
+//! Workers as the owner keeps them, with their leases.
+
+use stackpier_core::{Millis, Size};
+
+use crate::{arena::RunKey, health::Health};
+
+/// CLOCK_ERROR_MILLI is how much slower than true time a worker's clock may
+/// run, in thousandths, with a margin: the platform allows 2%.
+const CLOCK_ERROR_MILLI: u64 = 21;
+/// LAPSE_MARGIN_MS is added to the end of a lease before its runs are taken
+/// to be over: the worker ends them a moment after.
+const LAPSE_MARGIN_MS: u64 = 200;
+
+/// Info is what the list of workers shows of one.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Info {
+    /// The id of this life of the worker.
+    pub id: String,
+    /// The service that it belongs to.
+    pub service: String,
+    /// Where it takes orders.
+    pub address: String,
+    /// Its data centre.
+    pub data_centre: String,
+    /// What it offers.
+    pub capacity: Size,
+    /// Its kind and whatever else tasks may ask for.
+    pub labels: Vec<String>,
+    /// Its rack.
+    pub rack: String,
+    /// Whether it is about to leave.
+    pub draining: bool,
+    /// The least time until a draining worker leaves, in milliseconds.
+    pub remaining_ms: Option<u64>,
+}
+
+/// Life tells whether a worker's process still lives.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Life {
+    /// It has not yet answered this owner.
+    New,
+    /// It has answered this owner.
+    Met,
+    /// It is over: nothing runs there.
+    Over,
+}
+
+/// Clock is one reading of a worker's clock.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Clock {
+    /// When the reading arrived.
+    pub at: Millis,
+    /// The reading.
+    pub ms: u64,
+}
+
+/// Worker is one life of a worker.
+#[derive(Debug)]
+pub(crate) struct Worker {
+    pub info: Info,
+    pub service: u16,
+    pub rack: u16,
+    pub life: Life,
+    /// Since when the list has not shown it.
+    pub unlisted_since: Option<Millis>,
+    /// Whether the store knows that it may run something.
+    pub rostered: bool,
+    /// Whether an earlier owner may have runs there.
+    pub inherited: bool,
+    pub runs: Vec<RunKey>,
+    /// Memory and accelerators of all runs, and the processors of those that
+    /// are counted.
+    pub reserved: Size,
+    pub clock: Option<Clock>,
+    /// The latest end of the lease that was ever sent, by its clock.
+    pub deadline_ms: u64,
+    /// Whether a hold is on its way.
+    pub holding: bool,
+    pub hold_after: Millis,
+    /// Since when it has not answered.
+    pub silent_since: Option<Millis>,
+    /// Ends that were taken in.
+    pub taken: u64,
+    /// Ends that may be forgotten.
+    pub noted: u64,
+    /// The save after which the ends taken in may be forgotten.
+    pub note_after_save: u64,
+    pub health: Health,
+    /// No starts before this time, as it said that it had no room.
+    pub full_until: Millis,
+    pub drain_seen: Option<Millis>,
+}
+
+impl Worker {
+    /// lapsed tells whether everything that was leased has ended by now.
+    pub(crate) fn lapsed(&self, now: Millis) -> bool {
+        let Some(clock) = self.clock else {
+            return false;
+        };
+        let left = self.deadline_ms.saturating_sub(clock.ms);
+        let longest = left + left * CLOCK_ERROR_MILLI / 1_000 + LAPSE_MARGIN_MS;
+        now.since(clock.at) >= longest
+    }
+
+    /// lease returns the end of a lease that starts now, by the worker's
+    /// clock, and notes it.
+    pub(crate) fn lease(&mut self, now: Millis, lease_ms: u64) -> Option<u64> {
+        let clock = self.clock?;
+        let deadline = clock.ms + now.since(clock.at) + lease_ms;
+        self.deadline_ms = self.deadline_ms.max(deadline);
+        Some(deadline)
+    }
+
+    /// free returns what is neither reserved nor in use.
+    pub(crate) fn free(&self) -> Size {
+        self.info.capacity.minus(&self.reserved)
+    }
+}
--- /dev/null
+++ b/crates/stackpier-scheduler/src/desk.rs
@@ -0,0 +1,224 @@
+// SPDX-License-Identifier: Apache-2.0
+//! What client accounts ask: to take a job, to tell its state, to cancel it,
+//! and to count the jobs that wait. Any daemon answers.
+
+use std::time::Duration;
+
+use stackpier_cell::{Event, Queue};
+use stackpier_core::{Error, Kind, Result, key};
+use stackpier_protocol::codec::{decode, encode};
+use stackpier_state::job::{Progress, Record, Spec, State};
+use tokio::time::Instant;
+
+use crate::{
+    Platform,
+    keys::{self, OWNER},
+    link::{Request, Response},
+    node::{Node, Owned, pause},
+    store::{Committed, Condition, Put, Transaction},
+};
+
+/// TAKE_LIMIT is how long a daemon tries to get a job into the store. Clients
+/// wait three seconds, and need time for another daemon.
+const TAKE_LIMIT: Duration = Duration::from_millis(1_800);
+/// RETRY_MS is the pause between two tries.
+const RETRY_MS: u64 = 50;
+/// ASK_LIMIT bounds a question to the owner.
+const ASK_LIMIT: Duration = Duration::from_millis(350);
+/// TELL_TRIES is how often the owner is told of a job. It also finds the job
+/// in the store.
+const TELL_TRIES: usize = 2;
+/// COME_BACK_MS is when a client should come back after a refusal: a take-over
+/// or a short outage lasts about this long.
+const COME_BACK_MS: u64 = 1_000;
+
+impl<P: Platform> Node<P> {
+    /// submit keeps a job in the store and tells the owner. It returns `Ok`
+    /// once the job is kept, now or earlier. An error of a kind that has not
+    /// run means that the job was not taken and never runs.
+    pub async fn submit(&self, job: key::Job, queue: &Queue, spec: Spec) -> Result<()> {
+        let end = Instant::now() + TAKE_LIMIT;
+        // Whether an earlier try may have been done.
+        let mut unclear = false;
+        while Instant::now() < end {
+            let owned = self.owned.borrow().clone();
+            let Some(owned) = owned else {
+                return Err(refusal("no owner of the cell is known", unclear));
+            };
+            let record = Record {
+                queue: queue.name.clone(),
+                spec: spec.clone(),
+                fence: owned.ownership.fence,
+                accepted_ms: self.now().unix.0,
+            };
+            match self.store_commit(&acceptance(job, &record, &owned)?).await {
+                Committed::Done(_) => {
+                    self.accepted(job, record);
+                    return Ok(());
+                }
+                Committed::Conflict(items) => {
+                    let kept = items.iter().find(|item| item.key == keys::job(job) && item.revision > 0);
+                    if let Some(item) = kept {
+                        self.accepted(job, decode(&item.value)?);
+                        return Ok(());
+                    }
+                    match items.iter().find(|item| item.key == OWNER) {
+                        Some(item) => self.take_ownership(item),
+                        None => return Err(refusal("the cell has no owner", unclear)),
+                    }
+                }
+                Committed::Refused if unclear => pause(RETRY_MS).await,
+                Committed::Refused => return Err(refusal("the store refused the write", false)),
+                Committed::Unknown => unclear = true,
+            }
+        }
+        Err(refusal("the store did not answer in time", unclear))
+    }
+
+    /// accepted tells the owner of a job that is in the store.
+    fn accepted(&self, job: key::Job, record: Record) {
+        let own = self.owner.borrow().as_ref().map(|owner| owner.fence);
+        if let Some(fence) = own {
+            let event = Event::Accepted {
+                job,
+                record: Box::new(record),
+                progress: None,
+                cancelled: false,
+            };
+            self.feed(fence, event);
+            return;
+        }
+        self.tell(Request::Accepted(job, Box::new(record)));
+    }
+
+    fn tell(&self, request: Request) {
+        let node = self.clone();
+        tokio::task::spawn_local(async move {
+            for _ in 0..TELL_TRIES {
+                if node.ask_owner(&request).await.is_ok() {
+                    return;
+                }
+                pause(RETRY_MS).await;
+            }
+        });
+    }
+
+    /// ask_owner sends a message to the owner.
+    async fn ask_owner(&self, request: &Request) -> Result<Response> {
+        let address = self.owned.borrow().as_ref().map(|owned| owned.ownership.address.clone());
+        let unknown = || Error::new(Kind::Unreachable, "no owner of the cell is known");
+        let address = address.ok_or_else(unknown)?;
+        match self.links.call(&address, request, ASK_LIMIT).await? {
+            Response::NotOwner => Err(Error::new(Kind::Unreachable, "the cell changes its owner")),
+            response => Ok(response),
+        }
+    }
+
+    /// state returns the state of a job, or `None` if there is no such job.
+    pub async fn state(&self, job: key::Job) -> Result<Option<State>> {
+        if let Some(state) = self.job_state(job) {
+            return Ok(Some(state));
+        }
+        if !self.is_owner()
+            && let Ok(Response::State(Some(state))) = self.ask_owner(&Request::State(job)).await
+        {
+            return Ok(Some(state));
+        }
+        self.stored_state(job).await
+    }
+
+    /// stored_state returns the state of a job by the store's word.
+    async fn stored_state(&self, job: key::Job) -> Result<Option<State>> {
+        if let Some(item) = self.store_get(&keys::progress(job)).await? {
+            let progress: Progress = decode(&item.value)?;
+            if progress.state != State::Pending {
+                return Ok(Some(progress.state));
+            }
+        }
+        let Some(item) = self.store_get(&keys::job(job)).await? else {
+            return Ok(None);
+        };
+        self.accepted(job, decode(&item.value)?);
+        let cancelled = self.store_get(&keys::cancel(job)).await?.is_some();
+        Ok(Some(if cancelled { State::Cancelled } else { State::Pending }))
+    }
+
+    /// cancel keeps the cancelling of a job in the store and tells the owner.
+    /// It returns whether there is such a job.
+    pub async fn cancel(&self, job: key::Job) -> Result<bool> {
+        match self.state(job).await? {
+            None => return Ok(false),
+            Some(state) if state.is_final() => return Ok(true),
+            Some(_) => {}
+        }
+        let end = Instant::now() + TAKE_LIMIT;
+        let mut unclear = false;
+        while Instant::now() < end {
+            match self.store_commit(&cancelling(job)).await {
+                Committed::Done(_) => {
+                    self.cancelled(job);
+                    return Ok(true);
+                }
+                Committed::Unknown => unclear = true,
+                Committed::Conflict(_) | Committed::Refused => {}
+            }
+            pause(RETRY_MS).await;
+        }
+        Err(refusal("the store took no cancelling in time", unclear))
+    }
+
+    fn cancelled(&self, job: key::Job) {
+        let own = self.owner.borrow().as_ref().map(|owner| owner.fence);
+        match own {
+            Some(fence) => self.feed(fence, Event::Cancelled(job)),
+            None => self.tell(Request::Cancelled(job)),
+        }
+    }
+
+    /// waiting returns how many jobs of a queue have not begun.
+    pub async fn waiting(&self, queue: &str) -> Result<u64> {
+        if let Some(owner) = self.owner.borrow().as_ref() {
+            return Ok(owner.cell.waiting(queue));
+        }
+        match self.ask_owner(&Request::Waiting(queue.to_owned())).await? {
+            Response::Count(count) => Ok(count),
+            _ => Err(refusal("the owner of the cell gave no count", false)),
+        }
+    }
+}
+
+fn acceptance(job: key::Job, record: &Record, owned: &Owned) -> Result<Transaction> {
+    let key = keys::job(job);
+    let conditions = vec![
+        Condition {
+            key: key.clone(),
+            revision: 0,
+        },
+        Condition {
+            key: OWNER.to_owned(),
+            revision: owned.revision,
+        },
+    ];
+    let value = encode(record)?;
+    Ok(Transaction {
+        conditions,
+        puts: vec![Put { key, value }],
+        removals: Vec::new(),
+    })
+}
+
+fn cancelling(job: key::Job) -> Transaction {
+    Transaction {
+        puts: vec![Put {
+            key: keys::cancel(job),
+            value: Vec::new(),
+        }],
+        ..Transaction::default()
+    }
+}
+
+/// refusal builds the error for a job that was not taken, or may have been.
+fn refusal(why: &str, unclear: bool) -> Error {
+    let kind = if unclear { Kind::WriteUnknown } else { Kind::StoreUnavailable };
+    Error::new(kind, why).after(COME_BACK_MS)
+}
--- /dev/null
+++ b/crates/stackpier-scheduler/src/fleet.rs
@@ -0,0 +1,21 @@
+// SPDX-License-Identifier: Apache-2.0
+//! What the daemon asks of workers.
+
+use std::future::Future;
+
+use stackpier_cell::{Held, Hold, Pace, Start, Started, Stop, Stopped};
+
+/// Fleet speaks to workers. Each call ends within a bounded time.
+pub trait Fleet {
+    /// start asks a worker to start a run.
+    fn start(&self, start: &Start) -> impl Future<Output = Started>;
+
+    /// stop asks a worker to stop a run.
+    fn stop(&self, stop: &Stop) -> impl Future<Output = Stopped>;
+
+    /// pace sets the pace of a run and tells whether the worker took it.
+    fn pace(&self, pace: &Pace) -> impl Future<Output = bool>;
+
+    /// hold renews a lease and returns the worker's report.
+    fn hold(&self, hold: &Hold) -> impl Future<Output = Held>;
+}
--- /dev/null
+++ b/crates/stackpier-scheduler/src/http.rs
@@ -0,0 +1,247 @@
+// SPDX-License-Identifier: Apache-2.0
+//! HTTP/1.1 by `hyper`: a client that keeps its connections, and a server.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    future::Future,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{body::Incoming, client::conn::http1::SendRequest, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use stackpier_core::{Error, Kind, Result};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::watch,
+    time::{Instant, timeout_at},
+};
+
+/// MAX_ANSWER_BYTES bounds the body of an answer: a page of the store's items
+/// is about 1 MB.
+const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
+/// MAX_IDLE bounds the idle connections kept to one address. Workers take 64
+/// connections each from all daemons together.
+const MAX_IDLE: usize = 6;
+/// HEADER_TIMEOUT is how long a client may take to send its headers.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(15);
+/// ACCEPT_PAUSE is the pause after a failed accept, such as for want of
+/// descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Call is one request to another program.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// The method.
+    pub method: Method,
+    /// The path with its query.
+    pub path: String,
+    /// A header with its value, if one is needed.
+    pub header: Option<(&'static str, String)>,
+    /// The body, empty for none.
+    pub body: Vec<u8>,
+    /// The time until the answer must be there.
+    pub limit: Duration,
+}
+
+/// Answer is the answer to a call.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// The status.
+    pub status: u16,
+    /// The body.
+    pub body: Bytes,
+}
+
+type Sender = SendRequest<Full<Bytes>>;
+
+/// Client sends calls over kept connections, one call at a time on each.
+#[derive(Clone, Default)]
+pub struct Client {
+    idle: Rc<RefCell<HashMap<String, Vec<Sender>>>>,
+    opened: Rc<Cell<u64>>,
+    calls: Rc<Cell<u64>>,
+}
+
+impl Client {
+    /// call sends one call. After an error or a time-out the call may still be
+    /// carried out; its connection is not used again.
+    pub async fn call(&self, address: &str, call: Call) -> Result<Answer> {
+        let end = Instant::now() + call.limit;
+        self.calls.set(self.calls.get() + 1);
+        let late = |_| Error::new(Kind::Unreachable, format!("{address}: no answer in time"));
+        timeout_at(end, self.exchange(address, call)).await.map_err(late)?
+    }
+
+    /// opened returns how many connections were opened.
+    pub fn opened(&self) -> u64 {
+        self.opened.get()
+    }
+
+    /// calls returns how many calls were sent.
+    pub fn calls(&self) -> u64 {
+        self.calls.get()
+    }
+
+    /// forget closes the idle connections to an address.
+    pub fn forget(&self, address: &str) {
+        self.idle.borrow_mut().remove(address);
+    }
+
+    async fn exchange(&self, address: &str, call: Call) -> Result<Answer> {
+        let mut sender = match self.take(address) {
+            Some(sender) => sender,
+            None => self.connect(address).await?,
+        };
+        let broken = |error: hyper::Error| unreachable(address, &error);
+        sender.ready().await.map_err(broken)?;
+        let response = sender.send_request(request(address, call)?).await.map_err(broken)?;
+        let status = response.status().as_u16();
+        let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
+        let cut = |error| Error::new(Kind::Unreachable, format!("{address}: {error}"));
+        let body = body.collect().await.map_err(cut)?.to_bytes();
+        self.give_back(address, sender);
+        Ok(Answer { status, body })
+    }
+
+    fn take(&self, address: &str) -> Option<Sender> {
+        let mut idle = self.idle.borrow_mut();
+        let senders = idle.get_mut(address)?;
+        while let Some(sender) = senders.pop() {
+            if !sender.is_closed() {
+                return Some(sender);
+            }
+        }
+        None
+    }
+
+    fn give_back(&self, address: &str, sender: Sender) {
+        let mut idle = self.idle.borrow_mut();
+        let senders = match idle.get_mut(address) {
+            Some(senders) => senders,
+            None => idle.entry(address.to_owned()).or_default(),
+        };
+        if senders.len() < MAX_IDLE && !sender.is_closed() {
+            senders.push(sender);
+        }
+    }
+
+    async fn connect(&self, address: &str) -> Result<Sender> {
+        let refused = |error: std::io::Error| unreachable(address, &error);
+        let stream = TcpStream::connect(address).await.map_err(refused)?;
+        stream.set_nodelay(true).map_err(refused)?;
+        self.opened.set(self.opened.get() + 1);
+        let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream));
+        let (sender, connection) = handshake.await.map_err(|error| unreachable(address, &error))?;
+        // Its errors come to light at the call that uses the connection.
+        tokio::task::spawn_local(async move { drop(connection.await) });
+        Ok(sender)
+    }
+}
+
+fn request(address: &str, call: Call) -> Result<Request<Full<Bytes>>> {
+    let mut request = Request::builder()
+        .method(call.method)
+        .uri(call.path)
+        .header(http::header::HOST, address);
+    if !call.body.is_empty() {
+        request = request.header(http::header::CONTENT_TYPE, "application/json");
+    }
+    if let Some((name, value)) = call.header {
+        request = request.header(name, value);
+    }
+    let wrong = |error: http::Error| Error::new(Kind::Internal, error.to_string());
+    request.body(Full::new(Bytes::from(call.body))).map_err(wrong)
+}
+
+fn unreachable(address: &str, error: &dyn std::error::Error) -> Error {
+    Error::new(Kind::Unreachable, format!("{address}: {error}"))
+}
+
+/// Handler answers the requests of a server.
+pub trait Handler: Clone + 'static {
+    /// handle returns the answer to a request.
+    fn handle(&self, request: Request<Incoming>) -> impl Future<Output = Response<Full<Bytes>>>;
+}
+
+/// Closing tells connections to end after the answer they are at.
+pub type Closing = watch::Receiver<bool>;
+
+/// serve answers the requests that come to a listener.
+pub async fn serve<H: Handler>(listener: TcpListener, handler: H, closing: Closing, open: Rc<Cell<usize>>) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        if stream.set_nodelay(true).is_err() {
+            // The client is gone already.
+            continue;
+        }
+        let (handler, closing, open) = (handler.clone(), closing.clone(), Rc::clone(&open));
+        tokio::task::spawn_local(async move {
+            open.set(open.get() + 1);
+            connection(stream, handler, closing).await;
+            open.set(open.get() - 1);
+        });
+    }
+}
+
+async fn connection<H: Handler>(stream: TcpStream, handler: H, mut closing: Closing) {
+    let service = service_fn(move |request| {
+        let handler = handler.clone();
+        async move { Ok::<_, std::convert::Infallible>(handler.handle(request).await) }
+    });
+    let mut builder = hyper::server::conn::http1::Builder::new();
+    builder.timer(TokioTimer::new()).header_read_timeout(HEADER_TIMEOUT);
+    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    tokio::select! {
+        // An error here is the client's end of the connection; requests that
+        // were read in full have been answered or are logged by the handler.
+        _ = connection.as_mut() => return,
+        _ = closing.wait_for(|closing| *closing) => connection.as_mut().graceful_shutdown(),
+    }
+    drop(connection.await);
+}
+
+/// listen opens a listener.
+pub async fn listen(address: SocketAddr) -> anyhow::Result<TcpListener> {
+    use anyhow::Context;
+    TcpListener::bind(address)
+        .await
+        .with_context(|| format!("listening on {address}"))
+}
+
+/// answer builds an answer with a body of JSON text, empty for none.
+pub fn answer(status: u16, body: Vec<u8>, retry_after_s: Option<u32>) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from(body)));
+    *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let headers = response.headers_mut();
+    headers.insert(
+        http::header::CONTENT_TYPE,
+        http::HeaderValue::from_static("application/json"),
+    );
+    if let Some(seconds) = retry_after_s {
+        headers.insert(http::header::RETRY_AFTER, http::HeaderValue::from(seconds));
+    }
+    response
+}
+
+/// body reads the body of a request up to a bound.
+pub async fn body(body: Incoming, max_bytes: usize) -> Result<Bytes> {
+    let limited = Limited::new(body, max_bytes);
+    match limited.collect().await {
+        Ok(collected) => Ok(collected.to_bytes()),
+        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
+            let text = format!("the body is over {max_bytes} bytes");
+            Err(Error::new(Kind::TooLarge, text))
+        }
+        Err(error) => Err(Error::new(Kind::BadInput, format!("the body was cut: {error}"))),
+    }
+}
--- /dev/null
+++ b/crates/stackpier-scheduler/src/keys.rs
@@ -0,0 +1,95 @@
+// SPDX-License-Identifier: Apache-2.0
+//! The daemon's own keys in the store, and the values under some of them.
+
+use serde::{Deserialize, Serialize};
+use stackpier_core::key::{self, Boot};
+
+/// CLUSTER is the prefix of what all daemons watch.
+pub(crate) const CLUSTER: &str = "cluster/";
+/// OWNER is the key of the cell's ownership.
+pub(crate) const OWNER: &str = "cluster/owner";
+/// MEMBERS is the prefix of the daemons.
+pub(crate) const MEMBERS: &str = "cluster/member/";
+/// JOBS is the prefix of accepted jobs and of their cancelling.
+pub(crate) const JOBS: &str = "job/";
+/// PROGRESS is the prefix of the progress of jobs.
+pub(crate) const PROGRESS: &str = "progress/";
+/// ROSTER is the key of the workers that may run something.
+pub(crate) const ROSTER: &str = "roster";
+/// CANCEL ends the key of a job's cancelling.
+const CANCEL: &str = "/cancel";
+/// HEX is the radix of a job's id in a key.
+const HEX: u32 = 16;
+
+/// Ownership is the value under [`OWNER`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Ownership {
+    /// The VM of the owner.
+    pub vm: String,
+    /// The run of its process.
+    pub boot: Boot,
+    /// Where its peers reach it.
+    pub address: String,
+    /// Rises by one with each change of owner.
+    pub fence: u64,
+    /// Whether the owner has given it up and orders nothing any more.
+    pub released: bool,
+}
+
+/// Member is the value under a daemon's key.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Member {
+    /// The VM.
+    pub vm: String,
+    /// The run of its process.
+    pub boot: Boot,
+    /// Where its peers reach it.
+    pub address: String,
+    /// Its data centre.
+    pub data_centre: String,
+}
+
+/// Entry is what a key under [`JOBS`] is about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Entry {
+    /// A job.
+    Job(key::Job),
+    /// The cancelling of a job.
+    Cancel(key::Job),
+}
+
+/// member returns a daemon's key.
+pub(crate) fn member(vm: &str) -> String {
+    format!("{MEMBERS}{vm}")
+}
+
+/// job returns a job's key.
+pub(crate) fn job(job: key::Job) -> String {
+    format!("{JOBS}{:016x}", job.0)
+}
+
+/// cancel returns the key of a job's cancelling.
+pub(crate) fn cancel(job: key::Job) -> String {
+    format!("{JOBS}{:016x}{CANCEL}", job.0)
+}
+
+/// progress returns the key of a job's progress.
+pub(crate) fn progress(job: key::Job) -> String {
+    format!("{PROGRESS}{:016x}", job.0)
+}
+
+/// entry reads a key under [`JOBS`].
+pub(crate) fn entry(key: &str) -> Option<Entry> {
+    let rest = key.strip_prefix(JOBS)?;
+    let parse = |hex: &str| u64::from_str_radix(hex, HEX).ok().map(key::Job);
+    match rest.strip_suffix(CANCEL) {
+        Some(hex) => parse(hex).map(Entry::Cancel),
+        None => parse(rest).map(Entry::Job),
+    }
+}
+
+/// progress_of reads a key under [`PROGRESS`].
+pub(crate) fn progress_of(key: &str) -> Option<key::Job> {
+    let hex = key.strip_prefix(PROGRESS)?;
+    u64::from_str_radix(hex, HEX).ok().map(key::Job)
+}
--- /dev/null
+++ b/crates/stackpier-scheduler/src/lib.rs
@@ -0,0 +1,36 @@
+// SPDX-License-Identifier: Apache-2.0
+//! The daemon around a cell: it takes jobs, keeps them in the store, follows
+//! the configuration and the other daemons, and, when it owns the cell,
+//! carries out the decisions of `stackpier-cell`.
+//!
+//! One thread runs everything: an event loop of `tokio` with local tasks. What
+//! the outside speaks is behind the traits [`Store`], [`Fleet`] and
+//! [`Catalog`], which an adapter implements.
+
+pub mod catalog;
+pub mod daemon;
+pub mod desk;
+pub mod fleet;
+pub mod http;
+mod keys;
+mod link;
+pub mod log;
+mod member;
+pub mod metrics;
+mod node;
+mod owner;
+mod saving;
+pub mod settings;
+pub mod store;
+mod watch;
+
+pub use catalog::Catalog;
+pub use fleet::Fleet;
+pub use node::Node;
+pub use settings::Settings;
+pub use store::Store;
+
+/// Platform is everything that the daemon asks of the outside.
+pub trait Platform: Store + Fleet + Catalog + Clone + 'static {}
+
+impl<T: Store + Fleet + Catalog + Clone + 'static> Platform for T {}
--- /dev/null
+++ b/crates/stackpier-scheduler/src/log.rs
@@ -0,0 +1,76 @@
+// SPDX-License-Identifier: Apache-2.0
+//! The log: JSON lines on standard output, written by a thread of its own, so
+//! that no decision waits for them. Each part has a bounded rate; a line says
+//! how many were left out.
+
+use std::{
+    cell::RefCell,
+    collections::HashMap,
+    sync::Mutex,
+};
+
+use slog::{Drain, Logger, o};
+use stackpier_core::Millis;
+
+/// CHANNEL is how many lines may wait to be written; more are dropped and
+/// counted in a line of their own.
+const CHANNEL: usize = 4_096;
+/// LINES_PER_S is how many lines a part may write in a second. At its peak a
+/// cell of today's users starts and ends about 250 tasks a second.
+const LINES_PER_S: u32 = 400;
+/// WINDOW_MS is the time over which lines are counted.
+const WINDOW_MS: u64 = 1_000;
+
+/// logger builds the daemon's log. The guard writes out what waits when it is
+/// dropped.
+pub fn logger(vm: &str) -> (Logger, slog_async::AsyncGuard) {
+    let drain = Mutex::new(slog_json::Json::default(std::io::stdout())).fuse();
+    let (core, guard) = slog_async::AsyncCore::custom(drain)
+        .chan_size(CHANNEL)
+        .build_with_guard();
+    (Logger::root(core.fuse(), o!("vm" => vm.to_owned())), guard)
+}
+
+/// Limit bounds the lines of each part.
+#[derive(Default)]
+pub struct Limit {
+    parts: RefCell<HashMap<&'static str, Window>>,
+}
+
+#[derive(Default)]
+struct Window {
+    start: Millis,
+    lines: u32,
+    left_out: u32,
+}
+
+/// Verdict tells whether a line may be written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// It may; so many lines of the part were left out before it.
+    Write(u32),
+    /// It is left out.
+    Omit,
+}
+
+impl Limit {
+    /// check counts a line of a part.
+    pub fn check(&self, now: Millis, part: &'static str) -> Verdict {
+        let mut parts = self.parts.borrow_mut();
+        let window = parts.entry(part).or_default();
+        let mut left_out = 0;
+        if now.since(window.start) >= WINDOW_MS {
+            left_out = window.left_out;
+            *window = Window {
+                start: now,
+                ..Window::default()
+            };
+        }
+        window.lines += 1;
+        if window.lines > LINES_PER_S {
+            window.left_out += 1;
+            return Verdict::Omit;
+        }
+        Verdict::Write(left_out)
+    }
+}
--- /dev/null
+++ b/crates/stackpier-scheduler/src/member.rs
@@ -0,0 +1,397 @@
+// SPDX-License-Identifier: Apache-2.0
+//! The other daemons: who there is, who owns the cell, and when to take over.
+//!
+//! Followers send heartbeats to the owner. When it does not answer, the
+//! daemons step in by rank: each waits a little longer than the one before it.
+//! A candidate first asks the others whether they hear the owner. The store
+//! decides: the ownership is changed by compare-and-swap, and its fence rises.
+
+use std::time::Duration;
+
+use stackpier_core::{Millis, key};
+use stackpier_protocol::codec::{decode, encode};
+
+use crate::{
+    Platform,
+    keys::{self, CLUSTER, MEMBERS, Member, OWNER, Ownership},
+    link::{Alive, Heartbeat, Request, Response},
+    node::{Node, Owned, pause},
+    store::{Change, Committed, Condition, Item, Put, Transaction},
+    watch::{Feed, Follower, follow},
+};
+
+/// HEARTBEAT_MS is the time between two heartbeats.
+const HEARTBEAT_MS: u64 = 250;
+/// HEARTBEAT_LIMIT bounds the wait for a heartbeat's answer.
+const HEARTBEAT_LIMIT: Duration = Duration::from_millis(400);
+/// SILENT_MS is how long the owner may be silent before a take-over: three
+/// heartbeats and a little.
+const SILENT_MS: u64 = 900;
+/// STORELESS_MS is how long the owner may be without the store, while this
+/// daemon has it, before a take-over.
+const STORELESS_MS: u64 = 1_000;
+/// RANK_MS is how much longer each daemon waits than the one before it.
+const RANK_MS: u64 = 250;
+/// VOTE_LIMIT bounds the wait for another daemon's word on the owner.
+const VOTE_LIMIT: Duration = Duration::from_millis(150);
+/// REGISTER_RETRY_MS is the pause before registering is tried again.
+const REGISTER_RETRY_MS: u64 = 200;
+/// PROBE_MS is the time between two cheap reads that tell whether the store
+/// answers.
+const PROBE_MS: u64 = 1_000;
+
+/// Doubt is why a daemon would take over, and since when.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Doubt {
+    /// Nobody owns the cell, or its owner gave it up or was restarted: it
+    /// orders nothing any more.
+    Vacant,
+    /// The owner does not answer.
+    Silent,
+    /// The owner can't reach the store.
+    Storeless,
+}
+
+/// Watchman sends heartbeats and takes over when it has to.
+struct Watchman<P> {
+    node: Node<P>,
+    doubt: Option<(Doubt, Millis)>,
+    storeless_since: Option<Millis>,
+}
+
+/// run registers this daemon, follows the others and watches over the owner,
+/// for the life of the process.
+pub(crate) async fn run<P: Platform>(node: Node<P>) {
+    register(&node).await;
+    tokio::task::spawn_local(follow(node.clone(), Cluster { node: node.clone() }, None));
+    tokio::task::spawn_local(probe(node.clone()));
+    let mut watchman = Watchman {
+        node: node.clone(),
+        doubt: None,
+        storeless_since: None,
+    };
+    loop {
+        pause(HEARTBEAT_MS).await;
+        if !node.stopping.get() {
+            watchman.turn().await;
+        }
+    }
+}
+
+async fn register<P: Platform>(node: &Node<P>) {
+    let member = Member {
+        vm: node.settings.vm.clone(),
+        boot: node.boot,
+        address: node.settings.peers.to_string(),
+        data_centre: node.settings.data_centre.clone(),
+    };
+    let value = encode(&member).expect("a member is encoded");
+    let transaction = Transaction {
+        puts: vec![Put {
+            key: keys::member(&member.vm),
+            value,
+        }],
+        ..Transaction::default()
+    };
+    while !matches!(node.store_commit(&transaction).await, Committed::Done(_)) {
+        pause(REGISTER_RETRY_MS).await;
+    }
+    node.say("member", "registered in the store");
+}
+
+async fn probe<P: Platform>(node: Node<P>) {
+    loop {
+        pause(PROBE_MS).await;
+        // The outcome is kept by the node.
+        drop(node.store_probe(OWNER).await);
+    }
+}
+
+/// Cluster follows the ownership and the daemons.
+struct Cluster<P> {
+    node: Node<P>,
+}
+
+impl<P: Platform> Follower for Cluster<P> {
+    fn prefix(&self) -> &str {
+        CLUSTER
+    }
+
+    fn is_wanted(&self) -> bool {
+        true
+    }
+
+    fn take(&mut self, feed: Feed) {
+        match feed {
+            Feed::All(items) => {
+                self.node.members.borrow_mut().clear();
+                items.iter().for_each(|item| self.node.take_cluster(item));
+            }
+            Feed::Changes(changes) => {
+                for change in changes {
+                    match change {
+                        Change::Put(item) => self.node.take_cluster(&item),
+                        Change::Removed(key) => self.node.remove_member(&key),
+                    }
+                }
+            }
+        }
+    }
+}
+
+impl<P: Platform> Node<P> {
+    fn take_cluster(&self, item: &Item) {
+        if item.key == OWNER {
+            self.take_ownership(item);
+            return;
+        }
+        match decode::<Member>(&item.value) {
+            Ok(member) => {
+                self.members.borrow_mut().insert(member.vm.clone(), member);
+            }
+            Err(error) => self.say("member", &format!("{} is not readable: {error}", item.key)),
+        }
+    }
+
+    fn remove_member(&self, key: &str) {
+        if let Some(vm) = key.strip_prefix(MEMBERS) {
+            self.members.borrow_mut().remove(vm);
+        }
+    }
+
+    /// take_ownership takes in who owns the cell. Older news is left aside.
+    pub(crate) fn take_ownership(&self, item: &Item) {
+        let ownership = match decode::<Ownership>(&item.value) {
+            Ok(ownership) => ownership,
+            Err(error) => {
+                self.say("member", &format!("the ownership is not readable: {error}"));
+                return;
+            }
+        };
+        let older = |owned: &Owned| owned.revision >= item.revision;
+        if self.owned.borrow().as_ref().is_some_and(older) {
+            return;
+        }
+        let text = format!(
+            "cell owned by {} with fence {}, released {}",
+            ownership.vm, ownership.fence, ownership.released
+        );
+        self.say("member", &text);
+        let own = ownership.vm == self.settings.vm && ownership.boot == self.boot;
+        let fence = ownership.fence;
+        self.owned.replace(Some(Owned {
+            ownership,
+            revision: item.revision,
+        }));
+        self.heard.set(self.mono());
+        if !own {
+            self.depose(fence, "the store shows another owner");
+        }
+    }
+
+    /// alive answers a heartbeat.
+    pub(crate) fn alive(&self, heartbeat: &Heartbeat) -> Alive {
+        let fence = self.owned.borrow().as_ref().map_or(0, |owned| owned.ownership.fence);
+        if heartbeat.fence > fence {
+            self.depose(heartbeat.fence, "a follower knows a later owner");
+        }
+        Alive {
+            boot: self.boot,
+            fence,
+            owner: self.is_owner() || self.is_loading(),
+            store: self.store_answers(),
+            config: self.config_version(),
+        }
+    }
+
+    /// heard_owner tells whether the owner with this fence was heard lately.
+    pub(crate) fn heard_owner(&self, fence: u64) -> bool {
+        let known = self.owned.borrow().as_ref().map_or(0, |owned| owned.ownership.fence);
+        known > fence || known == fence && self.mono().since(self.heard.get()) < SILENT_MS / 2
+    }
+
+    /// is_loading tells whether this daemon owns the cell by the store's word.
+    fn is_loading(&self) -> bool {
+        let owned = self.owned.borrow();
+        owned.as_ref().is_some_and(|owned| {
+            let ownership = &owned.ownership;
+            ownership.boot == self.boot && !ownership.released
+        })
+    }
+}
+
+impl<P: Platform> Watchman<P> {
+    async fn turn(&mut self) {
+        let owned = self.node.owned.borrow().clone();
+        let now = self.node.mono();
+        let doubt = match &owned {
+            _ if self.node.members.borrow().is_empty() => None,
+            None => Some(Doubt::Vacant),
+            Some(owned) => self.check(owned).await,
+        };
+        self.doubt = match (doubt, self.doubt) {
+            (Some(new), Some((old, since))) if new == old => Some((old, since)),
+            (Some(new), _) => Some((new, now)),
+            (None, _) => None,
+        };
+        let Some((doubt, since)) = self.doubt else {
+            return;
+        };
+        let delay = self.rank(&owned) * RANK_MS;
+        if self.node.mono().since(since) >= delay && self.node.store_answers() {
+            self.stand(doubt, owned).await;
+        }
+    }
+
+    /// check tells whether something speaks against the owner.
+    async fn check(&mut self, owned: &Owned) -> Option<Doubt> {
+        let ownership = &owned.ownership;
+        if ownership.boot == self.node.boot {
+            return ownership.released.then_some(Doubt::Vacant);
+        }
+        let restarted = |member: &Member| member.boot != ownership.boot;
+        let dead = self.node.members.borrow().get(&ownership.vm).is_some_and(restarted);
+        if ownership.released || dead {
+            return Some(Doubt::Vacant);
+        }
+        match self.heartbeat(ownership).await {
+            Some(alive) if alive.owner => {
+                let now = self.node.mono();
+                self.node.heard.set(now);
+                self.check_store(alive, now)
+            }
+            _ => self.is_silent().then_some(Doubt::Silent),
+        }
+    }
+
+    fn is_silent(&self) -> bool {
+        self.node.mono().since(self.node.heard.get()) >= SILENT_MS
+    }
+
+    fn check_store(&mut self, alive: Alive, now: Millis) -> Option<Doubt> {
+        if alive.store || !self.node.store_answers() {
+            self.storeless_since = None;
+            return None;
+        }
+        let since = *self.storeless_since.get_or_insert(now);
+        (now.since(since) >= STORELESS_MS).then_some(Doubt::Storeless)
+    }
+
+    async fn heartbeat(&self, ownership: &Ownership) -> Option<Alive> {
+        let heartbeat = Heartbeat {
+            vm: self.node.settings.vm.clone(),
+            fence: ownership.fence,
+            config: self.node.config_version(),
+        };
+        let request = Request::Heartbeat(heartbeat);
+        let answer = self.node.links.call(&ownership.address, &request, HEARTBEAT_LIMIT).await;
+        match answer {
+            Ok(Response::Alive(alive)) if alive.boot == ownership.boot => {
+                if alive.config > self.node.config_version() {
+                    let node = self.node.clone();
+                    let address = ownership.address.clone();
+                    tokio::task::spawn_local(async move { node.fetch_config(&address).await });
+                }
+                Some(alive)
+            }
+            _ => None,
+        }
+    }
+
+    /// rank returns this daemon's place among those that could take over.
+    fn rank(&self, owned: &Option<Owned>) -> u64 {
+        let owner = owned.as_ref().map(|owned| &owned.ownership);
+        if owner.is_some_and(|owner| owner.vm == self.node.settings.vm) {
+            return 0;
+        }
+        let item = owner.map_or(0, |owner| owner.fence).to_le_bytes();
+        let weight = |vm: &str| key::weight(&item, key::weight(vm.as_bytes(), 0));
+        let own = weight(&self.node.settings.vm);
+        let members = self.node.members.borrow();
+        let before = |member: &&Member| {
+            owner.is_none_or(|owner| owner.vm != member.vm) && weight(&member.vm) > own
+        };
+        members.values().filter(before).count() as u64
+    }
+
+    /// stand takes over, unless others still hear the owner.
+    async fn stand(&mut self, doubt: Doubt, owned: Option<Owned>) {
+        let fence = owned.as_ref().map_or(0, |owned| owned.ownership.fence);
+        if doubt == Doubt::Silent && self.is_heard(&owned, fence).await {
+            self.doubt = None;
+            self.node.heard.set(self.node.mono());
+            return;
+        }
+        let text = format!("taking over: owner is {doubt:?}, last heard {} ms ago",
+            self.node.mono().since(self.node.heard.get()));
+        self.node.say("member", &text);
+        self.doubt = None;
+        self.swap(doubt, owned, fence).await;
+    }
+
+    async fn is_heard(&self, owned: &Option<Owned>, fence: u64) -> bool {
+        let own = &self.node.settings.vm;
+        let owner = owned.as_ref().map(|owned| owned.ownership.vm.clone());
+        let members: Vec<Member> = self.node.members.borrow().values().cloned().collect();
+        let others = members.into_iter().filter(|member| member.vm != *own && Some(&member.vm) != owner.as_ref());
+        let asked: Vec<_> = others
+            .map(|member| {
+                let node = self.node.clone();
+                tokio::task::spawn_local(async move {
+                    let request = Request::Heard(fence);
+                    let asked = node.links.call(&member.address, &request, VOTE_LIMIT);
+                    matches!(asked.await, Ok(Response::Flag(true)))
+                })
+            })
+            .collect();
+        let mut heard = false;
+        for answer in asked {
+            heard |= answer.await.unwrap_or(false);
+        }
+        heard
+    }
+
+    /// swap changes the ownership in the store, if nobody else did.
+    async fn swap(&mut self, doubt: Doubt, owned: Option<Owned>, fence: u64) {
+        let ownership = Ownership {
+            vm: self.node.settings.vm.clone(),
+            boot: self.node.boot,
+            address: self.node.settings.peers.to_string(),
+            fence: fence + 1,
+            released: false,
+        };
+        let value = encode(&ownership).expect("an ownership is encoded");
+        let transaction = Transaction {
+            conditions: vec![Condition {
+                key: OWNER.to_owned(),
+                revision: owned.as_ref().map_or(0, |owned| owned.revision),
+            }],
+            puts: vec![Put {
+                key: OWNER.to_owned(),
+                value: value.clone(),
+            }],
+            removals: Vec::new(),
+        };
+        let item = match self.node.store_commit(&transaction).await {
+            Committed::Done(revision) => Some(Item {
+                key: OWNER.to_owned(),
+                value,
+                revision,
+            }),
+            // An unclear swap is read back: it may have been done.
+            Committed::Conflict(_) | Committed::Unknown => {
+                self.node.store_get(OWNER).await.ok().flatten()
+            }
+            Committed::Refused => None,
+        };
+        let Some(item) = item else {
+            return;
+        };
+        self.node.take_ownership(&item);
+        let won = self.node.owned.borrow().clone();
+        if let Some(won) = won.filter(|won| won.ownership.boot == self.node.boot && !won.ownership.released) {
+            let predecessor = doubt != Doubt::Vacant;
+            self.node.load(won, predecessor).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/stackpier-scheduler/src/node.rs
@@ -0,0 +1,261 @@
+// SPDX-License-Identifier: Apache-2.0
+//! What all tasks of a daemon share: its settings, its view of the other
+//! daemons and of the configuration, and the cell if it owns it.
+
+use std::{
+    cell::{Cell as Slot, RefCell},
+    collections::BTreeMap,
+    ops::Deref,
+    rc::Rc,
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+};
+
+use slog::{Logger, info, warn};
+use stackpier_cell::Now;
+use stackpier_core::{Millis, Result, Unix, key::Boot};
+
+use crate::{
+    Platform, Settings,
+    catalog::Config,
+    keys::{Member, Ownership},
+    link::Links,
+    log::{Limit, Verdict},
+    metrics::{Metrics, labels},
+    owner::Owner,
+    store::{Committed, Item, Listing, Transaction, Watched},
+};
+
+/// STORE_FRESH_MS is how long an answer of the store counts as a sign that it
+/// can be reached.
+const STORE_FRESH_MS: u64 = 1_500;
+
+/// Node is a handle on the daemon's shared state.
+pub struct Node<P> {
+    inner: Rc<Inner<P>>,
+}
+
+/// Owned is the ownership of the cell as last read, with its revision.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Owned {
+    pub ownership: Ownership,
+    pub revision: u64,
+}
+
+/// Inner is the shared state.
+pub struct Inner<P> {
+    pub(crate) settings: Settings,
+    pub(crate) platform: P,
+    pub(crate) boot: Boot,
+    pub(crate) log: Logger,
+    pub(crate) limit: Limit,
+    pub(crate) metrics: Metrics,
+    pub(crate) links: Links,
+    pub(crate) config: RefCell<Option<Rc<Config>>>,
+    /// The configuration's item, to pass it on to peers.
+    pub(crate) config_item: RefCell<Option<Item>>,
+    pub(crate) members: RefCell<BTreeMap<String, Member>>,
+    pub(crate) owned: RefCell<Option<Owned>>,
+    pub(crate) owner: RefCell<Option<Owner>>,
+    pub(crate) store: StoreHealth,
+    /// When the owner was last heard.
+    pub(crate) heard: Slot<Millis>,
+    pub(crate) stopping: Slot<bool>,
+    pub(crate) busy: Slot<usize>,
+    start: Instant,
+}
+
+/// StoreHealth tells when the store last answered and last did not.
+#[derive(Debug, Default)]
+pub(crate) struct StoreHealth {
+    answered: Slot<Millis>,
+    failed: Slot<Millis>,
+    lost: Slot<bool>,
+}
+
+impl<P> Clone for Node<P> {
+    fn clone(&self) -> Node<P> {
+        Node {
+            inner: Rc::clone(&self.inner),
+        }
+    }
+}
+
+impl<P> Deref for Node<P> {
+    type Target = Inner<P>;
+
+    fn deref(&self) -> &Inner<P> {
+        &self.inner
+    }
+}
+
+impl<P: Platform> Node<P> {
+    /// new builds the state of a daemon that has just started.
+    pub fn new(settings: Settings, platform: P, log: Logger) -> anyhow::Result<Node<P>> {
+        let inner = Inner {
+            settings,
+            platform,
+            boot: Boot(rand::random()),
+            log,
+            limit: Limit::default(),
+            metrics: Metrics::new()?,
+            links: Links::default(),
+            config: RefCell::default(),
+            config_item: RefCell::default(),
+            members: RefCell::default(),
+            owned: RefCell::default(),
+            owner: RefCell::default(),
+            store: StoreHealth::default(),
+            heard: Slot::default(),
+            stopping: Slot::default(),
+            busy: Slot::default(),
+            start: Instant::now(),
+        };
+        Ok(Node {
+            inner: Rc::new(inner),
+        })
+    }
+
+    /// now returns the time.
+    pub(crate) fn now(&self) -> Now {
+        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+        let unix = since_epoch.map_or(0, |time| time.as_millis() as u64);
+        Now {
+            mono: self.mono(),
+            unix: Unix(unix),
+        }
+    }
+
+    /// mono returns the time on the own monotonic clock. It starts above zero,
+    /// so that zero stands for never.
+    pub(crate) fn mono(&self) -> Millis {
+        Millis(self.start.elapsed().as_millis() as u64 + 1)
+    }
+
+    /// say writes a log line of a part, within the part's rate.
+    pub(crate) fn say(&self, part: &'static str, text: &str) {
+        self.say_of(part, None, text);
+    }
+
+    /// say_of writes a log line about a job, task or other subject.
+    pub(crate) fn say_of(&self, part: &'static str, subject: Option<String>, text: &str) {
+        match self.limit.check(self.mono(), part) {
+            Verdict::Omit => {}
+            Verdict::Write(left_out) => {
+                if left_out > 0 {
+                    warn!(self.log, "log: {} lines of part {} left out", left_out, part);
+                }
+                let subject = subject.unwrap_or_default();
+                info!(self.log, "{}: {}", part, text; "subject" => subject, "at_ms" => self.mono().0);
+            }
+        }
+    }
+
+    /// is_ready tells whether this daemon can take jobs now.
+    pub fn is_ready(&self) -> bool {
+        let known = self.config.borrow().is_some() && self.owned.borrow().is_some();
+        known && !self.stopping.get() && self.store_answers()
+    }
+
+    /// store_answers tells whether the store answered lately.
+    pub(crate) fn store_answers(&self) -> bool {
+        let answered = self.store.answered.get();
+        answered > Millis(0) && self.mono().since(answered) < STORE_FRESH_MS
+    }
+
+    /// is_owner tells whether this daemon owns the cell and has it loaded.
+    pub(crate) fn is_owner(&self) -> bool {
+        self.owner.borrow().is_some()
+    }
+
+    fn store_result<T>(&self, call: &'static str, result: Result<T>) -> Result<T> {
+        let outcome = if result.is_ok() { "answered" } else { "failed" };
+        self.metrics.store_calls.add(1, &labels(call, outcome));
+        match &result {
+            Ok(_) => self.store_answered(),
+            Err(error) => self.store_failed(call, &error.message),
+        }
+        result
+    }
+
+    fn store_answered(&self) {
+        self.store.answered.set(self.mono());
+        if self.store.lost.replace(false) {
+            self.say("store", "the store answers again");
+        }
+    }
+
+    fn store_failed(&self, call: &'static str, why: &str) {
+        self.store.failed.set(self.mono());
+        if !self.store.lost.replace(true) {
+            let since = self.mono().since(self.store.answered.get());
+            let text = format!("the store failed a {call}: {why}; last answer {since} ms ago");
+            self.say("store", &text);
+        }
+    }
+
+    pub(crate) async fn store_get(&self, key: &str) -> Result<Option<Item>> {
+        let result = self.platform.get(key).await;
+        self.store_result("get", result)
+    }
+
+    pub(crate) async fn store_probe(&self, key: &str) -> Result<()> {
+        let result = self.platform.probe(key).await;
+        self.store_result("probe", result)
+    }
+
+    pub(crate) async fn store_list(&self, prefix: &str) -> Result<Listing> {
+        let result = self.platform.list(prefix).await;
+        self.store_result("list", result)
+    }
+
+    pub(crate) async fn store_watch(&self, prefix: &str, after: u64, wait_ms: u64) -> Result<Watched> {
+        let result = self.platform.watch(prefix, after, wait_ms).await;
+        self.store_result("watch", result)
+    }
+
+    pub(crate) async fn store_commit(&self, transaction: &Transaction) -> Committed {
+        let committed = self.platform.commit(transaction).await;
+        let outcome = match &committed {
+            Committed::Done(_) => "done",
+            Committed::Conflict(_) => "conflict",
+            Committed::Refused => "refused",
+            Committed::Unknown => "unknown",
+        };
+        self.metrics.store_calls.add(1, &labels("commit", outcome));
+        match committed {
+            Committed::Done(_) | Committed::Conflict(_) => self.store_answered(),
+            Committed::Refused | Committed::Unknown => self.store_failed("commit", outcome),
+        }
+        committed
+    }
+}
+
+/// pause waits some milliseconds.
+pub(crate) async fn pause(ms: u64) {
+    tokio::time::sleep(Duration::from_millis(ms)).await;
+}
+
+/// Served is a request that is being answered.
+#[derive(Clone, Copy, Debug)]
+pub struct Served {
+    start: Millis,
+}
+
+impl<P: Platform> Node<P> {
+    /// begin counts a request that came in.
+    pub fn begin(&self) -> Served {
+        self.busy.set(self.busy.get() + 1);
+        Served { start: self.mono() }
+    }
+
+    /// finish logs and counts the answer to a request.
+    pub fn finish(&self, served: Served, asked: &str, status: u16, why: &str) {
+        self.busy.set(self.busy.get() - 1);
+        let took_ms = self.mono().since(served.start);
+        self.metrics.latency.record(took_ms as f64 / 1_000.0, &[]);
+        let status_label = opentelemetry::KeyValue::new("status", i64::from(status));
+        self.metrics.answers.add(1, &[status_label]);
+        let text = format!("{status} after {took_ms} ms {why}");
+        self.say_of("request", Some(asked.to_owned()), &text);
+    }
+}
--- /dev/null
+++ b/crates/stackpier-scheduler/src/owner.rs
@@ -0,0 +1,404 @@
+// SPDX-License-Identifier: Apache-2.0
+//! Owning the cell: loading it from the store, feeding it with what happens,
+//! and carrying out what it decides.
+
+use std::{cell::RefCell, collections::HashMap, rc::Rc};
+
+use stackpier_cell::{Cell, Effect, Event, RosterEntry, Start};
+use stackpier_core::{Result, key};
+use stackpier_protocol::codec::decode;
+use stackpier_state::job::{Progress, Record, State};
+
+use crate::{
+    Platform,
+    keys::{self, Entry, JOBS, OWNER, PROGRESS, ROSTER},
+    node::{Node, Owned, pause},
+    saving::Revisions,
+    store::{Change, Item, Listing},
+    watch::{Feed, Follower, follow},
+};
+
+/// TICK_MS is the time between two ticks of the cell.
+const TICK_MS: u64 = 50;
+/// LOAD_RETRY_MS is the pause before loading is tried again.
+const LOAD_RETRY_MS: u64 = 200;
+/// JOBS_PAUSE_MS is the pause between two looks at new jobs in the store.
+/// Daemons also tell the owner of each job, so this only catches lost messages.
+const JOBS_PAUSE_MS: u64 = 700;
+
+/// Owner is the cell with what its owner needs to save it.
+pub(crate) struct Owner {
+    pub cell: Cell,
+    pub fence: u64,
+    pub revision: u64,
+    pub revisions: Rc<RefCell<Revisions>>,
+}
+
+/// Loaded is all that the store keeps of a cell.
+struct Loaded {
+    jobs: Listing,
+    progress: Listing,
+    roster: Option<Item>,
+    workers: Listing,
+}
+
+impl<P: Platform> Node<P> {
+    /// load reads the cell from the store and begins to schedule it.
+    pub(crate) async fn load(&self, owned: Owned, predecessor: bool) {
+        let fence = owned.ownership.fence;
+        let loaded = loop {
+            match self.read().await {
+                Ok(loaded) => break loaded,
+                Err(error) => self.say("owner", &format!("cell not read yet: {error}")),
+            }
+            pause(LOAD_RETRY_MS).await;
+            if self.fence() != fence {
+                return;
+            }
+        };
+        if self.fence() != fence {
+            return;
+        }
+        let text = format!(
+            "owns the cell with fence {fence}: {} jobs, {} workers listed, predecessor may act: {predecessor}",
+            loaded.progress.items.len(),
+            loaded.workers.items.len()
+        );
+        self.say("owner", &text);
+        self.metrics.ownerships.add(1, &[]);
+        self.install(owned, predecessor, loaded);
+    }
+
+    fn fence(&self) -> u64 {
+        self.owned.borrow().as_ref().map_or(0, |owned| owned.ownership.fence)
+    }
+
+    async fn read(&self) -> Result<Loaded> {
+        Ok(Loaded {
+            jobs: self.store_list(JOBS).await?,
+            progress: self.store_list(PROGRESS).await?,
+            roster: self.store_get(ROSTER).await?,
+            workers: self.store_list(self.platform.workers_prefix()).await?,
+        })
+    }
+
+    fn install(&self, owned: Owned, predecessor: bool, loaded: Loaded) {
+        let fence = owned.ownership.fence;
+        let mut revisions = Revisions::default();
+        let mut cell = Cell::new(self.settings.cell, fence, self.now(), predecessor);
+        if let Some(item) = &loaded.roster {
+            revisions.set(ROSTER, item.revision);
+            match decode::<Vec<RosterEntry>>(&item.value) {
+                Ok(entries) => entries.iter().for_each(|entry| cell.add_roster(entry)),
+                Err(error) => self.say("owner", &format!("the roster is not readable: {error}")),
+            }
+        }
+        let mut progress = HashMap::new();
+        for item in &loaded.progress.items {
+            revisions.set(&item.key, item.revision);
+            if let Some(job) = keys::progress_of(&item.key) {
+                progress.insert(job, item.value.clone());
+            }
+        }
+        self.owner.replace(Some(Owner {
+            cell,
+            fence,
+            revision: owned.revision,
+            revisions: Rc::new(RefCell::new(revisions)),
+        }));
+        self.feed_queues();
+        let mut jobs = Jobs {
+            node: self.clone(),
+            fence,
+            progress,
+        };
+        jobs.take(Feed::All(loaded.jobs.items));
+        let mut workers = Workers {
+            node: self.clone(),
+            fence,
+            listed: Vec::new(),
+        };
+        workers.take(Feed::All(loaded.workers.items));
+        let (jobs_at, workers_at) = (loaded.jobs.at, loaded.workers.at);
+        tokio::task::spawn_local(follow(self.clone(), jobs, Some(jobs_at)));
+        tokio::task::spawn_local(follow(self.clone(), workers, Some(workers_at)));
+        tokio::task::spawn_local(tick(self.clone(), fence));
+    }
+
+    /// feed_queues tells the cell the queues of the configuration.
+    pub(crate) fn feed_queues(&self) {
+        let config = self.config.borrow().clone();
+        let fence = self.owner.borrow().as_ref().map(|owner| owner.fence);
+        if let (Some(config), Some(fence)) = (config, fence) {
+            let queues = config.routes.iter().map(|route| route.queue.clone()).collect();
+            self.feed(fence, Event::Queues(queues));
+        }
+    }
+
+    /// is_at tells whether this daemon still owns the cell with this fence.
+    pub(crate) fn is_at(&self, fence: u64) -> bool {
+        self.owner.borrow().as_ref().is_some_and(|owner| owner.fence == fence)
+    }
+
+    /// feed gives the cell an event and carries out what it decides. Events of
+    /// an earlier ownership are left aside.
+    pub(crate) fn feed(&self, fence: u64, event: Event) {
+        let effects = {
+            let mut slot = self.owner.borrow_mut();
+            let Some(owner) = slot.as_mut().filter(|owner| owner.fence == fence) else {
+                return;
+            };
+            owner.cell.step(self.now(), event)
+        };
+        for effect in effects {
+            self.carry_out(fence, effect);
+        }
+    }
+
+    fn carry_out(&self, fence: u64, effect: Effect) {
+        match effect {
+            Effect::Note(note) => {
+                self.metrics.decisions.add(1, &[opentelemetry::KeyValue::new("part", note.part)]);
+                let subject = note.subject.map(|name| name.to_string());
+                self.say_of(note.part, subject, &note.text);
+            }
+            Effect::Deposed => self.depose(fence + 1, "a worker or the store knows a later fence"),
+            Effect::Start(start) => self.spawn(move |node| node.send_start(fence, start)),
+            Effect::Stop(stop) => self.spawn(move |node| async move {
+                let outcome = node.platform.stop(&stop).await;
+                node.count_worker("stop", outcome == stackpier_cell::Stopped::Yes);
+                let run = stop.order.key;
+                node.feed(fence, Event::Stopped { run, outcome });
+            }),
+            Effect::Pace(pace) => self.spawn(move |node| async move {
+                let taken = node.platform.pace(&pace).await;
+                node.count_worker("pace", taken);
+                let text = format!("pace {} ordered, taken: {taken}", pace.percent);
+                node.say_of("pace", Some(pace.order.task.to_string()), &text);
+            }),
+            Effect::Hold(hold) => self.spawn(move |node| async move {
+                let sent = node.mono();
+                let outcome = node.platform.hold(&hold).await;
+                let answered = matches!(outcome, stackpier_cell::Held::Report(_));
+                node.count_worker("hold", answered);
+                let worker = hold.worker;
+                node.feed(fence, Event::Held { worker, sent, outcome });
+            }),
+            Effect::Save(save) => self.spawn(move |node| async move {
+                let saved = node.save(fence, save).await;
+                node.feed(fence, Event::Saved(saved));
+            }),
+            Effect::Confirm => self.spawn(move |node| node.confirm(fence)),
+        }
+    }
+
+    fn spawn<F, R>(&self, task: F)
+    where
+        F: FnOnce(Node<P>) -> R,
+        R: std::future::Future<Output = ()> + 'static,
+    {
+        tokio::task::spawn_local(task(self.clone()));
+    }
+
+    async fn send_start(self, fence: u64, start: Start) {
+        let outcome = self.platform.start(&start).await;
+        self.count_worker("start", outcome == stackpier_cell::Started::Yes);
+        let order = &start.order;
+        let text = format!("run {} on worker {}: {outcome:?}", order.run, order.life);
+        self.say_of("place", Some(order.task.to_string()), &text);
+        let run = order.key;
+        self.feed(fence, Event::Started { run, outcome });
+    }
+
+    fn count_worker(&self, call: &'static str, done: bool) {
+        let outcome = if done { "done" } else { "failed" };
+        self.metrics.worker_calls.add(1, &crate::metrics::labels(call, outcome));
+    }
+
+    /// confirm asks the store whether this daemon still owns the cell.
+    async fn confirm(self, fence: u64) {
+        let sent = self.mono();
+        match self.store_get(OWNER).await {
+            Ok(Some(item)) => {
+                self.take_ownership(&item);
+                self.feed(fence, Event::Confirmed(sent));
+            }
+            Ok(None) => self.depose(fence + 1, "the store has no owner"),
+            Err(_) => {
+                if let Some(owner) = self.owner.borrow_mut().as_mut() {
+                    owner.cell.confirm_failed();
+                }
+            }
+        }
+    }
+
+    /// depose gives the cell up if it is owned with a lower fence.
+    pub(crate) fn depose(&self, fence: u64, why: &str) {
+        let own = self.owner.borrow().as_ref().map(|owner| owner.fence);
+        if own.is_some_and(|own| own < fence) {
+            self.owner.replace(None);
+            self.say("owner", &format!("gave up the cell: {why}"));
+        }
+    }
+
+    /// job_state returns a job's state if this daemon owns the cell and knows
+    /// the job.
+    pub(crate) fn job_state(&self, job: key::Job) -> Option<State> {
+        self.owner.borrow().as_ref()?.cell.state(job)
+    }
+}
+
+async fn tick<P: Platform>(node: Node<P>, fence: u64) {
+    while node.is_at(fence) {
+        node.feed(fence, Event::Tick);
+        if let Some(owner) = node.owner.borrow().as_ref() {
+            node.metrics.running.record(owner.cell.running() as u64, &[]);
+            node.metrics.waiting.record(owner.cell.ready() as u64, &[]);
+        }
+        pause(TICK_MS).await;
+    }
+    node.metrics.running.record(0, &[]);
+    node.metrics.waiting.record(0, &[]);
+}
+
+/// Jobs follows jobs and their cancelling for the owner.
+struct Jobs<P> {
+    node: Node<P>,
+    fence: u64,
+    /// Progress under earlier owners, until the job is met.
+    progress: HashMap<key::Job, Vec<u8>>,
+}
+
+impl<P: Platform> Jobs<P> {
+    fn take_item(&mut self, item: &Item) {
+        match keys::entry(&item.key) {
+            Some(Entry::Job(job)) => self.take_job(job, item),
+            Some(Entry::Cancel(job)) => self.node.feed(self.fence, Event::Cancelled(job)),
+            None => self.node.say("owner", &format!("key {} is not known", item.key)),
+        }
+    }
+
+    fn take_job(&mut self, job: key::Job, item: &Item) {
+        let record = match decode::<Record>(&item.value) {
+            Ok(record) => record,
+            Err(error) => {
+                let text = format!("the job is not readable: {error}");
+                self.node.say_of("owner", Some(format!("{:016x}", job.0)), &text);
+                return;
+            }
+        };
+        let progress = self.progress.remove(&job).and_then(|value| match decode::<Progress>(&value) {
+            Ok(progress) => Some(Box::new(progress)),
+            Err(error) => {
+                let text = format!("the progress is not readable: {error}");
+                self.node.say_of("owner", Some(format!("{:016x}", job.0)), &text);
+                None
+            }
+        });
+        let event = Event::Accepted {
+            job,
+            record: Box::new(record),
+            progress,
+            cancelled: false,
+        };
+        self.node.feed(self.fence, event);
+    }
+}
+
+impl<P: Platform> Follower for Jobs<P> {
+    fn prefix(&self) -> &str {
+        JOBS
+    }
+
+    fn is_wanted(&self) -> bool {
+        self.node.is_at(self.fence)
+    }
+
+    fn pause_ms(&self) -> u64 {
+        JOBS_PAUSE_MS
+    }
+
+    fn take(&mut self, feed: Feed) {
+        match feed {
+            Feed::All(items) => items.iter().for_each(|item| self.take_item(item)),
+            Feed::Changes(changes) => {
+                for change in changes {
+                    if let Change::Put(item) = change {
+                        self.take_item(&item);
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// Workers follows the list of workers for the owner.
+struct Workers<P> {
+    node: Node<P>,
+    fence: u64,
+    listed: Vec<String>,
+}
+
+impl<P: Platform> Workers<P> {
+    fn take_item(&mut self, item: &Item) {
+        match self.node.platform.worker(item) {
+            Ok(info) => {
+                if !self.listed.contains(&info.id) {
+                    self.listed.push(info.id.clone());
+                }
+                self.node.feed(self.fence, Event::Listed(info));
+            }
+            Err(error) => {
+                let text = format!("entry {} is not readable: {error}", item.key);
+                self.node.say("worker", &text);
+            }
+        }
+    }
+
+    fn remove(&mut self, id: &str) {
+        self.listed.retain(|listed| listed != id);
+        self.node.feed(self.fence, Event::Unlisted(id.to_owned()));
+    }
+
+    fn take_all(&mut self, items: &[Item]) {
+        let platform = &self.node.platform;
+        let present: Vec<&str> = items.iter().map(|item| platform.worker_id(&item.key)).collect();
+        let gone: Vec<String> = self
+            .listed
+            .iter()
+            .filter(|id| !present.contains(&id.as_str()))
+            .cloned()
+            .collect();
+        for id in gone {
+            self.remove(&id);
+        }
+        items.iter().for_each(|item| self.take_item(item));
+    }
+}
+
+impl<P: Platform> Follower for Workers<P> {
+    fn prefix(&self) -> &str {
+        self.node.platform.workers_prefix()
+    }
+
+    fn is_wanted(&self) -> bool {
+        self.node.is_at(self.fence)
+    }
+
+    fn take(&mut self, feed: Feed) {
+        match feed {
+            Feed::All(items) => self.take_all(&items),
+            Feed::Changes(changes) => {
+                for change in changes {
+                    match change {
+                        Change::Put(item) => self.take_item(&item),
+                        Change::Removed(key) => {
+                            let id = self.node.platform.worker_id(&key).to_owned();
+                            self.remove(&id);
+                        }
+                    }
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/stackpier-scheduler/src/saving.rs
@@ -0,0 +1,168 @@
+// SPDX-License-Identifier: Apache-2.0
+//! Writing a cell's progress: each write requires that this daemon still owns
+//! the cell and that the value is the one it wrote last, so that a write whose
+//! answer was lost can't overwrite a later one.
+
+use std::{cell::RefCell, collections::HashMap, rc::Rc};
+
+use stackpier_cell::Save;
+use stackpier_protocol::codec::encode;
+
+use crate::{
+    Platform,
+    keys::{self, OWNER, ROSTER},
+    node::{Node, pause},
+    store::{Committed, Condition, Item, Put, Transaction},
+};
+
+/// PUTS is how many keys go into one transaction: with a condition for each
+/// and one for the ownership they stay within 32 entries.
+const PUTS: usize = 15;
+/// TRIES is how often an unclear write is sent before the save fails.
+const TRIES: usize = 3;
+/// RETRY_MS is the pause between two tries.
+const RETRY_MS: u64 = 60;
+
+/// Revisions are the last known revisions of the owner's keys.
+#[derive(Debug, Default)]
+pub(crate) struct Revisions {
+    keys: HashMap<String, u64>,
+}
+
+impl Revisions {
+    pub(crate) fn set(&mut self, key: &str, revision: u64) {
+        self.keys.insert(key.to_owned(), revision);
+    }
+
+    fn of(&self, key: &str) -> u64 {
+        self.keys.get(key).copied().unwrap_or(0)
+    }
+}
+
+impl<P: Platform> Node<P> {
+    /// save writes a save and tells whether all of it is in the store.
+    pub(crate) async fn save(&self, fence: u64, save: Save) -> bool {
+        let Some((revision, revisions)) = self.saving(fence) else {
+            return false;
+        };
+        let mut puts = Vec::new();
+        if let Some(roster) = &save.roster {
+            puts.push(put(ROSTER.to_owned(), roster));
+        }
+        for (job, progress) in &save.jobs {
+            puts.push(put(keys::progress(*job), progress));
+        }
+        for chunk in puts.chunks(PUTS) {
+            if !self.write(fence, revision, &revisions, chunk).await {
+                return false;
+            }
+        }
+        self.forget(fence, revision, &save).await
+    }
+
+    fn saving(&self, fence: u64) -> Option<(u64, Rc<RefCell<Revisions>>)> {
+        let owner = self.owner.borrow();
+        let owner = owner.as_ref().filter(|owner| owner.fence == fence)?;
+        Some((owner.revision, Rc::clone(&owner.revisions)))
+    }
+
+    async fn write(&self, fence: u64, owned: u64, revisions: &RefCell<Revisions>, puts: &[Put]) -> bool {
+        for _ in 0..TRIES {
+            let transaction = transaction(owned, &revisions.borrow(), puts);
+            match self.store_commit(&transaction).await {
+                Committed::Done(at) => {
+                    let mut revisions = revisions.borrow_mut();
+                    puts.iter().for_each(|put| revisions.set(&put.key, at));
+                    return true;
+                }
+                Committed::Conflict(items) => {
+                    if self.owned_by_other(fence, owned, &items) {
+                        return false;
+                    }
+                    learn(&mut revisions.borrow_mut(), puts, &items);
+                }
+                Committed::Refused => return false,
+                Committed::Unknown => pause(RETRY_MS).await,
+            }
+        }
+        false
+    }
+
+    /// owned_by_other tells whether a conflict shows another owner, and gives
+    /// the cell up if it does.
+    fn owned_by_other(&self, fence: u64, owned: u64, items: &[Item]) -> bool {
+        let owner = items.iter().find(|item| item.key == OWNER);
+        if owner.is_some_and(|item| item.revision == owned) {
+            return false;
+        }
+        if let Some(item) = owner {
+            self.take_ownership(item);
+        }
+        self.depose(fence + 1, "a save found another owner in the store");
+        true
+    }
+
+    async fn forget(&self, fence: u64, owned: u64, save: &Save) -> bool {
+        if save.forgotten.is_empty() {
+            return true;
+        }
+        let mut removals = Vec::new();
+        for job in &save.forgotten {
+            removals.extend([keys::job(*job), keys::cancel(*job), keys::progress(*job)]);
+        }
+        // One entry is left for the condition on the ownership.
+        for chunk in removals.chunks(2 * PUTS) {
+            let transaction = Transaction {
+                conditions: vec![owner_at(owned)],
+                puts: Vec::new(),
+                removals: chunk.to_vec(),
+            };
+            match self.store_commit(&transaction).await {
+                Committed::Done(_) => {}
+                Committed::Conflict(items) => {
+                    self.owned_by_other(fence, owned, &items);
+                    return false;
+                }
+                Committed::Refused | Committed::Unknown => return false,
+            }
+        }
+        true
+    }
+}
+
+fn put<T: serde::Serialize>(key: String, value: &T) -> Put {
+    Put {
+        key,
+        value: encode(value).expect("a value of the own types is encoded"),
+    }
+}
+
+fn owner_at(revision: u64) -> Condition {
+    Condition {
+        key: OWNER.to_owned(),
+        revision,
+    }
+}
+
+fn transaction(owned: u64, revisions: &Revisions, puts: &[Put]) -> Transaction {
+    let condition = |put: &Put| Condition {
+        key: put.key.clone(),
+        revision: revisions.of(&put.key),
+    };
+    let mut conditions = vec![owner_at(owned)];
+    conditions.extend(puts.iter().map(condition));
+    Transaction {
+        conditions,
+        puts: puts.to_vec(),
+        removals: Vec::new(),
+    }
+}
+
+/// learn takes the present revisions from a conflict: an earlier try whose
+/// answer was lost has been done.
+fn learn(revisions: &mut Revisions, puts: &[Put], items: &[Item]) {
+    for put in puts {
+        let present = items.iter().find(|item| item.key == put.key);
+        revisions.set(&put.key, present.map_or(0, |item| item.revision));
+    }
+}
--- /dev/null
+++ b/crates/stackpier-scheduler/src/settings.rs
@@ -0,0 +1,120 @@
+// SPDX-License-Identifier: Apache-2.0
+//! The daemon's settings: JSON checked into types. `docs/CONFIGURATION.md`
+//! describes each.
+
+use std::{net::SocketAddr, path::Path, result::Result as Checked};
+
+use serde::Deserialize;
+use stackpier_core::{
+    Error, Kind, Result,
+    field::{Invalid, invalid, within},
+};
+use stackpier_protocol::codec::from_json;
+
+/// LONGEST_LEASE_MS is the longest lease that is asked for, whatever workers
+/// would grant: the tasks of a worker that died silently wait this long.
+const LONGEST_LEASE_MS: u64 = 6_000;
+/// AUTHORITY_GAP_MS is how much sooner than its leases an owner without the
+/// store gives up.
+const AUTHORITY_GAP_MS: u64 = 1_000;
+/// LONGEST_MS bounds every time in the settings.
+const LONGEST_MS: u64 = 600_000;
+
+/// Raw is the settings file as written.
+#[derive(Clone, Debug, Deserialize)]
+struct Raw {
+    vm: String,
+    data_centre: String,
+    callers: String,
+    readiness: String,
+    peers: String,
+    metrics: String,
+    store: String,
+    longest_lease_ms: u64,
+    stop_ms: u64,
+    early_ms: u64,
+    shown_s: u64,
+    grace_s: f64,
+}
+
+/// Settings are the checked settings of one daemon.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// The VM's name.
+    pub vm: String,
+    /// Its data centre.
+    pub data_centre: String,
+    /// Where client accounts reach it.
+    pub callers: SocketAddr,
+    /// Where it says whether it takes requests.
+    pub readiness: SocketAddr,
+    /// Where its peers reach it.
+    pub peers: SocketAddr,
+    /// Where it shows its metrics.
+    pub metrics: SocketAddr,
+    /// The platform's store.
+    pub store: SocketAddr,
+    /// The settings of the cell's decisions.
+    pub cell: stackpier_cell::Options,
+    /// The time from a request to stop until the process is killed, in
+    /// milliseconds.
+    pub grace_ms: u64,
+}
+
+impl Settings {
+    /// load reads and checks a settings file.
+    pub fn load(path: &Path) -> Result<Settings> {
+        let unreadable = |error| Error::new(Kind::BadInput, format!("{}: {error}", path.display()));
+        let text = std::fs::read(path).map_err(unreadable)?;
+        Settings::parse(&text)
+    }
+
+    /// parse checks the text of a settings file.
+    pub fn parse(text: &[u8]) -> Result<Settings> {
+        let raw: Raw = from_json(text)?;
+        Ok(Settings::try_from(raw)?)
+    }
+}
+
+impl TryFrom<Raw> for Settings {
+    type Error = Invalid;
+
+    fn try_from(raw: Raw) -> Checked<Settings, Invalid> {
+        let longest = within("longest_lease_ms", raw.longest_lease_ms, 1_000..=LONGEST_MS, "ms")?;
+        let lease_ms = longest.min(LONGEST_LEASE_MS);
+        let shown_s = within("shown_s", raw.shown_s, 1..=LONGEST_MS / 1_000, "s")?;
+        let grace_s = within("grace_s", raw.grace_s, 0.5..=600.0, "s")?;
+        let defaults = stackpier_cell::Options::default();
+        Ok(Settings {
+            callers: address("callers", &raw.callers)?,
+            readiness: address("readiness", &raw.readiness)?,
+            peers: address("peers", &raw.peers)?,
+            metrics: address("metrics", &raw.metrics)?,
+            store: address("store", &raw.store)?,
+            cell: stackpier_cell::Options {
+                lease_ms,
+                max_lease_ms: lease_ms,
+                authority_ms: lease_ms - AUTHORITY_GAP_MS.min(lease_ms / 2),
+                stop_ms: within("stop_ms", raw.stop_ms, 1..=LONGEST_MS, "ms")?,
+                early_ms: within("early_ms", raw.early_ms, 0..=LONGEST_MS, "ms")? / 4,
+                show_ms: shown_s * 1_000 + defaults.lease_ms,
+                ..defaults
+            },
+            grace_ms: (grace_s * 1_000.0) as u64,
+            vm: named("vm", raw.vm)?,
+            data_centre: named("data_centre", raw.data_centre)?,
+        })
+    }
+}
+
+fn named(field: &str, value: String) -> Checked<String, Invalid> {
+    if value.is_empty() {
+        return Err(invalid(field, "''", "a name"));
+    }
+    Ok(value)
+}
+
+fn address(field: &str, value: &str) -> Checked<SocketAddr, Invalid> {
+    let wrong = |_| invalid(field, format!("'{value}'"), "IP:port");
+    value.parse().map_err(wrong)
+}
--- /dev/null
+++ b/crates/stackpier-scheduler/src/store.rs
@@ -0,0 +1,107 @@
+// SPDX-License-Identifier: Apache-2.0
+//! What the daemon asks of the key-value store.
+
+use std::future::Future;
+
+use stackpier_core::Result;
+
+/// Item is one key with its value.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Item {
+    /// The key.
+    pub key: String,
+    /// The value.
+    pub value: Vec<u8>,
+    /// The store's revision at the item's last change.
+    pub revision: u64,
+}
+
+/// Listing is all items under a prefix.
+#[derive(Clone, Debug, Default)]
+pub struct Listing {
+    /// The items, by key.
+    pub items: Vec<Item>,
+    /// The store's revision from which a watch sees everything that the
+    /// listing may have missed.
+    pub at: u64,
+}
+
+/// Change is one event of a watch.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// The item was written.
+    Put(Item),
+    /// The key was removed.
+    Removed(String),
+}
+
+/// Watched is the answer of a watch.
+#[derive(Clone, Debug)]
+pub enum Watched {
+    /// What changed, possibly nothing, and the revision to go on from.
+    Changes(Vec<Change>, u64),
+    /// The history since the revision is gone: list again.
+    Compacted,
+}
+
+/// Condition requires a key to be at a revision; zero requires its absence.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Condition {
+    /// The key.
+    pub key: String,
+    /// The revision.
+    pub revision: u64,
+}
+
+/// Put is one key to write.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Put {
+    /// The key.
+    pub key: String,
+    /// The value.
+    pub value: Vec<u8>,
+}
+
+/// Transaction does all of its writes or none.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Transaction {
+    /// What must hold.
+    pub conditions: Vec<Condition>,
+    /// Keys to write.
+    pub puts: Vec<Put>,
+    /// Keys to remove.
+    pub removals: Vec<String>,
+}
+
+/// Committed is the outcome of a transaction.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Committed {
+    /// It was done, at this revision.
+    Done(u64),
+    /// A condition did not hold: the present items of the conditions' keys.
+    Conflict(Vec<Item>),
+    /// Nothing was done, as the store refused the call.
+    Refused,
+    /// There was no answer: it may have been done, or may be done later.
+    Unknown,
+}
+
+/// Store is a key-value store with transactions and watches.
+pub trait Store {
+    /// get reads one key.
+    fn get(&self, key: &str) -> impl Future<Output = Result<Option<Item>>>;
+
+    /// probe reads one key cheaply, to tell whether the store answers. The
+    /// value may be seconds old.
+    fn probe(&self, key: &str) -> impl Future<Output = Result<()>>;
+
+    /// list reads all items under a prefix.
+    fn list(&self, prefix: &str) -> impl Future<Output = Result<Listing>>;
+
+    /// watch waits up to `wait_ms` for changes under a prefix after a
+    /// revision.
+    fn watch(&self, prefix: &str, after: u64, wait_ms: u64) -> impl Future<Output = Result<Watched>>;
+
+    /// commit does a transaction.
+    fn commit(&self, transaction: &Transaction) -> impl Future<Output = Committed>;
+}
--- /dev/null
+++ b/crates/stackpier-scheduler/src/watch.rs
@@ -0,0 +1,85 @@
+// SPDX-License-Identifier: Apache-2.0
+//! Following a prefix of the store: a listing, then its changes, for as long
+//! as the follower is wanted.
+
+use stackpier_core::Result;
+
+use crate::{
+    Platform,
+    node::{Node, pause},
+    store::{Change, Item, Watched},
+};
+
+/// WAIT_MS is how long a watch waits. A cut may swallow its answer, so it is
+/// kept short enough for a change to be seen within two seconds of its end.
+const WAIT_MS: u64 = 3_000;
+/// RETRY_MS is the pause after a call that failed.
+const RETRY_MS: u64 = 250;
+
+/// Feed is what a follower is told.
+#[derive(Clone, Debug)]
+pub(crate) enum Feed {
+    /// All items there are: whatever else was known is gone.
+    All(Vec<Item>),
+    /// What changed since.
+    Changes(Vec<Change>),
+}
+
+/// Follower takes what a watch brings.
+pub(crate) trait Follower {
+    /// prefix returns what is followed.
+    fn prefix(&self) -> &str;
+
+    /// take takes in news.
+    fn take(&mut self, feed: Feed);
+
+    /// is_wanted tells whether to go on.
+    fn is_wanted(&self) -> bool;
+
+    /// pause_ms returns the pause between two watches, so that changes come
+    /// together.
+    fn pause_ms(&self) -> u64 {
+        0
+    }
+}
+
+/// follow feeds a follower until it is no longer wanted. `after` is the
+/// revision of a listing that it already has.
+pub(crate) async fn follow<P: Platform, F: Follower>(node: Node<P>, mut follower: F, mut after: Option<u64>) {
+    while follower.is_wanted() {
+        let turn = match after {
+            None => list(&node, &mut follower).await,
+            Some(at) => watch(&node, &mut follower, at).await,
+        };
+        match turn {
+            Ok(next) => after = next,
+            Err(_) => pause(RETRY_MS).await,
+        }
+    }
+}
+
+async fn list<P: Platform, F: Follower>(node: &Node<P>, follower: &mut F) -> Result<Option<u64>> {
+    let listing = node.store_list(follower.prefix()).await?;
+    if follower.is_wanted() {
+        follower.take(Feed::All(listing.items));
+    }
+    Ok(Some(listing.at))
+}
+
+async fn watch<P: Platform, F: Follower>(node: &Node<P>, follower: &mut F, after: u64) -> Result<Option<u64>> {
+    let watched = node.store_watch(follower.prefix(), after, WAIT_MS).await?;
+    match watched {
+        Watched::Compacted => {
+            node.say("watch", &format!("history of {} is gone, listing again", follower.prefix()));
+            Ok(None)
+        }
+        Watched::Changes(changes, at) => {
+            let news = !changes.is_empty();
+            if news && follower.is_wanted() {
+                follower.take(Feed::Changes(changes));
+                pause(follower.pause_ms()).await;
+            }
+            Ok(Some(at.max(after)))
+        }
+    }
+}
--- a/crates/stackpier-state/src/lib.rs
+++ b/crates/stackpier-state/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod holders;
 pub mod homes;
 pub mod intent;
+pub mod job;
 pub mod ledger;
 pub mod page;
 pub mod rack;
