--- a/crates/stackpier-cell/src/cell.rs
+++ b/crates/stackpier-cell/src/cell.rs
@@ -405,7 +405,11 @@
         entry.ready.push(key);
         if !entry.queued {
             entry.queued = true;
-            let queue = if fills { &mut self.filling } else { &mut self.waiting };
+            let queue = if fills {
+                &mut self.filling
+            } else {
+                &mut self.waiting
+            };
             queue.push(step);
         }
         self.place_wanted = true;
@@ -508,7 +512,10 @@
         }
         worker.life = Life::Over;
         let (runs, id) = (worker.runs.clone(), worker.info.id.clone());
-        let text = format!("worker {id} is over: {why}; {} runs ended with it", runs.len());
+        let text = format!(
+            "worker {id} is over: {why}; {} runs ended with it",
+            runs.len()
+        );
         self.note("worker", None, text);
         for run in runs {
             self.requeue(run);
--- a/crates/stackpier-cell/src/drain.rs
+++ b/crates/stackpier-cell/src/drain.rs
@@ -33,7 +33,11 @@
         let now = self.now.mono;
         let entry = self.worker(worker);
         let seen = entry.drain_seen.unwrap_or(now);
-        let stays = entry.info.remaining_ms.unwrap_or(LEAVE_MS).max(LEAVE_MARGIN_MS);
+        let stays = entry
+            .info
+            .remaining_ms
+            .unwrap_or(LEAVE_MS)
+            .max(LEAVE_MARGIN_MS);
         let left = (seen.0 + stays - LEAVE_MARGIN_MS).saturating_sub(now.0);
         let Some(run) = self.runs.get(key) else {
             return;
@@ -42,7 +46,11 @@
             return;
         }
         let name = self.name(run.task);
-        self.note("drain", Some(name), "stopped: its worker is leaving".to_owned());
+        self.note(
+            "drain",
+            Some(name),
+            "stopped: its worker is leaving".to_owned(),
+        );
         self.stop(key);
     }
 
--- a/crates/stackpier-cell/src/ends.rs
+++ b/crates/stackpier-cell/src/ends.rs
@@ -59,7 +59,11 @@
             return;
         }
         let entry = self.step_of(step);
-        let members = if shape.gang { entry.first_task.0..entry.first_task.0 + entry.count } else { task.0..task.0 + 1 };
+        let members = if shape.gang {
+            entry.first_task.0..entry.first_task.0 + entry.count
+        } else {
+            task.0..task.0 + 1
+        };
         for member in members.map(TaskKey) {
             self.finish(member);
         }
@@ -95,7 +99,10 @@
         entry.failures += 1;
         let failures = entry.failures;
         let step = entry.step;
-        let text = format!("failed run {run} on worker {}, failure {failures}", self.worker(worker).info.id);
+        let text = format!(
+            "failed run {run} on worker {}, failure {failures}",
+            self.worker(worker).info.id
+        );
         let name = self.name(task);
         self.note("end", Some(name), text);
         let job = self.step_of(step).job;
@@ -104,9 +111,16 @@
             return;
         }
         self.dirty(job);
-        if failures >= self.attempts(job) && !self.task(task).done && !self.job(job).state.is_final() {
+        if failures >= self.attempts(job)
+            && !self.task(task).done
+            && !self.job(job).state.is_final()
+        {
             self.end_job(job, State::Failed);
-            self.note("job", Some(name), format!("job failed after {failures} failed runs of this task"));
+            self.note(
+                "job",
+                Some(name),
+                format!("job failed after {failures} failed runs of this task"),
+            );
             return;
         }
         self.make_ready(task);
@@ -122,7 +136,11 @@
         if !end.checkpoint.is_empty() && !self.task(task).done {
             let step = self.task(task).step;
             let entry = self.step_of(step);
-            let members = if self.shape(step).gang { entry.first_task.0..entry.first_task.0 + entry.count } else { task.0..task.0 + 1 };
+            let members = if self.shape(step).gang {
+                entry.first_task.0..entry.first_task.0 + entry.count
+            } else {
+                task.0..task.0 + 1
+            };
             for member in members.map(TaskKey) {
                 self.task_mut(member).checkpoint = Some(end.checkpoint.clone());
             }
--- a/crates/stackpier-cell/src/hold.rs
+++ b/crates/stackpier-cell/src/hold.rs
@@ -46,7 +46,10 @@
             self.add_worker(info);
             return;
         };
-        let (service, rack) = (self.services.number(&info.service), self.racks.number(&info.rack));
+        let (service, rack) = (
+            self.services.number(&info.service),
+            self.racks.number(&info.rack),
+        );
         let now = self.now.mono;
         let worker = self.worker_mut(key);
         if worker.life == Life::Over {
@@ -93,7 +96,10 @@
             drain_seen: info.draining.then_some(self.now.mono),
             info,
         };
-        let text = format!("worker {} at {} is known", worker.info.id, worker.info.address);
+        let text = format!(
+            "worker {} at {} is known",
+            worker.info.id, worker.info.address
+        );
         self.worker_keys.insert(worker.info.id.clone(), key);
         self.workers.push(worker);
         self.note("worker", None, text);
@@ -122,7 +128,11 @@
         let worker = self.worker(key);
         let serves = |run: &RunKey| self.runs.get(*run).is_some_and(|run| run.serving);
         let samples = worker.runs.iter().any(serves);
-        let wait = if samples { self.options.sample_ms } else { self.options.hold_wait_ms };
+        let wait = if samples {
+            self.options.sample_ms
+        } else {
+            self.options.hold_wait_ms
+        };
         self.hold(key, wait);
     }
 
@@ -264,7 +274,12 @@
     }
 
     /// run_on returns the run of a task on a worker, by its number.
-    pub(crate) fn run_on(&self, task: crate::TaskKey, worker: WorkerKey, number: u32) -> Option<RunKey> {
+    pub(crate) fn run_on(
+        &self,
+        task: crate::TaskKey,
+        worker: WorkerKey,
+        number: u32,
+    ) -> Option<RunKey> {
         let here = |key: &&RunKey| {
             let run = self.runs.get(**key);
             run.is_some_and(|run| run.worker == worker && run.number == number)
--- a/crates/stackpier-cell/src/order.rs
+++ b/crates/stackpier-cell/src/order.rs
@@ -160,7 +160,10 @@
             return;
         };
         let (worker, task) = (run.worker, run.task);
-        let text = format!("worker {} refused a start: {outcome:?}", self.worker(worker).info.id);
+        let text = format!(
+            "worker {} refused a start: {outcome:?}",
+            self.worker(worker).info.id
+        );
         self.note("order", Some(self.name(task)), text);
         match outcome {
             Started::NoRoom => self.worker_mut(worker).full_until = now.plus(FULL_MS),
--- a/crates/stackpier-cell/src/pace.rs
+++ b/crates/stackpier-cell/src/pace.rs
@@ -160,13 +160,19 @@
     fn slow(&mut self, worker: WorkerKey) {
         let loads = self.loads(worker);
         let worst = self.strained(worker, &loads);
-        let Some(worst) = worst.into_iter().max_by(|a, b| a.strain.total_cmp(&b.strain)) else {
+        let Some(worst) = worst
+            .into_iter()
+            .max_by(|a, b| a.strain.total_cmp(&b.strain))
+        else {
             return;
         };
         let mut excess = worst.strain - AIM_STRAIN;
         let part = |key: &RunKey| {
             let run = self.runs.get(*key)?;
-            Some((*key, self.model.pair(worst.image, run.image).mean * run.cores()))
+            Some((
+                *key,
+                self.model.pair(worst.image, run.image).mean * run.cores(),
+            ))
         };
         let mut parts: Vec<(RunKey, f64)> = self.fillers(worker).iter().filter_map(part).collect();
         parts.sort_by(|a, b| b.1.total_cmp(&a.1));
@@ -185,7 +191,12 @@
     /// part first, as long as the model expects no strain near a target.
     fn raise(&mut self, worker: WorkerKey) {
         let slowed = |key: &RunKey| self.runs.get(*key).is_some_and(|run| run.pace < 100);
-        for key in self.fillers(worker).into_iter().filter(slowed).collect::<Vec<_>>() {
+        for key in self
+            .fillers(worker)
+            .into_iter()
+            .filter(slowed)
+            .collect::<Vec<_>>()
+        {
             let Some(run) = self.runs.get(key) else {
                 continue;
             };
@@ -244,13 +255,18 @@
             let Some(run) = self.runs.get(key) else {
                 continue;
             };
-            let long = run.slowed_since.is_some_and(|since| now.since(since) >= MOVE_AFTER_MS);
+            let long = run
+                .slowed_since
+                .is_some_and(|since| now.since(since) >= MOVE_AFTER_MS);
             let shape = self.shape(run.step);
             let lost = u64::from(shape.estimate_ms) * u64::from(run.percent) / 100;
             let cheap = shape.checkpointing || lost <= self.options.move_loss_ms;
             if long && cheap {
                 let name = self.name(run.task);
-                let text = format!("moved: pace {} beside a serving task near its target", run.pace);
+                let text = format!(
+                    "moved: pace {} beside a serving task near its target",
+                    run.pace
+                );
                 self.note("pace", Some(name), text);
                 self.stop(key);
             }
--- a/crates/stackpier-cell/src/place.rs
+++ b/crates/stackpier-cell/src/place.rs
@@ -81,7 +81,10 @@
     fn order_of(&self, step: StepKey) -> (u8, u64) {
         let entry = self.step_of(step);
         let job = self.job(entry.job);
-        let priority = self.queues.get(&job.queue).map_or(u8::MAX, |queue| queue.priority);
+        let priority = self
+            .queues
+            .get(&job.queue)
+            .map_or(u8::MAX, |queue| queue.priority);
         let latest = job.objective.0.saturating_sub(entry.chain_ms);
         let late = latest < self.now.mono.0;
         (priority, if late { latest + LATE_MS } else { latest })
@@ -114,7 +117,11 @@
             self.step_mut(step).queued = false;
             return;
         }
-        let queue = if fills { &mut self.filling } else { &mut self.waiting };
+        let queue = if fills {
+            &mut self.filling
+        } else {
+            &mut self.waiting
+        };
         queue.push(step);
     }
 
@@ -136,7 +143,11 @@
             if self.task(task).done || !self.task(task).ready {
                 continue;
             }
-            let worker = if full { None } else { self.find_room(task, now) };
+            let worker = if full {
+                None
+            } else {
+                self.find_room(task, now)
+            };
             match worker {
                 Some(worker) => {
                     self.task_mut(task).ready = false;
@@ -165,7 +176,11 @@
         let Some(chosen) = self.room_for_gang(step, &tasks) else {
             return false;
         };
-        let run = tasks.iter().map(|task| self.task(*task).next_run).max().unwrap_or(1);
+        let run = tasks
+            .iter()
+            .map(|task| self.task(*task).next_run)
+            .max()
+            .unwrap_or(1);
         self.step_mut(step).ready.clear();
         for (task, worker) in tasks.into_iter().zip(chosen) {
             let entry = self.task_mut(task);
@@ -182,7 +197,9 @@
         if self.shape(step).same_rack {
             let racks: std::collections::BTreeSet<u16> =
                 self.live().map(|key| self.worker(key).rack).collect();
-            let found = racks.into_iter().find_map(|rack| self.fit_gang(step, tasks, Some(rack)));
+            let found = racks
+                .into_iter()
+                .find_map(|rack| self.fit_gang(step, tasks, Some(rack)));
             if found.is_some() {
                 return found;
             }
@@ -190,7 +207,12 @@
         self.fit_gang(step, tasks, None)
     }
 
-    fn fit_gang(&self, step: StepKey, tasks: &[TaskKey], rack: Option<u16>) -> Option<Vec<WorkerKey>> {
+    fn fit_gang(
+        &self,
+        step: StepKey,
+        tasks: &[TaskKey],
+        rack: Option<u16>,
+    ) -> Option<Vec<WorkerKey>> {
         let now = self.now.mono;
         let shape = self.shape(step);
         let most = shape.most_per_worker.unwrap_or(u32::MAX);
@@ -219,7 +241,9 @@
         let step = self.task(task).step;
         let mut best: Option<Choice> = None;
         for key in self.live() {
-            if !self.allows(step, key, now) || self.task(task).failed_on.contains(&key) && self.has_other(step, task, now) {
+            if !self.allows(step, key, now)
+                || self.task(task).failed_on.contains(&key) && self.has_other(step, task, now)
+            {
                 continue;
             }
             if !self.trusts(task, key) {
@@ -335,7 +359,11 @@
             return Some(10.0);
         }
         let entry = self.step_of(step);
-        let latest = self.job(entry.job).objective.0.saturating_sub(entry.chain_ms);
+        let latest = self
+            .job(entry.job)
+            .objective
+            .0
+            .saturating_sub(entry.chain_ms);
         let patient = self.now.mono.0 + FAR_MS < latest;
         (!patient).then_some(0.0)
     }
--- a/crates/stackpier-cell/src/save.rs
+++ b/crates/stackpier-cell/src/save.rs
@@ -77,11 +77,17 @@
         for key in &keys {
             self.job_mut(*key).dirty = false;
         }
-        let jobs = keys.iter().map(|key| (self.job(*key).id, self.progress(*key)));
+        let jobs = keys
+            .iter()
+            .map(|key| (self.job(*key).id, self.progress(*key)));
         let jobs = jobs.collect();
         let forgotten = std::mem::take(&mut self.saver.forgotten);
         let roster_sent = std::mem::take(&mut self.saver.roster_changed);
-        let roster = if roster_sent { self.roster() } else { Vec::new() };
+        let roster = if roster_sent {
+            self.roster()
+        } else {
+            Vec::new()
+        };
         let save = Save {
             jobs,
             roster: roster_sent.then(|| roster.iter().map(|key| self.entry(*key)).collect()),
--- a/crates/stackpier-cell/src/speculate.rs
+++ b/crates/stackpier-cell/src/speculate.rs
@@ -16,7 +16,11 @@
 impl Cell {
     /// check_runs moves runs that stand still and sends stops again.
     pub(crate) fn check_runs(&mut self) {
-        let runs: Vec<RunKey> = self.workers.iter().flat_map(|worker| worker.runs.clone()).collect();
+        let runs: Vec<RunKey> = self
+            .workers
+            .iter()
+            .flat_map(|worker| worker.runs.clone())
+            .collect();
         for key in runs {
             let Some(run) = self.runs.get(key) else {
                 continue;
@@ -56,7 +60,11 @@
     /// check_copies readies a second run of tasks that lag, where copies are
     /// allowed.
     pub(crate) fn check_copies(&mut self) {
-        let runs: Vec<RunKey> = self.workers.iter().flat_map(|worker| worker.runs.clone()).collect();
+        let runs: Vec<RunKey> = self
+            .workers
+            .iter()
+            .flat_map(|worker| worker.runs.clone())
+            .collect();
         for key in runs {
             if let Some(task) = self.lagging(key) {
                 self.copy(task);
@@ -90,7 +98,11 @@
             return;
         }
         let name = self.name(task);
-        self.note("speculate", Some(name), "a copy starts: the first run lags".to_owned());
+        self.note(
+            "speculate",
+            Some(name),
+            "a copy starts: the first run lags".to_owned(),
+        );
         self.start(task, worker);
     }
 }
--- a/crates/stackpier-cell/src/takeover.rs
+++ b/crates/stackpier-cell/src/takeover.rs
@@ -7,11 +7,7 @@
 
 use stackpier_core::Millis;
 
-use crate::{
-    Cell, Effect, Options,
-    arena::JobKey,
-    worker::Life,
-};
+use crate::{Cell, Effect, Options, arena::JobKey, worker::Life};
 
 /// CLOCK_ERROR_MILLI is how much slower than true time a worker's clock may
 /// run, in thousandths: the platform allows 2%.
--- a/crates/stackpier-scheduler/src/daemon.rs
+++ b/crates/stackpier-scheduler/src/daemon.rs
@@ -50,8 +50,18 @@
     let metrics = listen(settings.metrics).await?;
     let peers = listen(settings.peers).await?;
     let aside = Rc::new(Cell::new(0));
-    tokio::task::spawn_local(serve(callers_port, callers, closing.clone(), Rc::clone(&open)));
-    tokio::task::spawn_local(serve(readiness, Readiness(node.clone()), closing.clone(), Rc::clone(&aside)));
+    tokio::task::spawn_local(serve(
+        callers_port,
+        callers,
+        closing.clone(),
+        Rc::clone(&open),
+    ));
+    tokio::task::spawn_local(serve(
+        readiness,
+        Readiness(node.clone()),
+        closing.clone(),
+        Rc::clone(&aside),
+    ));
     tokio::task::spawn_local(serve(metrics, Metrics(node.clone()), closing, aside));
     tokio::task::spawn_local(link::serve(peers, node.clone()));
     tokio::task::spawn_local(follow(node.clone(), Configs { node: node.clone() }, None));
@@ -122,12 +132,18 @@
         };
         let committed = self.store_commit(&transaction).await;
         let done = matches!(committed, Committed::Done(_));
-        self.say("owner", &format!("cell released, known to the store: {done}"));
+        self.say(
+            "owner",
+            &format!("cell released, known to the store: {done}"),
+        );
     }
 
     /// config_version returns the version of the configuration in force.
     pub(crate) fn config_version(&self) -> u64 {
-        self.config.borrow().as_ref().map_or(0, |config| config.version)
+        self.config
+            .borrow()
+            .as_ref()
+            .map_or(0, |config| config.version)
     }
 
     /// config returns the configuration in force.
@@ -140,14 +156,21 @@
         let config = match self.platform.config(item) {
             Ok(config) => config,
             Err(error) => {
-                self.say("config", &format!("the configuration is not readable: {error}"));
+                self.say(
+                    "config",
+                    &format!("the configuration is not readable: {error}"),
+                );
                 return;
             }
         };
         if config.version <= self.config_version() {
             return;
         }
-        let text = format!("version {} in force, {} routes, from {from}", config.version, config.routes.len());
+        let text = format!(
+            "version {} in force, {} routes, from {from}",
+            config.version,
+            config.routes.len()
+        );
         self.say("config", &text);
         self.config.replace(Some(Rc::new(config)));
         self.config_item.replace(Some(item.clone()));
@@ -156,9 +179,17 @@
 
     /// fetch_config takes over a newer configuration from a peer.
     pub(crate) async fn fetch_config(&self, address: &str) {
-        if let Ok(Response::Config(value, revision)) = self.links.call(address, &Request::Config, FETCH_LIMIT).await {
+        if let Ok(Response::Config(value, revision)) = self
+            .links
+            .call(address, &Request::Config, FETCH_LIMIT)
+            .await
+        {
             let key = self.platform.config_key().to_owned();
-            let item = Item { key, value, revision };
+            let item = Item {
+                key,
+                value,
+                revision,
+            };
             self.take_config(&item, "a peer");
         }
     }
@@ -275,7 +306,8 @@
         match self.0.metrics.text() {
             Ok(text) => answer(200, text, None),
             Err(error) => {
-                self.0.say("daemon", &format!("metrics not written: {error}"));
+                self.0
+                    .say("daemon", &format!("metrics not written: {error}"));
                 answer(500, Vec::new(), None)
             }
         }
--- a/crates/stackpier-scheduler/src/desk.rs
+++ b/crates/stackpier-scheduler/src/desk.rs
@@ -57,7 +57,9 @@
                     return Ok(());
                 }
                 Committed::Conflict(items) => {
-                    let kept = items.iter().find(|item| item.key == keys::job(job) && item.revision > 0);
+                    let kept = items
+                        .iter()
+                        .find(|item| item.key == keys::job(job) && item.revision > 0);
                     if let Some(item) = kept {
                         self.accepted(job, decode(&item.value)?);
                         return Ok(());
@@ -105,7 +107,11 @@
 
     /// ask_owner sends a message to the owner.
     async fn ask_owner(&self, request: &Request) -> Result<Response> {
-        let address = self.owned.borrow().as_ref().map(|owned| owned.ownership.address.clone());
+        let address = self
+            .owned
+            .borrow()
+            .as_ref()
+            .map(|owned| owned.ownership.address.clone());
         let unknown = || Error::new(Kind::Unreachable, "no owner of the cell is known");
         let address = address.ok_or_else(unknown)?;
         match self.links.call(&address, request, ASK_LIMIT).await? {
@@ -140,7 +146,11 @@
         };
         self.accepted(job, decode(&item.value)?);
         let cancelled = self.store_get(&keys::cancel(job)).await?.is_some();
-        Ok(Some(if cancelled { State::Cancelled } else { State::Pending }))
+        Ok(Some(if cancelled {
+            State::Cancelled
+        } else {
+            State::Pending
+        }))
     }
 
     /// cancel keeps the cancelling of a job in the store and tells the owner.
@@ -219,6 +229,10 @@
 
 /// refusal builds the error for a job that was not taken, or may have been.
 fn refusal(why: &str, unclear: bool) -> Error {
-    let kind = if unclear { Kind::WriteUnknown } else { Kind::StoreUnavailable };
+    let kind = if unclear {
+        Kind::WriteUnknown
+    } else {
+        Kind::StoreUnavailable
+    };
     Error::new(kind, why).after(COME_BACK_MS)
 }
--- a/crates/stackpier-scheduler/src/http.rs
+++ b/crates/stackpier-scheduler/src/http.rs
@@ -75,7 +75,9 @@
         let end = Instant::now() + call.limit;
         self.calls.set(self.calls.get() + 1);
         let late = |_| Error::new(Kind::Unreachable, format!("{address}: no answer in time"));
-        timeout_at(end, self.exchange(address, call)).await.map_err(late)?
+        timeout_at(end, self.exchange(address, call))
+            .await
+            .map_err(late)?
     }
 
     /// opened returns how many connections were opened.
@@ -100,7 +102,10 @@
         };
         let broken = |error: hyper::Error| unreachable(address, &error);
         sender.ready().await.map_err(broken)?;
-        let response = sender.send_request(request(address, call)?).await.map_err(broken)?;
+        let response = sender
+            .send_request(request(address, call)?)
+            .await
+            .map_err(broken)?;
         let status = response.status().as_u16();
         let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
         let cut = |error| Error::new(Kind::Unreachable, format!("{address}: {error}"));
@@ -137,7 +142,9 @@
         stream.set_nodelay(true).map_err(refused)?;
         self.opened.set(self.opened.get() + 1);
         let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream));
-        let (sender, connection) = handshake.await.map_err(|error| unreachable(address, &error))?;
+        let (sender, connection) = handshake
+            .await
+            .map_err(|error| unreachable(address, &error))?;
         // Its errors come to light at the call that uses the connection.
         tokio::task::spawn_local(async move { drop(connection.await) });
         Ok(sender)
@@ -156,7 +163,9 @@
         request = request.header(name, value);
     }
     let wrong = |error: http::Error| Error::new(Kind::Internal, error.to_string());
-    request.body(Full::new(Bytes::from(call.body))).map_err(wrong)
+    request
+        .body(Full::new(Bytes::from(call.body)))
+        .map_err(wrong)
 }
 
 fn unreachable(address: &str, error: &dyn std::error::Error) -> Error {
@@ -173,7 +182,12 @@
 pub type Closing = watch::Receiver<bool>;
 
 /// serve answers the requests that come to a listener.
-pub async fn serve<H: Handler>(listener: TcpListener, handler: H, closing: Closing, open: Rc<Cell<usize>>) {
+pub async fn serve<H: Handler>(
+    listener: TcpListener,
+    handler: H,
+    closing: Closing,
+    open: Rc<Cell<usize>>,
+) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             tokio::time::sleep(ACCEPT_PAUSE).await;
@@ -198,7 +212,9 @@
         async move { Ok::<_, std::convert::Infallible>(handler.handle(request).await) }
     });
     let mut builder = hyper::server::conn::http1::Builder::new();
-    builder.timer(TokioTimer::new()).header_read_timeout(HEADER_TIMEOUT);
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEADER_TIMEOUT);
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     tokio::select! {
@@ -221,7 +237,8 @@
 /// answer builds an answer with a body of JSON text, empty for none.
 pub fn answer(status: u16, body: Vec<u8>, retry_after_s: Option<u32>) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(Bytes::from(body)));
-    *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    *response.status_mut() =
+        StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     let headers = response.headers_mut();
     headers.insert(
         http::header::CONTENT_TYPE,
@@ -242,6 +259,9 @@
             let text = format!("the body is over {max_bytes} bytes");
             Err(Error::new(Kind::TooLarge, text))
         }
-        Err(error) => Err(Error::new(Kind::BadInput, format!("the body was cut: {error}"))),
+        Err(error) => Err(Error::new(
+            Kind::BadInput,
+            format!("the body was cut: {error}"),
+        )),
     }
 }
--- a/crates/stackpier-scheduler/src/link.rs
+++ b/crates/stackpier-scheduler/src/link.rs
@@ -12,7 +12,10 @@
 };
 use stackpier_protocol::codec::{MAX_MESSAGE, decode, encode};
 use stackpier_state::job::{Record, State};
-use tokio::{net::{TcpListener, TcpStream}, time::timeout};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    time::timeout,
+};
 
 /// URI is the target of every message; only the body matters.
 const URI: &str = "http://stackpier/message";
@@ -92,7 +95,12 @@
 impl Links {
     /// call sends a message and waits for the answer. After an error its
     /// connection is not used again.
-    pub(crate) async fn call(&self, address: &str, request: &Request, limit: Duration) -> Result<Response> {
+    pub(crate) async fn call(
+        &self,
+        address: &str,
+        request: &Request,
+        limit: Duration,
+    ) -> Result<Response> {
         let answered = timeout(limit, self.exchange(address, request)).await;
         let late = || Error::new(Kind::Unreachable, format!("{address}: no answer in time"));
         let answer = answered.unwrap_or_else(|_| Err(late()));
@@ -164,7 +172,9 @@
     let response = encode(&service.answer(request).await)?;
     let head = http::Response::new(());
     let mut stream: SendStream<Bytes> = respond.send_response(head, false).map_err(broken)?;
-    stream.send_data(Bytes::from(response), true).map_err(broken)
+    stream
+        .send_data(Bytes::from(response), true)
+        .map_err(broken)
 }
 
 async fn collect(body: &mut RecvStream) -> Result<Vec<u8>> {
@@ -175,7 +185,9 @@
         if bytes.len() > MAX_MESSAGE {
             return Err(Error::new(Kind::TooLarge, "message over its bound"));
         }
-        body.flow_control().release_capacity(chunk.len()).map_err(broken)?;
+        body.flow_control()
+            .release_capacity(chunk.len())
+            .map_err(broken)?;
     }
     Ok(bytes)
 }
--- a/crates/stackpier-scheduler/src/log.rs
+++ b/crates/stackpier-scheduler/src/log.rs
@@ -3,11 +3,7 @@
 //! that no decision waits for them. Each part has a bounded rate; a line says
 //! how many were left out.
 
-use std::{
-    cell::RefCell,
-    collections::HashMap,
-    sync::Mutex,
-};
+use std::{cell::RefCell, collections::HashMap, sync::Mutex};
 
 use slog::{Drain, Logger, o};
 use stackpier_core::Millis;
--- a/crates/stackpier-scheduler/src/member.rs
+++ b/crates/stackpier-scheduler/src/member.rs
@@ -191,7 +191,11 @@
 
     /// alive answers a heartbeat.
     pub(crate) fn alive(&self, heartbeat: &Heartbeat) -> Alive {
-        let fence = self.owned.borrow().as_ref().map_or(0, |owned| owned.ownership.fence);
+        let fence = self
+            .owned
+            .borrow()
+            .as_ref()
+            .map_or(0, |owned| owned.ownership.fence);
         if heartbeat.fence > fence {
             self.depose(heartbeat.fence, "a follower knows a later owner");
         }
@@ -206,7 +210,11 @@
 
     /// heard_owner tells whether the owner with this fence was heard lately.
     pub(crate) fn heard_owner(&self, fence: u64) -> bool {
-        let known = self.owned.borrow().as_ref().map_or(0, |owned| owned.ownership.fence);
+        let known = self
+            .owned
+            .borrow()
+            .as_ref()
+            .map_or(0, |owned| owned.ownership.fence);
         known > fence || known == fence && self.mono().since(self.heard.get()) < SILENT_MS / 2
     }
 
@@ -250,7 +258,12 @@
             return ownership.released.then_some(Doubt::Vacant);
         }
         let restarted = |member: &Member| member.boot != ownership.boot;
-        let dead = self.node.members.borrow().get(&ownership.vm).is_some_and(restarted);
+        let dead = self
+            .node
+            .members
+            .borrow()
+            .get(&ownership.vm)
+            .is_some_and(restarted);
         if ownership.released || dead {
             return Some(Doubt::Vacant);
         }
@@ -284,7 +297,11 @@
             config: self.node.config_version(),
         };
         let request = Request::Heartbeat(heartbeat);
-        let answer = self.node.links.call(&ownership.address, &request, HEARTBEAT_LIMIT).await;
+        let answer = self
+            .node
+            .links
+            .call(&ownership.address, &request, HEARTBEAT_LIMIT)
+            .await;
         match answer {
             Ok(Response::Alive(alive)) if alive.boot == ownership.boot => {
                 if alive.config > self.node.config_version() {
@@ -322,8 +339,10 @@
             self.node.heard.set(self.node.mono());
             return;
         }
-        let text = format!("taking over: owner is {doubt:?}, last heard {} ms ago",
-            self.node.mono().since(self.node.heard.get()));
+        let text = format!(
+            "taking over: owner is {doubt:?}, last heard {} ms ago",
+            self.node.mono().since(self.node.heard.get())
+        );
         self.node.say("member", &text);
         self.doubt = None;
         self.swap(doubt, owned, fence).await;
@@ -333,7 +352,9 @@
         let own = &self.node.settings.vm;
         let owner = owned.as_ref().map(|owned| owned.ownership.vm.clone());
         let members: Vec<Member> = self.node.members.borrow().values().cloned().collect();
-        let others = members.into_iter().filter(|member| member.vm != *own && Some(&member.vm) != owner.as_ref());
+        let others = members
+            .into_iter()
+            .filter(|member| member.vm != *own && Some(&member.vm) != owner.as_ref());
         let asked: Vec<_> = others
             .map(|member| {
                 let node = self.node.clone();
@@ -389,7 +410,9 @@
         };
         self.node.take_ownership(&item);
         let won = self.node.owned.borrow().clone();
-        if let Some(won) = won.filter(|won| won.ownership.boot == self.node.boot && !won.ownership.released) {
+        if let Some(won) =
+            won.filter(|won| won.ownership.boot == self.node.boot && !won.ownership.released)
+        {
             let predecessor = doubt != Doubt::Vacant;
             self.node.load(won, predecessor).await;
         }
--- a/crates/stackpier-scheduler/src/metrics.rs
+++ b/crates/stackpier-scheduler/src/metrics.rs
@@ -74,5 +74,8 @@
 
 /// labels returns the labels of a counted call.
 pub fn labels(call: &'static str, outcome: &'static str) -> [KeyValue; 2] {
-    [KeyValue::new("call", call), KeyValue::new("outcome", outcome)]
+    [
+        KeyValue::new("call", call),
+        KeyValue::new("outcome", outcome),
+    ]
 }
--- a/crates/stackpier-scheduler/src/node.rs
+++ b/crates/stackpier-scheduler/src/node.rs
@@ -142,7 +142,10 @@
             Verdict::Omit => {}
             Verdict::Write(left_out) => {
                 if left_out > 0 {
-                    warn!(self.log, "log: {} lines of part {} left out", left_out, part);
+                    warn!(
+                        self.log,
+                        "log: {} lines of part {} left out", left_out, part
+                    );
                 }
                 let subject = subject.unwrap_or_default();
                 info!(self.log, "{}: {}", part, text; "subject" => subject, "at_ms" => self.mono().0);
@@ -208,7 +211,12 @@
         self.store_result("list", result)
     }
 
-    pub(crate) async fn store_watch(&self, prefix: &str, after: u64, wait_ms: u64) -> Result<Watched> {
+    pub(crate) async fn store_watch(
+        &self,
+        prefix: &str,
+        after: u64,
+        wait_ms: u64,
+    ) -> Result<Watched> {
         let result = self.platform.watch(prefix, after, wait_ms).await;
         self.store_result("watch", result)
     }
--- a/crates/stackpier-scheduler/src/owner.rs
+++ b/crates/stackpier-scheduler/src/owner.rs
@@ -70,7 +70,10 @@
     }
 
     fn fence(&self) -> u64 {
-        self.owned.borrow().as_ref().map_or(0, |owned| owned.ownership.fence)
+        self.owned
+            .borrow()
+            .as_ref()
+            .map_or(0, |owned| owned.ownership.fence)
     }
 
     async fn read(&self) -> Result<Loaded> {
@@ -130,14 +133,21 @@
         let config = self.config.borrow().clone();
         let fence = self.owner.borrow().as_ref().map(|owner| owner.fence);
         if let (Some(config), Some(fence)) = (config, fence) {
-            let queues = config.routes.iter().map(|route| route.queue.clone()).collect();
+            let queues = config
+                .routes
+                .iter()
+                .map(|route| route.queue.clone())
+                .collect();
             self.feed(fence, Event::Queues(queues));
         }
     }
 
     /// is_at tells whether this daemon still owns the cell with this fence.
     pub(crate) fn is_at(&self, fence: u64) -> bool {
-        self.owner.borrow().as_ref().is_some_and(|owner| owner.fence == fence)
+        self.owner
+            .borrow()
+            .as_ref()
+            .is_some_and(|owner| owner.fence == fence)
     }
 
     /// feed gives the cell an event and carries out what it decides. Events of
@@ -158,7 +168,9 @@
     fn carry_out(&self, fence: u64, effect: Effect) {
         match effect {
             Effect::Note(note) => {
-                self.metrics.decisions.add(1, &[opentelemetry::KeyValue::new("part", note.part)]);
+                self.metrics
+                    .decisions
+                    .add(1, &[opentelemetry::KeyValue::new("part", note.part)]);
                 let subject = note.subject.map(|name| name.to_string());
                 self.say_of(note.part, subject, &note.text);
             }
@@ -182,7 +194,14 @@
                 let answered = matches!(outcome, stackpier_cell::Held::Report(_));
                 node.count_worker("hold", answered);
                 let worker = hold.worker;
-                node.feed(fence, Event::Held { worker, sent, outcome });
+                node.feed(
+                    fence,
+                    Event::Held {
+                        worker,
+                        sent,
+                        outcome,
+                    },
+                );
             }),
             Effect::Save(save) => self.spawn(move |node| async move {
                 let saved = node.save(fence, save).await;
@@ -212,7 +231,9 @@
 
     fn count_worker(&self, call: &'static str, done: bool) {
         let outcome = if done { "done" } else { "failed" };
-        self.metrics.worker_calls.add(1, &crate::metrics::labels(call, outcome));
+        self.metrics
+            .worker_calls
+            .add(1, &crate::metrics::labels(call, outcome));
     }
 
     /// confirm asks the store whether this daemon still owns the cell.
@@ -252,7 +273,9 @@
     while node.is_at(fence) {
         node.feed(fence, Event::Tick);
         if let Some(owner) = node.owner.borrow().as_ref() {
-            node.metrics.running.record(owner.cell.running() as u64, &[]);
+            node.metrics
+                .running
+                .record(owner.cell.running() as u64, &[]);
             node.metrics.waiting.record(owner.cell.ready() as u64, &[]);
         }
         pause(TICK_MS).await;
@@ -274,7 +297,9 @@
         match keys::entry(&item.key) {
             Some(Entry::Job(job)) => self.take_job(job, item),
             Some(Entry::Cancel(job)) => self.node.feed(self.fence, Event::Cancelled(job)),
-            None => self.node.say("owner", &format!("key {} is not known", item.key)),
+            None => self
+                .node
+                .say("owner", &format!("key {} is not known", item.key)),
         }
     }
 
@@ -283,18 +308,23 @@
             Ok(record) => record,
             Err(error) => {
                 let text = format!("the job is not readable: {error}");
-                self.node.say_of("owner", Some(format!("{:016x}", job.0)), &text);
+                self.node
+                    .say_of("owner", Some(format!("{:016x}", job.0)), &text);
                 return;
             }
         };
-        let progress = self.progress.remove(&job).and_then(|value| match decode::<Progress>(&value) {
-            Ok(progress) => Some(Box::new(progress)),
-            Err(error) => {
-                let text = format!("the progress is not readable: {error}");
-                self.node.say_of("owner", Some(format!("{:016x}", job.0)), &text);
-                None
-            }
-        });
+        let progress =
+            self.progress
+                .remove(&job)
+                .and_then(|value| match decode::<Progress>(&value) {
+                    Ok(progress) => Some(Box::new(progress)),
+                    Err(error) => {
+                        let text = format!("the progress is not readable: {error}");
+                        self.node
+                            .say_of("owner", Some(format!("{:016x}", job.0)), &text);
+                        None
+                    }
+                });
         let event = Event::Accepted {
             job,
             record: Box::new(record),
@@ -362,7 +392,10 @@
 
     fn take_all(&mut self, items: &[Item]) {
         let platform = &self.node.platform;
-        let present: Vec<&str> = items.iter().map(|item| platform.worker_id(&item.key)).collect();
+        let present: Vec<&str> = items
+            .iter()
+            .map(|item| platform.worker_id(&item.key))
+            .collect();
         let gone: Vec<String> = self
             .listed
             .iter()
--- a/crates/stackpier-scheduler/src/saving.rs
+++ b/crates/stackpier-scheduler/src/saving.rs
@@ -66,7 +66,13 @@
         Some((owner.revision, Rc::clone(&owner.revisions)))
     }
 
-    async fn write(&self, fence: u64, owned: u64, revisions: &RefCell<Revisions>, puts: &[Put]) -> bool {
+    async fn write(
+        &self,
+        fence: u64,
+        owned: u64,
+        revisions: &RefCell<Revisions>,
+        puts: &[Put],
+    ) -> bool {
         for _ in 0..TRIES {
             let transaction = transaction(owned, &revisions.borrow(), puts);
             match self.store_commit(&transaction).await {
--- a/crates/stackpier-scheduler/src/settings.rs
+++ b/crates/stackpier-scheduler/src/settings.rs
@@ -80,7 +80,12 @@
     type Error = Invalid;
 
     fn try_from(raw: Raw) -> Checked<Settings, Invalid> {
-        let longest = within("longest_lease_ms", raw.longest_lease_ms, 1_000..=LONGEST_MS, "ms")?;
+        let longest = within(
+            "longest_lease_ms",
+            raw.longest_lease_ms,
+            1_000..=LONGEST_MS,
+            "ms",
+        )?;
         let lease_ms = longest.min(LONGEST_LEASE_MS);
         let shown_s = within("shown_s", raw.shown_s, 1..=LONGEST_MS / 1_000, "s")?;
         let grace_s = within("grace_s", raw.grace_s, 0.5..=600.0, "s")?;
--- a/crates/stackpier-scheduler/src/store.rs
+++ b/crates/stackpier-scheduler/src/store.rs
@@ -100,7 +100,12 @@
 
     /// watch waits up to `wait_ms` for changes under a prefix after a
     /// revision.
-    fn watch(&self, prefix: &str, after: u64, wait_ms: u64) -> impl Future<Output = Result<Watched>>;
+    fn watch(
+        &self,
+        prefix: &str,
+        after: u64,
+        wait_ms: u64,
+    ) -> impl Future<Output = Result<Watched>>;
 
     /// commit does a transaction.
     fn commit(&self, transaction: &Transaction) -> impl Future<Output = Committed>;
--- a/crates/stackpier-scheduler/src/watch.rs
+++ b/crates/stackpier-scheduler/src/watch.rs
@@ -45,7 +45,11 @@
 
 /// follow feeds a follower until it is no longer wanted. `after` is the
 /// revision of a listing that it already has.
-pub(crate) async fn follow<P: Platform, F: Follower>(node: Node<P>, mut follower: F, mut after: Option<u64>) {
+pub(crate) async fn follow<P: Platform, F: Follower>(
+    node: Node<P>,
+    mut follower: F,
+    mut after: Option<u64>,
+) {
     while follower.is_wanted() {
         let turn = match after {
             None => list(&node, &mut follower).await,
@@ -66,11 +70,18 @@
     Ok(Some(listing.at))
 }
 
-async fn watch<P: Platform, F: Follower>(node: &Node<P>, follower: &mut F, after: u64) -> Result<Option<u64>> {
+async fn watch<P: Platform, F: Follower>(
+    node: &Node<P>,
+    follower: &mut F,
+    after: u64,
+) -> Result<Option<u64>> {
     let watched = node.store_watch(follower.prefix(), after, WAIT_MS).await?;
     match watched {
         Watched::Compacted => {
-            node.say("watch", &format!("history of {} is gone, listing again", follower.prefix()));
+            node.say(
+                "watch",
+                &format!("history of {} is gone, listing again", follower.prefix()),
+            );
             Ok(None)
         }
         Watched::Changes(changes, at) => {
