--- a/crates/stackpier-cell/src/hold.rs
+++ b/crates/stackpier-cell/src/hold.rs
@@ -6,7 +6,7 @@
 use crate::{
     Cell, Effect, Held, Hold, Report, Row, TaskName,
     arena::{RunKey, WorkerKey},
-    job::Phase,
+    job::{Phase, Run},
     worker::{Clock, Info, Life, Worker},
 };
 
@@ -316,6 +316,8 @@
 
     /// miss_runs ends the runs that a report does not show though it was
     /// asked for after they were known to be there, or known to be refused.
+    /// Times are whole milliseconds, so the report must have been asked for in
+    /// a later one.
     fn miss_runs(&mut self, key: WorkerKey, sent: Millis, rows: &[Row]) {
         for run in self.worker(key).runs.clone() {
             let Some(entry) = self.runs.get(run) else {
@@ -327,13 +329,13 @@
                 continue;
             }
             match entry.phase {
-                Phase::Unsure(since) if sent >= since => self.stop(run),
-                Phase::Running if entry.confirmed.is_some_and(|at| sent >= at) => {
+                Phase::Unsure(since) if sent > since => self.stop(run),
+                Phase::Running if entry.confirmed.is_some_and(|at| sent > at) => {
                     self.note("end", Some(name), "run is gone without an end".to_owned());
                     self.requeue(run);
                 }
-                Phase::Stopping if entry.stop_taken.is_some_and(|at| sent >= at) => {
-                    self.note("end", Some(name), "stopped run never came".to_owned());
+                Phase::Stopping if self.is_stopped(entry, sent) => {
+                    self.note("end", Some(name), "stopped run is not there".to_owned());
                     self.requeue(run);
                 }
                 _ => {}
@@ -341,6 +343,17 @@
         }
     }
 
+    /// is_stopped tells whether a run that a report does not show has ended:
+    /// one that was seen to work has the time a stop takes to list its end.
+    fn is_stopped(&self, run: &Run, sent: Millis) -> bool {
+        let wait_ms = if run.confirmed.is_some() {
+            self.options.stop_ms
+        } else {
+            0
+        };
+        run.stop_taken.is_some_and(|at| sent > at.plus(wait_ms))
+    }
+
     /// check_workers sends holds that are due, and ends leases.
     pub(crate) fn check_workers(&mut self) {
         let now = self.now.mono;
--- a/crates/stackpier-scheduler/src/node.rs
+++ b/crates/stackpier-scheduler/src/node.rs
@@ -13,6 +13,7 @@
 use slog::{Logger, info, warn};
 use stackpier_cell::Now;
 use stackpier_core::{Millis, Result, Unix, key::Boot};
+use tokio::sync::Notify;
 
 use crate::{
     Platform, Settings,
@@ -70,6 +71,7 @@
     answered: Slot<Millis>,
     failed: Slot<Millis>,
     lost: Slot<bool>,
+    regained: Notify,
 }
 
 impl<P> Clone for Node<P> {
@@ -184,6 +186,7 @@
         self.store.answered.set(self.mono());
         if self.store.lost.replace(false) {
             self.say("store", "the store answers again");
+            self.store.regained.notify_waiters();
         }
     }
 
@@ -196,6 +199,11 @@
         }
     }
 
+    /// store_regained waits until the store answers again after a failure.
+    pub(crate) async fn store_regained(&self) {
+        self.store.regained.notified().await;
+    }
+
     pub(crate) async fn store_get(&self, key: &str) -> Result<Option<Item>> {
         let result = self.platform.get(key).await;
         self.store_result("get", result)
--- a/crates/stackpier-scheduler/src/watch.rs
+++ b/crates/stackpier-scheduler/src/watch.rs
@@ -10,9 +10,10 @@
     store::{Change, Item, Watched},
 };
 
-/// WAIT_MS is how long a watch waits. A cut may swallow its answer, so it is
-/// kept short enough for a change to be seen within two seconds of its end.
-const WAIT_MS: u64 = 3_000;
+/// WAIT_MS is how long a watch waits. A cut may swallow its answer without a
+/// sign, so it is kept shorter than the three seconds after which users take a
+/// daemon to be in touch again.
+const WAIT_MS: u64 = 2_500;
 /// RETRY_MS is the pause after a call that failed.
 const RETRY_MS: u64 = 250;
 
@@ -75,7 +76,11 @@
     follower: &mut F,
     after: u64,
 ) -> Result<Option<u64>> {
-    let watched = node.store_watch(follower.prefix(), after, WAIT_MS).await?;
+    let watched = tokio::select! {
+        watched = node.store_watch(follower.prefix(), after, WAIT_MS) => watched?,
+        // What was sent while the store was away may never be answered.
+        () = node.store_regained() => return Ok(Some(after)),
+    };
     match watched {
         Watched::Compacted => {
             node.say(
