Failed runs are counted by number; a world of faults around the cell

Ruled out: a lost save (the predecessor had no store) and a wrong count of attempts in the configuration. Change: the numbers of failed runs are kept, not the highest. Found by the new fuzz on the way: a task with one failure left waited for ever for a worker that had proved itself when none had; it now waits a bounded time.

--- a/crates/stackpier-cell/src/cell.rs
+++ b/crates/stackpier-cell/src/cell.rs
@@ -326,8 +326,8 @@
                 step: key,
                 index,
                 done: false,
-                failures: 0,
-                last_failed_run: 0,
+                failed_runs: Vec::new(),
+                failed_at: Millis(0),
                 next_run: first_run,
                 runs: Vec::new(),
                 checkpoint: None,
@@ -354,9 +354,7 @@
         let within = |place: u32| (place < count).then_some(TaskKey(first + place));
         for failures in &progress.failures {
             if let Some(task) = within(failures.task) {
-                let task = self.task_mut(task);
-                task.failures = failures.count;
-                task.last_failed_run = failures.last_run;
+                self.task_mut(task).failed_runs = failures.runs.clone();
             }
         }
         for checkpoint in &progress.checkpoints {
--- a/crates/stackpier-cell/src/ends.rs
+++ b/crates/stackpier-cell/src/ends.rs
@@ -91,14 +91,14 @@
         self.worker_mut(worker).health.fail(now);
         self.fail_on(task, worker);
         let entry = self.task_mut(task);
-        if run <= entry.last_failed_run {
+        let step = entry.step;
+        if entry.failed_runs.contains(&run) {
             self.make_ready(task);
             return;
         }
-        entry.last_failed_run = run;
-        entry.failures += 1;
-        let failures = entry.failures;
-        let step = entry.step;
+        entry.failed_runs.push(run);
+        entry.failed_at = now;
+        let failures = entry.failed_runs.len();
         let text = format!(
             "failed run {run} on worker {}, failure {failures}",
             self.worker(worker).info.id
@@ -111,7 +111,7 @@
             return;
         }
         self.dirty(job);
-        if failures >= self.attempts(job)
+        if failures >= usize::from(self.attempts(job))
             && !self.task(task).done
             && !self.job(job).state.is_final()
         {
--- a/crates/stackpier-cell/src/job.rs
+++ b/crates/stackpier-cell/src/job.rs
@@ -64,8 +64,10 @@
     pub step: StepKey,
     pub index: u32,
     pub done: bool,
-    pub failures: u16,
-    pub last_failed_run: u32,
+    /// The numbers of its failed runs.
+    pub failed_runs: Vec<u32>,
+    /// When the last one ended.
+    pub failed_at: Millis,
     /// The number of the next run.
     pub next_run: u32,
     /// Runs that may still hold room on a worker.
--- a/crates/stackpier-cell/src/lib.rs
+++ b/crates/stackpier-cell/src/lib.rs
@@ -15,6 +15,7 @@
 mod cell;
 mod drain;
 mod ends;
+mod explain;
 mod health;
 mod hold;
 pub mod interference;
--- a/crates/stackpier-cell/src/place.rs
+++ b/crates/stackpier-cell/src/place.rs
@@ -33,6 +33,10 @@
 const LATE_MS: u64 = 60_000;
 /// FAR_MS is how long a task waits for a worker in the rack of its data.
 const FAR_MS: u64 = 300;
+/// TRUST_MS is how long a task that has only one failure left waits for a
+/// worker that lately did work, before it goes to one that has not failed; it
+/// waits as long again before it goes to any.
+const TRUST_MS: u64 = 1_500;
 /// SCALE is the number of thousandths in one.
 const SCALE: u64 = 1_000;
 
@@ -156,7 +160,8 @@
                 }
                 None => {
                     // Tasks of a step are alike, but for those that failed.
-                    full |= self.task(task).failures == 0 && now >= self.task(task).not_before;
+                    full |=
+                        self.task(task).failed_runs.is_empty() && now >= self.task(task).not_before;
                     left.push(task);
                 }
             }
@@ -269,13 +274,18 @@
     /// trusts tells whether a worker's standing is good enough for a task: one
     /// that has only a failure left goes where work was lately done.
     fn trusts(&self, task: TaskKey, key: WorkerKey) -> bool {
-        let failures = self.task(task).failures;
+        let failures = self.task(task).failed_runs.len() as u16;
         if failures == 0 {
             return true;
         }
         let job = self.step_of(self.task(task).step).job;
         let left = self.attempts(job).saturating_sub(failures);
-        left > SICK_FAILURES || self.worker(key).health.is_proved()
+        let waited = self.now.mono.since(self.task(task).failed_at);
+        let health = self.worker(key).health;
+        left > SICK_FAILURES
+            || health.is_proved()
+            || waited >= TRUST_MS && !health.is_suspect()
+            || waited >= 2 * TRUST_MS
     }
 
     /// allows tells whether a worker may take tasks of a step at all, whatever
--- a/crates/stackpier-cell/src/save.rs
+++ b/crates/stackpier-cell/src/save.rs
@@ -135,11 +135,10 @@
                 progress.set_done(place);
                 continue;
             }
-            if task.failures > 0 {
+            if !task.failed_runs.is_empty() {
                 progress.failures.push(Failures {
                     task: place,
-                    count: task.failures,
-                    last_run: task.last_failed_run,
+                    runs: task.failed_runs.clone(),
                 });
             }
             let wanted = !job.state.is_final();
--- /dev/null
+++ b/crates/stackpier-fuzz/src/cell/oracle.rs
@@ -0,0 +1,181 @@
+// SPDX-License-Identifier: Apache-2.0
+//! What must never be seen on the workers.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fmt,
+};
+
+use stackpier_cell::{Start, TaskName};
+use stackpier_core::key;
+use stackpier_standin::fleet::Worker;
+use stackpier_state::job::{Spec, State};
+
+/// Broken is a promise that did not hold.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Broken {
+    /// When it was seen, in milliseconds.
+    pub at_ms: u64,
+    /// What was seen.
+    pub what: String,
+}
+
+impl fmt::Display for Broken {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "at {} ms: {}", self.at_ms, self.what)
+    }
+}
+
+/// Oracle remembers what ended and was noted.
+#[derive(Debug, Default)]
+pub struct Oracle {
+    /// The jobs, as handed in.
+    pub specs: BTreeMap<key::Job, Spec>,
+    /// Failed runs after which a job has failed.
+    pub attempts: usize,
+    done: BTreeSet<TaskName>,
+    /// Tasks that ended well on workers that died before that was noted.
+    ended: BTreeSet<TaskName>,
+    failed: BTreeMap<TaskName, BTreeSet<u32>>,
+    /// What was seen first.
+    pub broken: Option<Broken>,
+}
+
+impl Oracle {
+    /// new starts with nothing seen; `attempts` failed runs fail a job.
+    pub fn new(attempts: usize) -> Oracle {
+        Oracle {
+            attempts,
+            ..Oracle::default()
+        }
+    }
+
+    fn breaks(&mut self, at_ms: u64, what: String) {
+        self.broken.get_or_insert(Broken { at_ms, what });
+    }
+
+    /// note takes in the ends that a worker was told to forget.
+    pub fn note(&mut self, worker: &mut Worker) {
+        for end in worker.noted.drain(..) {
+            match end.how {
+                stackpier_cell::How::Done => {
+                    self.done.insert(end.task);
+                }
+                stackpier_cell::How::Failed => {
+                    self.failed.entry(end.task).or_default().insert(end.run);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// lose takes in what a worker listed when it died.
+    pub fn lose(&mut self, worker: &Worker) {
+        let ends = worker.ends.iter();
+        let done = ends.filter(|end| end.how == stackpier_cell::How::Done);
+        self.ended.extend(done.map(|end| end.task));
+    }
+
+    /// started checks a run that has just begun on the worker at `place`.
+    pub fn started(&mut self, at_ms: u64, start: &Start, place: usize, workers: &[Worker]) {
+        let task = start.order.task;
+        let runs = workers.iter().flat_map(|worker| &worker.runs);
+        if runs.filter(|run| run.task == task).count() > 1 {
+            self.breaks(at_ms, format!("{task} runs twice at once"));
+        }
+        if self.done.contains(&task) {
+            self.breaks(at_ms, format!("{task} starts after its noted end"));
+        }
+        if self
+            .failed
+            .get(&task)
+            .is_some_and(|runs| runs.len() >= self.attempts)
+        {
+            self.breaks(
+                at_ms,
+                format!("{task} starts after {} failed runs", self.attempts),
+            );
+        }
+        self.check_order(at_ms, task, workers);
+        self.check_spread(at_ms, task, &workers[place]);
+    }
+
+    fn check_order(&mut self, at_ms: u64, task: TaskName, workers: &[Worker]) {
+        let Some(spec) = self.specs.get(&task.job) else {
+            self.breaks(at_ms, format!("{task} starts, but nobody handed it in"));
+            return;
+        };
+        let after = spec.steps[usize::from(task.step)].after.clone();
+        for step in after {
+            let count = spec.steps[usize::from(step)].count;
+            let name = |index| TaskName {
+                step,
+                index,
+                ..task
+            };
+            let ended = |name: &TaskName| {
+                let listed = workers.iter().flat_map(|worker| &worker.ends);
+                let mut listed = listed.filter(|end| end.how == stackpier_cell::How::Done);
+                self.done.contains(name)
+                    || self.ended.contains(name)
+                    || listed.any(|end| end.task == *name)
+            };
+            if let Some(missing) = (0..count).map(name).find(|name| !ended(name)) {
+                self.breaks(at_ms, format!("{task} starts before {missing} is done"));
+                return;
+            }
+        }
+    }
+
+    fn check_spread(&mut self, at_ms: u64, task: TaskName, worker: &Worker) {
+        let spec = &self.specs[&task.job];
+        let Some(most) = spec.steps[usize::from(task.step)].most_per_worker else {
+            return;
+        };
+        let alike = |other: TaskName| {
+            (other.job, other.round, other.step) == (task.job, task.round, task.step)
+        };
+        let here = worker.runs.iter().filter(|run| alike(run.task)).count();
+        if here > most as usize {
+            self.breaks(
+                at_ms,
+                format!("{task} is one of {here} on a worker that may have {most}"),
+            );
+        }
+    }
+
+    /// shown checks a final state that a client account was shown.
+    pub fn shown(&mut self, at_ms: u64, job: key::Job, state: State, workers: &[Worker]) {
+        if state != State::Completed {
+            return;
+        }
+        let spec = &self.specs[&job];
+        let listed: BTreeSet<TaskName> = workers
+            .iter()
+            .flat_map(|worker| &worker.ends)
+            .filter(|end| end.how == stackpier_cell::How::Done)
+            .map(|end| end.task)
+            .collect();
+        let mut missing = None;
+        for (step, shape) in spec.steps.iter().enumerate() {
+            for index in 0..shape.count {
+                let name = TaskName {
+                    job,
+                    round: 0,
+                    step: step as u16,
+                    index,
+                };
+                let known = |set: &BTreeSet<TaskName>| set.contains(&name);
+                if !known(&self.done) && !known(&self.ended) && !known(&listed) {
+                    missing = Some(name);
+                }
+            }
+        }
+        if let Some(name) = missing {
+            self.breaks(
+                at_ms,
+                format!("job shown as completed, but {name} is not done"),
+            );
+        }
+    }
+}
--- a/crates/stackpier-fuzz/src/lib.rs
+++ b/crates/stackpier-fuzz/src/lib.rs
@@ -3,6 +3,7 @@
 //! fake store, list and workers, and faults as ordinary transitions. The
 //! machines are the ones that the daemon runs.
 
+pub mod cell;
 pub mod config;
 pub mod counts;
 pub mod once;
--- a/crates/stackpier-standin/src/lib.rs
+++ b/crates/stackpier-standin/src/lib.rs
@@ -2,6 +2,7 @@
 //! Stand-ins for the systems around stackpier, for tests only: the platform's
 //! store and list of VMs, a worker, and a proxy that injects faults.
 
+pub mod fleet;
 pub mod platform;
 pub mod proxy;
 pub mod rate;
--- a/crates/stackpier-state/src/job.rs
+++ b/crates/stackpier-state/src/job.rs
@@ -156,16 +156,15 @@
     }
 }
 
-/// Failures counts the failed runs of one task.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+/// Failures are the failed runs of one task.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Failures {
     /// The task's place among all tasks of the job.
     pub task: u32,
-    /// Runs that ended by the task's or the worker's fault.
-    pub count: u16,
-    /// The number of the last run counted. An end that is listed again after a
-    /// change of owner is recognised by it.
-    pub last_run: u32,
+    /// The numbers of the runs that ended by the task's or the worker's fault.
+    /// An end that is listed again after a change of owner is recognised by
+    /// them, in whatever order workers report.
+    pub runs: Vec<u32>,
 }
 
 /// Checkpoint is the saved progress of one task.
