--- a/crates/stackpier-cell/src/cell.rs
+++ b/crates/stackpier-cell/src/cell.rs
@@ -43,6 +43,7 @@
     pub(crate) undue: Vec<StepKey>,
     pub(crate) place_wanted: bool,
     pub(crate) filled_at: Millis,
+    pub(crate) summarised: Millis,
     pub(crate) model: Model,
     pub(crate) saver: Saver,
     /// When the store last confirmed that this daemon owns the cell.
@@ -80,6 +81,7 @@
             undue: Vec::new(),
             place_wanted: false,
             filled_at: Millis(0),
+            summarised: now.mono,
             model: Model::default(),
             saver: Saver::default(),
             confirmed: now.mono,
@@ -539,6 +541,7 @@
         self.check_copies();
         self.check_confirmed();
         self.forget_jobs();
+        self.summarise();
         self.place_wanted |= !self.filling.is_empty() || !self.waiting.is_empty();
     }
 
--- a/crates/stackpier-cell/src/interference.rs
+++ b/crates/stackpier-cell/src/interference.rs
@@ -120,6 +120,27 @@
         }
     }
 
+    /// describe returns a line for each serving image: its base, and the
+    /// coefficients of the filling images seen beside it with their standard
+    /// deviations, in thousandths.
+    pub fn describe(&self) -> Vec<String> {
+        let milli = |value: f64| (value * 1_000.0) as i64;
+        let rows = self.bases.iter().enumerate();
+        let rows = rows.filter_map(|(place, base)| base.map(|base| (place, base)));
+        let line = |(place, base): (usize, Estimate)| {
+            let pairs = self.pairs.get(place).into_iter().flatten().enumerate();
+            let known = pairs.filter_map(|(image, pair)| pair.map(|pair| (image, pair)));
+            let words: Vec<String> = known
+                .map(|(image, pair)| {
+                    let deviation = milli(pair.variance.sqrt());
+                    format!("{image}:{}+-{deviation}", milli(pair.mean))
+                })
+                .collect();
+            format!("image {place}: base {}, pairs {}", milli(base.mean), words.join(" "))
+        };
+        rows.map(line).collect()
+    }
+
     fn base_mut(&mut self, serving: ImageKey) -> &mut Option<Estimate> {
         let place = usize::from(serving.0);
         if self.bases.len() <= place {
--- a/crates/stackpier-cell/src/lib.rs
+++ b/crates/stackpier-cell/src/lib.rs
@@ -27,6 +27,7 @@
 mod place;
 mod save;
 mod speculate;
+mod summary;
 mod takeover;
 mod wire;
 mod worker;
--- /dev/null
+++ b/crates/stackpier-cell/src/summary.rs
@@ -0,0 +1,88 @@
+// SPDX-License-Identifier: Apache-2.0
+//! A line a second on how full the cell is.
+
+use stackpier_core::Millis;
+
+use crate::{Cell, job::Run};
+
+/// SUMMARY_MS is the time between two summaries.
+const SUMMARY_MS: u64 = 1_000;
+/// CORE is the number of thousandths in a core.
+const CORE: u64 = 1_000;
+
+/// Totals sums up the runs of a cell.
+#[derive(Debug, Default)]
+struct Totals {
+    serving: u32,
+    over: u32,
+    filling: u32,
+    slowed: u32,
+    short: u32,
+    fill_cores: u64,
+    serving_cores: u64,
+    short_cores: u64,
+}
+
+impl Totals {
+    fn add(&mut self, run: &Run) {
+        let cores = u64::from(run.size.milli_cores);
+        if run.fills {
+            self.filling += 1;
+            self.fill_cores += u64::from(run.used_milli.unwrap_or(run.size.milli_cores));
+            self.slowed += u32::from(run.pace < 100);
+        } else if run.lasting {
+            self.serving += 1;
+            self.serving_cores += cores;
+            self.over += u32::from(run.over_since.is_some());
+        } else {
+            self.short += 1;
+            self.short_cores += cores;
+        }
+    }
+}
+
+impl Cell {
+    /// summarise writes a summary, if one is due.
+    pub(crate) fn summarise(&mut self) {
+        let now = self.now.mono;
+        if now.since(self.summarised) < SUMMARY_MS {
+            return;
+        }
+        self.summarised = Millis(now.0);
+        let mut totals = Totals::default();
+        self.runs.values().for_each(|run| totals.add(run));
+        let live: Vec<_> = self.live_now();
+        let cores: u64 = live
+            .iter()
+            .map(|key| u64::from(self.worker(*key).info.capacity.milli_cores))
+            .sum();
+        let ready = |steps: &[crate::StepKey]| -> usize {
+            steps.iter().map(|step| self.step_of(*step).ready.len()).sum()
+        };
+        let text = format!(
+            "{} workers of {} cores: serving {} ({} cores reserved, {} over target), \
+             filling {} ({} cores used, {} slowed), short {} ({} cores); waiting {} and {} that fill",
+            live.len(),
+            cores / CORE,
+            totals.serving,
+            totals.serving_cores / CORE,
+            totals.over,
+            totals.filling,
+            totals.fill_cores / CORE,
+            totals.slowed,
+            totals.short,
+            totals.short_cores / CORE,
+            ready(&self.waiting),
+            ready(&self.filling)
+        );
+        self.note("summary", None, text);
+        self.describe_model();
+    }
+
+    /// describe_model writes what is believed of each serving image.
+    fn describe_model(&mut self) {
+        for text in self.model.describe() {
+            self.note("model", None, text);
+        }
+    }
+}
