Serving images kept apart, unbiased pairs, no stall after a change of pace

(2) Workers served several images, so that each filling image harmed someone everywhere. (3) Coefficients cut off at zero added up over many pairs.

--- a/crates/stackpier-cell/src/interference.rs
+++ b/crates/stackpier-cell/src/interference.rs
@@ -41,7 +41,7 @@
                 variance: 0.5,
             },
             pair: Estimate {
-                mean: 0.03,
+                mean: 0.02,
                 variance: 0.004,
             },
             noise: 0.15,
@@ -104,9 +104,9 @@
         let total = self.options.noise + base.variance + loads.iter().map(spread).sum::<f64>();
         for load in loads {
             let old = self.pair(serving, load.image);
-            let mut new = self.correct(old, load.cores, surprise, total);
-            // No image makes another faster.
-            new.mean = new.mean.max(0.0);
+            // Means below zero stay: cut off at zero, the many pairs without an
+            // effect would add up to one.
+            let new = self.correct(old, load.cores, surprise, total);
             *self.pair_mut(serving, load.image) = Some(new);
         }
         *self.base_mut(serving) = Some(self.correct(base, 1.0, surprise, total));
@@ -136,7 +136,11 @@
                     format!("{image}:{}+-{deviation}", milli(pair.mean))
                 })
                 .collect();
-            format!("image {place}: base {}, pairs {}", milli(base.mean), words.join(" "))
+            format!(
+                "image {place}: base {}, pairs {}",
+                milli(base.mean),
+                words.join(" ")
+            )
         };
         rows.map(line).collect()
     }
--- a/crates/stackpier-cell/src/pace.rs
+++ b/crates/stackpier-cell/src/pace.rs
@@ -238,6 +238,7 @@
             return;
         }
         run.pace = percent;
+        run.moved = now;
         run.slowed_since = match run.slowed_since {
             _ if percent >= LOW_PACE => None,
             None => Some(now),
--- a/crates/stackpier-cell/src/place.rs
+++ b/crates/stackpier-cell/src/place.rs
@@ -37,6 +37,12 @@
 /// worker that lately did work, before it goes to one that has not failed; it
 /// waits as long again before it goes to any.
 const TRUST_MS: u64 = 1_500;
+/// ALIKE_SCORE prefers a worker that serves only the image of a lasting task;
+/// it is above any number of tasks on a worker.
+const ALIKE_SCORE: f64 = 200.0;
+/// EMPTY_SCORE prefers a worker that serves nothing over one that serves other
+/// images.
+const EMPTY_SCORE: f64 = 100.0;
 /// SCALE is the number of thousandths in one.
 const SCALE: u64 = 1_000;
 
@@ -385,22 +391,25 @@
         -f64::from(free.milli_cores) / f64::from(worker.info.capacity.milli_cores.max(1)) - suspect
     }
 
-    /// serving_score packs lasting tasks, by preference beside others of their
-    /// image, as these are disturbed by the same filling tasks.
+    /// serving_score keeps lasting tasks of one image together, as they are
+    /// disturbed by the same filling tasks, then packs them.
     fn serving_score(&self, step: StepKey, worker: &Worker) -> f64 {
         let image = self.step_of(step).image;
         let runs = worker.runs.iter().filter_map(|key| self.runs.get(*key));
-        let serving = runs.filter(|run| run.serving);
-        let (mut alike, mut others) = (0.0, 0.0);
-        for run in serving {
+        let (mut alike, mut others) = (0, 0);
+        for run in runs.filter(|run| run.serving) {
             if run.image == image {
-                alike += 1.0;
+                alike += 1;
             } else {
-                others += 1.0;
+                others += 1;
             }
         }
-        let packed = self.pack_score(worker, self.shape(step).size);
-        packed + 0.3 * alike - 0.1 * others
+        let company = match (alike, others) {
+            (0, 0) => EMPTY_SCORE,
+            (_, 0) => ALIKE_SCORE,
+            _ => f64::from(alike - others),
+        };
+        company + self.pack_score(worker, self.shape(step).size)
     }
 
     /// fill_score prefers workers where the model expects the least harm to
--- a/crates/stackpier-cell/src/summary.rs
+++ b/crates/stackpier-cell/src/summary.rs
@@ -57,7 +57,10 @@
             .map(|key| u64::from(self.worker(*key).info.capacity.milli_cores))
             .sum();
         let ready = |steps: &[crate::StepKey]| -> usize {
-            steps.iter().map(|step| self.step_of(*step).ready.len()).sum()
+            steps
+                .iter()
+                .map(|step| self.step_of(*step).ready.len())
+                .sum()
         };
         let text = format!(
             "{} workers of {} cores: serving {} ({} cores reserved, {} over target), \
