--- a/crates/stackpier-scheduler/src/daemon.rs
+++ b/crates/stackpier-scheduler/src/daemon.rs
@@ -240,6 +240,7 @@
                 Some(item) => Response::Config(item.value.clone(), item.revision),
                 None => Response::NotOwner,
             },
+            Request::Write(transaction) => Response::Written(self.write_for(&transaction).await),
             request => self.answer_as_owner(request),
         }
     }
@@ -272,7 +273,9 @@
                 let waiting = owner.as_ref().map(|owner| owner.cell.waiting(&queue));
                 waiting.map_or(Response::NotOwner, Response::Count)
             }
-            Request::Heartbeat(_) | Request::Heard(_) | Request::Config => Response::NotOwner,
+            Request::Heartbeat(_) | Request::Heard(_) | Request::Config | Request::Write(_) => {
+                Response::NotOwner
+            }
         }
     }
 }
--- a/crates/stackpier-scheduler/src/desk.rs
+++ b/crates/stackpier-scheduler/src/desk.rs
@@ -15,12 +15,16 @@
     keys::{self, OWNER},
     link::{Request, Response},
     node::{Node, Owned, pause},
-    store::{Committed, Condition, Put, Transaction},
+    store::{Committed, Condition, Item, Put, Transaction},
 };
 
 /// TAKE_LIMIT is how long a daemon tries to get a job into the store. Clients
 /// wait three seconds, and need time for another daemon.
-const TAKE_LIMIT: Duration = Duration::from_millis(1_800);
+const TAKE_LIMIT: Duration = Duration::from_millis(1_600);
+/// PASS_LIMIT bounds passing a write on to a peer.
+const PASS_LIMIT: Duration = Duration::from_millis(500);
+/// PASSES is how many peers a write is passed to.
+const PASSES: usize = 2;
 /// RETRY_MS is the pause between two tries.
 const RETRY_MS: u64 = 50;
 /// ASK_LIMIT bounds a question to the owner.
@@ -51,32 +55,95 @@
                 fence: owned.ownership.fence,
                 accepted_ms: self.now().unix.0,
             };
-            match self.store_commit(&acceptance(job, &record, &owned)?).await {
+            match self.commit(&acceptance(job, &record, &owned)?).await {
                 Committed::Done(_) => {
                     self.accepted(job, record);
                     return Ok(());
                 }
                 Committed::Conflict(items) => {
-                    let kept = items
-                        .iter()
-                        .find(|item| item.key == keys::job(job) && item.revision > 0);
-                    if let Some(item) = kept {
-                        self.accepted(job, decode(&item.value)?);
+                    if self.settle(job, &items)? {
                         return Ok(());
                     }
-                    match items.iter().find(|item| item.key == OWNER) {
-                        Some(item) => self.take_ownership(item),
-                        None => return Err(refusal("the cell has no owner", unclear)),
+                    if !items.iter().any(|item| item.key == OWNER) {
+                        return Err(refusal("the cell has no owner", unclear));
                     }
                 }
                 Committed::Refused if unclear => pause(RETRY_MS).await,
-                Committed::Refused => return Err(refusal("the store refused the write", false)),
+                Committed::Refused => return Err(refusal("the store takes no writes", false)),
                 Committed::Unknown => unclear = true,
             }
         }
         Err(refusal("the store did not answer in time", unclear))
     }
 
+    /// settle takes in what a conflict shows, and tells whether the job is in
+    /// the store already.
+    fn settle(&self, job: key::Job, items: &[Item]) -> Result<bool> {
+        if let Some(item) = items.iter().find(|item| item.key == OWNER) {
+            self.take_ownership(item);
+        }
+        let key = keys::job(job);
+        let kept = items
+            .iter()
+            .find(|item| item.key == key && item.revision > 0);
+        if let Some(item) = kept {
+            self.accepted(job, decode(&item.value)?);
+        }
+        Ok(kept.is_some())
+    }
+
+    /// commit does a transaction, by way of a peer if this daemon can't
+    /// reach the store. The transaction's conditions must make it safe to be
+    /// done twice.
+    async fn commit(&self, transaction: &Transaction) -> Committed {
+        let mut unclear = false;
+        if self.store_answers() {
+            match self.store_commit(transaction).await {
+                Committed::Unknown => unclear = true,
+                Committed::Refused => {}
+                settled => return settled,
+            }
+        }
+        for peer in self.peers(PASSES) {
+            let request = Request::Write(transaction.clone());
+            let passed = self.links.call(&peer, &request, PASS_LIMIT).await;
+            match passed {
+                Ok(Response::Written(Committed::Unknown)) | Err(_) => unclear = true,
+                Ok(Response::Written(Committed::Refused)) => {}
+                Ok(Response::Written(settled)) => return settled,
+                Ok(_) => {}
+            }
+        }
+        if unclear {
+            Committed::Unknown
+        } else {
+            Committed::Refused
+        }
+    }
+
+    /// peers returns the addresses of some other daemons: the owner, then any.
+    fn peers(&self, count: usize) -> Vec<String> {
+        let own = &self.settings.vm;
+        let owned = self.owned.borrow();
+        let owner = owned.as_ref().map(|owned| owned.ownership.vm.as_str());
+        let members = self.members.borrow();
+        let others = members.values().filter(|member| member.vm != *own);
+        let mut others: Vec<_> = others.collect();
+        // Another start for each daemon, so that they don't all ask the same.
+        let place = |vm: &str| key::weight(vm.as_bytes(), self.boot.0);
+        others.sort_by_key(|member| (Some(member.vm.as_str()) != owner, place(&member.vm)));
+        let addresses = others.into_iter().map(|member| member.address.clone());
+        addresses.take(count).collect()
+    }
+
+    /// write_for commits a transaction that a peer passed on.
+    pub(crate) async fn write_for(&self, transaction: &Transaction) -> Committed {
+        if !self.store_answers() {
+            return Committed::Refused;
+        }
+        self.store_commit(transaction).await
+    }
+
     /// accepted tells the owner of a job that is in the store.
     fn accepted(&self, job: key::Job, record: Record) {
         let own = self.owner.borrow().as_ref().map(|owner| owner.fence);
@@ -164,7 +231,7 @@
         let end = Instant::now() + TAKE_LIMIT;
         let mut unclear = false;
         while Instant::now() < end {
-            match self.store_commit(&cancelling(job)).await {
+            match self.commit(&cancelling(job)).await {
                 Committed::Done(_) => {
                     self.cancelled(job);
                     return Ok(true);
--- a/crates/stackpier-scheduler/src/link.rs
+++ b/crates/stackpier-scheduler/src/link.rs
@@ -3,6 +3,7 @@
 
 use std::{cell::RefCell, collections::HashMap, future::Future, rc::Rc, time::Duration};
 
+use crate::store::{Committed, Transaction};
 use bytes::Bytes;
 use h2::{RecvStream, SendStream, client, server};
 use serde::{Deserialize, Serialize};
@@ -39,6 +40,9 @@
     Waiting(String),
     /// The newest configuration, as its text in the store.
     Config,
+    /// A write by a daemon that can't reach the store. It is safe to be done
+    /// twice.
+    Write(Transaction),
 }
 
 /// Heartbeat tells the owner how a follower fares.
@@ -62,6 +66,8 @@
     Count(u64),
     /// The configuration's item: value and revision.
     Config(Vec<u8>, u64),
+    /// The outcome of a write.
+    Written(Committed),
     /// The receiver does not own the cell.
     NotOwner,
 }
--- a/crates/stackpier-scheduler/src/member.rs
+++ b/crates/stackpier-scheduler/src/member.rs
@@ -38,7 +38,7 @@
 const REGISTER_RETRY_MS: u64 = 200;
 /// PROBE_MS is the time between two cheap reads that tell whether the store
 /// answers.
-const PROBE_MS: u64 = 1_000;
+const PROBE_MS: u64 = 400;
 
 /// Doubt is why a daemon would take over, and since when.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/stackpier-scheduler/src/node.rs
+++ b/crates/stackpier-scheduler/src/node.rs
@@ -28,7 +28,7 @@
 
 /// STORE_FRESH_MS is how long an answer of the store counts as a sign that it
 /// can be reached.
-const STORE_FRESH_MS: u64 = 1_500;
+const STORE_FRESH_MS: u64 = 1_000;
 
 /// Node is a handle on the daemon's shared state.
 pub struct Node<P> {
--- a/crates/stackpier-scheduler/src/store.rs
+++ b/crates/stackpier-scheduler/src/store.rs
@@ -3,10 +3,11 @@
 
 use std::future::Future;
 
+use serde::{Deserialize, Serialize};
 use stackpier_core::Result;
 
 /// Item is one key with its value.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Item {
     /// The key.
     pub key: String,
@@ -45,7 +46,7 @@
 }
 
 /// Condition requires a key to be at a revision; zero requires its absence.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Condition {
     /// The key.
     pub key: String,
@@ -54,7 +55,7 @@
 }
 
 /// Put is one key to write.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Put {
     /// The key.
     pub key: String,
@@ -63,7 +64,7 @@
 }
 
 /// Transaction does all of its writes or none.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Transaction {
     /// What must hold.
     pub conditions: Vec<Condition>,
@@ -74,7 +75,7 @@
 }
 
 /// Committed is the outcome of a transaction.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Committed {
     /// It was done, at this revision.
     Done(u64),
