Fillers of the jobs with fewest tasks left go first; harm allowed 0.1

Cause: under overload the earliest latest-start first runs every job to its limit. Ruled out: judging lateness at 1.3 and 1.6 chains.

--- a/crates/stackpier-cell/src/options.rs
+++ b/crates/stackpier-cell/src/options.rs
@@ -78,7 +78,7 @@
             early_ms: 0,
             serving_use_milli: 600,
             fill_reserve_mib: 18_000,
-            most_harm: 0.15,
+            most_harm: 0.1,
             move_loss_ms: 600,
             stall_ms: 1_500,
             speculate_percent: 180,
--- a/crates/stackpier-cell/src/place.rs
+++ b/crates/stackpier-cell/src/place.rs
@@ -107,7 +107,14 @@
             .map_or(u8::MAX, |queue| queue.priority);
         let latest = job.objective.0.saturating_sub(entry.chain_ms);
         let late = latest < self.now.mono.0;
-        (priority, if late { latest + LATE_MS } else { latest })
+        (
+            priority,
+            if late {
+                latest + LATE_MS
+            } else {
+                u64::from(job.left)
+            },
+        )
     }
 
     fn place_counted(&mut self) {
