--- a/crates/stackpier-scheduler/src/keys.rs
+++ b/crates/stackpier-scheduler/src/keys.rs
@@ -47,6 +47,8 @@
     pub address: String,
     /// Its data centre.
     pub data_centre: String,
+    /// The processor that it has, in thousandths of a core.
+    pub milli_cores: u32,
 }
 
 /// Entry is what a key under [`JOBS`] is about.
--- a/crates/stackpier-scheduler/src/member.rs
+++ b/crates/stackpier-scheduler/src/member.rs
@@ -84,6 +84,7 @@
         boot: node.boot,
         address: node.settings.peers.to_string(),
         data_centre: node.settings.data_centre.clone(),
+        milli_cores: node.settings.milli_cores,
     };
     let value = encode(&member).expect("a member is encoded");
     let transaction = Transaction {
@@ -315,7 +316,8 @@
         }
     }
 
-    /// rank returns this daemon's place among those that could take over.
+    /// rank returns this daemon's place among those that could take over:
+    /// larger VMs first, as an owner's work grows with its cell.
     fn rank(&self, owned: &Option<Owned>) -> u64 {
         let owner = owned.as_ref().map(|owned| &owned.ownership);
         if owner.is_some_and(|owner| owner.vm == self.node.settings.vm) {
@@ -323,10 +325,14 @@
         }
         let item = owner.map_or(0, |owner| owner.fence).to_le_bytes();
         let weight = |vm: &str| key::weight(&item, key::weight(vm.as_bytes(), 0));
-        let own = weight(&self.node.settings.vm);
+        let own = (
+            self.node.settings.milli_cores,
+            weight(&self.node.settings.vm),
+        );
         let members = self.node.members.borrow();
         let before = |member: &&Member| {
-            owner.is_none_or(|owner| owner.vm != member.vm) && weight(&member.vm) > own
+            let other = (member.milli_cores, weight(&member.vm));
+            owner.is_none_or(|owner| owner.vm != member.vm) && other > own
         };
         members.values().filter(before).count() as u64
     }
--- a/crates/stackpier-scheduler/src/settings.rs
+++ b/crates/stackpier-scheduler/src/settings.rs
@@ -35,6 +35,7 @@
     early_ms: u64,
     shown_s: u64,
     grace_s: f64,
+    cores: f64,
 }
 
 /// Settings are the checked settings of one daemon.
@@ -56,6 +57,8 @@
     pub store: SocketAddr,
     /// The settings of the cell's decisions.
     pub cell: stackpier_cell::Options,
+    /// The processor that the VM has, in thousandths of a core.
+    pub milli_cores: u32,
     /// The time from a request to stop until the process is killed, in
     /// milliseconds.
     pub grace_ms: u64,
@@ -89,6 +92,7 @@
         let lease_ms = longest.min(LONGEST_LEASE_MS);
         let shown_s = within("shown_s", raw.shown_s, 1..=LONGEST_MS / 1_000, "s")?;
         let grace_s = within("grace_s", raw.grace_s, 0.5..=600.0, "s")?;
+        let cores = within("cores", raw.cores, 0.001..=1_000.0, "cores")?;
         let defaults = stackpier_cell::Options::default();
         Ok(Settings {
             callers: address("callers", &raw.callers)?,
@@ -106,6 +110,7 @@
                 ..defaults
             },
             grace_ms: (grace_s * 1_000.0) as u64,
+            milli_cores: (cores * 1_000.0) as u32,
             vm: named("vm", raw.vm)?,
             data_centre: named("data_centre", raw.data_centre)?,
         })
