--- a/crates/stackpier-cell/src/cell.rs
+++ b/crates/stackpier-cell/src/cell.rs
@@ -17,6 +17,9 @@
     worker::{Life, Worker},
 };
 
+/// SWEEP_MS is the time between two looks at all runs, for those that stand
+/// still, lag, or are on leaving workers.
+const SWEEP_MS: u64 = 150;
 /// FAILED_ON is how many workers a task remembers to have failed on.
 const FAILED_ON: usize = 3;
 
@@ -45,6 +48,8 @@
     pub(crate) place_wanted: bool,
     pub(crate) filled_at: Millis,
     pub(crate) summarised: Millis,
+    /// When all runs were last looked at.
+    pub(crate) swept: Millis,
     pub(crate) model: Model,
     pub(crate) forecast: Forecast,
     pub(crate) saver: Saver,
@@ -84,6 +89,7 @@
             place_wanted: false,
             filled_at: Millis(0),
             summarised: now.mono,
+            swept: now.mono,
             model: Model::default(),
             forecast: Forecast::default(),
             saver: Saver::default(),
@@ -491,9 +497,7 @@
     /// drop_run forgets a run that is over and frees its room.
     pub(crate) fn drop_run(&mut self, key: RunKey) -> Option<Run> {
         let run = self.runs.remove(key)?;
-        let worker = self.worker_mut(run.worker);
-        worker.runs.retain(|other| *other != key);
-        worker.reserved = worker.reserved.minus(&counted(&run));
+        self.worker_mut(run.worker).remove(key, &run);
         self.task_mut(run.task).runs.retain(|other| *other != key);
         self.place_wanted = true;
         Some(run)
@@ -539,11 +543,15 @@
     fn tick(&mut self) {
         self.release_due();
         self.check_workers();
-        self.check_runs();
-        self.check_drains();
-        self.check_copies();
         self.check_confirmed();
-        self.forget_jobs();
+        let now = self.now.mono;
+        if now.since(self.swept) >= SWEEP_MS {
+            self.swept = now;
+            self.check_runs();
+            self.check_drains();
+            self.check_copies();
+            self.forget_jobs();
+        }
         self.summarise();
         self.place_wanted |= !self.filling.is_empty() || !self.waiting.is_empty();
     }
@@ -584,16 +592,6 @@
     }
 }
 
-/// counted returns what a run takes of a worker's room: a filling run's
-/// processors are not counted.
-pub(crate) fn counted(run: &Run) -> stackpier_core::Size {
-    let mut size = run.size;
-    if run.fills {
-        size.milli_cores = 0;
-    }
-    size
-}
-
 /// first_task names a job's first task, for log lines about the whole job.
 pub(crate) fn first_task(job: key::Job) -> TaskName {
     TaskName {
--- a/crates/stackpier-cell/src/ends.rs
+++ b/crates/stackpier-cell/src/ends.rs
@@ -27,6 +27,9 @@
         if news {
             let after = self.saver.next();
             self.worker_mut(worker).note_after_save = after;
+            if !self.saver.unnoted.contains(&worker) {
+                self.saver.unnoted.push(worker);
+            }
         }
     }
 
--- a/crates/stackpier-cell/src/explain.rs
+++ b/crates/stackpier-cell/src/explain.rs
@@ -39,10 +39,9 @@
         }
         let inherited = !self.may_start(step.job);
         let failed = task.failed_runs.len();
-        let room = self.find_room(key, self.now.mono).is_some();
         format!(
             "{name}: waits, step queued {}, runs of an earlier owner possible {inherited}, \
-             failed runs {failed}, a worker would take it {room}",
+             failed runs {failed}",
             step.queued
         )
     }
--- a/crates/stackpier-cell/src/health.rs
+++ b/crates/stackpier-cell/src/health.rs
@@ -57,10 +57,10 @@
         self.blocked_until = self.blocked_until.max(now.plus(ms));
     }
 
-    /// takes tells whether a start is allowed, given the count of runs that
+    /// takes tells whether a start is allowed. `unproved` counts the runs that
     /// were started and have not shown progress yet.
-    pub(crate) fn takes(&self, now: Millis, unproved: usize) -> bool {
-        now >= self.blocked_until && (!self.probing || unproved == 0)
+    pub(crate) fn takes(&self, now: Millis, unproved: impl Fn() -> usize) -> bool {
+        now >= self.blocked_until && (!self.probing || unproved() == 0)
     }
 
     /// is_proved tells whether a run did its work there and none failed since.
--- a/crates/stackpier-cell/src/hold.rs
+++ b/crates/stackpier-cell/src/hold.rs
@@ -83,6 +83,8 @@
             inherited: false,
             runs: Vec::new(),
             reserved: stackpier_core::Size::default(),
+            lasting_milli: 0,
+            other_milli: 0,
             clock: None,
             deadline_ms: 0,
             holding: false,
--- a/crates/stackpier-cell/src/job.rs
+++ b/crates/stackpier-cell/src/job.rs
@@ -160,6 +160,16 @@
         }
     }
 
+    /// counted returns what the run takes of a worker's room: the processors
+    /// of a filling run are not counted.
+    pub(crate) fn counted(&self) -> Size {
+        let mut size = self.size;
+        if self.fills {
+            size.milli_cores = 0;
+        }
+        size
+    }
+
     /// cores returns the processors it is taken to use, at its pace.
     pub(crate) fn cores(&self) -> f64 {
         let declared = f64::from(self.size.milli_cores) * f64::from(self.pace) / 100.0;
--- a/crates/stackpier-cell/src/order.rs
+++ b/crates/stackpier-cell/src/order.rs
@@ -6,7 +6,6 @@
 use crate::{
     Cell, Effect, Order, Start, Started, Stop, Stopped,
     arena::{RunKey, TaskKey, WorkerKey},
-    cell::counted,
     job::{Phase, Run},
 };
 
@@ -26,12 +25,8 @@
             return;
         };
         let run = self.new_run(task, worker);
-        let size = counted(&run);
         let number = run.number;
-        let key = self.runs.insert(run);
-        let entry = self.worker_mut(worker);
-        entry.reserved += size;
-        entry.runs.push(key);
+        let key = self.insert_run(run);
         let entry = self.task_mut(task);
         entry.runs.push(key);
         entry.next_run = number + 1;
@@ -45,6 +40,14 @@
         self.hold_soon(worker);
     }
 
+    fn insert_run(&mut self, run: Run) -> RunKey {
+        let worker = run.worker;
+        let key = self.runs.insert(run);
+        let run = self.runs.get(key).expect("the run was just inserted");
+        self.workers[worker.0 as usize].add(key, run);
+        key
+    }
+
     fn new_run(&self, task: TaskKey, worker: WorkerKey) -> Run {
         let step = self.task(task).step;
         let shape = self.shape(step);
@@ -82,11 +85,7 @@
         run.number = number;
         run.phase = Phase::Running;
         run.confirmed = Some(self.now.mono);
-        let size = counted(&run);
-        let key = self.runs.insert(run);
-        let entry = self.worker_mut(worker);
-        entry.reserved += size;
-        entry.runs.push(key);
+        let key = self.insert_run(run);
         let entry = self.task_mut(task);
         entry.runs.push(key);
         entry.next_run = entry.next_run.max(number + 1);
--- /dev/null
+++ b/crates/stackpier-cell/src/place/gang.rs
@@ -0,0 +1,67 @@
+// SPDX-License-Identifier: Apache-2.0
+//! Gangs: all tasks of a step are placed together or none is.
+
+use std::collections::BTreeSet;
+
+use crate::{
+    Cell,
+    arena::{TaskKey, WorkerKey},
+};
+
+use super::offer::Need;
+
+impl Cell {
+    /// place_gang places all tasks of a gang or none.
+    pub(super) fn place_gang(&mut self, need: &Need) -> bool {
+        let entry = self.step_of(need.step);
+        let tasks: Vec<TaskKey> = entry.ready.clone();
+        if (tasks.len() as u32) < entry.left {
+            return false;
+        }
+        let Some(chosen) = self.room_for_gang(need, tasks.len()) else {
+            return false;
+        };
+        let numbers = tasks.iter().map(|task| self.task(*task).next_run);
+        let run = numbers.max().unwrap_or(1);
+        self.step_mut(need.step).ready.clear();
+        for (task, worker) in tasks.into_iter().zip(chosen) {
+            let entry = self.task_mut(task);
+            entry.ready = false;
+            entry.next_run = run;
+            self.start(task, worker);
+        }
+        true
+    }
+
+    /// room_for_gang returns a worker for each task. It prefers a single rack
+    /// where the step asks for one.
+    fn room_for_gang(&self, need: &Need, count: usize) -> Option<Vec<WorkerKey>> {
+        if need.same_rack {
+            let racks: BTreeSet<u16> = self.live().map(|key| self.worker(key).rack).collect();
+            let mut racks = racks.into_iter();
+            let found = racks.find_map(|rack| self.fit_gang(need, count, Some(rack)));
+            if found.is_some() {
+                return found;
+            }
+        }
+        self.fit_gang(need, count, None)
+    }
+
+    fn fit_gang(&self, need: &Need, count: usize, rack: Option<u16>) -> Option<Vec<WorkerKey>> {
+        let mut chosen = Vec::new();
+        for key in self.live() {
+            let worker = self.worker(key);
+            if rack.is_some_and(|rack| rack != worker.rack) || !self.allows(need, key) {
+                continue;
+            }
+            let mut free = worker.free();
+            let mut here = 0;
+            while chosen.len() < count && here < need.most && need.size.fits(&free) {
+                free = free.minus(&need.size);
+                here += 1;
+                chosen.push(key);
+            }
+        }
+        (chosen.len() == count).then_some(chosen)
+    }
+}
--- /dev/null
+++ b/crates/stackpier-cell/src/place/offer.rs
@@ -0,0 +1,236 @@
+// SPDX-License-Identifier: Apache-2.0
+//! What a worker offers to the tasks of a step: whether it may take them, and
+//! how well it suits.
+
+use std::{cmp::Ordering, collections::BinaryHeap};
+
+use stackpier_core::Size;
+
+use crate::{
+    Cell,
+    arena::{ImageKey, StepKey, WorkerKey},
+    worker::{Life, Worker},
+};
+
+/// FAR_MS is how long a task waits for a worker in the rack of its data.
+const FAR_MS: u64 = 300;
+/// ALIKE_SCORE prefers a worker that serves only the image of a lasting task;
+/// it is above any number of tasks on a worker.
+const ALIKE_SCORE: f64 = 200.0;
+/// EMPTY_SCORE prefers a worker that serves nothing over one that serves other
+/// images.
+const EMPTY_SCORE: f64 = 100.0;
+/// SUSPECT_SCORE is taken off for a worker where runs failed or stood still.
+pub(super) const SUSPECT_SCORE: f64 = 5.0;
+/// RACK_SCORE prefers the rack of a step's data over any way of packing.
+const RACK_SCORE: f64 = 10.0;
+
+/// Choice is a worker with how well it suits: higher is better.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Choice {
+    pub worker: WorkerKey,
+    pub score: f64,
+}
+
+impl PartialEq for Choice {
+    fn eq(&self, other: &Choice) -> bool {
+        self.cmp(other) == Ordering::Equal
+    }
+}
+
+impl Eq for Choice {}
+
+impl PartialOrd for Choice {
+    fn partial_cmp(&self, other: &Choice) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Choice {
+    fn cmp(&self, other: &Choice) -> Ordering {
+        let by_score = self.score.total_cmp(&other.score);
+        by_score.then(other.worker.cmp(&self.worker))
+    }
+}
+
+/// Need is what the tasks of a step ask of a worker, looked up once for all
+/// workers.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Need {
+    pub step: StepKey,
+    pub service: u16,
+    /// What must be free; without processors for tasks that fill.
+    pub size: Size,
+    /// What one task asks for.
+    pub full: Size,
+    pub fills: bool,
+    pub lasting: bool,
+    pub image: ImageKey,
+    pub gang: bool,
+    pub same_rack: bool,
+    /// The most tasks of the step on one worker.
+    pub most: u32,
+    pub labelled: bool,
+    /// The rack of the data.
+    pub rack: Option<u16>,
+    /// Whether there is time to wait for that rack.
+    pub patient: bool,
+}
+
+impl Need {
+    /// is_plain tells whether only room decides which workers are allowed.
+    pub(super) fn is_plain(&self) -> bool {
+        !self.gang && !self.labelled && self.most == u32::MAX && self.rack.is_none()
+    }
+}
+
+impl Cell {
+    /// need looks up what a step's tasks ask for, or `None` if no queue of its
+    /// name is known.
+    pub(crate) fn need(&mut self, step: StepKey) -> Option<Need> {
+        let entry = self.step_of(step);
+        let job = self.job(entry.job);
+        let service = self.queues.get(&job.queue)?.service.clone();
+        let service = self.services.number(&service);
+        let entry = self.step_of(step);
+        let job = self.job(entry.job);
+        let shape = &job.spec.steps[usize::from(entry.number)];
+        let mut size = shape.size;
+        if shape.fills {
+            size.milli_cores = 0;
+            size.memory_mib += self.options.fill_reserve_mib;
+        }
+        let latest = job.objective.0.saturating_sub(entry.chain_ms);
+        let mut need = Need {
+            step,
+            service,
+            size,
+            full: shape.size,
+            fills: shape.fills,
+            lasting: shape.lasting,
+            image: entry.image,
+            gang: shape.gang,
+            same_rack: shape.same_rack,
+            most: shape.most_per_worker.unwrap_or(u32::MAX),
+            labelled: shape.label.is_some(),
+            rack: None,
+            patient: self.now.mono.0 + FAR_MS < latest,
+        };
+        if let Some(rack) = shape.rack.clone() {
+            need.rack = Some(self.racks.number(&rack));
+        }
+        Some(need)
+    }
+
+    /// choices rates all workers that offer room to a step.
+    pub(super) fn choices(&self, need: &Need) -> BinaryHeap<Choice> {
+        let rate = |worker| {
+            let score = self.offer(need, worker)?;
+            Some(Choice { worker, score })
+        };
+        self.live().filter_map(rate).collect()
+    }
+
+    /// offer returns how well a worker suits a task of a step, or `None` if it
+    /// may not or should not take one.
+    pub(super) fn offer(&self, need: &Need, key: WorkerKey) -> Option<f64> {
+        let worker = self.worker(key);
+        if !need.size.fits(&worker.free()) || !self.allows(need, key) {
+            return None;
+        }
+        let rack = rack_score(need, worker)?;
+        let own = if need.fills {
+            self.fill_score(need, key)?
+        } else if need.lasting {
+            self.serving_score(need, worker)
+        } else {
+            pack_score(worker, need.size)
+        };
+        Some(own + rack)
+    }
+
+    /// allows tells whether a worker may take tasks of a step at all, whatever
+    /// its room.
+    pub(super) fn allows(&self, need: &Need, key: WorkerKey) -> bool {
+        let worker = self.worker(key);
+        if worker.service != need.service || !self.is_usable(worker) {
+            return false;
+        }
+        if need.labelled
+            && let Some(label) = &self.shape(need.step).label
+            && !worker.info.labels.contains(label)
+        {
+            return false;
+        }
+        need.most == u32::MAX || self.members_on(need.step, worker) < need.most
+    }
+
+    fn is_usable(&self, worker: &Worker) -> bool {
+        let now = self.now.mono;
+        let listed = worker
+            .unlisted_since
+            .is_none_or(|since| now.since(since) < self.options.unlisted_ms);
+        worker.life == Life::Met
+            && worker.rostered
+            && !worker.info.draining
+            && listed
+            && worker.silent_since.is_none()
+            && now >= worker.full_until
+            && worker.health.takes(now, || self.unproved(worker))
+    }
+
+    /// unproved returns how many runs on a worker have shown no progress.
+    fn unproved(&self, worker: &Worker) -> usize {
+        let runs = worker.runs.iter().filter_map(|key| self.runs.get(*key));
+        runs.filter(|run| run.percent == 0).count()
+    }
+
+    fn members_on(&self, step: StepKey, worker: &Worker) -> u32 {
+        let runs = worker.runs.iter().filter_map(|key| self.runs.get(*key));
+        runs.filter(|run| run.step == step).count() as u32
+    }
+
+    /// serving_score keeps lasting tasks of one image together, as they are
+    /// disturbed by the same filling tasks, then packs them.
+    fn serving_score(&self, need: &Need, worker: &Worker) -> f64 {
+        let runs = worker.runs.iter().filter_map(|key| self.runs.get(*key));
+        let (mut alike, mut others) = (0, 0);
+        for run in runs.filter(|run| run.serving) {
+            if run.image == need.image {
+                alike += 1;
+            } else {
+                others += 1;
+            }
+        }
+        let company = match (alike, others) {
+            (0, 0) => EMPTY_SCORE,
+            (_, 0) => ALIKE_SCORE,
+            _ => f64::from(alike - others),
+        };
+        company + pack_score(worker, need.size)
+    }
+}
+
+/// pack_score prefers the worker that is left with the least room.
+fn pack_score(worker: &Worker, size: Size) -> f64 {
+    let free = worker.free().minus(&size);
+    let capacity = f64::from(worker.info.capacity.milli_cores.max(1));
+    let suspect = if worker.health.is_suspect() {
+        SUSPECT_SCORE
+    } else {
+        0.0
+    };
+    -f64::from(free.milli_cores) / capacity - suspect
+}
+
+/// rack_score prefers the rack of a step's data. A task waits a short time for
+/// that rack before it goes elsewhere.
+fn rack_score(need: &Need, worker: &Worker) -> Option<f64> {
+    let Some(rack) = need.rack else {
+        return Some(0.0);
+    };
+    if rack == worker.rack {
+        return Some(RACK_SCORE);
+    }
+    (!need.patient).then_some(0.0)
+}
--- a/crates/stackpier-cell/src/save.rs
+++ b/crates/stackpier-cell/src/save.rs
@@ -27,6 +27,8 @@
     done: u64,
     in_flight: Option<InFlight>,
     not_before: Millis,
+    /// Workers with ends that are not noted.
+    pub unnoted: Vec<WorkerKey>,
 }
 
 #[derive(Debug)]
@@ -190,13 +192,21 @@
 
     /// note_all lets workers forget the ends that are saved.
     fn note_all(&mut self) {
+        if self.saver.unnoted.is_empty() {
+            return;
+        }
         let idle = self.saver.is_empty() && !self.saver.is_busy();
         let done = self.saver.done;
-        for key in self.live_now() {
+        for key in std::mem::take(&mut self.saver.unnoted) {
             let worker = self.worker_mut(key);
-            if worker.taken > worker.noted && (idle || worker.note_after_save <= done) {
+            if worker.taken == worker.noted || worker.life == Life::Over {
+                continue;
+            }
+            if idle || worker.note_after_save <= done {
                 worker.noted = worker.taken;
                 self.hold_soon(key);
+            } else {
+                self.saver.unnoted.push(key);
             }
         }
     }
--- a/crates/stackpier-cell/src/speculate.rs
+++ b/crates/stackpier-cell/src/speculate.rs
@@ -89,8 +89,9 @@
     }
 
     fn copy(&mut self, task: TaskKey) {
-        let now = self.now.mono;
-        let Some(worker) = self.find_room(task, now) else {
+        let need = self.need(self.task(task).step);
+        let worker = need.and_then(|need| self.find_room(task, &need));
+        let Some(worker) = worker else {
             return;
         };
         let here = |key: &RunKey| self.runs.get(*key).is_some_and(|run| run.worker == worker);
--- a/crates/stackpier-cell/src/worker.rs
+++ b/crates/stackpier-cell/src/worker.rs
@@ -3,7 +3,7 @@
 
 use stackpier_core::{Millis, Size};
 
-use crate::{arena::RunKey, health::Health};
+use crate::{arena::RunKey, health::Health, job::Run};
 
 /// CLOCK_ERROR_MILLI is how much slower than true time a worker's clock may
 /// run, in thousandths, with a margin: the platform allows 2%.
@@ -72,6 +72,10 @@
     /// Memory and accelerators of all runs, and the processors of those that
     /// are counted.
     pub reserved: Size,
+    /// The processors that lasting tasks have reserved, in thousandths.
+    pub lasting_milli: u32,
+    /// The processors that all other runs asked for, in thousandths.
+    pub other_milli: u32,
     pub clock: Option<Clock>,
     /// The latest end of the lease that was ever sent, by its clock.
     pub deadline_ms: u64,
@@ -112,6 +116,37 @@
         Some(deadline)
     }
 
+    /// add notes that a run holds room.
+    pub(crate) fn add(&mut self, key: RunKey, run: &Run) {
+        self.runs.push(key);
+        self.reserved += run.counted();
+        *self.milli(run) += run.size.milli_cores;
+    }
+
+    /// remove notes that a run holds room no more.
+    pub(crate) fn remove(&mut self, key: RunKey, run: &Run) {
+        self.runs.retain(|other| *other != key);
+        self.reserved = self.reserved.minus(&run.counted());
+        let milli = self.milli(run);
+        *milli = milli.saturating_sub(run.size.milli_cores);
+    }
+
+    fn milli(&mut self, run: &Run) -> &mut u32 {
+        if run.lasting {
+            &mut self.lasting_milli
+        } else {
+            &mut self.other_milli
+        }
+    }
+
+    /// spare_milli returns the processors that are expected to be unused, in
+    /// thousandths of a core, if lasting tasks use a share of what they
+    /// reserved, in thousandths.
+    pub(crate) fn spare_milli(&self, use_milli: u32) -> i64 {
+        let lasting = i64::from(self.lasting_milli) * i64::from(use_milli) / 1_000;
+        i64::from(self.info.capacity.milli_cores) - lasting - i64::from(self.other_milli)
+    }
+
     /// free returns what is neither reserved nor in use.
     pub(crate) fn free(&self) -> Size {
         self.info.capacity.minus(&self.reserved)
