Copies go to another worker

Cause: the best worker for a copy was the one that the lagging run was on, and the copy was given up.

--- a/crates/stackpier-cell/src/place.rs
+++ b/crates/stackpier-cell/src/place.rs
@@ -210,7 +210,9 @@
         if self.now.mono < self.task(task).not_before {
             return None;
         }
-        let choices = self.choices(need);
+        let mut choices = self.choices(need).into_vec();
+        // A copy goes to another worker than the first run.
+        choices.retain(|choice| !self.runs_on(task, choice.worker));
         let failed_on = &self.task(task).failed_on;
         let other = choices
             .iter()
@@ -223,6 +225,12 @@
         best.map(|best| best.worker)
     }
 
+    fn runs_on(&self, task: TaskKey, key: WorkerKey) -> bool {
+        let runs = self.task(task).runs.iter();
+        let mut runs = runs.filter_map(|run| self.runs.get(*run));
+        runs.any(|run| run.worker == key)
+    }
+
     /// trusts tells whether a worker's standing is good enough for a task: one
     /// that has only a failure left goes where work was lately done.
     fn trusts(&self, task: TaskKey, key: WorkerKey) -> bool {
--- a/crates/stackpier-cell/src/speculate.rs
+++ b/crates/stackpier-cell/src/speculate.rs
@@ -94,10 +94,6 @@
         let Some(worker) = worker else {
             return;
         };
-        let here = |key: &RunKey| self.runs.get(*key).is_some_and(|run| run.worker == worker);
-        if self.task(task).runs.iter().any(here) {
-            return;
-        }
         let name = self.name(task);
         self.note(
             "speculate",
