--- a/crates/stackpier-cell/src/arena.rs
+++ b/crates/stackpier-cell/src/arena.rs
@@ -22,7 +22,7 @@
 pub struct TaskKey(pub(crate) u32);
 
 /// WorkerKey is the position of one life of a worker.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct WorkerKey(pub(crate) u32);
 
 /// ImageKey is the position of an image's name.
--- a/crates/stackpier-core/src/arena.rs
+++ b/crates/stackpier-core/src/arena.rs
@@ -19,6 +19,17 @@
 
 impl<T> Copy for Index<T> {}
 
+impl<T> Default for Index<T> {
+    /// default returns the index of an arena's first value.
+    fn default() -> Self {
+        Index {
+            slot: 0,
+            generation: 0,
+            kind: PhantomData,
+        }
+    }
+}
+
 impl<T> PartialEq for Index<T> {
     fn eq(&self, other: &Self) -> bool {
         self.slot == other.slot && self.generation == other.generation
--- a/crates/stackpier-testkit/src/process.rs
+++ b/crates/stackpier-testkit/src/process.rs
@@ -51,9 +51,20 @@
 impl Process {
     /// start runs a program of this workspace with its output in `log`.
     pub fn start<S: AsRef<std::ffi::OsStr>>(name: &str, args: &[S], log: &Path) -> Result<Process> {
+        Process::start_with(name, args, &[], log)
+    }
+
+    /// start_with does the same with some environment variables.
+    pub fn start_with<S: AsRef<std::ffi::OsStr>>(
+        name: &str,
+        args: &[S],
+        variables: &[(&str, &Path)],
+        log: &Path,
+    ) -> Result<Process> {
         let file = File::options().create(true).append(true).open(log)?;
         let child = Command::new(binary(name)?)
             .args(args)
+            .envs(variables.iter().copied())
             .stdout(file.try_clone()?)
             .stderr(file)
             .spawn()
