--- a/crates/stackpier-cell/src/cell.rs
+++ b/crates/stackpier-cell/src/cell.rs
@@ -297,8 +297,8 @@
         self.jobs.push(job);
         self.job_keys.insert(id, key);
         for round in 0..spec.rounds() {
-            for number in 0..spec.steps.len() {
-                self.add_step(key, &spec, round, number, chains[number]);
+            for (number, chain_ms) in chains.iter().enumerate() {
+                self.add_step(key, &spec, round, number, *chain_ms);
             }
         }
         key
