--- a/crates/stackpier-cell/src/speculate.rs
+++ b/crates/stackpier-cell/src/speculate.rs
@@ -77,7 +77,8 @@
         let shape = self.shape(run.step);
         let task = self.task(run.task);
         let alone = task.runs.len() == 1 && !task.done && !task.ready;
-        if !shape.speculative || !alone || shape.lasting || shape.gang {
+        let goes_on = run.phase == Phase::Running && !self.job_of(run.task).state.is_final();
+        if !shape.speculative || !alone || !goes_on || shape.lasting || shape.gang {
             return None;
         }
         let estimate = u64::from(shape.estimate_ms);
--- a/crates/stackpier-cell/tests/faults.rs
+++ b/crates/stackpier-cell/tests/faults.rs
@@ -350,3 +350,21 @@
     );
     assert!(!owner.cell.explain(key::Job(1)).is_empty());
 }
+
+/// Found by a day of our own (tg-fleetops, one-late-grants, UNASKED): the stop
+/// of a cancelled job's task was late, and the task got copies.
+#[test]
+fn a_cancelled_task_that_is_slow_to_stop_gets_no_copy() {
+    let mut owner = Owner::new(2);
+    let copied = Step {
+        speculative: true,
+        ..step(1)
+    };
+    owner.submit(1, spec(vec![copied]));
+    owner.advance(300);
+    let place = owner.starts[0].1;
+    owner.cut[place] = true;
+    owner.feed(Event::Cancelled(key::Job(1)));
+    owner.advance(5_000);
+    assert_eq!(owner.starts.len(), 1);
+}
