Queues with an adviser: tickets asked for a step, kept while they hold

Until now a start on such a queue was refused for want of a ticket and tried again each second. A step asks about the workers with room, 40 at a time, and starts where a ticket holds. Test: tasks go only where the adviser allows, with fewer than twelve questions for twenty tasks.

--- /dev/null
+++ b/crates/stackpier-cell/src/advice.rs
@@ -0,0 +1,120 @@
+// SPDX-License-Identifier: Apache-2.0
+//! Queues with an adviser: only some workers may run a step, and only the
+//! adviser knows which. It hands out a ticket for each, which holds for a time.
+
+use std::collections::BTreeMap;
+
+use stackpier_core::Millis;
+
+use crate::{
+    Advised, Ask, Cell, Effect,
+    arena::{StepKey, WorkerKey},
+    place::Need,
+};
+
+/// MOST_ASKED is the most workers that one question names: the platform allows
+/// 100, and each costs the adviser time.
+const MOST_ASKED: usize = 40;
+/// MARGIN_MS is how long a ticket must still hold when a start is sent.
+const MARGIN_MS: u64 = 300;
+/// RETRY_MS is the pause before an adviser that gave no answer is asked again.
+const RETRY_MS: u64 = 250;
+
+/// Advice is what is known of the workers that may run a step.
+#[derive(Debug, Default)]
+pub(crate) struct Advice {
+    tickets: BTreeMap<WorkerKey, Ticket>,
+    /// When each worker was last asked for.
+    asked: BTreeMap<WorkerKey, Millis>,
+    asking: bool,
+    not_before: Millis,
+}
+
+#[derive(Clone, Debug)]
+struct Ticket {
+    text: String,
+    until: Millis,
+}
+
+impl Advice {
+    /// ticket returns the ticket for a worker, if it holds for long enough.
+    pub(crate) fn ticket(&self, worker: WorkerKey, now: Millis) -> Option<&str> {
+        let ticket = self.tickets.get(&worker)?;
+        (now.plus(MARGIN_MS) < ticket.until).then_some(ticket.text.as_str())
+    }
+}
+
+impl Cell {
+    /// ticket returns the ticket that a start of a step on a worker needs.
+    pub(crate) fn ticket(&self, step: StepKey, worker: WorkerKey) -> Option<String> {
+        let advice = self.step_of(step).advice.as_ref()?;
+        advice.ticket(worker, self.now.mono).map(str::to_owned)
+    }
+
+    /// ask asks the adviser about the workers with room for a step's waiting
+    /// tasks that it was not asked about lately.
+    pub(crate) fn ask(&mut self, need: &Need) {
+        let now = self.now.mono;
+        let advice = self.step_of(need.step).advice.as_deref();
+        if advice.is_some_and(|advice| advice.asking || now < advice.not_before) {
+            return;
+        }
+        let known =
+            |worker: &WorkerKey| advice.is_some_and(|advice| advice.asked.contains_key(worker));
+        let open = Need {
+            advised: false,
+            ..*need
+        };
+        let mut choices = self.choices(&open).into_sorted_vec();
+        choices.reverse();
+        let workers = choices.into_iter().map(|choice| choice.worker);
+        let workers: Vec<WorkerKey> = workers
+            .filter(|worker| !known(worker))
+            .take(MOST_ASKED)
+            .collect();
+        if workers.is_empty() {
+            // All were asked: begin again, as tickets and room change.
+            if let Some(advice) = self.step_mut(need.step).advice.as_deref_mut() {
+                advice.asked.clear();
+                advice.not_before = now.plus(RETRY_MS);
+            }
+            return;
+        }
+        let ids = workers
+            .iter()
+            .map(|worker| self.worker(*worker).info.id.clone());
+        let question = Ask {
+            step: need.step,
+            name: self.name(self.step_of(need.step).first_task),
+            workers: ids.collect(),
+        };
+        let advice = self.step_mut(need.step).advice.get_or_insert_default();
+        advice.asking = true;
+        advice
+            .asked
+            .extend(workers.into_iter().map(|worker| (worker, now)));
+        self.effects.push(Effect::Ask(question));
+    }
+
+    /// advised takes in the adviser's answer, or that there was none.
+    pub(crate) fn advised(&mut self, step: StepKey, answer: Option<Advised>) {
+        let now = self.now.mono;
+        let keys = &self.worker_keys;
+        let Some(advice) = self.steps[step.0 as usize].advice.as_deref_mut() else {
+            return;
+        };
+        advice.asking = false;
+        let Some(answer) = answer else {
+            advice.asked.clear();
+            advice.not_before = now.plus(RETRY_MS);
+            return;
+        };
+        let until = now.plus(answer.valid_ms);
+        for (id, text) in answer.good {
+            if let Some(worker) = keys.get(&id) {
+                advice.tickets.insert(*worker, Ticket { text, until });
+            }
+        }
+        self.place_wanted = true;
+    }
+}
--- a/crates/stackpier-cell/src/cell.rs
+++ b/crates/stackpier-cell/src/cell.rs
@@ -122,6 +122,7 @@
                 sent,
                 outcome,
             } => self.held(worker, sent, outcome),
+            Event::Advised(step, answer) => self.advised(step, answer),
             Event::Saved(done) => self.saved(done),
             Event::Confirmed(sent) => self.confirm(sent),
             Event::Tick => self.tick(),
@@ -330,6 +331,7 @@
             queued: false,
             chain_ms,
             due_unix_ms: spec.due_ms(round).unwrap_or(0),
+            advice: None,
         });
         let first_run = self.first_run();
         for index in 0..shape.count {
--- a/crates/stackpier-cell/src/job.rs
+++ b/crates/stackpier-cell/src/job.rs
@@ -7,6 +7,7 @@
 use stackpier_state::job::{Spec, State};
 
 use crate::{
+    advice::Advice,
     arena::{ImageKey, JobKey, RunKey, StepKey, TaskKey, WorkerKey},
     forecast::Trace,
     interference::Sample,
@@ -60,6 +61,8 @@
     pub chain_ms: u64,
     /// Not before this time, by the wall clock in milliseconds.
     pub due_unix_ms: u64,
+    /// What the adviser said, on queues that have one.
+    pub advice: Option<Box<Advice>>,
 }
 
 /// Task is one task.
--- a/crates/stackpier-cell/src/lib.rs
+++ b/crates/stackpier-cell/src/lib.rs
@@ -11,6 +11,7 @@
 //! told that it was noted. The store keeps only what no worker knows: jobs,
 //! which tasks are done or failed, and which workers were ever used.
 
+mod advice;
 mod arena;
 mod cell;
 mod drain;
@@ -37,7 +38,7 @@
 pub use cell::Cell;
 pub use options::Options;
 pub use wire::{
-    Effect, End, Event, Held, Hold, How, Note, Now, Order, Pace, Queue, Report, RosterEntry, Row,
-    Save, Start, Started, Stop, Stopped, TaskName,
+    Advised, Ask, Effect, End, Event, Held, Hold, How, Note, Now, Order, Pace, Queue, Report,
+    RosterEntry, Row, Save, Start, Started, Stop, Stopped, TaskName,
 };
 pub use worker::Info;
--- a/crates/stackpier-cell/src/order.rs
+++ b/crates/stackpier-cell/src/order.rs
@@ -35,6 +35,7 @@
             payload: self.job_of(task).payload.clone(),
             deadline_ms,
             checkpoint: self.task(task).checkpoint.clone(),
+            ticket: self.ticket(self.task(task).step, worker),
         };
         self.effects.push(Effect::Start(start));
         self.hold_soon(worker);
--- a/crates/stackpier-cell/src/place.rs
+++ b/crates/stackpier-cell/src/place.rs
@@ -20,7 +20,8 @@
     ends::SICK_FAILURES,
 };
 
-use offer::{Choice, Need};
+use offer::Choice;
+pub(crate) use offer::Need;
 
 /// FILL_GAP_MS is the least time between two looks at the filling tasks.
 const FILL_GAP_MS: u64 = 40;
@@ -36,14 +37,14 @@
 const TRUST_MS: u64 = 1_500;
 
 /// Look is the outcome of a look for workers for a step.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Look {
-    /// At least one task was placed.
-    Placed,
     /// No worker has room for a task.
     Full,
     /// Something else than room stands in the way.
     Barred,
+    /// At least one task was placed.
+    Placed,
 }
 
 impl Cell {
@@ -150,6 +151,9 @@
             return Look::Barred;
         }
         if need.gang {
+            if need.advised {
+                self.ask(need);
+            }
             let placed = self.place_gang(need);
             return if placed { Look::Placed } else { Look::Barred };
         }
@@ -174,6 +178,10 @@
                 None => left.push(task),
             }
         }
+        if need.advised && !left.is_empty() {
+            self.ask(need);
+            look = look.max(Look::Barred);
+        }
         self.step_mut(need.step).ready.append(&mut left);
         look
     }
--- a/crates/stackpier-cell/src/place/offer.rs
+++ b/crates/stackpier-cell/src/place/offer.rs
@@ -71,6 +71,8 @@
     /// The most tasks of the step on one worker.
     pub most: u32,
     pub labelled: bool,
+    /// Whether a worker needs the adviser's ticket.
+    pub advised: bool,
     /// The rack of the data.
     pub rack: Option<u16>,
     /// Whether there is time to wait for that rack.
@@ -80,7 +82,11 @@
 impl Need {
     /// is_plain tells whether only room decides which workers are allowed.
     pub(super) fn is_plain(&self) -> bool {
-        !self.gang && !self.labelled && self.most == u32::MAX && self.rack.is_none()
+        !self.gang
+            && !self.labelled
+            && !self.advised
+            && self.most == u32::MAX
+            && self.rack.is_none()
     }
 }
 
@@ -90,7 +96,8 @@
     pub(crate) fn need(&mut self, step: StepKey) -> Option<Need> {
         let entry = self.step_of(step);
         let job = self.job(entry.job);
-        let service = self.queues.get(&job.queue)?.service.clone();
+        let queue = self.queues.get(&job.queue)?;
+        let (service, advised) = (queue.service.clone(), queue.advised);
         let service = self.services.number(&service);
         let entry = self.step_of(step);
         let job = self.job(entry.job);
@@ -113,6 +120,7 @@
             same_rack: shape.same_rack,
             most: shape.most_per_worker.unwrap_or(u32::MAX),
             labelled: shape.label.is_some(),
+            advised,
             rack: None,
             patient: self.now.mono.0 + FAR_MS < latest,
         };
@@ -123,7 +131,7 @@
     }
 
     /// choices rates all workers that offer room to a step.
-    pub(super) fn choices(&self, need: &Need) -> BinaryHeap<Choice> {
+    pub(crate) fn choices(&self, need: &Need) -> BinaryHeap<Choice> {
         let rate = |worker| {
             let score = self.offer(need, worker)?;
             Some(Choice { worker, score })
@@ -162,6 +170,9 @@
         {
             return false;
         }
+        if need.advised && self.ticket(need.step, key).is_none() {
+            return false;
+        }
         need.most == u32::MAX || self.members_on(need.step, worker) < need.most
     }
 
--- a/crates/stackpier-cell/src/wire.rs
+++ b/crates/stackpier-cell/src/wire.rs
@@ -7,7 +7,11 @@
 use stackpier_core::{Millis, Unix, arena::Index, key};
 use stackpier_state::job::{Progress, Record};
 
-use crate::{arena::WorkerKey, job::Run, worker::Info};
+use crate::{
+    arena::{StepKey, WorkerKey},
+    job::Run,
+    worker::Info,
+};
 
 /// Now is the time of an event.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -60,6 +64,8 @@
     pub target_ms: u64,
     /// Whether the queue's service guards its capacity by itself.
     pub guarded: bool,
+    /// Whether an adviser knows which workers may run its steps.
+    pub advised: bool,
 }
 
 /// Event is something that happened, as the owner sees it.
@@ -107,6 +113,8 @@
         /// The answer.
         outcome: Held,
     },
+    /// The adviser answered about a step, or gave no answer.
+    Advised(StepKey, Option<Advised>),
     /// A save was answered.
     Saved(bool),
     /// The store confirmed, by a read sent at this time, that this daemon
@@ -116,6 +124,26 @@
     Tick,
 }
 
+/// Ask asks the adviser which workers may run a step.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Ask {
+    /// The step, for the event that answers.
+    pub step: StepKey,
+    /// The step's first task.
+    pub name: TaskName,
+    /// The ids of the workers in question.
+    pub workers: Vec<String>,
+}
+
+/// Advised is the adviser's answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Advised {
+    /// The ids of the workers that may run the step, each with its ticket.
+    pub good: Vec<(String, String)>,
+    /// How long the tickets hold, in milliseconds.
+    pub valid_ms: u64,
+}
+
 /// Started is the outcome of a start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Started {
@@ -131,6 +159,8 @@
     NoRoom,
     /// The worker refused it and did nothing, for a while.
     Unhealthy,
+    /// The ticket does not hold, or none was sent.
+    NoTicket,
     /// The worker refused it for good.
     Invalid,
     /// The worker has another life.
@@ -250,6 +280,8 @@
     pub deadline_ms: u64,
     /// The saved progress to resume from.
     pub checkpoint: Option<String>,
+    /// The adviser's ticket, on queues that have one.
+    pub ticket: Option<String>,
 }
 
 /// Stop asks a worker to stop a run.
@@ -330,6 +362,8 @@
     Pace(Pace),
     /// Renew a lease; answer with [`Event::Held`].
     Hold(Hold),
+    /// Ask the adviser; answer with [`Event::Advised`].
+    Ask(Ask),
     /// Write progress; answer with [`Event::Saved`].
     Save(Save),
     /// Ask the store who owns the cell; answer with [`Event::Confirmed`].
--- a/crates/stackpier-cell/tests/common/mod.rs
+++ b/crates/stackpier-cell/tests/common/mod.rs
@@ -7,7 +7,8 @@
 use std::collections::BTreeMap;
 
 use stackpier_cell::{
-    Cell, Effect, Event, Held, Info, Now, Options, Queue, Save, Start, Started, Stopped, TaskName,
+    Advised, Ask, Cell, Effect, Event, Held, Info, Now, Options, Queue, Save, Start, Started,
+    Stopped, TaskName,
 };
 use stackpier_core::{Millis, Size, Unix, key};
 use stackpier_standin::fleet::{Behaviour, Worker};
@@ -35,6 +36,8 @@
     /// Whether saves are acknowledged.
     pub store: bool,
     pub deposed: bool,
+    /// How many workers each question to the adviser named.
+    pub asked: Vec<usize>,
     /// How many of the next answers to starts are lost.
     pub lose_starts: usize,
     pending: Vec<(u64, Event)>,
@@ -50,6 +53,7 @@
         stretch: 2.0,
         target_ms: 500,
         guarded: true,
+        advised: false,
     }
 }
 
@@ -145,6 +149,7 @@
             saves: Vec::new(),
             store: true,
             deposed: false,
+            asked: Vec::new(),
             lose_starts: 0,
             pending: Vec::new(),
         };
@@ -244,6 +249,7 @@
     fn carry(&mut self, effect: Effect) {
         match effect {
             Effect::Note(_) => {}
+            Effect::Ask(ask) => self.advise(&ask),
             Effect::Confirm if self.store => {
                 let sent = Millis(self.now_ms);
                 self.answer(2, Event::Confirmed(sent));
@@ -294,6 +300,23 @@
         }
     }
 
+    /// advise answers for the adviser: workers with an even number are good.
+    fn advise(&mut self, ask: &Ask) {
+        let good = ask
+            .workers
+            .iter()
+            .filter(|id| id.ends_with(['0', '2', '4', '6', '8']));
+        let good = good
+            .map(|id| (id.clone(), format!("ticket-{id}")))
+            .collect();
+        self.asked.push(ask.workers.len());
+        let answer = Advised {
+            good,
+            valid_ms: 2_000,
+        };
+        self.answer(5, Event::Advised(ask.step, Some(answer)));
+    }
+
     fn carry_start(&mut self, start: Start) {
         let place = self.place(&start.order.address);
         let task = start.order.task;
--- a/crates/stackpier-cell/tests/jobs.rs
+++ b/crates/stackpier-cell/tests/jobs.rs
@@ -314,3 +314,23 @@
     assert_eq!(checkpoint.as_deref(), Some("3000"));
     assert_eq!(owner.starts[1].0.order.task, name(1, 0, 0));
 }
+
+#[test]
+fn tasks_of_an_advised_queue_go_where_the_adviser_allows() {
+    let mut owner = Owner::new(4);
+    let advised = stackpier_cell::Queue {
+        advised: true,
+        ..queue("advised", 0)
+    };
+    owner.feed(Event::Queues(vec![advised]));
+    owner.submit_to(1, "advised", spec(vec![step(20)]), 1, None);
+    owner.advance(4_500);
+    assert_eq!(owner.state(1), Some(State::Completed));
+    assert!(owner.places(1, 0).iter().all(|place| place % 2 == 0));
+    let tickets = owner
+        .starts
+        .iter()
+        .filter_map(|(start, _)| start.ticket.as_deref());
+    assert_eq!(tickets.count(), 20);
+    assert!(owner.asked.len() < 12, "{:?} questions", owner.asked);
+}
--- a/crates/stackpier-fuzz/src/cell/world.rs
+++ b/crates/stackpier-fuzz/src/cell/world.rs
@@ -363,7 +363,7 @@
     fn carry(&mut self, place: usize, effect: Effect) {
         let delay = self.between(1, 5);
         match effect {
-            Effect::Note(_) => {}
+            Effect::Note(_) | Effect::Ask(_) => {}
             Effect::Deposed => self.owners[place].over = true,
             Effect::Confirm => self.confirm(place, delay),
             Effect::Save(save) => {
@@ -715,5 +715,6 @@
         stretch: 2.0,
         target_ms: 500,
         guarded: true,
+        advised: false,
     }
 }
--- a/crates/stackpier-scheduler/src/fleet.rs
+++ b/crates/stackpier-scheduler/src/fleet.rs
@@ -3,7 +3,7 @@
 
 use std::future::Future;
 
-use stackpier_cell::{Held, Hold, Pace, Start, Started, Stop, Stopped};
+use stackpier_cell::{Advised, Ask, Held, Hold, Pace, Start, Started, Stop, Stopped};
 
 /// Fleet speaks to workers. Each call ends within a bounded time.
 pub trait Fleet {
@@ -19,3 +19,9 @@
     /// hold renews a lease and returns the worker's report.
     fn hold(&self, hold: &Hold) -> impl Future<Output = Held>;
 }
+
+/// Adviser knows which workers may run a step.
+pub trait Adviser {
+    /// advise returns the adviser's answer, or `None` if it gave none.
+    fn advise(&self, ask: &Ask) -> impl Future<Output = Option<Advised>>;
+}
--- a/crates/stackpier-scheduler/src/owner.rs
+++ b/crates/stackpier-scheduler/src/owner.rs
@@ -203,6 +203,11 @@
                     },
                 );
             }),
+            Effect::Ask(ask) => self.spawn(move |node| async move {
+                let answer = node.platform.advise(&ask).await;
+                node.count_worker("advise", answer.is_some());
+                node.feed(fence, Event::Advised(ask.step, answer));
+            }),
             Effect::Save(save) => self.spawn(move |node| async move {
                 let saved = node.save(fence, save).await;
                 node.feed(fence, Event::Saved(saved));
--- a/crates/stackpier-scheduler/src/settings.rs
+++ b/crates/stackpier-scheduler/src/settings.rs
@@ -30,6 +30,8 @@
     peers: String,
     metrics: String,
     store: String,
+    #[serde(default)]
+    adviser: String,
     longest_lease_ms: u64,
     stop_ms: u64,
     early_ms: u64,
@@ -55,6 +57,8 @@
     pub metrics: SocketAddr,
     /// The platform's store.
     pub store: SocketAddr,
+    /// The adviser of queues that have one.
+    pub adviser: Option<SocketAddr>,
     /// The settings of the cell's decisions.
     pub cell: stackpier_cell::Options,
     /// The processor that the VM has, in thousandths of a core.
@@ -100,6 +104,10 @@
             peers: address("peers", &raw.peers)?,
             metrics: address("metrics", &raw.metrics)?,
             store: address("store", &raw.store)?,
+            adviser: match raw.adviser.as_str() {
+                "" => None,
+                given => Some(address("adviser", given)?),
+            },
             cell: stackpier_cell::Options {
                 lease_ms,
                 max_lease_ms: lease_ms,
