A later owner takes over what was learnt, and waits for no worker that left

Ruled out: the owner's processor (0.17 of 0.5 cores). Change: bases, pairs and forecast weights go with a save every 1.5 s and are read at a take-over; a worker that left the list, is silent, and whose lease is over leaves the roster. Both unit tests failed before.

--- a/crates/stackpier-cell/src/cell.rs
+++ b/crates/stackpier-cell/src/cell.rs
@@ -52,6 +52,8 @@
     pub(crate) swept: Millis,
     pub(crate) model: Model,
     pub(crate) forecast: Forecast,
+    /// When what was learnt was last saved.
+    pub(crate) remembered: Millis,
     pub(crate) saver: Saver,
     /// When the store last confirmed that this daemon owns the cell.
     pub(crate) confirmed: Millis,
@@ -92,6 +94,7 @@
             swept: now.mono,
             model: Model::default(),
             forecast: Forecast::default(),
+            remembered: now.mono,
             saver: Saver::default(),
             confirmed: now.mono,
             confirming: false,
--- a/crates/stackpier-cell/src/forecast.rs
+++ b/crates/stackpier-cell/src/forecast.rs
@@ -82,6 +82,19 @@
 }
 
 impl Forecast {
+    /// weights returns what was learnt.
+    pub(crate) fn weights(&self) -> &[f64] {
+        &self.weights
+    }
+
+    /// set_weights takes over what an earlier owner learnt, if it has the
+    /// right number of terms.
+    pub(crate) fn set_weights(&mut self, weights: &[f64]) {
+        if let Ok(weights) = <[f64; TERMS]>::try_from(weights) {
+            self.weights = weights;
+        }
+    }
+
     /// learn corrects the weights by the newest value of a trace.
     pub(crate) fn learn(&mut self, trace: &Trace) {
         let Some(terms) = trace.terms(AHEAD) else {
--- a/crates/stackpier-cell/src/hold.rs
+++ b/crates/stackpier-cell/src/hold.rs
@@ -394,18 +394,19 @@
         }
     }
 
-    /// retire forgets a worker that left the list, runs nothing and does not
-    /// answer.
+    /// retire gives a worker up that left the list and does not answer, once
+    /// nothing can run there any more. A later owner need not wait for it.
     fn retire(&mut self, key: WorkerKey) {
         let now = self.now.mono;
         let worker = self.worker(key);
-        let long = |since: Option<Millis>| {
-            since.is_some_and(|since| now.since(since) > self.options.max_lease_ms)
-        };
-        let unused = worker.runs.is_empty() && (!worker.inherited || worker.life == Life::Met);
-        let past = self.now.mono >= self.inherited_until;
-        if long(worker.unlisted_since) && long(worker.silent_since) && (unused || past) {
-            self.end_life(key, "it left the list and does not answer");
+        let gone = worker.unlisted_since.is_some() && worker.silent_since.is_some();
+        let met = worker.life == Life::Met && worker.lapsed(now);
+        let unmet = worker.life == Life::New && now >= self.inherited_until;
+        if gone && worker.runs.is_empty() && (met || unmet) {
+            self.end_life(
+                key,
+                "it left the list, does not answer, and its lease is over",
+            );
         }
     }
 }
--- a/crates/stackpier-cell/src/interference.rs
+++ b/crates/stackpier-cell/src/interference.rs
@@ -72,6 +72,11 @@
 }
 
 impl Images {
+    /// names returns the names of all images, in the order of their keys.
+    pub(crate) fn names(&self) -> Vec<String> {
+        self.names.list()
+    }
+
     /// key returns the key of an image.
     pub fn key(&mut self, name: &str) -> ImageKey {
         ImageKey(self.names.number(name))
@@ -205,24 +210,52 @@
     /// deviations, in thousandths.
     pub fn describe(&self) -> Vec<String> {
         let milli = |value: f64| (value * 1_000.0) as i64;
-        let rows = self.bases.iter().enumerate();
-        let rows = rows.filter_map(|(place, base)| base.map(|base| (place, base)));
-        let line = |(place, base): (usize, Estimate)| {
-            let pairs = self.pairs.get(place).into_iter().flatten().enumerate();
-            let known = pairs.filter_map(|(image, pair)| pair.map(|pair| (image, pair)));
-            let words: Vec<String> = known
-                .map(|(image, pair)| {
-                    let deviation = milli(pair.variance.sqrt());
-                    format!("{image}:{}+-{deviation}", milli(pair.mean))
-                })
-                .collect();
+        let line = |(image, base, pairs): (usize, Estimate, _)| {
+            let words: Vec<String> = Iterator::map(pairs, |(filling, pair): (usize, Estimate)| {
+                let deviation = milli(pair.variance.sqrt());
+                format!("{filling}:{}+-{deviation}", milli(pair.mean))
+            })
+            .collect();
             format!(
-                "image {place}: base {}, pairs {}",
+                "image {image}: base {}, pairs {}",
                 milli(base.mean),
                 words.join(" ")
             )
         };
-        rows.map(line).collect()
+        self.learnt().map(line).collect()
+    }
+
+    /// is_empty tells whether nothing was learnt.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.bases.is_empty()
+    }
+
+    /// learnt returns each serving image's number, base and pairs.
+    pub(crate) fn learnt(
+        &self,
+    ) -> impl Iterator<
+        Item = (
+            usize,
+            Estimate,
+            impl Iterator<Item = (usize, Estimate)> + '_,
+        ),
+    > + '_ {
+        let bases = self.bases.iter().enumerate();
+        bases.filter_map(|(image, base)| {
+            let pairs = self.pairs.get(image).into_iter().flatten().enumerate();
+            let pairs = pairs.filter_map(|(filling, pair)| pair.map(|pair| (filling, pair)));
+            base.map(|base| (image, base, pairs))
+        })
+    }
+
+    /// set_base takes over what is believed of an undisturbed image.
+    pub(crate) fn set_base(&mut self, serving: ImageKey, estimate: Estimate) {
+        *self.base_mut(serving) = Some(estimate);
+    }
+
+    /// set_pair takes over what is believed of a pair.
+    pub(crate) fn set_pair(&mut self, serving: ImageKey, filling: ImageKey, estimate: Estimate) {
+        *self.pair_mut(serving, filling) = Some(estimate);
     }
 
     fn base_mut(&mut self, serving: ImageKey) -> &mut Option<Estimate> {
--- a/crates/stackpier-cell/src/lib.rs
+++ b/crates/stackpier-cell/src/lib.rs
@@ -22,6 +22,7 @@
 mod hold;
 pub mod interference;
 mod job;
+mod memory;
 mod names;
 mod options;
 mod order;
@@ -36,6 +37,7 @@
 
 pub use arena::{ImageKey, JobKey, StepKey, TaskKey, WorkerKey};
 pub use cell::Cell;
+pub use memory::{Memory, Serving, Term};
 pub use options::Options;
 pub use wire::{
     Advised, Ask, Effect, End, Event, Held, Hold, How, Note, Now, Order, Pace, Queue, Report,
--- a/crates/stackpier-cell/src/names.rs
+++ b/crates/stackpier-cell/src/names.rs
@@ -10,6 +10,17 @@
 }
 
 impl Names {
+    /// list returns the texts in the order of their numbers.
+    pub(crate) fn list(&self) -> Vec<String> {
+        let mut texts: Vec<(u16, &String)> = self
+            .numbers
+            .iter()
+            .map(|(text, number)| (*number, text))
+            .collect();
+        texts.sort_unstable();
+        texts.into_iter().map(|(_, text)| text.clone()).collect()
+    }
+
     /// number returns the number of a text, a new one if it was not seen yet.
     /// Past 65,535 texts all further ones share the last number.
     pub(crate) fn number(&mut self, text: &str) -> u16 {
--- a/crates/stackpier-cell/src/save.rs
+++ b/crates/stackpier-cell/src/save.rs
@@ -92,6 +92,7 @@
         };
         let save = Save {
             jobs,
+            memory: self.memory_due(),
             roster: roster_sent.then(|| roster.iter().map(|key| self.entry(*key)).collect()),
             forgotten: forgotten.iter().map(|key| self.job(*key).id).collect(),
         };
--- a/crates/stackpier-cell/src/wire.rs
+++ b/crates/stackpier-cell/src/wire.rs
@@ -10,6 +10,7 @@
 use crate::{
     arena::{StepKey, WorkerKey},
     job::Run,
+    memory::Memory,
     worker::Info,
 };
 
@@ -336,6 +337,8 @@
     pub jobs: Vec<(key::Job, Progress)>,
     /// The workers that may run something, if that list changed.
     pub roster: Option<Vec<RosterEntry>>,
+    /// What was learnt, if it is time to save it.
+    pub memory: Option<Memory>,
     /// Jobs whose time of being shown is over.
     pub forgotten: Vec<key::Job>,
 }
--- a/crates/stackpier-cell/tests/faults.rs
+++ b/crates/stackpier-cell/tests/faults.rs
@@ -368,3 +368,17 @@
     owner.advance(5_000);
     assert_eq!(owner.starts.len(), 1);
 }
+
+/// Found on tg-fleetops-grown (trouble-2): workers that had left stood in the
+/// roster, and each later owner waited for their leases.
+#[test]
+fn a_worker_that_left_is_not_waited_for_by_a_later_owner() {
+    let mut owner = Owner::new(2);
+    owner.cut[1] = true;
+    owner.feed(Event::Unlisted("w1".to_owned()));
+    owner.advance(9_000);
+    let rosters = owner.saves.iter().filter_map(|save| save.roster.as_ref());
+    let last = rosters.last().expect("the roster was saved");
+    let ids: Vec<&str> = last.iter().map(|entry| entry.id.as_str()).collect();
+    assert_eq!(ids, ["w0"]);
+}
--- a/crates/stackpier-cell/tests/interference.rs
+++ b/crates/stackpier-cell/tests/interference.rs
@@ -134,3 +134,30 @@
         }
     }
 }
+
+/// Found on tg-fleetops-grown (trouble-2): a new owner knew no pair, and a
+/// third of all serving tasks were over their targets.
+#[test]
+fn a_later_owner_takes_over_what_was_learnt() {
+    let mut owner = Owner::new(1);
+    behaviour(&mut owner, 1, 12);
+    owner.submit(1, spec(vec![serving(2)]));
+    owner.submit(2, spec(vec![filling(2)]));
+    owner.advance(6_000);
+    owner.submit(3, spec(vec![step(1)]));
+    owner.advance(2_000);
+    let saved = owner.saves.iter().filter_map(|save| save.memory.clone());
+    let memory = saved.last().expect("it was saved");
+    assert_eq!(memory.serving[0].image, "serving");
+    assert_eq!(memory.serving[0].pairs[0].0, "filling");
+    let mut later = Owner::new(1);
+    later.cell.remember(&memory);
+    later.submit(3, spec(vec![serving(1)]));
+    later.advance(3_000);
+    later.submit(4, spec(vec![step(1)]));
+    later.advance(2_000);
+    let saved = later.saves.iter().filter_map(|save| save.memory.clone());
+    let again = saved.last().expect("it was saved again");
+    assert_eq!(again.serving[0].image, "serving");
+    assert_eq!(again.serving[0].pairs, memory.serving[0].pairs);
+}
--- a/crates/stackpier-scheduler/src/daemon.rs
+++ b/crates/stackpier-scheduler/src/daemon.rs
@@ -33,7 +33,7 @@
 const DRAIN_MS: u64 = 2_300;
 /// LAST_MS is how long before it would be killed a stopping daemon ends,
 /// whatever is still open.
-const LAST_MS: u64 = 700;
+const LAST_MS: u64 = 1_000;
 /// STOP_POLL_MS is the time between two looks at what is still open.
 const STOP_POLL_MS: u64 = 50;
 /// FETCH_LIMIT bounds asking a peer for its configuration.
--- a/crates/stackpier-scheduler/src/keys.rs
+++ b/crates/stackpier-scheduler/src/keys.rs
@@ -16,6 +16,8 @@
 pub(crate) const PROGRESS: &str = "progress/";
 /// ROSTER is the key of the workers that may run something.
 pub(crate) const ROSTER: &str = "roster";
+/// MEMORY is the key of what the owners have learnt.
+pub(crate) const MEMORY: &str = "memory";
 /// CANCEL ends the key of a job's cancelling.
 const CANCEL: &str = "/cancel";
 /// HEX is the radix of a job's id in a key.
--- a/crates/stackpier-scheduler/src/owner.rs
+++ b/crates/stackpier-scheduler/src/owner.rs
@@ -4,14 +4,14 @@
 
 use std::{cell::RefCell, collections::HashMap, rc::Rc};
 
-use stackpier_cell::{Cell, Effect, Event, RosterEntry, Start};
+use stackpier_cell::{Cell, Effect, Event, Memory, RosterEntry, Start};
 use stackpier_core::{Result, key};
 use stackpier_protocol::codec::decode;
 use stackpier_state::job::{Progress, Record, State};
 
 use crate::{
     Platform,
-    keys::{self, Entry, JOBS, OWNER, PROGRESS, ROSTER},
+    keys::{self, Entry, JOBS, MEMORY, OWNER, PROGRESS, ROSTER},
     node::{Node, Owned, pause},
     saving::Revisions,
     store::{Change, Item, Listing},
@@ -39,6 +39,7 @@
     jobs: Listing,
     progress: Listing,
     roster: Option<Item>,
+    memory: Option<Item>,
     workers: Listing,
 }
 
@@ -81,6 +82,7 @@
             jobs: self.store_list(JOBS).await?,
             progress: self.store_list(PROGRESS).await?,
             roster: self.store_get(ROSTER).await?,
+            memory: self.store_get(MEMORY).await?,
             workers: self.store_list(self.platform.workers_prefix()).await?,
         })
     }
@@ -96,6 +98,18 @@
                 Err(error) => self.say("owner", &format!("the roster is not readable: {error}")),
             }
         }
+        if let Some(item) = &loaded.memory {
+            revisions.set(MEMORY, item.revision);
+            match decode::<Memory>(&item.value) {
+                Ok(memory) => cell.remember(&memory),
+                Err(error) => {
+                    self.say(
+                        "owner",
+                        &format!("what was learnt is not readable: {error}"),
+                    );
+                }
+            }
+        }
         let mut progress = HashMap::new();
         for item in &loaded.progress.items {
             revisions.set(&item.key, item.revision);
--- a/crates/stackpier-scheduler/src/saving.rs
+++ b/crates/stackpier-scheduler/src/saving.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     Platform,
-    keys::{self, OWNER, ROSTER},
+    keys::{self, MEMORY, OWNER, ROSTER},
     node::{Node, pause},
     store::{Committed, Condition, Item, Put, Transaction},
 };
@@ -49,6 +49,9 @@
         if let Some(roster) = &save.roster {
             puts.push(put(ROSTER.to_owned(), roster));
         }
+        if let Some(memory) = &save.memory {
+            puts.push(put(MEMORY.to_owned(), memory));
+        }
         for (job, progress) in &save.jobs {
             puts.push(put(keys::progress(*job), progress));
         }
