--- a/crates/stackpier-scheduler/src/owner.rs
+++ b/crates/stackpier-scheduler/src/owner.rs
@@ -77,13 +77,22 @@
             .map_or(0, |owned| owned.ownership.fence)
     }
 
+    /// read reads all parts of the cell at once: a store that is slow would
+    /// otherwise be waited for once for each.
     async fn read(&self) -> Result<Loaded> {
+        let (jobs, progress, roster, memory, workers) = tokio::join!(
+            self.store_list(JOBS),
+            self.store_list(PROGRESS),
+            self.store_get(ROSTER),
+            self.store_get(MEMORY),
+            self.store_list(self.platform.workers_prefix()),
+        );
         Ok(Loaded {
-            jobs: self.store_list(JOBS).await?,
-            progress: self.store_list(PROGRESS).await?,
-            roster: self.store_get(ROSTER).await?,
-            memory: self.store_get(MEMORY).await?,
-            workers: self.store_list(self.platform.workers_prefix()).await?,
+            jobs: jobs?,
+            progress: progress?,
+            roster: roster?,
+            memory: memory?,
+            workers: workers?,
         })
     }
 
