--- a/crates/stackpier-cell/src/options.rs
+++ b/crates/stackpier-cell/src/options.rs
@@ -47,6 +47,9 @@
     /// The highest expected rise in the number of serving tasks over target
     /// that placing a filling task may cause.
     pub most_harm: f64,
+    /// The same for a task whose job still has half of its remaining chain to
+    /// spare: it can wait for a better place at no cost.
+    pub calm_harm: f64,
     /// How much run time of a filling task may be lost by moving it, if it has
     /// no checkpoint.
     pub move_loss_ms: u64,
@@ -78,7 +81,8 @@
             early_ms: 0,
             serving_use_milli: 600,
             fill_reserve_mib: 18_000,
-            most_harm: 0.1,
+            most_harm: 0.12,
+            calm_harm: 0.03,
             move_loss_ms: 600,
             stall_ms: 1_500,
             speculate_percent: 180,
--- a/crates/stackpier-cell/src/place/fill.rs
+++ b/crates/stackpier-cell/src/place/fill.rs
@@ -49,7 +49,7 @@
             cores: f64::from(need.full.milli_cores) / MILLI,
         };
         let harm = self.harm(key, load);
-        if harm > self.options.most_harm {
+        if harm > need.most_harm {
             return None;
         }
         let suspect = if worker.health.is_suspect() {
--- a/crates/stackpier-cell/src/place/offer.rs
+++ b/crates/stackpier-cell/src/place/offer.rs
@@ -77,6 +77,8 @@
     pub rack: Option<u16>,
     /// Whether there is time to wait for that rack.
     pub patient: bool,
+    /// The most harm that a start may be expected to do.
+    pub most_harm: f64,
 }
 
 impl Need {
@@ -108,6 +110,13 @@
             size.memory_mib += self.options.fill_reserve_mib;
         }
         let latest = job.objective.0.saturating_sub(entry.chain_ms);
+        let slack = latest.saturating_sub(self.now.mono.0);
+        let calm = slack * 2 > entry.chain_ms;
+        let most_harm = if calm {
+            self.options.calm_harm
+        } else {
+            self.options.most_harm
+        };
         let mut need = Need {
             step,
             service,
@@ -123,6 +132,7 @@
             advised,
             rack: None,
             patient: self.now.mono.0 + FAR_MS < latest,
+            most_harm,
         };
         if let Some(rack) = shape.rack.clone() {
             need.rack = Some(self.racks.number(&rack));
