A figure just below the target does not end the harm

Ruled out: an owner change in between (the same owner from 28 s on). The unit test failed before (3 tasks worked on) and passes now.

--- a/crates/stackpier-cell/src/job.rs
+++ b/crates/stackpier-cell/src/job.rs
@@ -145,6 +145,10 @@
     pub(crate) slowed_since: Option<Millis>,
 }
 
+/// CALM_STRAIN is the strain below which a task counts as no longer over its
+/// target: 0.86 of it. Figures are rough, and one that falls just below the
+/// target does not show that the task has recovered.
+const CALM_STRAIN: f64 = -0.15;
 /// STRAIN_LIMIT bounds the logarithm of tail over target, so that one wild
 /// figure does not upset what was learnt.
 const STRAIN_LIMIT: f64 = 3.0;
@@ -159,9 +163,9 @@
         };
         let strain = (f64::from(tail_ms) / f64::from(target_ms.max(1))).ln();
         self.strain = Some(strain.clamp(-STRAIN_LIMIT, STRAIN_LIMIT));
-        if strain <= 0.0 {
+        if strain < CALM_STRAIN {
             self.over_since = None;
-        } else if self.over_since.is_none() {
+        } else if strain > 0.0 && self.over_since.is_none() {
             self.over_since = Some(now);
         }
     }
--- a/crates/stackpier-cell/tests/interference.rs
+++ b/crates/stackpier-cell/tests/interference.rs
@@ -59,6 +59,27 @@
     );
 }
 
+/// Found by a day of our own (ksf-ho, mix-zone-cut-owner-dies, HARM): single
+/// rough figures just below the target began the count anew.
+#[test]
+fn a_figure_just_below_the_target_does_not_end_the_harm() {
+    let mut owner = Owner::new(1);
+    behaviour(&mut owner, 1, 24);
+    owner.submit(1, spec(vec![serving(1)]));
+    owner.submit(2, spec(vec![filling(3)]));
+    for tail_ms in [24, 24, 19, 24, 24, 19, 24, 24, 24] {
+        owner.workers[0].set_tail(tail_ms);
+        owner.advance(450);
+    }
+    let runs = &owner.workers[0].runs;
+    let fills = runs.iter().filter(|run| run.task.job.0 == 2);
+    let working = fills.filter(|run| run.is_working()).count();
+    assert_eq!(
+        working, 0,
+        "it has been over its target but for two figures"
+    );
+}
+
 #[test]
 fn filling_tasks_work_on_beside_a_calm_serving_task() {
     let mut owner = Owner::new(1);
--- a/crates/stackpier-standin/src/fleet.rs
+++ b/crates/stackpier-standin/src/fleet.rs
@@ -122,6 +122,13 @@
         self.clock_offset_ms + now_ms
     }
 
+    /// set_tail changes the tail latency of all tasks that serve.
+    pub fn set_tail(&mut self, tail_ms: u32) {
+        for run in &mut self.runs {
+            run.behaviour.tail_ms = run.behaviour.tail_ms.map(|_| tail_ms);
+        }
+    }
+
     /// advance lets time pass: runs work, end, and lapse.
     pub fn advance(&mut self, now_ms: u64) {
         let passed = now_ms.saturating_sub(self.last_ms);
