--- a/crates/stackpier-cell/src/hold.rs
+++ b/crates/stackpier-cell/src/hold.rs
@@ -7,7 +7,7 @@
     Cell, Effect, Held, Hold, Report, Row, TaskName,
     arena::{RunKey, WorkerKey},
     job::{Phase, Run},
-    worker::{Clock, Info, Life, Worker},
+    worker::{Clock, Life},
 };
 
 /// IDLE_MS is the pause between two holds on a worker that runs nothing. It
@@ -17,109 +17,6 @@
 const PERCENT_DONE: u8 = 100;
 
 impl Cell {
-    /// add_roster takes in the workers that an earlier owner may have used.
-    pub fn add_roster(&mut self, entry: &crate::RosterEntry) {
-        if self.worker_keys.contains_key(&entry.id) {
-            return;
-        }
-        let info = Info {
-            id: entry.id.clone(),
-            service: String::new(),
-            address: entry.address.clone(),
-            data_centre: String::new(),
-            capacity: stackpier_core::Size::default(),
-            labels: Vec::new(),
-            rack: String::new(),
-            draining: false,
-            remaining_ms: None,
-        };
-        let key = self.add_worker(info);
-        let now = self.now.mono;
-        let worker = self.worker_mut(key);
-        worker.inherited = true;
-        worker.rostered = true;
-        worker.unlisted_since = Some(now);
-    }
-
-    pub(crate) fn list(&mut self, info: Info) {
-        let Some(key) = self.worker_keys.get(&info.id).copied() else {
-            self.add_worker(info);
-            return;
-        };
-        let (service, rack) = (
-            self.services.number(&info.service),
-            self.racks.number(&info.rack),
-        );
-        let now = self.now.mono;
-        let worker = self.worker_mut(key);
-        if worker.life == Life::Over {
-            // It was given up while it could not be reached, and shows again.
-            worker.life = Life::New;
-            worker.clock = None;
-            worker.hold_after = now;
-        }
-        let newly_draining = info.draining && !worker.info.draining;
-        worker.info = info;
-        worker.service = service;
-        worker.rack = rack;
-        worker.unlisted_since = None;
-        if newly_draining {
-            worker.drain_seen = Some(now);
-            let text = format!("worker {} is draining", worker.info.id);
-            self.note("worker", None, text);
-            self.check_drains();
-        }
-        self.place_wanted = true;
-    }
-
-    fn add_worker(&mut self, info: Info) -> WorkerKey {
-        let key = WorkerKey(self.workers.len() as u32);
-        let worker = Worker {
-            service: self.services.number(&info.service),
-            rack: self.racks.number(&info.rack),
-            life: Life::New,
-            unlisted_since: None,
-            rostered: false,
-            inherited: false,
-            runs: Vec::new(),
-            reserved: stackpier_core::Size::default(),
-            lasting_milli: 0,
-            other_milli: 0,
-            clock: None,
-            deadline_ms: 0,
-            holding: false,
-            hold_after: Millis(0),
-            silent_since: None,
-            taken: 0,
-            noted: 0,
-            note_after_save: 0,
-            health: crate::health::Health::default(),
-            full_until: Millis(0),
-            drain_seen: info.draining.then_some(self.now.mono),
-            info,
-        };
-        let text = format!(
-            "worker {} at {} is known",
-            worker.info.id, worker.info.address
-        );
-        self.worker_keys.insert(worker.info.id.clone(), key);
-        self.workers.push(worker);
-        self.note("worker", None, text);
-        self.hold_now(key);
-        key
-    }
-
-    pub(crate) fn unlist(&mut self, id: &str) {
-        let Some(key) = self.worker_keys.get(id).copied() else {
-            return;
-        };
-        let now = self.now.mono;
-        let worker = self.worker_mut(key);
-        if worker.unlisted_since.is_none() {
-            worker.unlisted_since = Some(now);
-        }
-    }
-
     /// hold_now sends a hold that does not wait, unless one is on its way.
     pub(crate) fn hold_now(&mut self, key: WorkerKey) {
         self.hold(key, 0);
@@ -360,53 +257,4 @@
         };
         run.stop_taken.is_some_and(|at| sent > at.plus(wait_ms))
     }
-
-    /// check_workers sends holds that are due, and ends leases.
-    pub(crate) fn check_workers(&mut self) {
-        let now = self.now.mono;
-        for key in self.live_now() {
-            let worker = self.worker(key);
-            if worker.silent_since.is_some() && worker.lapsed(now) {
-                self.lapse(key);
-            }
-            self.retire(key);
-            let worker = self.worker(key);
-            if !worker.holding && now >= worker.hold_after {
-                self.hold_now(key);
-            }
-        }
-    }
-
-    /// lapse ends all runs on a worker whose lease is over by its own clock.
-    fn lapse(&mut self, key: WorkerKey) {
-        let runs = self.worker(key).runs.clone();
-        if runs.is_empty() {
-            return;
-        }
-        let text = format!(
-            "lease of worker {} is over, {} runs ended with it",
-            self.worker(key).info.id,
-            runs.len()
-        );
-        self.note("worker", None, text);
-        for run in runs {
-            self.requeue(run);
-        }
-    }
-
-    /// retire gives a worker up that left the list and does not answer, once
-    /// nothing can run there any more. A later owner need not wait for it.
-    fn retire(&mut self, key: WorkerKey) {
-        let now = self.now.mono;
-        let worker = self.worker(key);
-        let gone = worker.unlisted_since.is_some() && worker.silent_since.is_some();
-        let met = worker.life == Life::Met && worker.lapsed(now);
-        let unmet = worker.life == Life::New && now >= self.inherited_until;
-        if gone && worker.runs.is_empty() && (met || unmet) {
-            self.end_life(
-                key,
-                "it left the list, does not answer, and its lease is over",
-            );
-        }
-    }
 }
--- /dev/null
+++ b/crates/stackpier-cell/src/roster.rs
@@ -0,0 +1,200 @@
+// SPDX-License-Identifier: Apache-2.0
+//! The roster: workers that come, leave, and are given up.
+
+use stackpier_core::{Millis, Size};
+
+use crate::{
+    Cell, RosterEntry,
+    arena::WorkerKey,
+    health::Health,
+    worker::{Info, Life, Worker},
+};
+
+impl Cell {
+    /// add_roster takes in the workers that an earlier owner may have used.
+    pub fn add_roster(&mut self, entry: &RosterEntry) {
+        if self.worker_keys.contains_key(&entry.id) {
+            return;
+        }
+        let info = Info {
+            id: entry.id.clone(),
+            service: String::new(),
+            address: entry.address.clone(),
+            data_centre: String::new(),
+            capacity: Size::default(),
+            labels: Vec::new(),
+            rack: String::new(),
+            draining: false,
+            remaining_ms: None,
+        };
+        let key = self.add_worker(info);
+        let now = self.now.mono;
+        let worker = self.worker_mut(key);
+        worker.inherited = true;
+        worker.rostered = true;
+        worker.unlisted_since = Some(now);
+    }
+
+    /// list takes in a worker as the list shows it now.
+    pub(crate) fn list(&mut self, info: Info) {
+        let Some(key) = self.worker_keys.get(&info.id).copied() else {
+            self.add_worker(info);
+            return;
+        };
+        let (service, rack) = (
+            self.services.number(&info.service),
+            self.racks.number(&info.rack),
+        );
+        let now = self.now.mono;
+        let worker = self.worker_mut(key);
+        if worker.life == Life::Over {
+            // It was given up while it could not be reached, and shows again.
+            worker.life = Life::New;
+            worker.clock = None;
+            worker.hold_after = now;
+        }
+        let newly_draining = info.draining && !worker.info.draining;
+        worker.info = info;
+        worker.service = service;
+        worker.rack = rack;
+        worker.unlisted_since = None;
+        if newly_draining {
+            worker.drain_seen = Some(now);
+            let text = format!("worker {} is draining", worker.info.id);
+            self.note("worker", None, text);
+            self.check_drains();
+        }
+        self.place_wanted = true;
+    }
+
+    /// add_worker adds a worker that was not known and asks it for a report.
+    fn add_worker(&mut self, info: Info) -> WorkerKey {
+        let key = WorkerKey(self.workers.len() as u32);
+        let worker = Worker {
+            service: self.services.number(&info.service),
+            rack: self.racks.number(&info.rack),
+            life: Life::New,
+            unlisted_since: None,
+            rostered: false,
+            inherited: false,
+            runs: Vec::new(),
+            reserved: Size::default(),
+            lasting_milli: 0,
+            other_milli: 0,
+            clock: None,
+            deadline_ms: 0,
+            holding: false,
+            hold_after: Millis(0),
+            silent_since: None,
+            taken: 0,
+            noted: 0,
+            note_after_save: 0,
+            health: Health::default(),
+            full_until: Millis(0),
+            drain_seen: info.draining.then_some(self.now.mono),
+            info,
+        };
+        let text = format!(
+            "worker {} at {} is known",
+            worker.info.id, worker.info.address
+        );
+        self.worker_keys.insert(worker.info.id.clone(), key);
+        self.workers.push(worker);
+        self.note("worker", None, text);
+        self.hold_now(key);
+        key
+    }
+
+    /// unlist notes that a worker left the list.
+    pub(crate) fn unlist(&mut self, id: &str) {
+        let Some(key) = self.worker_keys.get(id).copied() else {
+            return;
+        };
+        let now = self.now.mono;
+        let worker = self.worker_mut(key);
+        if worker.unlisted_since.is_none() {
+            worker.unlisted_since = Some(now);
+        }
+    }
+
+    /// check_workers sends holds that are due, and ends leases.
+    pub(crate) fn check_workers(&mut self) {
+        let now = self.now.mono;
+        for key in self.live_now() {
+            let worker = self.worker(key);
+            if worker.silent_since.is_some() && worker.lapsed(now) {
+                self.lapse(key);
+            }
+            self.retire(key);
+            let worker = self.worker(key);
+            if !worker.holding && now >= worker.hold_after {
+                self.hold_now(key);
+            }
+        }
+    }
+
+    /// lapse ends all runs on a worker whose lease is over by its own clock.
+    fn lapse(&mut self, key: WorkerKey) {
+        let runs = self.worker(key).runs.clone();
+        if runs.is_empty() {
+            return;
+        }
+        let text = format!(
+            "lease of worker {} is over, {} runs ended with it",
+            self.worker(key).info.id,
+            runs.len()
+        );
+        self.note("worker", None, text);
+        for run in runs {
+            self.requeue(run);
+        }
+    }
+
+    /// retire gives a worker up that left the list and does not answer, once
+    /// nothing can run there any more. A later owner need not wait for it.
+    fn retire(&mut self, key: WorkerKey) {
+        let now = self.now.mono;
+        let worker = self.worker(key);
+        let gone = worker.unlisted_since.is_some() && worker.silent_since.is_some();
+        let met = worker.life == Life::Met && worker.lapsed(now);
+        let unmet = worker.life == Life::New && now >= self.inherited_until;
+        if gone && worker.runs.is_empty() && (met || unmet) {
+            self.end_life(
+                key,
+                "it left the list, does not answer, and its lease is over",
+            );
+        }
+    }
+
+    /// end_life notes that a worker's process is gone, and everything with it.
+    pub(crate) fn end_life(&mut self, key: WorkerKey, why: &str) {
+        let worker = self.worker_mut(key);
+        if worker.life == Life::Over {
+            return;
+        }
+        worker.life = Life::Over;
+        let (runs, id) = (worker.runs.clone(), worker.info.id.clone());
+        let text = format!(
+            "worker {id} is over: {why}; {} runs ended with it",
+            runs.len()
+        );
+        self.note("worker", None, text);
+        for run in runs {
+            self.requeue(run);
+        }
+        self.saver.roster_changed = true;
+        self.place_wanted = true;
+    }
+
+    /// live returns the workers that are not known to be over.
+    pub(crate) fn live(&self) -> impl Iterator<Item = WorkerKey> + '_ {
+        let alive = |(_, worker): &(usize, &Worker)| worker.life != Life::Over;
+        let workers = self.workers.iter().enumerate().filter(alive);
+        workers.map(|(place, _)| WorkerKey(place as u32))
+    }
+
+    /// live_now returns the same as a list, for loops that change workers.
+    pub(crate) fn live_now(&self) -> Vec<WorkerKey> {
+        self.live().collect()
+    }
+}
--- a/crates/stackpier-cell/src/takeover.rs
+++ b/crates/stackpier-cell/src/takeover.rs
@@ -65,7 +65,7 @@
         }
     }
 
-    /// refuse_confirm notes that the question to the store got no answer.
+    /// confirm_failed notes that the question to the store got no answer.
     pub fn confirm_failed(&mut self) {
         self.confirming = false;
     }
@@ -75,10 +75,4 @@
         self.deposed = true;
         self.effects.clear();
     }
-
-    /// needs_recovery tells whether runs of an earlier owner may still be
-    /// unknown.
-    pub fn is_recovering(&self) -> bool {
-        self.now.mono < self.inherited_until && !self.has_met_all()
-    }
 }
