World of the cell's fuzz in four files

world.rs was over 700 lines: the making of jobs, the faults and the calls to workers are modules of their own now, and the carrying out of an order is apart from what becomes of its answer.

--- a/crates/stackpier-fuzz/src/cell/world.rs
+++ b/crates/stackpier-fuzz/src/cell/world.rs
@@ -1,5 +1,9 @@
 // SPDX-License-Identifier: Apache-2.0
-//! The world: time, messages on their way, and faults.
+//! The world: time, owners, the store, and messages on their way.
+
+mod calls;
+mod faults;
+mod jobs;
 
 use std::{
     cmp::Reverse,
@@ -8,15 +12,16 @@
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use stackpier_cell::{
-    Cell, Effect, Event, Held, Info, Now, Options, Queue, RosterEntry, Save, Started, Stopped,
-};
+use stackpier_cell::{Cell, Effect, Event, Info, Now, Options, Queue, RosterEntry, Save};
 use stackpier_core::{Millis, Size, Unix, key};
 use stackpier_standin::fleet::{Behaviour, Worker};
-use stackpier_state::job::{Progress, Record, Spec, State, Step};
+use stackpier_state::job::{Progress, Record, State};
 
+use self::calls::Reply;
 use super::Oracle;
 
+pub use self::faults::Faults;
+
 /// TICK_MS is the time between two ticks of an owner.
 const TICK_MS: u64 = 50;
 /// LIMIT_MS is when a call without an answer is given up.
@@ -34,63 +39,6 @@
 /// SERVICE names the only service.
 const SERVICE: &str = "service";
 
-/// Faults are the rates of what goes wrong, in thousandths of the chances.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Faults {
-    /// Calls that never arrive.
-    pub lost: u32,
-    /// Calls whose answer is lost.
-    pub unanswered: u32,
-    /// Orders that are carried out seconds later, without an answer.
-    pub late: u32,
-    /// Chances a second that a worker is cut off for a while.
-    pub cuts: u32,
-    /// Chances a second that a worker dies and comes back with a new life.
-    pub crashes: u32,
-    /// Chances a second that another owner takes over.
-    pub takeovers: u32,
-    /// Chances a second that an owner stands still for a while.
-    pub freezes: u32,
-    /// Chances a second that a worker hangs or fails everything for a while.
-    pub grey: u32,
-    /// Chances a second that the store is away for a while.
-    pub outages: u32,
-    /// Jobs in a thousand that are cancelled.
-    pub cancels: u32,
-    /// Tasks in a thousand whose every run fails.
-    pub poison: u32,
-}
-
-impl Faults {
-    /// all returns faults of every kind at a rate.
-    pub fn all(rate: u32) -> Faults {
-        Faults {
-            lost: rate,
-            unanswered: rate,
-            late: rate / 2,
-            cuts: rate * 2,
-            crashes: rate,
-            takeovers: rate * 2,
-            freezes: rate * 2,
-            grey: rate,
-            outages: rate * 2,
-            cancels: 50,
-            poison: 5,
-        }
-    }
-}
-
-/// Reply tells what becomes of the answer to an order.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Reply {
-    /// It comes.
-    Comes,
-    /// It is lost: the owner gives the call up in time.
-    Lost,
-    /// The owner has given the call up already.
-    TooLate,
-}
-
 /// Message is something on its way.
 #[derive(Clone, Debug)]
 enum Message {
@@ -227,77 +175,6 @@
         Worker::new(info, offset, self.now_ms)
     }
 
-    fn plan_jobs(&mut self, length_ms: u64) {
-        let count = length_ms / 400;
-        for number in 0..count {
-            let job = key::Job(number + 1);
-            let spec = self.new_spec(job);
-            self.oracle.specs.insert(job, spec);
-            let at = self.between(500, length_ms);
-            self.send(at, Message::Submit(job));
-            if self.random.random_range(0..1_000) < self.faults.cancels {
-                let after = self.between(0, 3_000);
-                self.send(at + after, Message::Cancel(job));
-            }
-        }
-    }
-
-    fn new_spec(&mut self, job: key::Job) -> Spec {
-        let mut steps = Vec::new();
-        let mut behaviours = Vec::new();
-        for number in 0..self.between(1, 3) {
-            let step = self.new_step(number as u16);
-            behaviours.push(self.new_behaviours(&step));
-            steps.push(step);
-        }
-        self.behaviours.insert(job, behaviours);
-        Spec {
-            payload: String::new(),
-            steps,
-            schedule: None,
-        }
-    }
-
-    fn new_step(&mut self, number: u16) -> Step {
-        let fills = self.random.random_bool(0.5);
-        Step {
-            count: self.between(1, 5) as u32,
-            size: Size {
-                milli_cores: self.between(500, 3_000) as u32,
-                memory_mib: self.between(500, 4_000) as u32,
-                accelerators: 0,
-            },
-            estimate_ms: self.between(100, 2_500) as u32,
-            after: if number > 0 {
-                vec![number - 1]
-            } else {
-                Vec::new()
-            },
-            checkpointing: self.random.random_bool(0.5),
-            fills,
-            most_per_worker: self.random.random_bool(0.3).then_some(2),
-            image: format!("image-{}", self.between(0, 3)),
-            ..Step::default()
-        }
-    }
-
-    fn new_behaviours(&mut self, step: &Step) -> Vec<Behaviour> {
-        let mut size = step.size;
-        if step.fills {
-            size.milli_cores = 0;
-        }
-        let behaviour = |fails| Behaviour {
-            work_ms: u64::from(step.estimate_ms),
-            fails,
-            size,
-            saves: step.checkpointing,
-            ..Behaviour::default()
-        };
-        let poison = self.faults.poison;
-        let mut fails = || self.random.random_range(0..1_000) < poison;
-        (0..step.count).map(|_| behaviour(fails())).collect()
-    }
-
     fn now(&self) -> Now {
         Now {
             mono: Millis(self.now_ms + 1),
@@ -399,134 +276,6 @@
         }
     }
 
-    fn order(&mut self, place: usize, order: Effect, delay: u64) {
-        let hold = matches!(order, Effect::Hold(_));
-        if self.chance(self.faults.lost) {
-            self.count("lost call");
-            self.silence(place, &order);
-        } else if !hold && self.chance(self.faults.late) {
-            self.count("late order");
-            self.silence(place, &order);
-            let late = self.between(2_000, 12_000);
-            self.send(
-                late,
-                Message::Arrive(place, Box::new(order), Reply::TooLate),
-            );
-        } else {
-            let lost = self.chance(self.faults.unanswered);
-            let reply = if lost { Reply::Lost } else { Reply::Comes };
-            self.send(delay, Message::Arrive(place, Box::new(order), reply));
-        }
-    }
-
-    /// silence tells an owner, in time, that a call got no answer.
-    fn silence(&mut self, place: usize, order: &Effect) {
-        let event = match order {
-            Effect::Start(start) => Event::Started {
-                run: start.order.key,
-                outcome: Started::Silent,
-            },
-            Effect::Stop(stop) => Event::Stopped {
-                run: stop.order.key,
-                outcome: Stopped::Silent,
-            },
-            Effect::Hold(hold) => Event::Held {
-                worker: hold.worker,
-                sent: self.now().mono,
-                outcome: Held::Silent,
-            },
-            _ => return,
-        };
-        self.send(LIMIT_MS, Message::Event(place, Box::new(event)));
-    }
-
-    fn arrive(&mut self, place: usize, order: Effect, reply: Reply) {
-        let Some(target) = self.target(&order) else {
-            return;
-        };
-        if self.down[target] || self.now_ms < self.cut_until[target] {
-            if reply != Reply::TooLate {
-                self.silence(place, &order);
-            }
-            return;
-        }
-        // The sending time of a hold is when it left, a few milliseconds ago.
-        let sent = Millis(self.now().mono.0.saturating_sub(5));
-        let event = match &order {
-            Effect::Start(start) => Event::Started {
-                run: start.order.key,
-                outcome: self.begin(target, start),
-            },
-            Effect::Stop(stop) => Event::Stopped {
-                run: stop.order.key,
-                outcome: self.workers[target].stop(self.now_ms, stop),
-            },
-            Effect::Pace(pace) => {
-                self.workers[target].pace(self.now_ms, pace);
-                return;
-            }
-            Effect::Hold(hold) => {
-                let outcome = self.workers[target].hold(self.now_ms, hold);
-                self.oracle.note(&mut self.workers[target]);
-                Event::Held {
-                    worker: hold.worker,
-                    sent,
-                    outcome,
-                }
-            }
-            _ => return,
-        };
-        match reply {
-            Reply::Comes => {
-                let delay = self.between(1, 5);
-                self.send(delay, Message::Event(place, Box::new(event)));
-            }
-            Reply::Lost => {
-                self.count("lost answer");
-                self.silence(place, &order);
-            }
-            Reply::TooLate => {}
-        }
-    }
-
-    fn target(&self, order: &Effect) -> Option<usize> {
-        let address = match order {
-            Effect::Start(start) => &start.order.address,
-            Effect::Stop(stop) => &stop.order.address,
-            Effect::Pace(pace) => &pace.order.address,
-            Effect::Hold(hold) => &hold.address,
-            _ => return None,
-        };
-        self.workers
-            .iter()
-            .position(|worker| worker.info.address == *address)
-    }
-
-    fn begin(&mut self, target: usize, start: &stackpier_cell::Start) -> Started {
-        let task = start.order.task;
-        let steps = &self.behaviours[&task.job];
-        let behaviour = steps[usize::from(task.step)][task.index as usize];
-        for worker in &mut self.workers {
-            worker.advance(self.now_ms);
-        }
-        let before = self.workers[target].runs.len();
-        let outcome = self.workers[target].start(self.now_ms, start, behaviour);
-        if self.workers[target].runs.len() > before {
-            self.count("start");
-            let up: Vec<Worker> = (0..WORKERS)
-                .filter(|place| !self.down[*place])
-                .map(|place| self.workers[place].clone())
-                .collect();
-            let place = up
-                .iter()
-                .position(|worker| worker.info.id == self.workers[target].info.id);
-            if let Some(place) = place {
-                self.oracle.started(self.now_ms, start, place, &up);
-            }
-        }
-        outcome
-    }
-
     fn save(&mut self, place: usize, save: Save, unanswered: bool) {
         if self.owners[place].fence != self.store.fence {
             self.owners[place].over = true;
@@ -547,90 +296,6 @@
         self.send(delay, Message::Event(place, Box::new(event)));
     }
 
-    fn submit(&mut self, job: key::Job) {
-        let record = Record {
-            queue: QUEUE.to_owned(),
-            spec: self.oracle.specs[&job].clone(),
-            fence: self.store.fence,
-            accepted_ms: START + self.now_ms,
-        };
-        self.store.jobs.insert(job, record.clone());
-        let place = self.owners.len() - 1;
-        let event = Event::Accepted {
-            job,
-            record: Box::new(record),
-            progress: None,
-            cancelled: false,
-        };
-        self.feed(place, event);
-    }
-
-    fn cancel(&mut self, job: key::Job) {
-        if self.store.jobs.contains_key(&job) {
-            self.count("cancel");
-            self.store.cancelled.insert(job, ());
-            let place = self.owners.len() - 1;
-            self.feed(place, Event::Cancelled(job));
-        }
-    }
-
-    /// second lets faults begin.
-    fn second(&mut self) {
-        for place in 0..WORKERS {
-            if self.chance(self.faults.cuts) {
-                self.count("cut");
-                self.cut_until[place] = self.now_ms + self.between(200, 9_000);
-            }
-            if self.chance(self.faults.crashes) && !self.down[place] {
-                self.crash(place);
-            }
-            let grey = self.chance(self.faults.grey);
-            let hangs = self.random.random_bool(0.5);
-            let worker = &mut self.workers[place];
-            worker.advance(self.now_ms);
-            worker.hangs = grey && hangs;
-            worker.grey = grey && !hangs;
-        }
-        if self.chance(self.faults.takeovers) {
-            self.take_over();
-        }
-        if self.chance(self.faults.freezes) {
-            self.count("freeze");
-            let until = self.now_ms + self.between(500, 9_000);
-            if let Some(owner) = self.owners.last_mut() {
-                owner.frozen_until = until;
-            }
-        }
-        if self.chance(self.faults.outages) {
-            self.count("outage");
-            self.store.away_until = self.now_ms + self.between(500, 8_000);
-        }
-        self.check_shown();
-        self.send(1_000, Message::Second);
-    }
-
-    fn crash(&mut self, place: usize) {
-        self.count("crash");
-        self.down[place] = true;
-        self.workers[place].advance(self.now_ms);
-        self.oracle.lose(&self.workers[place]);
-        self.workers[place].runs.clear();
-        self.workers[place].ends.clear();
-        let after = self.between(500, 6_000);
-        self.send(after, Message::Revive(place));
-        let id = self.workers[place].info.id.clone();
-        let owner = self.owners.len() - 1;
-        self.feed(owner, Event::Unlisted(id));
-    }
-
-    fn revive(&mut self, place: usize) {
-        self.workers[place] = self.new_worker(place);
-        self.down[place] = false;
-        let info = self.workers[place].info.clone();
-        let owner = self.owners.len() - 1;
-        self.feed(owner, Event::Listed(info));
-    }
-
     /// check_shown compares the states that the owner would show.
     fn check_shown(&mut self) {
         let Some(owner) = self.owners.last() else {
--- /dev/null
+++ b/crates/stackpier-fuzz/src/cell/world/jobs.rs
@@ -0,0 +1,114 @@
+// SPDX-License-Identifier: Apache-2.0
+//! The making of jobs: their steps, how their tasks behave, and when they are
+//! handed in and cancelled.
+
+use rand::RngExt;
+use stackpier_cell::Event;
+use stackpier_core::{Size, key};
+use stackpier_standin::fleet::Behaviour;
+use stackpier_state::job::{Record, Spec, Step};
+
+use super::{Message, QUEUE, START, World};
+
+impl World {
+    /// plan_jobs draws all jobs, and when each is handed in and cancelled.
+    pub(super) fn plan_jobs(&mut self, length_ms: u64) {
+        let count = length_ms / 400;
+        for number in 0..count {
+            let job = key::Job(number + 1);
+            let spec = self.new_spec(job);
+            self.oracle.specs.insert(job, spec);
+            let at = self.between(500, length_ms);
+            self.send(at, Message::Submit(job));
+            if self.random.random_range(0..1_000) < self.faults.cancels {
+                let after = self.between(0, 3_000);
+                self.send(at + after, Message::Cancel(job));
+            }
+        }
+    }
+
+    fn new_spec(&mut self, job: key::Job) -> Spec {
+        let mut steps = Vec::new();
+        let mut behaviours = Vec::new();
+        for number in 0..self.between(1, 3) {
+            let step = self.new_step(number as u16);
+            behaviours.push(self.new_behaviours(&step));
+            steps.push(step);
+        }
+        self.behaviours.insert(job, behaviours);
+        Spec {
+            payload: String::new(),
+            steps,
+            schedule: None,
+        }
+    }
+
+    fn new_step(&mut self, number: u16) -> Step {
+        let fills = self.random.random_bool(0.5);
+        Step {
+            count: self.between(1, 5) as u32,
+            size: Size {
+                milli_cores: self.between(500, 3_000) as u32,
+                memory_mib: self.between(500, 4_000) as u32,
+                accelerators: 0,
+            },
+            estimate_ms: self.between(100, 2_500) as u32,
+            after: if number > 0 {
+                vec![number - 1]
+            } else {
+                Vec::new()
+            },
+            checkpointing: self.random.random_bool(0.5),
+            fills,
+            most_per_worker: self.random.random_bool(0.3).then_some(2),
+            image: format!("image-{}", self.between(0, 3)),
+            ..Step::default()
+        }
+    }
+
+    fn new_behaviours(&mut self, step: &Step) -> Vec<Behaviour> {
+        let mut size = step.size;
+        if step.fills {
+            size.milli_cores = 0;
+        }
+        let behaviour = |fails| Behaviour {
+            work_ms: u64::from(step.estimate_ms),
+            fails,
+            size,
+            saves: step.checkpointing,
+            ..Behaviour::default()
+        };
+        let poison = self.faults.poison;
+        let mut fails = || self.random.random_range(0..1_000) < poison;
+        (0..step.count).map(|_| behaviour(fails())).collect()
+    }
+
+    /// submit hands a job in to the newest owner.
+    pub(super) fn submit(&mut self, job: key::Job) {
+        let record = Record {
+            queue: QUEUE.to_owned(),
+            spec: self.oracle.specs[&job].clone(),
+            fence: self.store.fence,
+            accepted_ms: START + self.now_ms,
+        };
+        self.store.jobs.insert(job, record.clone());
+        let place = self.owners.len() - 1;
+        let event = Event::Accepted {
+            job,
+            record: Box::new(record),
+            progress: None,
+            cancelled: false,
+        };
+        self.feed(place, event);
+    }
+
+    /// cancel cancels a job, if it was handed in.
+    pub(super) fn cancel(&mut self, job: key::Job) {
+        if self.store.jobs.contains_key(&job) {
+            self.count("cancel");
+            self.store.cancelled.insert(job, ());
+            let place = self.owners.len() - 1;
+            self.feed(place, Event::Cancelled(job));
+        }
+    }
+}
