One way to read the items of a feed, and one list of all runs

Two followers of the store took items that are there and items that are new by the same loop, and two checks of all runs built the same list.

--- a/crates/stackpier-cell/src/speculate.rs
+++ b/crates/stackpier-cell/src/speculate.rs
@@ -16,12 +16,7 @@
 impl Cell {
     /// check_runs moves runs that stand still and sends stops again.
     pub(crate) fn check_runs(&mut self) {
-        let runs: Vec<RunKey> = self
-            .workers
-            .iter()
-            .flat_map(|worker| worker.runs.clone())
-            .collect();
-        for key in runs {
+        for key in self.runs_now() {
             let Some(run) = self.runs.get(key) else {
                 continue;
             };
@@ -33,6 +28,13 @@
         }
     }
 
+    /// runs_now returns all runs as a list, for loops that change them.
+    fn runs_now(&self) -> Vec<RunKey> {
+        let workers = self.workers.iter();
+        workers.flat_map(|worker| worker.runs.clone()).collect()
+    }
+
+    /// check_stall moves a run whose progress stands still.
     fn check_stall(&mut self, key: RunKey) {
         let now = self.now.mono;
         let Some(run) = self.runs.get(key) else {
@@ -60,12 +62,7 @@
     /// check_copies readies a second run of tasks that lag, where copies are
     /// allowed.
     pub(crate) fn check_copies(&mut self) {
-        let runs: Vec<RunKey> = self
-            .workers
-            .iter()
-            .flat_map(|worker| worker.runs.clone())
-            .collect();
-        for key in runs {
+        for key in self.runs_now() {
             if let Some(task) = self.lagging(key) {
                 self.copy(task);
             }
--- a/crates/stackpier-scheduler/src/daemon.rs
+++ b/crates/stackpier-scheduler/src/daemon.rs
@@ -23,7 +23,7 @@
     link::{self, Request, Response},
     member,
     node::{Node, pause},
-    store::{Change, Committed, Condition, Item, Put, Transaction},
+    store::{Committed, Condition, Item, Put, Transaction},
     watch::{Feed, Follower, follow},
 };
 
@@ -218,15 +218,8 @@
     }
 
     fn take(&mut self, feed: Feed) {
-        match feed {
-            Feed::All(items) => items.iter().for_each(|item| self.take_item(item)),
-            Feed::Changes(changes) => {
-                for change in changes {
-                    if let Change::Put(item) = change {
-                        self.take_item(&item);
-                    }
-                }
-            }
+        for item in feed.into_items() {
+            self.take_item(&item);
         }
     }
 }
--- a/crates/stackpier-scheduler/src/owner.rs
+++ b/crates/stackpier-scheduler/src/owner.rs
@@ -368,15 +368,8 @@
     }
 
     fn take(&mut self, feed: Feed) {
-        match feed {
-            Feed::All(items) => items.iter().for_each(|item| self.take_item(item)),
-            Feed::Changes(changes) => {
-                for change in changes {
-                    if let Change::Put(item) = change {
-                        self.take_item(&item);
-                    }
-                }
-            }
+        for item in feed.into_items() {
+            self.take_item(&item);
         }
     }
 }
--- a/crates/stackpier-scheduler/src/watch.rs
+++ b/crates/stackpier-scheduler/src/watch.rs
@@ -26,6 +26,20 @@
     Changes(Vec<Change>),
 }
 
+impl Feed {
+    /// into_items returns the items that are there or new, without removals.
+    pub(crate) fn into_items(self) -> Vec<Item> {
+        let put = |change| match change {
+            Change::Put(item) => Some(item),
+            Change::Removed(_) => None,
+        };
+        match self {
+            Feed::All(items) => items,
+            Feed::Changes(changes) => changes.into_iter().filter_map(put).collect(),
+        }
+    }
+}
+
 /// Follower takes what a watch brings.
 pub(crate) trait Follower {
     /// prefix returns what is followed.
