--- a/crates/stackpier-cell/src/advice.rs
+++ b/crates/stackpier-cell/src/advice.rs
@@ -59,19 +59,7 @@
         if advice.is_some_and(|advice| advice.asking || now < advice.not_before) {
             return;
         }
-        let known =
-            |worker: &WorkerKey| advice.is_some_and(|advice| advice.asked.contains_key(worker));
-        let open = Need {
-            advised: false,
-            ..*need
-        };
-        let mut choices = self.choices(&open).into_sorted_vec();
-        choices.reverse();
-        let workers = choices.into_iter().map(|choice| choice.worker);
-        let workers: Vec<WorkerKey> = workers
-            .filter(|worker| !known(worker))
-            .take(MOST_ASKED)
-            .collect();
+        let workers = self.unasked(need);
         if workers.is_empty() {
             // All were asked: begin again, as tickets and room change.
             if let Some(advice) = self.step_mut(need.step).advice.as_deref_mut() {
@@ -96,6 +84,25 @@
         self.effects.push(Effect::Ask(question));
     }
 
+    /// unasked returns the best workers with room for a step that the adviser
+    /// was not asked about lately.
+    fn unasked(&self, need: &Need) -> Vec<WorkerKey> {
+        let advice = self.step_of(need.step).advice.as_deref();
+        let known =
+            |worker: &WorkerKey| advice.is_some_and(|advice| advice.asked.contains_key(worker));
+        let open = Need {
+            advised: false,
+            ..*need
+        };
+        let mut choices = self.choices(&open).into_sorted_vec();
+        choices.reverse();
+        let workers = choices.into_iter().map(|choice| choice.worker);
+        workers
+            .filter(|worker| !known(worker))
+            .take(MOST_ASKED)
+            .collect()
+    }
+
     /// advised takes in the adviser's answer, or that there was none.
     pub(crate) fn advised(&mut self, step: StepKey, answer: Option<Advised>) {
         let now = self.now.mono;
--- a/crates/stackpier-scheduler/src/member.rs
+++ b/crates/stackpier-scheduler/src/member.rs
@@ -380,18 +380,35 @@
 
     /// swap changes the ownership in the store, if nobody else did.
     async fn swap(&mut self, doubt: Doubt, owned: Option<Owned>, fence: u64) {
+        let revision = owned.as_ref().map_or(0, |owned| owned.revision);
+        let Some(item) = self.write_ownership(revision, fence + 1).await else {
+            return;
+        };
+        self.node.take_ownership(&item);
+        let won = self.node.owned.borrow().clone();
+        let boot = self.node.boot;
+        let own = |won: &Owned| won.ownership.boot == boot && !won.ownership.released;
+        if let Some(won) = won.filter(own) {
+            let predecessor = doubt != Doubt::Vacant;
+            self.node.load(won, predecessor).await;
+        }
+    }
+
+    /// write_ownership writes this daemon as the owner over a revision, and
+    /// returns what the store then holds, if that is known.
+    async fn write_ownership(&self, revision: u64, fence: u64) -> Option<Item> {
         let ownership = Ownership {
             vm: self.node.settings.vm.clone(),
             boot: self.node.boot,
             address: self.node.settings.peers.to_string(),
-            fence: fence + 1,
+            fence,
             released: false,
         };
         let value = encode(&ownership).expect("an ownership is encoded");
         let transaction = Transaction {
             conditions: vec![Condition {
                 key: OWNER.to_owned(),
-                revision: owned.as_ref().map_or(0, |owned| owned.revision),
+                revision,
             }],
             puts: vec![Put {
                 key: OWNER.to_owned(),
@@ -399,7 +416,7 @@
             }],
             removals: Vec::new(),
         };
-        let item = match self.node.store_commit(&transaction).await {
+        match self.node.store_commit(&transaction).await {
             Committed::Done(revision) => Some(Item {
                 key: OWNER.to_owned(),
                 value,
@@ -410,17 +427,6 @@
                 self.node.store_get(OWNER).await.ok().flatten()
             }
             Committed::Refused => None,
-        };
-        let Some(item) = item else {
-            return;
-        };
-        self.node.take_ownership(&item);
-        let won = self.node.owned.borrow().clone();
-        if let Some(won) =
-            won.filter(|won| won.ownership.boot == self.node.boot && !won.ownership.released)
-        {
-            let predecessor = doubt != Doubt::Vacant;
-            self.node.load(won, predecessor).await;
         }
     }
 }
--- a/crates/stackpier-scheduler/src/owner.rs
+++ b/crates/stackpier-scheduler/src/owner.rs
@@ -4,7 +4,11 @@
 
 use std::{cell::RefCell, collections::HashMap, rc::Rc};
 
-use stackpier_cell::{Cell, Effect, Event, Memory, RosterEntry, Start};
+use opentelemetry::KeyValue;
+use stackpier_cell::{
+    Ask, Cell, Effect, Event, Held, Hold, Memory, Note, Pace, RosterEntry, Start, Started, Stop,
+    Stopped,
+};
 use stackpier_core::{Result, key};
 use stackpier_protocol::codec::decode;
 use stackpier_state::job::{Progress, Record, State};
@@ -93,22 +97,11 @@
         let mut cell = Cell::new(self.settings.cell, fence, self.now(), predecessor);
         if let Some(item) = &loaded.roster {
             revisions.set(ROSTER, item.revision);
-            match decode::<Vec<RosterEntry>>(&item.value) {
-                Ok(entries) => entries.iter().for_each(|entry| cell.add_roster(entry)),
-                Err(error) => self.say("owner", &format!("the roster is not readable: {error}")),
-            }
+            self.restore_roster(&mut cell, item);
         }
         if let Some(item) = &loaded.memory {
             revisions.set(MEMORY, item.revision);
-            match decode::<Memory>(&item.value) {
-                Ok(memory) => cell.remember(&memory),
-                Err(error) => {
-                    self.say(
-                        "owner",
-                        &format!("what was learnt is not readable: {error}"),
-                    );
-                }
-            }
+            self.restore_memory(&mut cell, item);
         }
         let mut progress = HashMap::new();
         for item in &loaded.progress.items {
@@ -124,24 +117,54 @@
             revisions: Rc::new(RefCell::new(revisions)),
         }));
         self.feed_queues();
-        let mut jobs = Jobs {
+        let jobs = Jobs {
             node: self.clone(),
             fence,
             progress,
         };
-        jobs.take(Feed::All(loaded.jobs.items));
-        let mut workers = Workers {
+        let workers = Workers {
             node: self.clone(),
             fence,
             listed: Vec::new(),
         };
-        workers.take(Feed::All(loaded.workers.items));
-        let (jobs_at, workers_at) = (loaded.jobs.at, loaded.workers.at);
-        tokio::task::spawn_local(follow(self.clone(), jobs, Some(jobs_at)));
-        tokio::task::spawn_local(follow(self.clone(), workers, Some(workers_at)));
+        self.start_followers(jobs, loaded.jobs, workers, loaded.workers);
         tokio::task::spawn_local(tick(self.clone(), fence));
     }
 
+    /// restore_roster gives a cell the workers that earlier owners used.
+    fn restore_roster(&self, cell: &mut Cell, item: &Item) {
+        match decode::<Vec<RosterEntry>>(&item.value) {
+            Ok(entries) => entries.iter().for_each(|entry| cell.add_roster(entry)),
+            Err(error) => self.say("owner", &format!("the roster is not readable: {error}")),
+        }
+    }
+
+    /// restore_memory gives a cell what earlier owners learnt.
+    fn restore_memory(&self, cell: &mut Cell, item: &Item) {
+        match decode::<Memory>(&item.value) {
+            Ok(memory) => cell.remember(&memory),
+            Err(error) => {
+                let text = format!("what was learnt is not readable: {error}");
+                self.say("owner", &text);
+            }
+        }
+    }
+
+    /// start_followers takes in the jobs and workers of two listings, and
+    /// follows the changes after them.
+    fn start_followers(
+        &self,
+        mut jobs: Jobs<P>,
+        kept: Listing,
+        mut workers: Workers<P>,
+        listed: Listing,
+    ) {
+        jobs.take(Feed::All(kept.items));
+        workers.take(Feed::All(listed.items));
+        tokio::task::spawn_local(follow(self.clone(), jobs, Some(kept.at)));
+        tokio::task::spawn_local(follow(self.clone(), workers, Some(listed.at)));
+    }
+
     /// feed_queues tells the cell the queues of the configuration.
     pub(crate) fn feed_queues(&self) {
         let config = self.config.borrow().clone();
@@ -181,47 +204,13 @@
 
     fn carry_out(&self, fence: u64, effect: Effect) {
         match effect {
-            Effect::Note(note) => {
-                self.metrics
-                    .decisions
-                    .add(1, &[opentelemetry::KeyValue::new("part", note.part)]);
-                let subject = note.subject.map(|name| name.to_string());
-                self.say_of(note.part, subject, &note.text);
-            }
+            Effect::Note(note) => self.log_note(&note),
             Effect::Deposed => self.depose(fence + 1, "a worker or the store knows a later fence"),
             Effect::Start(start) => self.spawn(move |node| node.send_start(fence, start)),
-            Effect::Stop(stop) => self.spawn(move |node| async move {
-                let outcome = node.platform.stop(&stop).await;
-                node.count_worker("stop", outcome == stackpier_cell::Stopped::Yes);
-                let run = stop.order.key;
-                node.feed(fence, Event::Stopped { run, outcome });
-            }),
-            Effect::Pace(pace) => self.spawn(move |node| async move {
-                let taken = node.platform.pace(&pace).await;
-                node.count_worker("pace", taken);
-                let text = format!("pace {} ordered, taken: {taken}", pace.percent);
-                node.say_of("pace", Some(pace.order.task.to_string()), &text);
-            }),
-            Effect::Hold(hold) => self.spawn(move |node| async move {
-                let sent = node.mono();
-                let outcome = node.platform.hold(&hold).await;
-                let answered = matches!(outcome, stackpier_cell::Held::Report(_));
-                node.count_worker("hold", answered);
-                let worker = hold.worker;
-                node.feed(
-                    fence,
-                    Event::Held {
-                        worker,
-                        sent,
-                        outcome,
-                    },
-                );
-            }),
-            Effect::Ask(ask) => self.spawn(move |node| async move {
-                let answer = node.platform.advise(&ask).await;
-                node.count_worker("advise", answer.is_some());
-                node.feed(fence, Event::Advised(ask.step, answer));
-            }),
+            Effect::Stop(stop) => self.spawn(move |node| node.send_stop(fence, stop)),
+            Effect::Pace(pace) => self.spawn(move |node| node.send_pace(pace)),
+            Effect::Hold(hold) => self.spawn(move |node| node.send_hold(fence, hold)),
+            Effect::Ask(ask) => self.spawn(move |node| node.send_ask(fence, ask)),
             Effect::Save(save) => self.spawn(move |node| async move {
                 let saved = node.save(fence, save).await;
                 node.feed(fence, Event::Saved(saved));
@@ -230,6 +219,13 @@
         }
     }
 
+    fn log_note(&self, note: &Note) {
+        let part = KeyValue::new("part", note.part);
+        self.metrics.decisions.add(1, &[part]);
+        let subject = note.subject.map(|name| name.to_string());
+        self.say_of(note.part, subject, &note.text);
+    }
+
     fn spawn<F, R>(&self, task: F)
     where
         F: FnOnce(Node<P>) -> R,
@@ -240,7 +236,7 @@
 
     async fn send_start(self, fence: u64, start: Start) {
         let outcome = self.platform.start(&start).await;
-        self.count_worker("start", outcome == stackpier_cell::Started::Yes);
+        self.count_worker("start", outcome == Started::Yes);
         let order = &start.order;
         let text = format!("run {} on worker {}: {outcome:?}", order.run, order.life);
         self.say_of("place", Some(order.task.to_string()), &text);
@@ -248,6 +244,39 @@
         self.feed(fence, Event::Started { run, outcome });
     }
 
+    async fn send_stop(self, fence: u64, stop: Stop) {
+        let outcome = self.platform.stop(&stop).await;
+        self.count_worker("stop", outcome == Stopped::Yes);
+        let run = stop.order.key;
+        self.feed(fence, Event::Stopped { run, outcome });
+    }
+
+    async fn send_pace(self, pace: Pace) {
+        let taken = self.platform.pace(&pace).await;
+        self.count_worker("pace", taken);
+        let text = format!("pace {} ordered, taken: {taken}", pace.percent);
+        self.say_of("pace", Some(pace.order.task.to_string()), &text);
+    }
+
+    async fn send_hold(self, fence: u64, hold: Hold) {
+        let sent = self.mono();
+        let outcome = self.platform.hold(&hold).await;
+        let answered = matches!(outcome, Held::Report(_));
+        self.count_worker("hold", answered);
+        let event = Event::Held {
+            worker: hold.worker,
+            sent,
+            outcome,
+        };
+        self.feed(fence, event);
+    }
+
+    async fn send_ask(self, fence: u64, ask: Ask) {
+        let answer = self.platform.advise(&ask).await;
+        self.count_worker("advise", answer.is_some());
+        self.feed(fence, Event::Advised(ask.step, answer));
+    }
+
     fn count_worker(&self, call: &'static str, done: bool) {
         let outcome = if done { "done" } else { "failed" };
         self.metrics
--- a/crates/stackpier-standin/src/fleet.rs
+++ b/crates/stackpier-standin/src/fleet.rs
@@ -212,17 +212,20 @@
         if self.runs.iter().any(there) {
             return Started::Yes;
         }
-        if self
-            .barred
-            .get(&order.task)
-            .is_some_and(|barred| order.run <= *barred)
-        {
+        let barred = self.barred.get(&order.task);
+        if barred.is_some_and(|barred| order.run <= *barred) {
             return Started::Old;
         }
         let needed = self.reserved() + behaviour.size;
         if !needed.fits(&self.info.capacity) {
             return Started::NoRoom;
         }
+        self.add_run(start, behaviour);
+        Started::Yes
+    }
+
+    fn add_run(&mut self, start: &Start, behaviour: Behaviour) {
+        let order = &start.order;
         let saved = start
             .checkpoint
             .as_deref()
@@ -237,7 +240,6 @@
             stops_at: None,
             pace: FULL as u8,
         });
-        Started::Yes
     }
 
     /// stop takes an order to stop a run.
