--- a/crates/stackpier-cell/tests/common/mod.rs
+++ b/crates/stackpier-cell/tests/common/mod.rs
@@ -7,8 +7,8 @@
 use std::collections::BTreeMap;
 
 use stackpier_cell::{
-    Advised, Ask, Cell, Effect, Event, Held, Info, Now, Options, Queue, Save, Start, Started,
-    Stopped, TaskName,
+    Advised, Ask, Cell, Effect, Event, Held, Hold, Info, Now, Options, Queue, Save, Start, Started,
+    Stop, Stopped, TaskName,
 };
 use stackpier_core::{Millis, Size, Unix, key};
 use stackpier_standin::fleet::{Behaviour, Worker};
@@ -257,41 +257,14 @@
             Effect::Confirm => self.cell.confirm_failed(),
             Effect::Deposed => self.deposed = true,
             Effect::Start(start) => self.carry_start(start),
-            Effect::Stop(stop) => {
-                let place = self.place(&stop.order.address);
-                let outcome = if self.cut[place] {
-                    Stopped::Silent
-                } else {
-                    self.workers[place].stop(self.now_ms, &stop)
-                };
-                let run = stop.order.key;
-                self.answer(1, Event::Stopped { run, outcome });
-            }
+            Effect::Stop(stop) => self.carry_stop(&stop),
             Effect::Pace(pace) => {
                 let place = self.place(&pace.order.address);
                 if !self.cut[place] {
                     self.workers[place].pace(self.now_ms, &pace);
                 }
             }
-            Effect::Hold(hold) => {
-                let place = self.place(&hold.address);
-                let outcome = if self.cut[place] {
-                    Held::Silent
-                } else {
-                    self.workers[place].hold(self.now_ms, &hold)
-                };
-                let after = if hold.wait_ms > 0 { 20 } else { 1 };
-                let sent = Millis(self.now_ms);
-                let worker = hold.worker;
-                self.answer(
-                    after,
-                    Event::Held {
-                        worker,
-                        sent,
-                        outcome,
-                    },
-                );
-            }
+            Effect::Hold(hold) => self.carry_hold(&hold),
             Effect::Save(save) => {
                 self.saves.push(save);
                 let saved = self.store;
@@ -300,6 +273,35 @@
         }
     }
 
+    fn carry_stop(&mut self, stop: &Stop) {
+        let place = self.place(&stop.order.address);
+        let outcome = if self.cut[place] {
+            Stopped::Silent
+        } else {
+            self.workers[place].stop(self.now_ms, stop)
+        };
+        let run = stop.order.key;
+        self.answer(1, Event::Stopped { run, outcome });
+    }
+
+    fn carry_hold(&mut self, hold: &Hold) {
+        let place = self.place(&hold.address);
+        let outcome = if self.cut[place] {
+            Held::Silent
+        } else {
+            self.workers[place].hold(self.now_ms, hold)
+        };
+        let after = if hold.wait_ms > 0 { 20 } else { 1 };
+        let sent = Millis(self.now_ms);
+        let worker = hold.worker;
+        let event = Event::Held {
+            worker,
+            sent,
+            outcome,
+        };
+        self.answer(after, event);
+    }
+
     /// advise answers for the adviser: workers with an even number are good.
     fn advise(&mut self, ask: &Ask) {
         let good = ask
--- a/crates/stackpier-cell/tests/faults.rs
+++ b/crates/stackpier-cell/tests/faults.rs
@@ -29,7 +29,7 @@
     })
 }
 
-/// hold_keys returns the workers of the holds among some effects.
+/// holds returns the workers of the holds among some effects.
 fn holds(effects: &[Effect]) -> Vec<stackpier_cell::WorkerKey> {
     let hold = |effect: &Effect| match effect {
         Effect::Hold(hold) => Some(hold.worker),
