One reader of h2 messages for both daemons

stackpier-scheduler had a copy of the code of stackpier-transport that reads a whole message and names a broken connection; it is stackpier-transport's module `stream` now, with the same bound and the same words. The scheduler's crate depends on stackpier-transport for it.

--- a/crates/stackpier-scheduler/src/link.rs
+++ b/crates/stackpier-scheduler/src/link.rs
@@ -3,7 +3,6 @@
 
 use std::{cell::RefCell, collections::HashMap, future::Future, rc::Rc, time::Duration};
 
-use crate::store::{Committed, Transaction};
 use bytes::Bytes;
 use h2::{RecvStream, SendStream, client, server};
 use serde::{Deserialize, Serialize};
@@ -11,13 +10,16 @@
     Error, Kind, Result,
     key::{self, Boot},
 };
-use stackpier_protocol::codec::{MAX_MESSAGE, decode, encode};
+use stackpier_protocol::codec::{decode, encode};
 use stackpier_state::job::{Record, State};
+use stackpier_transport::stream::{broken, collect};
 use tokio::{
     net::{TcpListener, TcpStream},
     time::timeout,
 };
 
+use crate::store::{Committed, Transaction};
+
 /// URI is the target of every message; only the body matters.
 const URI: &str = "http://stackpier/message";
 /// ACCEPT_PAUSE is the pause after a failed accept.
@@ -182,22 +184,3 @@
         .send_data(Bytes::from(response), true)
         .map_err(broken)
 }
-
-async fn collect(body: &mut RecvStream) -> Result<Vec<u8>> {
-    let mut bytes = Vec::new();
-    while let Some(chunk) = body.data().await {
-        let chunk = chunk.map_err(broken)?;
-        bytes.extend_from_slice(&chunk);
-        if bytes.len() > MAX_MESSAGE {
-            return Err(Error::new(Kind::TooLarge, "message over its bound"));
-        }
-        body.flow_control()
-            .release_capacity(chunk.len())
-            .map_err(broken)?;
-    }
-    Ok(bytes)
-}
-
-fn broken(error: h2::Error) -> Error {
-    Error::new(Kind::Unreachable, format!("peer connection broke: {error}"))
-}
--- a/crates/stackpier-transport/src/lib.rs
+++ b/crates/stackpier-transport/src/lib.rs
@@ -8,3 +8,4 @@
 pub mod operators;
 pub mod peers;
 pub mod platform;
+pub mod stream;
--- a/crates/stackpier-transport/src/peers.rs
+++ b/crates/stackpier-transport/src/peers.rs
@@ -19,11 +19,13 @@
 use http::Request as Head;
 use stackpier_core::{Error, Kind, Result};
 use stackpier_protocol::{
-    codec::{MAX_MESSAGE, decode, encode},
+    codec::{decode, encode},
     peer::{Request, Response},
 };
 use tokio::{net::TcpStream, sync::oneshot, time::timeout};
 
+use crate::stream::{broken, collect};
+
 /// MAX_STREAMS is the most messages in service on one connection.
 const MAX_STREAMS: u32 = 1_024;
 /// WINDOW is the flow-control window of a stream and of a connection.
@@ -255,25 +257,6 @@
     answered.await.unwrap_or(Response::Failed(Kind::Internal))
 }
 
-async fn collect(body: &mut RecvStream) -> Result<Vec<u8>> {
-    let mut bytes = Vec::new();
-    while let Some(chunk) = body.data().await {
-        let chunk = chunk.map_err(broken)?;
-        bytes.extend_from_slice(&chunk);
-        if bytes.len() > MAX_MESSAGE {
-            return Err(Error::new(Kind::TooLarge, "message over its bound"));
-        }
-        body.flow_control()
-            .release_capacity(chunk.len())
-            .map_err(broken)?;
-    }
-    Ok(bytes)
-}
-
-fn broken(error: h2::Error) -> Error {
-    Error::new(Kind::Unreachable, format!("peer connection broke: {error}"))
-}
-
 async fn send_all(sending: Receiver<Outbound>, counters: Arc<Counters>) {
     let mut lines: HashMap<SocketAddr, Sender<Outbound>> = HashMap::new();
     while let Ok(outbound) = sending.recv_async().await {
