--- a/crates/stackpier-cell/src/ends.rs
+++ b/crates/stackpier-cell/src/ends.rs
@@ -55,19 +55,12 @@
         let now = self.now.mono;
         self.worker_mut(worker).health.work(now);
         let step = self.task(task).step;
-        let shape = self.shape(step);
-        if shape.lasting {
+        if self.shape(step).lasting {
             // A task that lasts is started again however it ends.
             self.make_ready(task);
             return;
         }
-        let entry = self.step_of(step);
-        let members = if shape.gang {
-            entry.first_task.0..entry.first_task.0 + entry.count
-        } else {
-            task.0..task.0 + 1
-        };
-        for member in members.map(TaskKey) {
+        for member in self.members(task) {
             self.finish(member);
         }
         let job = self.step_of(step).job;
@@ -79,6 +72,19 @@
         }
     }
 
+    /// members returns the tasks that a run of a task stands for: all of its
+    /// step if that is a gang, else the task alone.
+    fn members(&self, task: TaskKey) -> impl Iterator<Item = TaskKey> + use<> {
+        let step = self.task(task).step;
+        let entry = self.step_of(step);
+        let members = if self.shape(step).gang {
+            entry.first_task.0..entry.first_task.0 + entry.count
+        } else {
+            task.0..task.0 + 1
+        };
+        members.map(TaskKey)
+    }
+
     /// finish notes that a task is done and stops copies of it.
     fn finish(&mut self, task: TaskKey) {
         self.unqueue(task);
@@ -137,17 +143,10 @@
 
     fn end_early(&mut self, task: TaskKey, end: &End) {
         if !end.checkpoint.is_empty() && !self.task(task).done {
-            let step = self.task(task).step;
-            let entry = self.step_of(step);
-            let members = if self.shape(step).gang {
-                entry.first_task.0..entry.first_task.0 + entry.count
-            } else {
-                task.0..task.0 + 1
-            };
-            for member in members.map(TaskKey) {
+            for member in self.members(task) {
                 self.task_mut(member).checkpoint = Some(end.checkpoint.clone());
             }
-            let job = self.step_of(step).job;
+            let job = self.step_of(self.task(task).step).job;
             self.dirty(job);
         }
         self.make_ready(task);
--- a/crates/stackpier-cell/src/lifecycle.rs
+++ b/crates/stackpier-cell/src/lifecycle.rs
@@ -200,12 +200,7 @@
         entry.ready.push(key);
         if !entry.queued {
             entry.queued = true;
-            let queue = if fills {
-                &mut self.filling
-            } else {
-                &mut self.waiting
-            };
-            queue.push(step);
+            self.enqueue(step, fills);
         }
         self.place_wanted = true;
     }
--- a/crates/stackpier-cell/src/place.rs
+++ b/crates/stackpier-cell/src/place.rs
@@ -137,6 +137,11 @@
             self.step_mut(step).queued = false;
             return;
         }
+        self.enqueue(step, fills);
+    }
+
+    /// enqueue puts a step into its queue.
+    pub(crate) fn enqueue(&mut self, step: StepKey, fills: bool) {
         let queue = if fills {
             &mut self.filling
         } else {
--- a/crates/stackpier-scheduler/src/daemon.rs
+++ b/crates/stackpier-scheduler/src/daemon.rs
@@ -23,7 +23,7 @@
     link::{self, Request, Response},
     member,
     node::{Node, pause},
-    store::{Committed, Condition, Item, Put, Transaction},
+    store::{Committed, Item, Transaction},
     watch::{Feed, Follower, follow},
 };
 
@@ -119,17 +119,8 @@
             None => return,
         };
         ownership.released = true;
-        let transaction = Transaction {
-            conditions: vec![Condition {
-                key: OWNER.to_owned(),
-                revision,
-            }],
-            puts: vec![Put {
-                key: OWNER.to_owned(),
-                value: encode(&ownership).expect("an ownership is encoded"),
-            }],
-            removals: Vec::new(),
-        };
+        let value = encode(&ownership).expect("an ownership is encoded");
+        let transaction = Transaction::swap(OWNER, revision, value);
         let committed = self.store_commit(&transaction).await;
         let done = matches!(committed, Committed::Done(_));
         self.say(
--- a/crates/stackpier-scheduler/src/member.rs
+++ b/crates/stackpier-scheduler/src/member.rs
@@ -16,7 +16,7 @@
     keys::{self, CLUSTER, MEMBERS, Member, OWNER, Ownership},
     link::{Alive, Heartbeat, Request, Response},
     node::{Node, Owned, pause},
-    store::{Change, Committed, Condition, Item, Put, Transaction},
+    store::{Change, Committed, Item, Put, Transaction},
     watch::{Feed, Follower, follow},
 };
 
@@ -405,17 +405,7 @@
             released: false,
         };
         let value = encode(&ownership).expect("an ownership is encoded");
-        let transaction = Transaction {
-            conditions: vec![Condition {
-                key: OWNER.to_owned(),
-                revision,
-            }],
-            puts: vec![Put {
-                key: OWNER.to_owned(),
-                value: value.clone(),
-            }],
-            removals: Vec::new(),
-        };
+        let transaction = Transaction::swap(OWNER, revision, value.clone());
         match self.node.store_commit(&transaction).await {
             Committed::Done(revision) => Some(Item {
                 key: OWNER.to_owned(),
--- a/crates/stackpier-scheduler/src/store.rs
+++ b/crates/stackpier-scheduler/src/store.rs
@@ -74,6 +74,21 @@
     pub removals: Vec<String>,
 }
 
+impl Transaction {
+    /// swap writes one key if it is still at a revision.
+    pub(crate) fn swap(key: &str, revision: u64, value: Vec<u8>) -> Transaction {
+        let key = key.to_owned();
+        Transaction {
+            conditions: vec![Condition {
+                key: key.clone(),
+                revision,
+            }],
+            puts: vec![Put { key, value }],
+            removals: Vec::new(),
+        }
+    }
+}
+
 /// Committed is the outcome of a transaction.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Committed {
