Plain names: jobs.rs for desk.rs, Monitor for Watchman

Both were metaphors. jobs.rs shows nothing by itself, so it is a private module; the method by which a daemon takes over is called take_over.

--- a/crates/stackpier-scheduler/src/lib.rs
+++ b/crates/stackpier-scheduler/src/lib.rs
@@ -9,9 +9,9 @@
 
 pub mod catalog;
 pub mod daemon;
-pub mod desk;
 pub mod fleet;
 pub mod http;
+mod jobs;
 mod keys;
 mod link;
 pub mod log;
--- a/crates/stackpier-scheduler/src/member.rs
+++ b/crates/stackpier-scheduler/src/member.rs
@@ -52,8 +52,8 @@
     Storeless,
 }
 
-/// Watchman sends heartbeats and takes over when it has to.
-struct Watchman<P> {
+/// Monitor sends heartbeats and takes over when it has to.
+struct Monitor<P> {
     node: Node<P>,
     doubt: Option<(Doubt, Millis)>,
     storeless_since: Option<Millis>,
@@ -65,7 +65,7 @@
     register(&node).await;
     tokio::task::spawn_local(follow(node.clone(), Cluster { node: node.clone() }, None));
     tokio::task::spawn_local(probe(node.clone()));
-    let mut watchman = Watchman {
+    let mut monitor = Monitor {
         node: node.clone(),
         doubt: None,
         storeless_since: None,
@@ -73,7 +73,7 @@
     loop {
         pause(HEARTBEAT_MS).await;
         if !node.stopping.get() {
-            watchman.turn().await;
+            monitor.turn().await;
         }
     }
 }
@@ -229,7 +229,7 @@
     }
 }
 
-impl<P: Platform> Watchman<P> {
+impl<P: Platform> Monitor<P> {
     async fn turn(&mut self) {
         let owned = self.node.owned.borrow().clone();
         let now = self.node.mono();
@@ -248,7 +248,7 @@
         };
         let delay = self.rank(&owned) * RANK_MS;
         if self.node.mono().since(since) >= delay && self.node.store_answers() {
-            self.stand(doubt, owned).await;
+            self.take_over(doubt, owned).await;
         }
     }
 
@@ -337,8 +337,8 @@
         members.values().filter(before).count() as u64
     }
 
-    /// stand takes over, unless others still hear the owner.
-    async fn stand(&mut self, doubt: Doubt, owned: Option<Owned>) {
+    /// take_over tries to own the cell, unless others still hear its owner.
+    async fn take_over(&mut self, doubt: Doubt, owned: Option<Owned>) {
         let fence = owned.as_ref().map_or(0, |owned| owned.ownership.fence);
         if doubt == Doubt::Silent && self.is_heard(&owned, fence).await {
             self.doubt = None;
