--- a/crates/stackpier-scheduler/src/daemon.rs
+++ b/crates/stackpier-scheduler/src/daemon.rs
@@ -23,7 +23,7 @@
     link::{self, Request, Response},
     member,
     node::{Node, pause},
-    store::{Change, Committed, Condition, Item, Put, Transaction},
+    store::{Committed, Item, Transaction},
     watch::{Feed, Follower, follow},
 };
 
@@ -119,17 +119,8 @@
             None => return,
         };
         ownership.released = true;
-        let transaction = Transaction {
-            conditions: vec![Condition {
-                key: OWNER.to_owned(),
-                revision,
-            }],
-            puts: vec![Put {
-                key: OWNER.to_owned(),
-                value: encode(&ownership).expect("an ownership is encoded"),
-            }],
-            removals: Vec::new(),
-        };
+        let value = encode(&ownership).expect("an ownership is encoded");
+        let transaction = Transaction::swap(OWNER, revision, value);
         let committed = self.store_commit(&transaction).await;
         let done = matches!(committed, Committed::Done(_));
         self.say(
@@ -218,15 +209,8 @@
     }
 
     fn take(&mut self, feed: Feed) {
-        match feed {
-            Feed::All(items) => items.iter().for_each(|item| self.take_item(item)),
-            Feed::Changes(changes) => {
-                for change in changes {
-                    if let Change::Put(item) = change {
-                        self.take_item(&item);
-                    }
-                }
-            }
+        for item in feed.into_items() {
+            self.take_item(&item);
         }
     }
 }
--- a/crates/stackpier-scheduler/src/member.rs
+++ b/crates/stackpier-scheduler/src/member.rs
@@ -16,7 +16,7 @@
     keys::{self, CLUSTER, MEMBERS, Member, OWNER, Ownership},
     link::{Alive, Heartbeat, Request, Response},
     node::{Node, Owned, pause},
-    store::{Change, Committed, Condition, Item, Put, Transaction},
+    store::{Change, Committed, Item, Put, Transaction},
     watch::{Feed, Follower, follow},
 };
 
@@ -52,8 +52,8 @@
     Storeless,
 }
 
-/// Watchman sends heartbeats and takes over when it has to.
-struct Watchman<P> {
+/// Monitor sends heartbeats and takes over when it has to.
+struct Monitor<P> {
     node: Node<P>,
     doubt: Option<(Doubt, Millis)>,
     storeless_since: Option<Millis>,
@@ -65,7 +65,7 @@
     register(&node).await;
     tokio::task::spawn_local(follow(node.clone(), Cluster { node: node.clone() }, None));
     tokio::task::spawn_local(probe(node.clone()));
-    let mut watchman = Watchman {
+    let mut monitor = Monitor {
         node: node.clone(),
         doubt: None,
         storeless_since: None,
@@ -73,7 +73,7 @@
     loop {
         pause(HEARTBEAT_MS).await;
         if !node.stopping.get() {
-            watchman.turn().await;
+            monitor.turn().await;
         }
     }
 }
@@ -229,7 +229,7 @@
     }
 }
 
-impl<P: Platform> Watchman<P> {
+impl<P: Platform> Monitor<P> {
     async fn turn(&mut self) {
         let owned = self.node.owned.borrow().clone();
         let now = self.node.mono();
@@ -248,7 +248,7 @@
         };
         let delay = self.rank(&owned) * RANK_MS;
         if self.node.mono().since(since) >= delay && self.node.store_answers() {
-            self.stand(doubt, owned).await;
+            self.take_over(doubt, owned).await;
         }
     }
 
@@ -337,8 +337,8 @@
         members.values().filter(before).count() as u64
     }
 
-    /// stand takes over, unless others still hear the owner.
-    async fn stand(&mut self, doubt: Doubt, owned: Option<Owned>) {
+    /// take_over tries to own the cell, unless others still hear its owner.
+    async fn take_over(&mut self, doubt: Doubt, owned: Option<Owned>) {
         let fence = owned.as_ref().map_or(0, |owned| owned.ownership.fence);
         if doubt == Doubt::Silent && self.is_heard(&owned, fence).await {
             self.doubt = None;
@@ -380,26 +380,33 @@
 
     /// swap changes the ownership in the store, if nobody else did.
     async fn swap(&mut self, doubt: Doubt, owned: Option<Owned>, fence: u64) {
+        let revision = owned.as_ref().map_or(0, |owned| owned.revision);
+        let Some(item) = self.write_ownership(revision, fence + 1).await else {
+            return;
+        };
+        self.node.take_ownership(&item);
+        let won = self.node.owned.borrow().clone();
+        let boot = self.node.boot;
+        let own = |won: &Owned| won.ownership.boot == boot && !won.ownership.released;
+        if let Some(won) = won.filter(own) {
+            let predecessor = doubt != Doubt::Vacant;
+            self.node.load(won, predecessor).await;
+        }
+    }
+
+    /// write_ownership writes this daemon as the owner over a revision, and
+    /// returns what the store then holds, if that is known.
+    async fn write_ownership(&self, revision: u64, fence: u64) -> Option<Item> {
         let ownership = Ownership {
             vm: self.node.settings.vm.clone(),
             boot: self.node.boot,
             address: self.node.settings.peers.to_string(),
-            fence: fence + 1,
+            fence,
             released: false,
         };
         let value = encode(&ownership).expect("an ownership is encoded");
-        let transaction = Transaction {
-            conditions: vec![Condition {
-                key: OWNER.to_owned(),
-                revision: owned.as_ref().map_or(0, |owned| owned.revision),
-            }],
-            puts: vec![Put {
-                key: OWNER.to_owned(),
-                value: value.clone(),
-            }],
-            removals: Vec::new(),
-        };
-        let item = match self.node.store_commit(&transaction).await {
+        let transaction = Transaction::swap(OWNER, revision, value.clone());
+        match self.node.store_commit(&transaction).await {
             Committed::Done(revision) => Some(Item {
                 key: OWNER.to_owned(),
                 value,
@@ -410,17 +417,6 @@
                 self.node.store_get(OWNER).await.ok().flatten()
             }
             Committed::Refused => None,
-        };
-        let Some(item) = item else {
-            return;
-        };
-        self.node.take_ownership(&item);
-        let won = self.node.owned.borrow().clone();
-        if let Some(won) =
-            won.filter(|won| won.ownership.boot == self.node.boot && !won.ownership.released)
-        {
-            let predecessor = doubt != Doubt::Vacant;
-            self.node.load(won, predecessor).await;
         }
     }
 }
