One clock error for all leases, and the cell's own retry pause

CLOCK_ERROR_MILLI stood in two modules. next_hold took the retry pause from the defaults instead of the cell's options; nothing sets another, so the pause is the same.

--- a/crates/stackpier-cell/src/hold.rs
+++ b/crates/stackpier-cell/src/hold.rs
@@ -125,11 +125,11 @@
     /// next_hold sends the next hold on a worker that runs something, or sets
     /// when it comes.
     fn next_hold(&mut self, key: WorkerKey) {
-        let now = self.now.mono;
+        let (now, retry_ms) = (self.now.mono, self.options.retry_ms);
         let worker = self.worker_mut(key);
         if worker.taken > worker.noted {
             // The save that is on its way sends the next hold.
-            worker.hold_after = now.plus(crate::Options::default().retry_ms);
+            worker.hold_after = now.plus(retry_ms);
             return;
         }
         if worker.runs.is_empty() {
--- a/crates/stackpier-cell/src/takeover.rs
+++ b/crates/stackpier-cell/src/takeover.rs
@@ -7,11 +7,12 @@
 
 use stackpier_core::Millis;
 
-use crate::{Cell, Effect, Options, arena::JobKey, worker::Life};
+use crate::{
+    Cell, Effect, Options,
+    arena::JobKey,
+    worker::{CLOCK_ERROR_MILLI, Life, Worker},
+};
 
-/// CLOCK_ERROR_MILLI is how much slower than true time a worker's clock may
-/// run, in thousandths: the platform allows 2%.
-const CLOCK_ERROR_MILLI: u64 = 21;
 /// MARGIN_MS is added to the end of an earlier owner's leases, for the flight
 /// of its last call.
 const MARGIN_MS: u64 = 500;
@@ -42,7 +43,7 @@
     /// has_met_all tells whether all workers that an earlier owner may have
     /// used have answered or are over.
     pub(crate) fn has_met_all(&self) -> bool {
-        let unmet = |worker: &crate::worker::Worker| worker.inherited && worker.life == Life::New;
+        let unmet = |worker: &Worker| worker.inherited && worker.life == Life::New;
         !self.workers.iter().any(unmet)
     }
 
--- a/crates/stackpier-cell/src/worker.rs
+++ b/crates/stackpier-cell/src/worker.rs
@@ -7,7 +7,7 @@
 
 /// CLOCK_ERROR_MILLI is how much slower than true time a worker's clock may
 /// run, in thousandths, with a margin: the platform allows 2%.
-const CLOCK_ERROR_MILLI: u64 = 21;
+pub(crate) const CLOCK_ERROR_MILLI: u64 = 21;
 /// LAPSE_MARGIN_MS is added to the end of a lease before its runs are taken
 /// to be over: the worker ends them a moment after.
 const LAPSE_MARGIN_MS: u64 = 200;
