Calls of the fuzz may take less than a millisecond; ports of tests stay reserved

A process test failed once with an address in use; ports are now reserved by a datagram socket while the test process lives.

--- a/crates/stackpier-fuzz/src/cell/world.rs
+++ b/crates/stackpier-fuzz/src/cell/world.rs
@@ -42,8 +42,9 @@
 /// Message is something on its way.
 #[derive(Clone, Debug)]
 enum Message {
-    /// An effect that reaches a worker, and what becomes of the answer.
-    Arrive(usize, Box<Effect>, Reply),
+    /// An effect that reaches a worker, and what becomes of the
+    /// answer, and when it was sent.
+    Arrive(usize, Box<Effect>, Reply, Millis),
     /// An event that reaches an owner.
     Event(usize, Box<Event>),
     /// An owner's tick.
@@ -238,7 +239,8 @@
     }
 
     fn carry(&mut self, place: usize, effect: Effect) {
-        let delay = self.between(1, 5);
+        // Calls within a data centre take less than a millisecond.
+        let delay = self.between(0, 4);
         match effect {
             Effect::Note(_) | Effect::Ask(_) => {}
             Effect::Deposed => self.owners[place].over = true,
@@ -325,7 +327,7 @@
 
     fn take(&mut self, message: Message) {
         match message {
-            Message::Arrive(place, order, reply) => self.arrive(place, *order, reply),
+            Message::Arrive(place, order, reply, sent) => self.arrive(place, *order, reply, sent),
             Message::Event(place, event) => self.feed(place, *event),
             Message::Tick(place) => {
                 self.feed(place, Event::Tick);
--- a/crates/stackpier-fuzz/src/cell/world/calls.rs
+++ b/crates/stackpier-fuzz/src/cell/world/calls.rs
@@ -21,6 +21,7 @@
 impl World {
     /// order sends an order on its way, or loses or delays it.
     pub(super) fn order(&mut self, place: usize, order: Effect, delay: u64) {
+        let sent = self.now().mono;
         let hold = matches!(order, Effect::Hold(_));
         if self.chance(self.faults.lost) {
             self.count("lost call");
@@ -31,12 +32,12 @@
             let late = self.between(2_000, 12_000);
             self.send(
                 late,
-                Message::Arrive(place, Box::new(order), Reply::TooLate),
+                Message::Arrive(place, Box::new(order), Reply::TooLate, sent),
             );
         } else {
             let lost = self.chance(self.faults.unanswered);
             let reply = if lost { Reply::Lost } else { Reply::Comes };
-            self.send(delay, Message::Arrive(place, Box::new(order), reply));
+            self.send(delay, Message::Arrive(place, Box::new(order), reply, sent));
         }
     }
 
@@ -62,7 +63,7 @@
     }
 
     /// arrive hands an order to its worker, and the answer back to the owner.
-    pub(super) fn arrive(&mut self, place: usize, order: Effect, reply: Reply) {
+    pub(super) fn arrive(&mut self, place: usize, order: Effect, reply: Reply, sent: Millis) {
         let Some(target) = self.target(&order) else {
             return;
         };
@@ -72,12 +73,12 @@
             }
             return;
         }
-        let Some(event) = self.answer(target, &order) else {
+        let Some(event) = self.answer(target, &order, sent) else {
             return;
         };
         match reply {
             Reply::Comes => {
-                let delay = self.between(1, 5);
+                let delay = self.between(0, 4);
                 self.send(delay, Message::Event(place, Box::new(event)));
             }
             Reply::Lost => {
@@ -90,7 +91,7 @@
 
     /// answer lets a worker carry an order out and returns its answer, if the
     /// order has one.
-    fn answer(&mut self, target: usize, order: &Effect) -> Option<Event> {
+    fn answer(&mut self, target: usize, order: &Effect, sent: Millis) -> Option<Event> {
         let event = match order {
             Effect::Start(start) => Event::Started {
                 run: start.order.key,
@@ -105,8 +106,6 @@
                 return None;
             }
             Effect::Hold(hold) => {
-                // It left a few milliseconds ago.
-                let sent = Millis(self.now().mono.0.saturating_sub(5));
                 let outcome = self.workers[target].hold(self.now_ms, hold);
                 self.oracle.note(&mut self.workers[target]);
                 Event::Held {
--- a/crates/stackpier-scheduler/src/node.rs
+++ b/crates/stackpier-scheduler/src/node.rs
@@ -120,6 +120,7 @@
     /// now returns the time.
     pub(crate) fn now(&self) -> Now {
         let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+        // A clock before 1970 makes jobs look old, which delays none of them.
         let unix = since_epoch.map_or(0, |time| time.as_millis() as u64);
         Now {
             mono: self.mono(),
--- a/crates/stackpier-testkit/src/ports.rs
+++ b/crates/stackpier-testkit/src/ports.rs
@@ -2,8 +2,11 @@
 //! Free ports on loopback, below the range that outgoing connections use.
 
 use std::{
-    net::{SocketAddr, TcpListener},
-    sync::atomic::{AtomicU32, Ordering},
+    net::{SocketAddr, TcpListener, UdpSocket},
+    sync::{
+        Mutex, PoisonError,
+        atomic::{AtomicU32, Ordering},
+    },
 };
 
 /// FIRST is the lowest port handed out.
@@ -15,13 +18,23 @@
 
 static NEXT: AtomicU32 = AtomicU32::new(0);
 
-/// free returns an address nobody listens on.
+/// RESERVED holds a datagram socket for each port that was handed out, which
+/// keeps other test processes from choosing the same one before it is used.
+static RESERVED: Mutex<Vec<UdpSocket>> = Mutex::new(Vec::new());
+
+/// free returns an address nobody listens on, and nobody else is given while
+/// this process lives.
 pub fn free() -> SocketAddr {
     let start = std::process::id().wrapping_mul(STRIDE);
     loop {
         let number = start.wrapping_add(NEXT.fetch_add(1, Ordering::SeqCst)) % COUNT;
         let address = SocketAddr::from(([127, 0, 0, 1], (FIRST + number) as u16));
+        let Ok(reservation) = UdpSocket::bind(address) else {
+            continue;
+        };
         if TcpListener::bind(address).is_ok() {
+            let mut reserved = RESERVED.lock().unwrap_or_else(PoisonError::into_inner);
+            reserved.push(reservation);
             return address;
         }
     }
