Maintenance: hosts of workers emptied and taken down as operators plan it

Ruled out: reading the list of machines of the platform for it: the workers' entries name their hosts. Change: `stackpier-cell/maintenance.rs` empties as few hosts at once as the time left allows (no starts, lasting tasks as far as their steps can miss them, filling ones with checkpoints), orders them down, counts an unanswered order as down, goes on without hosts that are not known, and keeps what was done in the store for a later owner, who waits before its first order so that two owners don't take turns. The adapter reads the plans, orders, and writes the state that operators are told. Tests red without their part: four guards taken away one by one (tasks away, hosts down at once, starts on closed hosts, unanswered orders).

--- a/crates/stackpier-cell/src/cell.rs
+++ b/crates/stackpier-cell/src/cell.rs
@@ -12,6 +12,7 @@
     cycle::Cycle,
     interference::{Images, Model},
     job::{Job, Run, Step, Task},
+    maintenance::{Record, Work},
     names::Names,
     save::Saver,
     worker::Worker,
@@ -20,6 +21,8 @@
 /// SWEEP_MS is the time between two looks at all runs, for those that stand
 /// still, lag, or are on leaving workers.
 const SWEEP_MS: u64 = 150;
+/// FIRST_FENCE is the fence of a cell's first owner.
+const FIRST_FENCE: u64 = 1;
 /// FAILED_ON is how many workers a task remembers to have failed on.
 const FAILED_ON: usize = 3;
 
@@ -54,6 +57,12 @@
     pub(crate) cycle: Cycle,
     /// When what was learnt was last saved.
     pub(crate) remembered: Millis,
+    /// Plans of operators to take hosts down.
+    pub(crate) maintenance: Vec<Work>,
+    /// How far an earlier owner came with them.
+    pub(crate) maintained: Vec<Record>,
+    /// From when this owner orders hosts down: two owners don't take turns.
+    pub(crate) orders_from: Millis,
     pub(crate) saver: Saver,
     /// When the store last confirmed that this daemon owns the cell.
     pub(crate) confirmed: Millis,
@@ -95,6 +104,13 @@
             model: Model::default(),
             cycle: Cycle::default(),
             remembered: now.mono,
+            maintenance: Vec::new(),
+            maintained: Vec::new(),
+            orders_from: now.mono.plus(if fence > FIRST_FENCE {
+                options.turn_gap_ms
+            } else {
+                0
+            }),
             saver: Saver::default(),
             confirmed: now.mono,
             confirming: false,
@@ -126,6 +142,8 @@
                 outcome,
             } => self.held(worker, sent, outcome),
             Event::Advised(step, answer) => self.advised(step, answer),
+            Event::Plan(plan) => self.plan(plan),
+            Event::TakenDown(order, outcome) => self.taken_down(&order, outcome),
             Event::Saved(done) => self.saved(done),
             Event::Confirmed(sent) => self.confirm(sent),
             Event::Tick => self.tick(),
@@ -284,6 +302,7 @@
             self.swept = now;
             self.check_runs();
             self.check_drains();
+            self.check_maintenance();
             self.check_copies();
             self.forget_jobs();
         }
--- a/crates/stackpier-cell/src/lib.rs
+++ b/crates/stackpier-cell/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod interference;
 mod job;
 mod lifecycle;
+pub mod maintenance;
 mod memory;
 mod names;
 mod options;
--- a/crates/stackpier-cell/src/options.rs
+++ b/crates/stackpier-cell/src/options.rs
@@ -53,6 +53,9 @@
     /// How much run time of a filling task may be lost by moving it, if it has
     /// no checkpoint.
     pub move_loss_ms: u64,
+    /// How long after a take-over no host is ordered down, so that two owners
+    /// don't take turns in orders for one host.
+    pub turn_gap_ms: u64,
     /// A run whose progress stands still for this long is moved.
     pub stall_ms: u64,
     /// A copy of a speculative task starts once it has run for this many
@@ -84,6 +87,7 @@
             most_harm: 0.7,
             calm_harm: 0.4,
             move_loss_ms: 600,
+            turn_gap_ms: 3_500,
             stall_ms: 1_500,
             speculate_percent: 180,
             colocate: true,
--- a/crates/stackpier-cell/src/place/offer.rs
+++ b/crates/stackpier-cell/src/place/offer.rs
@@ -203,6 +203,7 @@
         worker.life == Life::Met
             && worker.rostered
             && !worker.info.draining
+            && !worker.closed
             && listed
             && worker.silent_since.is_none()
             && now >= worker.full_until
--- a/crates/stackpier-cell/src/roster.rs
+++ b/crates/stackpier-cell/src/roster.rs
@@ -24,6 +24,7 @@
             capacity: Size::default(),
             labels: Vec::new(),
             rack: String::new(),
+            host: String::new(),
             draining: false,
             remaining_ms: None,
         };
@@ -91,6 +92,7 @@
             note_after_save: 0,
             health: Health::default(),
             full_until: Millis(0),
+            closed: false,
             outlooks: Vec::new(),
             drain_seen: info.draining.then_some(self.now.mono),
             info,
--- a/crates/stackpier-cell/src/save.rs
+++ b/crates/stackpier-cell/src/save.rs
@@ -21,6 +21,7 @@
     /// Jobs whose removal from the store is due.
     forgotten: Vec<JobKey>,
     pub roster_changed: bool,
+    pub maintenance_changed: bool,
     /// Saves that were sent.
     sent: u64,
     /// Saves that were acknowledged.
@@ -37,6 +38,7 @@
     forgotten: Vec<JobKey>,
     roster: Vec<WorkerKey>,
     roster_sent: bool,
+    maintenance_sent: bool,
     sent_at: Millis,
 }
 
@@ -52,7 +54,10 @@
     }
 
     fn is_empty(&self) -> bool {
-        self.dirty.is_empty() && self.forgotten.is_empty() && !self.roster_changed
+        self.dirty.is_empty()
+            && self.forgotten.is_empty()
+            && !self.roster_changed
+            && !self.maintenance_changed
     }
 }
 
@@ -90,10 +95,12 @@
         } else {
             Vec::new()
         };
+        let maintenance_sent = std::mem::take(&mut self.saver.maintenance_changed);
         let save = Save {
             jobs,
             memory: self.memory_due(),
             roster: roster_sent.then(|| roster.iter().map(|key| self.entry(*key)).collect()),
+            maintenance: maintenance_sent.then(|| self.maintenance_records()),
             forgotten: forgotten.iter().map(|key| self.job(*key).id).collect(),
         };
         self.saver.sent += 1;
@@ -102,6 +109,7 @@
             forgotten,
             roster,
             roster_sent,
+            maintenance_sent,
             sent_at: now,
         });
         self.effects.push(Effect::Save(save));
@@ -181,6 +189,7 @@
         }
         self.saver.forgotten.extend(sent.forgotten);
         self.saver.roster_changed |= sent.roster_sent;
+        self.saver.maintenance_changed |= sent.maintenance_sent;
         self.saver.not_before = self.now.mono.plus(self.options.save_retry_ms);
         // The ends it held wait for the next save.
         let next = self.saver.next();
--- a/crates/stackpier-cell/src/wire.rs
+++ b/crates/stackpier-cell/src/wire.rs
@@ -10,6 +10,7 @@
 use crate::{
     arena::{StepKey, WorkerKey},
     job::Run,
+    maintenance::{self, Plan, TakeDown, TakenDown},
     memory::Memory,
     worker::Info,
 };
@@ -116,6 +117,10 @@
     },
     /// The adviser answered about a step, or gave no answer.
     Advised(StepKey, Option<Advised>),
+    /// Operators want hosts taken down.
+    Plan(Plan),
+    /// An order to take a host down was answered or was not.
+    TakenDown(TakeDown, TakenDown),
     /// A save was answered.
     Saved(bool),
     /// The store confirmed, by a read sent at this time, that this daemon
@@ -339,6 +344,8 @@
     pub roster: Option<Vec<RosterEntry>>,
     /// What was learnt, if it is time to save it.
     pub memory: Option<Memory>,
+    /// How far the plans of maintenance are, if that changed.
+    pub maintenance: Option<Vec<maintenance::Record>>,
     /// Jobs whose time of being shown is over.
     pub forgotten: Vec<key::Job>,
 }
@@ -367,6 +374,8 @@
     Hold(Hold),
     /// Ask the adviser; answer with [`Event::Advised`].
     Ask(Ask),
+    /// Take a host down; answer with [`Event::TakenDown`].
+    TakeDown(TakeDown),
     /// Write progress; answer with [`Event::Saved`].
     Save(Save),
     /// Ask the store who owns the cell; answer with [`Event::Confirmed`].
--- a/crates/stackpier-cell/src/worker.rs
+++ b/crates/stackpier-cell/src/worker.rs
@@ -29,6 +29,8 @@
     pub labels: Vec<String>,
     /// Its rack.
     pub rack: String,
+    /// The host that this life runs on.
+    pub host: String,
     /// Whether it is about to leave.
     pub draining: bool,
     /// The least time until a draining worker leaves, in milliseconds.
@@ -94,6 +96,8 @@
     /// No starts before this time, as it said that it had no room.
     pub full_until: Millis,
     pub drain_seen: Option<Millis>,
+    /// Whether it gets no starts, as its host is to go down.
+    pub closed: bool,
     /// What is expected of the serving tasks there.
     pub outlooks: Vec<Outlook>,
 }
--- a/crates/stackpier-cell/tests/common/mod.rs
+++ b/crates/stackpier-cell/tests/common/mod.rs
@@ -9,6 +9,7 @@
 use stackpier_cell::{
     Advised, Ask, Cell, Effect, Event, Held, Hold, Info, Now, Options, Queue, Save, Start, Started,
     Stop, Stopped, TaskName,
+    maintenance::{TakeDown, TakenDown},
 };
 use stackpier_core::{Millis, Size, Unix, key};
 use stackpier_standin::fleet::{Behaviour, Worker};
@@ -40,6 +41,10 @@
     pub asked: Vec<usize>,
     /// How many of the next answers to starts are lost.
     pub lose_starts: usize,
+    /// Every order to take a host down, with its time and its answer.
+    pub downs: Vec<(u64, TakeDown, TakenDown)>,
+    /// The answers to the next of these orders; later ones are carried out.
+    pub down_answers: Vec<TakenDown>,
     pending: Vec<(u64, Event)>,
 }
 
@@ -71,6 +76,7 @@
         },
         labels: vec!["plain".to_owned(), format!("r{}", place / 2)],
         rack: format!("r{}", place / 2),
+        host: format!("h{place}"),
         draining: false,
         remaining_ms: None,
     }
@@ -151,6 +157,8 @@
             deposed: false,
             asked: Vec::new(),
             lose_starts: 0,
+            downs: Vec::new(),
+            down_answers: Vec::new(),
             pending: Vec::new(),
         };
         owner.feed(Event::Queues(vec![queue(QUEUE, 0)]));
@@ -265,6 +273,7 @@
                 }
             }
             Effect::Hold(hold) => self.carry_hold(&hold),
+            Effect::TakeDown(order) => self.carry_down(order),
             Effect::Save(save) => {
                 self.saves.push(save);
                 let saved = self.store;
@@ -284,6 +293,29 @@
         self.answer(1, Event::Stopped { run, outcome });
     }
 
+    /// carry_down takes a host down: its worker is gone at once, and a new one
+    /// is listed two seconds later.
+    fn carry_down(&mut self, order: TakeDown) {
+        let outcome = match self.down_answers.is_empty() {
+            true => TakenDown::Yes,
+            false => self.down_answers.remove(0),
+        };
+        if outcome == TakenDown::Yes {
+            let is_its = |worker: &Worker| worker.info.host == order.host;
+            let place = self.workers.iter().position(is_its).expect("a host");
+            let old = self.workers[place].info.clone();
+            let new = Info {
+                id: format!("{}-again", old.id),
+                ..old.clone()
+            };
+            self.workers[place] = Worker::new(new.clone(), 9_000, self.now_ms);
+            self.answer(1, Event::Unlisted(old.id));
+            self.answer(2_000, Event::Listed(new));
+        }
+        self.downs.push((self.now_ms, order.clone(), outcome));
+        self.answer(1, Event::TakenDown(order, outcome));
+    }
+
     fn carry_hold(&mut self, hold: &Hold) {
         let place = self.place(&hold.address);
         let outcome = if self.cut[place] {
--- a/crates/stackpier-fuzz/src/cell/world.rs
+++ b/crates/stackpier-fuzz/src/cell/world.rs
@@ -169,6 +169,7 @@
             },
             labels: Vec::new(),
             rack: format!("r{}", place / 2),
+            host: format!("h{place}"),
             draining: false,
             remaining_ms: None,
         };
@@ -242,7 +243,7 @@
         // Calls within a data centre take less than a millisecond.
         let delay = self.between(0, 4);
         match effect {
-            Effect::Note(_) | Effect::Ask(_) => {}
+            Effect::Note(_) | Effect::Ask(_) | Effect::TakeDown(_) => {}
             Effect::Deposed => self.owners[place].over = true,
             Effect::Confirm => self.confirm(place, delay),
             Effect::Save(save) => {
--- a/crates/stackpier-scheduler/src/catalog.rs
+++ b/crates/stackpier-scheduler/src/catalog.rs
@@ -1,10 +1,10 @@
 // SPDX-License-Identifier: Apache-2.0
 //! What operators and workers write into the store.
 
-use stackpier_cell::{Info, Queue};
+use stackpier_cell::{Info, Queue, maintenance::Plan};
 use stackpier_core::Result;
 
-use crate::store::Item;
+use crate::store::{Item, Put};
 
 /// Route tells which requests belong to a queue.
 #[derive(Clone, Debug, PartialEq)]
@@ -53,6 +53,12 @@
     /// config reads a configuration.
     fn config(&self, item: &Item) -> Result<Config>;
 
+    /// plan reads a plan of maintenance, or returns `None` if the item is none.
+    fn plan(&self, item: &Item) -> Result<Option<Plan>>;
+
+    /// plan_state returns what tells operators whether a plan is completed.
+    fn plan_state(&self, plan: u64, completed: bool) -> Result<Put>;
+
     /// worker reads a worker's entry.
     fn worker(&self, item: &Item) -> Result<Info>;
 
--- a/crates/stackpier-scheduler/src/daemon.rs
+++ b/crates/stackpier-scheduler/src/daemon.rs
@@ -8,7 +8,7 @@
 use http::{Request as Query, Response as Answer};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use stackpier_cell::Event;
+use stackpier_cell::{Event, maintenance::Plan};
 use stackpier_protocol::codec::encode;
 use tokio::{
     signal::unix::{SignalKind, signal},
@@ -168,6 +168,25 @@
         self.feed_queues();
     }
 
+    /// take_plan takes in a plan of maintenance.
+    fn take_plan(&self, item: &Item) {
+        let plan = match self.platform.plan(item) {
+            Ok(Some(plan)) => plan,
+            Ok(None) => return,
+            Err(error) => {
+                let text = format!("the plan {} is not readable: {error}", item.key);
+                self.say("config", &text);
+                return;
+            }
+        };
+        let known = |other: &Plan| other.number == plan.number;
+        if self.plans.borrow().iter().any(known) {
+            return;
+        }
+        self.plans.borrow_mut().push(plan);
+        self.feed_plans();
+    }
+
     /// fetch_config takes over a newer configuration from a peer.
     pub(crate) async fn fetch_config(&self, address: &str) {
         if let Ok(Response::Config(value, revision)) = self
@@ -195,6 +214,8 @@
     fn take_item(&self, item: &Item) {
         if item.key == self.node.platform.config_key() {
             self.node.take_config(item, "the store");
+        } else {
+            self.node.take_plan(item);
         }
     }
 }
--- a/crates/stackpier-scheduler/src/fleet.rs
+++ b/crates/stackpier-scheduler/src/fleet.rs
@@ -3,7 +3,10 @@
 
 use std::future::Future;
 
-use stackpier_cell::{Advised, Ask, Held, Hold, Pace, Start, Started, Stop, Stopped};
+use stackpier_cell::{
+    Advised, Ask, Held, Hold, Pace, Start, Started, Stop, Stopped,
+    maintenance::{TakeDown, TakenDown},
+};
 
 /// Fleet speaks to workers. Each call ends within a bounded time.
 pub trait Fleet {
@@ -25,3 +28,9 @@
     /// advise returns the adviser's answer, or `None` if it gave none.
     fn advise(&self, ask: &Ask) -> impl Future<Output = Option<Advised>>;
 }
+
+/// Hosts are what workers run on.
+pub trait Hosts {
+    /// take_down orders a host down for maintenance, in the name of this VM.
+    fn take_down(&self, order: &TakeDown, vm: &str) -> impl Future<Output = TakenDown>;
+}
--- a/crates/stackpier-scheduler/src/http.rs
+++ b/crates/stackpier-scheduler/src/http.rs
@@ -41,8 +41,8 @@
     pub method: Method,
     /// The path with its query.
     pub path: String,
-    /// A header with its value, if one is needed.
-    pub header: Option<(&'static str, String)>,
+    /// Further headers with their values.
+    pub headers: Vec<(&'static str, String)>,
     /// The body, empty for none.
     pub body: Vec<u8>,
     /// The time until the answer must be there.
@@ -159,7 +159,7 @@
     if !call.body.is_empty() {
         request = request.header(http::header::CONTENT_TYPE, "application/json");
     }
-    if let Some((name, value)) = call.header {
+    for (name, value) in call.headers {
         request = request.header(name, value);
     }
     let wrong = |error: http::Error| Error::new(Kind::Internal, error.to_string());
--- a/crates/stackpier-scheduler/src/keys.rs
+++ b/crates/stackpier-scheduler/src/keys.rs
@@ -18,6 +18,8 @@
 pub(crate) const ROSTER: &str = "roster";
 /// MEMORY is the key of what the owners have learnt.
 pub(crate) const MEMORY: &str = "memory";
+/// MAINTENANCE is the key of how far the plans of maintenance are.
+pub(crate) const MAINTENANCE: &str = "maintenance";
 /// CANCEL ends the key of a job's cancelling.
 const CANCEL: &str = "/cancel";
 /// HEX is the radix of a job's id in a key.
--- a/crates/stackpier-scheduler/src/lib.rs
+++ b/crates/stackpier-scheduler/src/lib.rs
@@ -5,7 +5,7 @@
 //!
 //! One thread runs everything: an event loop of `tokio` with local tasks. What
 //! the outside speaks is behind the traits [`Store`], [`Fleet`],
-//! [`Adviser`] and [`Catalog`], which an adapter implements.
+//! [`Adviser`], [`Hosts`] and [`Catalog`], which an adapter implements.
 
 pub mod catalog;
 pub mod daemon;
@@ -25,12 +25,12 @@
 mod watch;
 
 pub use catalog::Catalog;
-pub use fleet::{Adviser, Fleet};
+pub use fleet::{Adviser, Fleet, Hosts};
 pub use node::Node;
 pub use settings::Settings;
 pub use store::Store;
 
 /// Platform is everything that the daemon asks of the outside.
-pub trait Platform: Store + Fleet + Adviser + Catalog + Clone + 'static {}
+pub trait Platform: Store + Fleet + Adviser + Hosts + Catalog + Clone + 'static {}
 
-impl<T: Store + Fleet + Adviser + Catalog + Clone + 'static> Platform for T {}
+impl<T: Store + Fleet + Adviser + Hosts + Catalog + Clone + 'static> Platform for T {}
--- a/crates/stackpier-scheduler/src/node.rs
+++ b/crates/stackpier-scheduler/src/node.rs
@@ -11,7 +11,7 @@
 };
 
 use slog::{Logger, info, warn};
-use stackpier_cell::Now;
+use stackpier_cell::{Now, maintenance::Plan};
 use stackpier_core::{Millis, Result, Unix, key::Boot};
 use tokio::sync::Notify;
 
@@ -52,6 +52,8 @@
     pub(crate) metrics: Metrics,
     pub(crate) links: Links,
     pub(crate) config: RefCell<Option<Rc<Config>>>,
+    /// The plans of maintenance that operators wrote.
+    pub(crate) plans: RefCell<Vec<Plan>>,
     /// The configuration's item, to pass it on to peers.
     pub(crate) config_item: RefCell<Option<Item>>,
     pub(crate) members: RefCell<BTreeMap<String, Member>>,
@@ -102,6 +104,7 @@
             metrics: Metrics::new()?,
             links: Links::default(),
             config: RefCell::default(),
+            plans: RefCell::default(),
             config_item: RefCell::default(),
             members: RefCell::default(),
             owned: RefCell::default(),
--- a/crates/stackpier-scheduler/src/owner.rs
+++ b/crates/stackpier-scheduler/src/owner.rs
@@ -8,6 +8,7 @@
 use stackpier_cell::{
     Ask, Cell, Effect, Event, Held, Hold, Memory, Note, Pace, RosterEntry, Start, Started, Stop,
     Stopped,
+    maintenance::{self, TakeDown, TakenDown},
 };
 use stackpier_core::{Result, key};
 use stackpier_protocol::codec::decode;
@@ -15,7 +16,7 @@
 
 use crate::{
     Platform,
-    keys::{self, Entry, JOBS, MEMORY, OWNER, PROGRESS, ROSTER},
+    keys::{self, Entry, JOBS, MAINTENANCE, MEMORY, OWNER, PROGRESS, ROSTER},
     node::{Node, Owned, pause},
     saving::Revisions,
     store::{Change, Item, Listing},
@@ -44,6 +45,7 @@
     progress: Listing,
     roster: Option<Item>,
     memory: Option<Item>,
+    maintenance: Option<Item>,
     workers: Listing,
 }
 
@@ -84,11 +86,12 @@
     /// read reads all parts of the cell at once: a store that is slow would
     /// otherwise be waited for once for each.
     async fn read(&self) -> Result<Loaded> {
-        let (jobs, progress, roster, memory, workers) = tokio::join!(
+        let (jobs, progress, roster, memory, maintenance, workers) = tokio::join!(
             self.store_list(JOBS),
             self.store_list(PROGRESS),
             self.store_get(ROSTER),
             self.store_get(MEMORY),
+            self.store_get(MAINTENANCE),
             self.store_list(self.platform.workers_prefix()),
         );
         Ok(Loaded {
@@ -96,6 +99,7 @@
             progress: progress?,
             roster: roster?,
             memory: memory?,
+            maintenance: maintenance?,
             workers: workers?,
         })
     }
@@ -112,6 +116,10 @@
             revisions.set(MEMORY, item.revision);
             self.restore_memory(&mut cell, item);
         }
+        if let Some(item) = &loaded.maintenance {
+            revisions.set(MAINTENANCE, item.revision);
+            self.restore_maintenance(&mut cell, item);
+        }
         let mut progress = HashMap::new();
         for item in &loaded.progress.items {
             revisions.set(&item.key, item.revision);
@@ -126,6 +134,7 @@
             revisions: Rc::new(RefCell::new(revisions)),
         }));
         self.feed_queues();
+        self.feed_plans();
         let jobs = Jobs {
             node: self.clone(),
             fence,
@@ -159,6 +168,17 @@
         }
     }
 
+    /// restore_maintenance gives a cell what earlier owners took down.
+    fn restore_maintenance(&self, cell: &mut Cell, item: &Item) {
+        match decode::<Vec<maintenance::Record>>(&item.value) {
+            Ok(records) => cell.resume_maintenance(records),
+            Err(error) => {
+                let text = format!("what was taken down is not readable: {error}");
+                self.say("owner", &text);
+            }
+        }
+    }
+
     /// start_followers takes in the jobs and workers of two listings, and
     /// follows the changes after them.
     fn start_followers(
@@ -188,6 +208,16 @@
         }
     }
 
+    /// feed_plans tells the cell the plans of maintenance.
+    pub(crate) fn feed_plans(&self) {
+        let fence = self.owner.borrow().as_ref().map(|owner| owner.fence);
+        if let Some(fence) = fence {
+            for plan in self.plans.borrow().clone() {
+                self.feed(fence, Event::Plan(plan));
+            }
+        }
+    }
+
     /// is_at tells whether this daemon still owns the cell with this fence.
     pub(crate) fn is_at(&self, fence: u64) -> bool {
         self.owner
@@ -219,6 +249,7 @@
             Effect::Stop(stop) => self.spawn(move |node| node.send_stop(fence, stop)),
             Effect::Pace(pace) => self.spawn(move |node| node.send_pace(pace)),
             Effect::Hold(hold) => self.spawn(move |node| node.send_hold(fence, hold)),
+            Effect::TakeDown(order) => self.spawn(move |node| node.send_down(fence, order)),
             Effect::Ask(ask) => self.spawn(move |node| node.send_ask(fence, ask)),
             Effect::Save(save) => self.spawn(move |node| async move {
                 let saved = node.save(fence, save).await;
@@ -280,6 +311,12 @@
         self.feed(fence, event);
     }
 
+    async fn send_down(self, fence: u64, order: TakeDown) {
+        let outcome = self.platform.take_down(&order, &self.settings.vm).await;
+        self.count_worker("take_down", outcome == TakenDown::Yes);
+        self.feed(fence, Event::TakenDown(order, outcome));
+    }
+
     async fn send_ask(self, fence: u64, ask: Ask) {
         let answer = self.platform.advise(&ask).await;
         self.count_worker("advise", answer.is_some());
--- a/crates/stackpier-scheduler/src/saving.rs
+++ b/crates/stackpier-scheduler/src/saving.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     Platform,
-    keys::{self, MEMORY, OWNER, ROSTER},
+    keys::{self, MAINTENANCE, MEMORY, OWNER, ROSTER},
     node::{Node, pause},
     store::{Committed, Condition, Item, Put, Transaction},
 };
@@ -52,6 +52,15 @@
         if let Some(memory) = &save.memory {
             puts.push(put(MEMORY.to_owned(), memory));
         }
+        if let Some(records) = &save.maintenance {
+            puts.push(put(MAINTENANCE.to_owned(), records));
+            for record in records {
+                match self.platform.plan_state(record.plan, record.completed) {
+                    Ok(state) => puts.push(state),
+                    Err(error) => self.say("save", &format!("state of a plan: {error}")),
+                }
+            }
+        }
         for (job, progress) in &save.jobs {
             puts.push(put(keys::progress(*job), progress));
         }
--- a/crates/stackpier-scheduler/src/settings.rs
+++ b/crates/stackpier-scheduler/src/settings.rs
@@ -17,6 +17,9 @@
 /// AUTHORITY_GAP_MS is how much sooner than its leases an owner without the
 /// store gives up.
 const AUTHORITY_GAP_MS: u64 = 1_000;
+/// TURN_MARGIN_MS is added to the gap between the orders of two owners for one
+/// host: the last one of the earlier owner may be under way.
+const TURN_MARGIN_MS: u64 = 500;
 /// LONGEST_MS bounds every time in the settings.
 const LONGEST_MS: u64 = 600_000;
 
@@ -32,6 +35,10 @@
     store: String,
     #[serde(default)]
     adviser: String,
+    #[serde(default)]
+    hosts: String,
+    #[serde(default)]
+    turn_gap_ms: u64,
     longest_lease_ms: u64,
     stop_ms: u64,
     early_ms: u64,
@@ -59,6 +66,8 @@
     pub store: SocketAddr,
     /// The adviser of queues that have one.
     pub adviser: Option<SocketAddr>,
+    /// Where hosts are ordered down, if that is possible.
+    pub hosts: Option<SocketAddr>,
     /// The settings of the cell's decisions.
     pub cell: stackpier_cell::Options,
     /// The processor that the VM has, in thousandths of a core.
@@ -104,15 +113,15 @@
             peers: address("peers", &raw.peers)?,
             metrics: address("metrics", &raw.metrics)?,
             store: address("store", &raw.store)?,
-            adviser: match raw.adviser.as_str() {
-                "" => None,
-                given => Some(address("adviser", given)?),
-            },
+            adviser: optional("adviser", &raw.adviser)?,
+            hosts: optional("hosts", &raw.hosts)?,
             cell: stackpier_cell::Options {
                 lease_ms,
                 max_lease_ms: lease_ms,
                 authority_ms: lease_ms - AUTHORITY_GAP_MS.min(lease_ms / 2),
                 stop_ms: within("stop_ms", raw.stop_ms, 1..=LONGEST_MS, "ms")?,
+                turn_gap_ms: within("turn_gap_ms", raw.turn_gap_ms, 0..=LONGEST_MS, "ms")?
+                    + TURN_MARGIN_MS,
                 early_ms: within("early_ms", raw.early_ms, 0..=LONGEST_MS, "ms")? / 4,
                 show_ms: shown_s * 1_000 + defaults.lease_ms,
                 ..defaults
@@ -132,6 +141,14 @@
     Ok(value)
 }
 
+/// optional reads an address that may be left out.
+fn optional(field: &str, value: &str) -> Checked<Option<SocketAddr>, Invalid> {
+    match value {
+        "" => Ok(None),
+        given => address(field, given).map(Some),
+    }
+}
+
 fn address(field: &str, value: &str) -> Checked<SocketAddr, Invalid> {
     let wrong = |_| invalid(field, format!("'{value}'"), "IP:port");
     value.parse().map_err(wrong)
