Lost runs go on from what the last report showed as saved

Cause: a worker that dies lists no end, and the owner read checkpoints from ends only, so all work of a lost run was done again, though each report shows what is saved. Change: the last reported checkpoint of a run is kept, and used when the run is lost. Test red without it: `a_task_of_a_lost_worker_goes_on_from_what_it_had_saved`.

--- a/crates/stackpier-cell/src/cell.rs
+++ b/crates/stackpier-cell/src/cell.rs
@@ -277,11 +277,24 @@
     }
 
     /// requeue drops a run that ended without doing its work and makes its
-    /// task ready again.
+    /// task ready again, to go on from what it had saved.
     pub(crate) fn requeue(&mut self, key: RunKey) {
-        if let Some(run) = self.drop_run(key) {
-            self.make_ready(run.task);
+        let Some(run) = self.drop_run(key) else {
+            return;
+        };
+        if !run.saved.is_empty() && !self.task(run.task).done {
+            self.keep_checkpoint(run.task, &run.saved);
         }
+        self.make_ready(run.task);
+    }
+
+    /// keep_checkpoint keeps the progress that a task has saved; that of one
+    /// member serves for its gang.
+    pub(crate) fn keep_checkpoint(&mut self, task: TaskKey, checkpoint: &str) {
+        for member in self.members(task) {
+            self.task_mut(member).checkpoint = Some(checkpoint.to_owned());
+        }
+        self.dirty(self.step_of(self.task(task).step).job);
     }
 
     /// fail_on remembers that a task failed on a worker.
--- a/crates/stackpier-cell/src/ends.rs
+++ b/crates/stackpier-cell/src/ends.rs
@@ -74,7 +74,7 @@
 
     /// members returns the tasks that a run of a task stands for: all of its
     /// step if that is a gang, else the task alone.
-    fn members(&self, task: TaskKey) -> impl Iterator<Item = TaskKey> + use<> {
+    pub(crate) fn members(&self, task: TaskKey) -> impl Iterator<Item = TaskKey> + use<> {
         let step = self.task(task).step;
         let entry = self.step_of(step);
         let members = if self.shape(step).gang {
@@ -143,11 +143,7 @@
 
     fn end_early(&mut self, task: TaskKey, end: &End) {
         if !end.checkpoint.is_empty() && !self.task(task).done {
-            for member in self.members(task) {
-                self.task_mut(member).checkpoint = Some(end.checkpoint.clone());
-            }
-            let job = self.step_of(self.task(task).step).job;
-            self.dirty(job);
+            self.keep_checkpoint(task, &end.checkpoint);
         }
         self.make_ready(task);
     }
--- a/crates/stackpier-cell/src/hold.rs
+++ b/crates/stackpier-cell/src/hold.rs
@@ -209,6 +209,9 @@
             run.percent = row.percent;
             run.moved = now;
         }
+        if run.saved != row.checkpoint {
+            run.saved.clone_from(&row.checkpoint);
+        }
         if run.serving {
             let tail = row.figure.filter(|_| row.percent == PERCENT_DONE);
             run.take_tail(now, tail, target_ms);
--- a/crates/stackpier-cell/src/job.rs
+++ b/crates/stackpier-cell/src/job.rs
@@ -129,6 +129,8 @@
     pub(crate) stop_sent: bool,
     /// When the order to stop may be sent again.
     pub(crate) stop_after: Millis,
+    /// The progress that it had saved by the last report.
+    pub(crate) saved: String,
     pub(crate) percent: u8,
     /// When the percent last changed.
     pub(crate) moved: Millis,
--- a/crates/stackpier-cell/src/order.rs
+++ b/crates/stackpier-cell/src/order.rs
@@ -71,6 +71,7 @@
             stop_taken: None,
             stop_sent: false,
             stop_after: Millis(0),
+            saved: String::new(),
             percent: 0,
             moved: self.now.mono,
             used_milli: None,
--- a/crates/stackpier-cell/src/wire.rs
+++ b/crates/stackpier-cell/src/wire.rs
@@ -219,6 +219,8 @@
     pub task: TaskName,
     /// The number of the run.
     pub run: u32,
+    /// The progress that it has saved, empty if there is none.
+    pub checkpoint: String,
     /// How far the run is, from 0 to 100.
     pub percent: u8,
     /// The tail latency in milliseconds of a task that serves; the processor
--- a/crates/stackpier-cell/tests/faults.rs
+++ b/crates/stackpier-cell/tests/faults.rs
@@ -163,6 +163,26 @@
     );
 }
 
+/// A worker that dies lists no end, so what it reported last is gone on from.
+#[test]
+fn a_task_of_a_lost_worker_goes_on_from_what_it_had_saved() {
+    let mut owner = Owner::new(2);
+    let long = Step {
+        checkpointing: true,
+        estimate_ms: 30_000,
+        ..step(1)
+    };
+    owner.submit(1, spec(vec![long]));
+    owner.advance(4_000);
+    let place = owner.starts[0].1;
+    owner.cut[place] = true;
+    owner.advance(8_000);
+    assert_eq!(owner.starts.len(), 2);
+    let checkpoint = owner.starts[1].0.checkpoint.as_deref();
+    let saved_ms = checkpoint.map(|text| text.parse::<u64>().expect("its work"));
+    assert!(saved_ms.is_some_and(|ms| ms >= 3_000), "{checkpoint:?}");
+}
+
 #[test]
 fn tasks_of_a_life_that_is_over_start_elsewhere_at_once() {
     let mut owner = Owner::new(2);
--- a/crates/stackpier-standin/src/fleet.rs
+++ b/crates/stackpier-standin/src/fleet.rs
@@ -319,6 +319,7 @@
     Row {
         task: run.task,
         run: run.number,
+        checkpoint: run.saved(),
         percent: run.percent(),
         figure: Some(run.behaviour.tail_ms.unwrap_or(used)),
     }
