--- a/crates/stackpier-cell/src/roster.rs
+++ b/crates/stackpier-cell/src/roster.rs
@@ -115,9 +115,18 @@
         };
         let now = self.now.mono;
         let worker = self.worker_mut(key);
-        if worker.unlisted_since.is_none() {
-            worker.unlisted_since = Some(now);
+        if worker.unlisted_since.is_some() || worker.life == Life::Over {
+            return;
         }
+        worker.unlisted_since = Some(now);
+        let text = format!(
+            "worker {} left the list, answers {}, draining {}, {} runs there",
+            worker.info.id,
+            worker.silent_since.is_none(),
+            worker.info.draining,
+            worker.runs.len()
+        );
+        self.note("worker", None, text);
     }
 
     /// check_workers sends holds that are due, and ends leases.
--- a/crates/stackpier-scheduler/src/member.rs
+++ b/crates/stackpier-scheduler/src/member.rs
@@ -82,7 +82,7 @@
     let member = Member {
         vm: node.settings.vm.clone(),
         boot: node.boot,
-        address: node.settings.peers.to_string(),
+        address: node.settings.advertised.to_string(),
         data_centre: node.settings.data_centre.clone(),
         milli_cores: node.settings.milli_cores,
     };
@@ -203,7 +203,7 @@
         Alive {
             boot: self.boot,
             fence,
-            owner: self.is_owner() || self.is_loading(),
+            owner: self.is_owner() || self.loading.get(),
             store: self.store_answers(),
             config: self.config_version(),
         }
@@ -219,18 +219,24 @@
         known > fence || known == fence && self.mono().since(self.heard.get()) < SILENT_MS / 2
     }
 
-    /// is_loading tells whether this daemon owns the cell by the store's word.
-    fn is_loading(&self) -> bool {
-        let owned = self.owned.borrow();
-        owned.as_ref().is_some_and(|owned| {
-            let ownership = &owned.ownership;
-            ownership.boot == self.boot && !ownership.released
-        })
+    /// unloaded returns the ownership if the store shows it as this daemon's and
+    /// the cell was not read: the answer to the swap was lost, and the daemon
+    /// learnt of it later.
+    fn unloaded(&self) -> Option<Owned> {
+        let owned = self.owned.borrow().clone()?;
+        let ownership = &owned.ownership;
+        let own = ownership.boot == self.boot && !ownership.released;
+        let outdated = self.outdated.get() >= ownership.fence;
+        (own && !outdated && !self.is_owner()).then_some(owned)
     }
 }
 
 impl<P: Platform> Monitor<P> {
     async fn turn(&mut self) {
+        if let Some(own) = self.node.unloaded() {
+            self.node.load(own, true).await;
+            return;
+        }
         let owned = self.node.owned.borrow().clone();
         let now = self.node.mono();
         let doubt = match &owned {
@@ -400,7 +406,7 @@
         let ownership = Ownership {
             vm: self.node.settings.vm.clone(),
             boot: self.node.boot,
-            address: self.node.settings.peers.to_string(),
+            address: self.node.settings.advertised.to_string(),
             fence,
             released: false,
         };
--- a/crates/stackpier-scheduler/src/node.rs
+++ b/crates/stackpier-scheduler/src/node.rs
@@ -59,6 +59,11 @@
     pub(crate) members: RefCell<BTreeMap<String, Member>>,
     pub(crate) owned: RefCell<Option<Owned>>,
     pub(crate) owner: RefCell<Option<Owner>>,
+    /// Whether this daemon is reading the cell that it owns.
+    pub(crate) loading: Slot<bool>,
+    /// The highest fence that was found to be outdated while this daemon owned
+    /// the cell with it.
+    pub(crate) outdated: Slot<u64>,
     pub(crate) store: StoreHealth,
     /// When the owner was last heard.
     pub(crate) heard: Slot<Millis>,
@@ -109,6 +114,8 @@
             members: RefCell::default(),
             owned: RefCell::default(),
             owner: RefCell::default(),
+            loading: Slot::default(),
+            outdated: Slot::default(),
             store: StoreHealth::default(),
             heard: Slot::default(),
             stopping: Slot::default(),
--- a/crates/stackpier-scheduler/src/owner.rs
+++ b/crates/stackpier-scheduler/src/owner.rs
@@ -53,19 +53,12 @@
     /// load reads the cell from the store and begins to schedule it.
     pub(crate) async fn load(&self, owned: Owned, predecessor: bool) {
         let fence = owned.ownership.fence;
-        let loaded = loop {
-            match self.read().await {
-                Ok(loaded) => break loaded,
-                Err(error) => self.say("owner", &format!("cell not read yet: {error}")),
-            }
-            pause(LOAD_RETRY_MS).await;
-            if self.fence() != fence {
-                return;
-            }
-        };
-        if self.fence() != fence {
+        self.loading.set(true);
+        let loaded = self.read_cell(fence).await;
+        self.loading.set(false);
+        let Some(loaded) = loaded else {
             return;
-        }
+        };
         let text = format!(
             "owns the cell with fence {fence}: {} jobs, {} workers listed, predecessor may act: {predecessor}",
             loaded.progress.items.len(),
@@ -76,6 +69,20 @@
         self.install(owned, predecessor, loaded);
     }
 
+    /// read_cell reads the cell, for as long as this daemon owns it.
+    async fn read_cell(&self, fence: u64) -> Option<Loaded> {
+        loop {
+            match self.read().await {
+                Ok(loaded) => return (self.fence() == fence).then_some(loaded),
+                Err(error) => self.say("owner", &format!("cell not read yet: {error}")),
+            }
+            pause(LOAD_RETRY_MS).await;
+            if self.fence() != fence {
+                return None;
+            }
+        }
+    }
+
     fn fence(&self) -> u64 {
         self.owned
             .borrow()
@@ -350,8 +357,9 @@
     /// depose gives the cell up if it is owned with a lower fence.
     pub(crate) fn depose(&self, fence: u64, why: &str) {
         let own = self.owner.borrow().as_ref().map(|owner| owner.fence);
-        if own.is_some_and(|own| own < fence) {
+        if let Some(own) = own.filter(|own| *own < fence) {
             self.owner.replace(None);
+            self.outdated.set(self.outdated.get().max(own));
             self.say("owner", &format!("gave up the cell: {why}"));
         }
     }
--- a/crates/stackpier-scheduler/src/settings.rs
+++ b/crates/stackpier-scheduler/src/settings.rs
@@ -31,6 +31,8 @@
     callers: String,
     readiness: String,
     peers: String,
+    #[serde(default)]
+    advertised: String,
     metrics: String,
     store: String,
     #[serde(default)]
@@ -58,8 +60,10 @@
     pub callers: SocketAddr,
     /// Where it says whether it takes requests.
     pub readiness: SocketAddr,
-    /// Where its peers reach it.
+    /// Where it listens to its peers.
     pub peers: SocketAddr,
+    /// Where its peers reach it, if that is another address.
+    pub advertised: SocketAddr,
     /// Where it shows its metrics.
     pub metrics: SocketAddr,
     /// The platform's store.
@@ -106,11 +110,13 @@
         let shown_s = within("shown_s", raw.shown_s, 1..=LONGEST_MS / 1_000, "s")?;
         let grace_s = within("grace_s", raw.grace_s, 0.5..=600.0, "s")?;
         let cores = within("cores", raw.cores, 0.001..=1_000.0, "cores")?;
+        let peers = address("peers", &raw.peers)?;
         let defaults = stackpier_cell::Options::default();
         Ok(Settings {
             callers: address("callers", &raw.callers)?,
             readiness: address("readiness", &raw.readiness)?,
-            peers: address("peers", &raw.peers)?,
+            peers,
+            advertised: optional("advertised", &raw.advertised)?.unwrap_or(peers),
             metrics: address("metrics", &raw.metrics)?,
             store: address("store", &raw.store)?,
             adviser: optional("adviser", &raw.adviser)?,
--- a/crates/stackpier-standin/src/proxy.rs
+++ b/crates/stackpier-standin/src/proxy.rs
@@ -31,6 +31,8 @@
     Stall,
     /// Moves nothing from the server to the client.
     HalfOpen,
+    /// Moves nothing from the client to the server.
+    HalfOpenRequest,
     /// Waits this many milliseconds before each chunk.
     Delay(u64),
     /// Ends the connection after this many bytes from the server.
@@ -56,6 +58,30 @@
     pub to: String,
 }
 
+/// Proxy is one port with a switch of its own, in this process.
+#[derive(Clone, Debug)]
+pub struct Proxy {
+    switch: Switch,
+}
+
+impl Proxy {
+    /// start forwards connections until the process ends.
+    pub fn start(forward: Forward) -> std::io::Result<Proxy> {
+        let switch = Switch::default();
+        let proxy = Proxy {
+            switch: Arc::clone(&switch),
+        };
+        let listener = TcpListener::bind(&forward.listen)?;
+        thread::spawn(move || accept(&listener, &forward.to, &switch));
+        Ok(proxy)
+    }
+
+    /// set changes what the proxy does, also to the connections there.
+    pub fn set(&self, mode: Mode) {
+        *self.switch.lock().unwrap_or_else(PoisonError::into_inner) = mode;
+    }
+}
+
 /// run forwards all ports and takes modes for them as JSON on `control`.
 pub fn run(forwards: Vec<Forward>, control: &str) -> anyhow::Result<()> {
     let switch = Switch::default();
@@ -144,6 +170,7 @@
             Mode::Cut => return None,
             Mode::Stall => thread::sleep(POLL),
             Mode::HalfOpen if way == Way::Answer => thread::sleep(POLL),
+            Mode::HalfOpenRequest if way == Way::Request => thread::sleep(POLL),
             Mode::Delay(ms) => {
                 thread::sleep(Duration::from_millis(ms));
                 return Some(count);
