--- a/crates/stackpier-scheduler/src/owner.rs
+++ b/crates/stackpier-scheduler/src/owner.rs
@@ -31,6 +31,11 @@
 /// Daemons also tell the owner of each job, so this only catches lost messages.
 const JOBS_PAUSE_MS: u64 = 700;
 
+/// WORKERS_PAUSE_MS is the pause between two looks at the list of workers, each
+/// of which writes its entry every 1.5 s: without it each entry costs a call. A
+/// worker stays for two seconds or more after it said that it leaves.
+const WORKERS_PAUSE_MS: u64 = 250;
+
 /// Owner is the cell with what its owner needs to save it.
 pub(crate) struct Owner {
     pub cell: Cell,
@@ -513,6 +518,10 @@
         self.node.is_at(self.fence)
     }
 
+    fn pause_ms(&self) -> u64 {
+        WORKERS_PAUSE_MS
+    }
+
     fn take(&mut self, feed: Feed) {
         match feed {
             Feed::All(items) => self.take_all(&items),
