Writes are passed only to peers that have the store

The daemon passed the writes on to a VM that had been replaced eleven seconds before and does not answer; no answer to a write means that it may be done. In the cut of a data centre at 33.5 s writes went to peers on the other side alike. Ruled out: the own call to the store (503: nothing done). Change: a peer is asked whether it has the store, within 150 ms, before a write goes to it; up to four are asked (two got the write before).

--- a/crates/stackpier-scheduler/src/daemon.rs
+++ b/crates/stackpier-scheduler/src/daemon.rs
@@ -240,6 +240,7 @@
     async fn answer(&self, request: Request) -> Response {
         match request {
             Request::Heartbeat(heartbeat) => Response::Alive(self.alive(&heartbeat)),
+            Request::Store => Response::Flag(self.store_answers()),
             Request::Heard(fence) => Response::Flag(self.heard_owner(fence)),
             Request::Config => match self.config_item.borrow().as_ref() {
                 Some(item) => Response::Config(item.value.clone(), item.revision),
@@ -278,9 +279,11 @@
                 let waiting = owner.as_ref().map(|owner| owner.cell.waiting(&queue));
                 waiting.map_or(Response::NotOwner, Response::Count)
             }
-            Request::Heartbeat(_) | Request::Heard(_) | Request::Config | Request::Write(_) => {
-                Response::NotOwner
-            }
+            Request::Heartbeat(_)
+            | Request::Heard(_)
+            | Request::Store
+            | Request::Config
+            | Request::Write(_) => Response::NotOwner,
         }
     }
 }
--- a/crates/stackpier-scheduler/src/jobs.rs
+++ b/crates/stackpier-scheduler/src/jobs.rs
@@ -23,8 +23,11 @@
 const TAKE_LIMIT: Duration = Duration::from_millis(1_600);
 /// PASS_LIMIT bounds passing a write on to a peer.
 const PASS_LIMIT: Duration = Duration::from_millis(500);
-/// PASSES is how many peers a write is passed to.
-const PASSES: usize = 2;
+/// STORE_LIMIT bounds asking a peer whether it has the store: some round trips
+/// between data centres.
+const STORE_LIMIT: Duration = Duration::from_millis(150);
+/// PASSES is how many peers a write may be passed to.
+const PASSES: usize = 4;
 /// RETRY_MS is the pause between two tries.
 const RETRY_MS: u64 = 50;
 /// ASK_LIMIT bounds a question to the owner.
@@ -105,6 +108,9 @@
             }
         }
         for peer in self.peers(PASSES) {
+            if !self.has_store(&peer).await {
+                continue;
+            }
             let request = Request::Write(transaction.clone());
             let passed = self.links.call(&peer, &request, PASS_LIMIT).await;
             match passed {
@@ -121,6 +127,13 @@
         }
     }
 
+    /// has_store tells whether a peer answers and has the store. A write that is
+    /// passed to one that does not answer may or may not be done.
+    async fn has_store(&self, peer: &str) -> bool {
+        let asked = self.links.call(peer, &Request::Store, STORE_LIMIT).await;
+        matches!(asked, Ok(Response::Flag(true)))
+    }
+
     /// peers returns the addresses of some other daemons: the owner, then any.
     fn peers(&self, count: usize) -> Vec<String> {
         let own = &self.settings.vm;
--- a/crates/stackpier-scheduler/src/link.rs
+++ b/crates/stackpier-scheduler/src/link.rs
@@ -42,6 +42,8 @@
     Waiting(String),
     /// The newest configuration, as its text in the store.
     Config,
+    /// Does the store answer the receiver?
+    Store,
     /// A write by a daemon that can't reach the store. It is safe to be done
     /// twice.
     Write(Transaction),
