Lasting tasks go beside those that the same images disturb

Tasks of images that press on others waited (190) while processors and memory were free: counted a second, 31 to 35 of 48 workers were out of the question for harm. Three groups of serving images are sensitive to different filling ones, and a third of the workers served images of several groups, so that everything harmed somebody there. Ruled out: memory, processors (7 to 10 of 48 workers each), the trouble itself. Change: where no worker serves only the image and none is empty, a lasting task goes where it adds least to what disturbs the worker, by the learnt pairs.

--- a/crates/stackpier-cell/src/interference.rs
+++ b/crates/stackpier-cell/src/interference.rs
@@ -174,6 +174,17 @@
         self.learnt().map(line).collect()
     }
 
+    /// pairs_of returns the filling images seen beside a serving one, with their
+    /// coefficients.
+    pub(crate) fn pairs_of(
+        &self,
+        serving: ImageKey,
+    ) -> impl Iterator<Item = (ImageKey, Estimate)> + '_ {
+        let row = self.pairs.get(usize::from(serving.0));
+        let pairs = row.into_iter().flatten().enumerate();
+        pairs.filter_map(|(filling, pair)| pair.map(|pair| (ImageKey(filling as u16), pair)))
+    }
+
     /// is_empty tells whether nothing was learnt.
     pub(crate) fn is_empty(&self) -> bool {
         self.pairs.is_empty()
--- a/crates/stackpier-cell/src/place/offer.rs
+++ b/crates/stackpier-cell/src/place/offer.rs
@@ -9,6 +9,7 @@
 use crate::{
     Cell,
     arena::{ImageKey, StepKey, WorkerKey},
+    interference::Estimate,
     worker::{Life, Worker},
 };
 
@@ -20,6 +21,9 @@
 /// EMPTY_SCORE prefers a worker that serves nothing over one that serves other
 /// images.
 const EMPTY_SCORE: f64 = 100.0;
+/// EXPOSURE_WEIGHT weighs what a lasting task adds to that which disturbs a
+/// worker, in load for each core, against the number of tasks of its image.
+const EXPOSURE_WEIGHT: f64 = 400.0;
 /// SUSPECT_SCORE is taken off for a worker where runs failed or stood still.
 pub(super) const SUSPECT_SCORE: f64 = 5.0;
 /// RACK_SCORE prefers the rack of a step's data over any way of packing.
@@ -236,10 +240,29 @@
         let company = match (alike, others) {
             (0, 0) => EMPTY_SCORE,
             (_, 0) => ALIKE_SCORE,
-            _ => f64::from(alike - others),
+            _ => f64::from(alike - others) - EXPOSURE_WEIGHT * self.exposure(need.image, worker),
         };
         company + pack_score(worker, need.size)
     }
+
+    /// exposure returns by how much a lasting task would widen what disturbs a
+    /// worker: the sum, over filling images, of its coefficient above those of
+    /// the tasks that serve there.
+    fn exposure(&self, image: ImageKey, worker: &Worker) -> f64 {
+        let serving: Vec<ImageKey> = worker
+            .outlooks
+            .iter()
+            .map(|outlook| outlook.image)
+            .collect();
+        let most = |filling: ImageKey| {
+            let means = serving
+                .iter()
+                .map(|other| self.model.pair(*other, filling).mean);
+            means.fold(0.0, f64::max)
+        };
+        let wider = |(filling, pair): (ImageKey, Estimate)| (pair.mean - most(filling)).max(0.0);
+        self.model.pairs_of(image).map(wider).sum()
+    }
 }
 
 /// pack_score prefers the worker that is left with the least room.
