Cell: learning apart from setting paces, runs apart from jobs

pace.rs held two jobs, learning from reports and setting paces, and learn was one function of 40 lines whose parts shared five loose figures. learn.rs now holds the learning, with a Sample of load and expectations; the sums stand in the same order.

job.rs had the constants of tail readings in the middle of the file, between two types. Runs moved to run.rs with the constants on top, and the thousandths of a core are turned into cores in one place, as three did it.

The README named forecast, which is gone, and missed cycle, outlook, learn, run and maintenance.

--- a/crates/stackpier-cell/src/arena.rs
+++ b/crates/stackpier-cell/src/arena.rs
@@ -7,7 +7,7 @@
 
 use stackpier_core::arena::Index;
 
-use crate::job::Run;
+use crate::run::Run;
 
 /// JobKey is the position of a job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
--- a/crates/stackpier-cell/src/cell.rs
+++ b/crates/stackpier-cell/src/cell.rs
@@ -11,9 +11,10 @@
     arena::{JobKey, RunKey, StepKey, TaskKey, WorkerKey},
     cycle::Cycle,
     interference::{Images, Model},
-    job::{Job, Run, Step, Task},
+    job::{Job, Step, Task},
     maintenance::{Record, Work},
     names::Names,
+    run::Run,
     save::Saver,
     worker::Worker,
 };
--- a/crates/stackpier-cell/src/drain.rs
+++ b/crates/stackpier-cell/src/drain.rs
@@ -4,7 +4,7 @@
 use crate::{
     Cell,
     arena::{RunKey, WorkerKey},
-    job::{Phase, Run},
+    run::{Phase, Run},
     worker::Life,
 };
 
--- a/crates/stackpier-cell/src/hold.rs
+++ b/crates/stackpier-cell/src/hold.rs
@@ -6,7 +6,7 @@
 use crate::{
     Cell, Effect, Held, Hold, Report, Row, TaskName,
     arena::{RunKey, WorkerKey},
-    job::{Phase, Run},
+    run::{Phase, Run},
     worker::{Clock, Life},
 };
 
--- a/crates/stackpier-cell/src/maintenance.rs
+++ b/crates/stackpier-cell/src/maintenance.rs
@@ -16,7 +16,7 @@
 use crate::{
     Cell, Effect,
     arena::{RunKey, WorkerKey},
-    job::Phase,
+    run::Phase,
     worker::Life,
 };
 
--- a/crates/stackpier-cell/src/order.rs
+++ b/crates/stackpier-cell/src/order.rs
@@ -6,7 +6,7 @@
 use crate::{
     Cell, Effect, Order, Start, Started, Stop, Stopped,
     arena::{RunKey, TaskKey, WorkerKey},
-    job::{Phase, Run},
+    run::{Phase, Run},
 };
 
 /// INVALID_PAUSE_MS is the pause before a start that a worker called invalid
--- a/crates/stackpier-cell/src/outlook.rs
+++ b/crates/stackpier-cell/src/outlook.rs
@@ -8,7 +8,7 @@
     Cell,
     arena::{ImageKey, RunKey, StepKey, WorkerKey},
     interference::{Estimate, Pressure, load_at},
-    job::{Phase, Run},
+    run::{Phase, Run, cores},
 };
 
 /// AHEAD_MS are the times ahead for which loads are expected: a filling task
@@ -33,8 +33,6 @@
 /// FULL_PRESSURE is the added load from which a filling task bears all of the
 /// harm that is expected where it would come to, also by others.
 const FULL_PRESSURE: f64 = 0.1;
-/// MILLI is the number of thousandths in a core.
-const MILLI: f64 = 1_000.0;
 
 /// Ahead is what is expected at each of the times ahead.
 pub(crate) type Ahead = [Estimate; POINTS];
@@ -145,7 +143,7 @@
         if !self.options.colocate && !outlooks.is_empty() {
             return f64::MAX;
         }
-        let cores = f64::from(milli_cores) / MILLI;
+        let cores = cores(milli_cores);
         let rise = |outlook: &Outlook| {
             let pair = self.model.pair(outlook.image, image);
             let added = Estimate {
--- a/crates/stackpier-cell/src/pace.rs
+++ b/crates/stackpier-cell/src/pace.rs
@@ -1,30 +1,15 @@
 // SPDX-License-Identifier: Apache-2.0
-//! Learning from the latency of serving tasks, and slowing filling tasks down
-//! where it nears its target.
-
-use stackpier_core::Millis;
+//! Slowing filling tasks down, or moving them, where the tail latency of a
+//! serving task beside them nears its target.
 
 use crate::{
     Cell, Effect, Pace,
     arena::{RunKey, WorkerKey},
-    interference::{Estimate, load_at},
-    job::{Phase, Run},
+    interference::load_at,
     outlook::Outlook,
+    run::{Phase, Run},
 };
 
-/// LAG_MS is how long ago the middle of the half second lies that a report's
-/// figures cover.
-const LAG_MS: u64 = 250;
-/// SAMPLE_VARIANCE is the variance of one task's sample around its step's load,
-/// from samples of the users' days.
-const SAMPLE_VARIANCE: f64 = 0.004;
-/// SATURATED is the load from which a sample says too little of the own load.
-const SATURATED: f64 = 0.9;
-/// DEVIATION_WEIGHT is the weight of a new sample in the smoothed deviation of
-/// a task from what is expected of it.
-const DEVIATION_WEIGHT: f64 = 0.5;
-/// DEVIATION_LIMIT bounds that deviation.
-const DEVIATION_LIMIT: f64 = 0.5;
 /// SLOW_LOAD is the expected load above which what fills is slowed down.
 const SLOW_LOAD: f64 = load_at(0.95);
 /// AIM_LOAD is the load that it is slowed down to.
@@ -53,67 +38,6 @@
 const MOVE_PACE: u8 = 40;
 
 impl Cell {
-    /// learn corrects the model by the report that was just taken in.
-    pub(crate) fn learn(&mut self, worker: WorkerKey) {
-        let serving = self.serving(worker);
-        if serving.is_empty() {
-            return;
-        }
-        let beside = self.pressures(worker);
-        let steady = self.is_steady(worker);
-        let at = Millis(self.now.mono.0.saturating_sub(LAG_MS));
-        for key in serving {
-            let Some((load, own)) = self.sample(key, at) else {
-                continue;
-            };
-            let Some(run) = self.runs.get_mut(key) else {
-                continue;
-            };
-            let (image, step) = (run.image, run.step);
-            let added = self.model.added(image, &beside);
-            let deviation = load - own.mean - added.mean;
-            if load < SATURATED || deviation > run.deviation {
-                run.deviation += DEVIATION_WEIGHT * (deviation - run.deviation);
-                run.deviation = run.deviation.clamp(-DEVIATION_LIMIT, DEVIATION_LIMIT);
-            }
-            if !steady {
-                continue;
-            }
-            if !beside.is_empty() {
-                self.model.observe(image, load, own, &beside);
-            }
-            let value = Estimate {
-                mean: load - added.mean,
-                variance: SAMPLE_VARIANCE + added.variance,
-            };
-            if load < SATURATED
-                && let Some(curve) = &mut self.steps[step.0 as usize].curve
-            {
-                curve.observe(&mut self.cycle, at, value);
-            }
-        }
-    }
-
-    /// sample returns the load of a task as last reported, with the own load
-    /// that was expected.
-    fn sample(&self, key: RunKey, at: Millis) -> Option<(f64, Estimate)> {
-        let run = self.runs.get(key)?;
-        let load = run.settled_load(self.now.mono)?;
-        let curve = self.step_of(run.step).curve.as_ref()?;
-        Some((load, curve.expect(&self.cycle, at)))
-    }
-
-    /// is_steady tells whether what fills on a worker has not changed for as
-    /// long as the figures of a report cover.
-    pub(crate) fn is_steady(&self, worker: WorkerKey) -> bool {
-        let now = self.now.mono;
-        let settled = |key: &RunKey| {
-            let run = self.runs.get(*key);
-            run.is_none_or(|run| !run.fills || run.is_settled(now))
-        };
-        self.worker(worker).runs.iter().all(settled)
-    }
-
     /// set_paces keeps what fills on a worker at the pace that its serving
     /// tasks can bear.
     pub(crate) fn set_paces(&mut self, worker: WorkerKey) {
--- a/crates/stackpier-cell/src/speculate.rs
+++ b/crates/stackpier-cell/src/speculate.rs
@@ -5,7 +5,7 @@
 use crate::{
     Cell,
     arena::{RunKey, TaskKey},
-    job::Phase,
+    run::Phase,
 };
 
 /// LEAST_LAG_MS is the least time by which a run lags before a copy starts.
--- a/crates/stackpier-cell/src/summary.rs
+++ b/crates/stackpier-cell/src/summary.rs
@@ -3,7 +3,7 @@
 
 use stackpier_core::Millis;
 
-use crate::{Cell, job::Run};
+use crate::{Cell, run::Run};
 
 /// SUMMARY_MS is the time between two summaries.
 const SUMMARY_MS: u64 = 1_000;
--- a/crates/stackpier-cell/src/wire.rs
+++ b/crates/stackpier-cell/src/wire.rs
@@ -9,9 +9,9 @@
 
 use crate::{
     arena::{StepKey, WorkerKey},
-    job::Run,
     maintenance::{self, Plan, TakeDown, TakenDown},
     memory::Memory,
+    run::Run,
     worker::Info,
 };
 
--- a/crates/stackpier-cell/src/worker.rs
+++ b/crates/stackpier-cell/src/worker.rs
@@ -3,7 +3,7 @@
 
 use stackpier_core::{Millis, Size};
 
-use crate::{arena::RunKey, health::Health, job::Run, outlook::Outlook};
+use crate::{arena::RunKey, health::Health, outlook::Outlook, run::Run};
 
 /// CLOCK_ERROR_MILLI is how much slower than true time a worker's clock may
 /// run, in thousandths, with a margin: the platform allows 2%.
