Cell: maintenance in four modules, hosts named by one key

A HostKey names a host now; maintenance/work.rs holds how far a plan is, maintenance/empty.rs which runs are stopped, maintenance/order.rs orders and their answers. The gap between two owners' orders was an if inside of Cell::new and has a function beside the rest of maintenance.

The checks are the same.

--- a/crates/stackpier-cell/src/cell.rs
+++ b/crates/stackpier-cell/src/cell.rs
@@ -22,8 +22,6 @@
 /// SWEEP_MS is the time between two looks at all runs, for those that stand
 /// still, lag, or are on leaving workers.
 const SWEEP_MS: u64 = 150;
-/// FIRST_FENCE is the fence of a cell's first owner.
-const FIRST_FENCE: u64 = 1;
 /// FAILED_ON is how many workers a task remembers to have failed on.
 const FAILED_ON: usize = 3;
 
@@ -107,11 +105,7 @@
             remembered: now.mono,
             maintenance: Vec::new(),
             maintained: Vec::new(),
-            orders_from: now.mono.plus(if fence > FIRST_FENCE {
-                options.turn_gap_ms
-            } else {
-                0
-            }),
+            orders_from: Cell::orders_from(&options, now.mono, fence),
             saver: Saver::default(),
             confirmed: now.mono,
             confirming: false,
--- a/crates/stackpier-cell/src/maintenance.rs
+++ b/crates/stackpier-cell/src/maintenance.rs
@@ -8,31 +8,24 @@
 //! done when a new worker of it shows. What was ordered is kept in the store, so
 //! that a later owner goes on.
 
+mod empty;
+mod order;
+mod work;
+
 use std::collections::HashSet;
 
 use serde::{Deserialize, Serialize};
 use stackpier_core::Millis;
 
-use crate::{
-    Cell, Effect,
-    arena::{RunKey, WorkerKey},
-    run::Phase,
-    worker::Life,
-};
+use crate::{Cell, Options, arena::WorkerKey, worker::Life};
+
+use work::{Host, HostKey, NEXT_MS, Stage};
+
+pub use order::{TakeDown, TakenDown};
+pub(crate) use work::Work;
 
-/// TURN_MS is how long a host takes from the first stop until its new worker
-/// works: one to two seconds of emptying, two down, and the start.
-const TURN_MS: u64 = 4_000;
-/// NEXT_MS is how long after a host went down the next one is emptied: that takes
-/// about a second, and the host is down for two.
-const NEXT_MS: u64 = 1_000;
-/// HASTE is by how much more hosts are taken at once than the time left asks
-/// for, as some wait for others.
-const HASTE: f64 = 1.3;
-/// ORDER_RETRY_MS is the pause before a host is ordered down again.
-const ORDER_RETRY_MS: u64 = 400;
-/// EMPTY_MS is how long short tasks on a host get to end by themselves.
-const EMPTY_MS: u64 = 2_000;
+/// FIRST_FENCE is the fence of a cell's first owner.
+const FIRST_FENCE: u64 = 1;
 /// GIVE_UP_MS is how long a host may have no worker before the plan goes on
 /// without it.
 const GIVE_UP_MS: u64 = 15_000;
@@ -50,32 +43,6 @@
     pub most_down: u32,
 }
 
-/// TakeDown orders a host down.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct TakeDown {
-    /// The plan's number.
-    pub plan: u64,
-    /// The host.
-    pub host: String,
-    /// The owner's fence.
-    pub fence: u64,
-}
-
-/// TakenDown is the outcome of such an order.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum TakenDown {
-    /// The host goes down, or has been down for this plan already.
-    Yes,
-    /// It can't be taken down now.
-    Busy,
-    /// The host is not known, or not of the plan.
-    Unknown,
-    /// A later owner gave orders for it.
-    Fenced,
-    /// There was no answer: it may go down, now or later.
-    Silent,
-}
-
 /// Record is what the store keeps of a plan.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Record {
@@ -83,109 +50,22 @@
     pub plan: u64,
     /// The hosts that went down.
     pub down: Vec<String>,
-    /// Whether all hosts have been down.
+    /// Whether nothing is left to do: each host has been down or was given up.
     pub completed: bool,
 }
 
-/// Stage is how far a host is.
-#[derive(Clone, Debug, PartialEq, Eq)]
-enum Stage {
-    Waiting,
-    /// It gets no starts, since this time.
-    Emptying(Millis),
-    /// An order was sent; it is sent again at this time, unless it is being
-    /// answered.
-    Ordered {
-        in_flight: bool,
-        again: Millis,
-    },
-    /// It went down.
-    Down {
-        /// The life that ended with it, if one was known.
-        life: Option<String>,
-        since: Millis,
-    },
-    Done,
-    /// It is not known, or has had no worker for long.
-    Gone,
-}
-
-#[derive(Debug)]
-struct Host {
-    name: String,
-    stage: Stage,
-    /// Since when no worker of it has been known.
-    absent: Option<Millis>,
-}
-
-impl Host {
-    /// is_down tells whether it may be down now.
-    fn is_down(&self) -> bool {
-        matches!(self.stage, Stage::Ordered { .. } | Stage::Down { .. })
-    }
-
-    /// is_taken tells whether its worker gets no starts.
-    fn is_taken(&self) -> bool {
-        self.is_down() || matches!(self.stage, Stage::Emptying(_))
-    }
-
-    /// blocks_next tells whether the next host waits for this one: not when it
-    /// will be back by the time that one is empty.
-    fn blocks_next(&self, now: Millis) -> bool {
-        match self.stage {
-            Stage::Down { since, .. } => now.since(since) < NEXT_MS,
-            _ => self.is_taken(),
-        }
-    }
-}
-
-/// Work is a plan with how far it is.
-#[derive(Debug)]
-pub(crate) struct Work {
-    plan: Plan,
-    due: Millis,
-    hosts: Vec<Host>,
-    completed: bool,
-}
-
-impl Work {
-    fn new(plan: Plan, now: Millis) -> Work {
-        let host = |name: &String| Host {
-            name: name.clone(),
-            stage: Stage::Waiting,
-            absent: None,
+impl Cell {
+    /// orders_from returns from when an owner orders hosts down: two owners
+    /// don't take turns.
+    pub(crate) fn orders_from(options: &Options, now: Millis, fence: u64) -> Millis {
+        let gap_ms = if fence > FIRST_FENCE {
+            options.turn_gap_ms
+        } else {
+            0
         };
-        Work {
-            due: now.plus(plan.within_ms),
-            hosts: plan.hosts.iter().map(host).collect(),
-            plan,
-            completed: false,
-        }
+        now.plus(gap_ms)
     }
 
-    /// wanted returns how many hosts should be taken at once: as few as the
-    /// time left allows.
-    fn wanted(&self, now: Millis) -> usize {
-        let open = |host: &&Host| matches!(host.stage, Stage::Waiting | Stage::Emptying(_));
-        let open = self.hosts.iter().filter(open).count();
-        let left_ms = self.due.since(now).max(1);
-        let turns = (left_ms as f64 / TURN_MS as f64).floor().max(1.0);
-        let wanted = (open as f64 * HASTE / turns).ceil() as usize;
-        wanted.min(self.plan.most_down as usize)
-    }
-
-    fn record(&self) -> Record {
-        let was_down = |host: &&Host| matches!(host.stage, Stage::Down { .. } | Stage::Done);
-        let down = self.hosts.iter().filter(was_down);
-        Record {
-            plan: self.plan.number,
-            down: down.map(|host| host.name.clone()).collect(),
-            completed: self.completed,
-        }
-    }
-}
-
-impl Cell {
     /// plan takes in a plan of operators.
     pub(crate) fn plan(&mut self, plan: Plan) {
         let known = |work: &Work| work.plan.number == plan.number;
@@ -203,11 +83,7 @@
         let mut work = Work::new(plan, self.now.mono);
         let earlier = |record: &&Record| record.plan == work.plan.number;
         if let Some(record) = self.maintained.iter().find(earlier) {
-            work.completed = record.completed;
-            let was_down = |host: &&mut Host| record.down.contains(&host.name);
-            for host in work.hosts.iter_mut().filter(was_down) {
-                host.stage = Stage::Done;
-            }
+            work.resume(record);
         }
         self.maintenance.push(work);
         self.saver.maintenance_changed = true;
@@ -225,15 +101,15 @@
 
     /// check_maintenance moves all plans on.
     pub(crate) fn check_maintenance(&mut self) {
-        for place in 0..self.maintenance.len() {
-            if self.maintenance[place].completed {
+        for plan in 0..self.maintenance.len() {
+            if self.maintenance[plan].completed {
                 continue;
             }
-            self.take_hosts(place);
-            for host in 0..self.maintenance[place].hosts.len() {
-                self.move_on(place, host);
+            self.take_hosts(plan);
+            for host in 0..self.maintenance[plan].hosts.len() {
+                self.move_on(HostKey { plan, host });
             }
-            self.check_completed(place);
+            self.check_completed(plan);
         }
         if !self.maintenance.is_empty() {
             self.close_workers();
@@ -250,69 +126,73 @@
         }
     }
 
-    /// take_hosts begins to empty further hosts, those with the least to move
-    /// first.
-    fn take_hosts(&mut self, place: usize) {
+    /// take_hosts begins to empty further hosts, as many as there is room for.
+    fn take_hosts(&mut self, plan: usize) {
         let now = self.now.mono;
         // A host that is empty before it can be ordered down does nothing.
         if now.plus(NEXT_MS) < self.orders_from {
             return;
         }
-        let work = &self.maintenance[place];
-        let taken = work
-            .hosts
-            .iter()
-            .filter(|host| host.blocks_next(now))
-            .count();
-        let room = work.wanted(now).saturating_sub(taken);
-        let waiting = |(_, host): &(usize, &Host)| host.stage == Stage::Waiting;
+        let room = self.maintenance[plan].room(now);
+        for key in self.next_hosts(plan).into_iter().take(room) {
+            let host = self.host_mut(key);
+            host.stage = Stage::Emptying(now);
+            let text = format!("host {} is being emptied", host.name);
+            self.note("maintenance", None, text);
+        }
+    }
+
+    /// next_hosts returns the hosts of a plan that wait and have a worker,
+    /// those with the least to move first.
+    fn next_hosts(&self, plan: usize) -> Vec<HostKey> {
+        let hosts = self.maintenance[plan].hosts.iter().enumerate();
+        let waiting = hosts.filter(|(_, host)| host.stage == Stage::Waiting);
         let weight = |(number, host): (usize, &Host)| {
             let worker = self.worker_of(&host.name)?;
             Some((self.worker(worker).lasting_milli, number))
         };
-        let hosts = work.hosts.iter().enumerate().filter(waiting);
-        let mut next: Vec<(u32, usize)> = hosts.filter_map(weight).collect();
+        let mut next: Vec<(u32, usize)> = waiting.filter_map(weight).collect();
         next.sort_unstable();
-        for (_, number) in next.into_iter().take(room) {
-            let host = &mut self.maintenance[place].hosts[number];
-            host.stage = Stage::Emptying(now);
-            let text = format!("host {} is being emptied", host.name);
-            self.note("maintenance", None, text);
-        }
+        next.into_iter()
+            .map(|(_, host)| HostKey { plan, host })
+            .collect()
     }
 
-    fn move_on(&mut self, place: usize, number: usize) {
+    /// move_on does what is due for a host.
+    fn move_on(&mut self, key: HostKey) {
         let now = self.now.mono;
-        let host = &self.maintenance[place].hosts[number];
+        let host = self.host(key);
         let worker = self.worker_of(&host.name);
         match host.stage.clone() {
-            Stage::Waiting => self.check_absent(place, number, worker),
+            Stage::Waiting => self.check_absent(key, worker),
             Stage::Emptying(since) => match worker {
-                Some(worker) => self.empty(place, number, worker, since),
-                None => self.maintenance[place].hosts[number].stage = Stage::Waiting,
+                Some(worker) => self.empty(key, worker, since),
+                None => self.host_mut(key).stage = Stage::Waiting,
             },
             Stage::Ordered { in_flight, again } => {
                 if !in_flight && now >= again {
-                    self.take_down(place, number);
+                    self.take_down(key);
                 }
             }
             Stage::Down { life, .. } => {
-                let back = worker.is_some_and(|worker| {
-                    let worker = self.worker(worker);
-                    worker.life == Life::Met && Some(&worker.info.id) != life.as_ref()
-                });
-                if back {
-                    self.maintenance[place].hosts[number].stage = Stage::Done;
+                if worker.is_some_and(|worker| self.is_new(worker, life.as_deref())) {
+                    self.host_mut(key).stage = Stage::Done;
                 }
             }
             Stage::Done | Stage::Gone => {}
         }
     }
 
+    /// is_new tells whether a worker was met and is not the life that ended.
+    fn is_new(&self, key: WorkerKey, ended: Option<&str>) -> bool {
+        let worker = self.worker(key);
+        worker.life == Life::Met && Some(worker.info.id.as_str()) != ended
+    }
+
     /// check_absent goes on without a host that has had no worker for long.
-    fn check_absent(&mut self, place: usize, number: usize, worker: Option<WorkerKey>) {
+    fn check_absent(&mut self, key: HostKey, worker: Option<WorkerKey>) {
         let now = self.now.mono;
-        let host = &mut self.maintenance[place].hosts[number];
+        let host = self.host_mut(key);
         if worker.is_some() {
             host.absent = None;
             return;
@@ -325,142 +205,23 @@
         }
     }
 
-    /// empty moves what runs on a host, and orders it down when nothing does.
-    fn empty(&mut self, place: usize, number: usize, worker: WorkerKey, since: Millis) {
-        let now = self.now.mono;
-        if self.worker(worker).runs.is_empty() {
-            if now >= self.orders_from {
-                self.take_down(place, number);
-            }
+    fn check_completed(&mut self, plan: usize) {
+        let work = &mut self.maintenance[plan];
+        if !work.is_over() {
             return;
         }
-        let late = now.since(since) >= EMPTY_MS;
-        for run in self.worker(worker).runs.clone() {
-            if self.is_to_move(run, late) {
-                self.move_away(run);
-            }
-        }
-    }
-
-    /// is_to_move tells whether a run on a host that is being emptied is to be
-    /// stopped now.
-    fn is_to_move(&self, key: RunKey, late: bool) -> bool {
-        let Some(run) = self.runs.get(key).filter(|run| run.phase == Phase::Running) else {
-            return false;
-        };
-        if run.lasting {
-            return self.can_miss(key);
-        }
-        late || self.shape(run.step).checkpointing
-    }
-
-    /// can_miss tells whether a lasting task may be stopped: less of its step's
-    /// tasks are away than may be.
-    pub(crate) fn can_miss(&self, key: RunKey) -> bool {
-        let Some(run) = self.runs.get(key) else {
-            return false;
-        };
-        let Some(most) = self.shape(run.step).may_miss else {
-            return true;
-        };
-        let step = self.step_of(run.step);
-        let tasks = (step.first_task.0..step.first_task.0 + step.count).map(crate::TaskKey);
-        let others = tasks.filter(|task| *task != run.task);
-        let away = others.filter(|task| !self.is_at_work(*task)).count();
-        (away as u32) < most
-    }
-
-    /// is_at_work tells whether a lasting task has a run that works and is not
-    /// being stopped.
-    fn is_at_work(&self, task: crate::TaskKey) -> bool {
-        let runs = self.task(task).runs.iter();
-        let mut runs = runs.filter_map(|key| self.runs.get(*key));
-        runs.any(|run| run.phase == Phase::Running && run.percent >= 100)
-    }
-
-    fn move_away(&mut self, key: RunKey) {
-        let Some(run) = self.runs.get(key) else {
-            return;
-        };
-        let name = self.name(run.task);
-        let text = "stopped: its host is to go down for maintenance".to_owned();
-        self.note("maintenance", Some(name), text);
-        self.stop(key);
-    }
-
-    fn take_down(&mut self, place: usize, number: usize) {
-        if !self.has_authority() {
-            return;
-        }
-        let now = self.now.mono;
-        let work = &mut self.maintenance[place];
-        let others = work.hosts.iter().enumerate();
-        let down = others.filter(|(other, host)| *other != number && host.is_down());
-        if down.count() >= work.plan.most_down as usize {
-            return;
-        }
-        let host = &mut work.hosts[number];
-        host.stage = Stage::Ordered {
-            in_flight: true,
-            again: now,
-        };
-        let order = TakeDown {
-            plan: work.plan.number,
-            host: host.name.clone(),
-            fence: self.fence,
-        };
-        self.effects.push(Effect::TakeDown(order));
-    }
-
-    /// taken_down takes in the answer to an order.
-    pub(crate) fn taken_down(&mut self, order: &TakeDown, outcome: TakenDown) {
-        let now = self.now.mono;
-        let text = format!("host {} ordered down: {outcome:?}", order.host);
+        work.completed = true;
+        let text = format!("plan {} is completed", work.plan.number);
+        self.saver.maintenance_changed = true;
         self.note("maintenance", None, text);
-        let worker = self.worker_of(&order.host);
-        let life = worker.map(|worker| self.worker(worker).info.id.clone());
-        let Some(host) = self.host_mut(order) else {
-            return;
-        };
-        match outcome {
-            TakenDown::Yes => host.stage = Stage::Down { life, since: now },
-            TakenDown::Unknown => host.stage = Stage::Gone,
-            // Nothing was done: what runs there may go on meanwhile.
-            TakenDown::Busy => host.stage = Stage::Emptying(now),
-            TakenDown::Silent => {
-                host.stage = Stage::Ordered {
-                    in_flight: false,
-                    again: now.plus(ORDER_RETRY_MS),
-                };
-            }
-            TakenDown::Fenced => {
-                self.depose();
-                return;
-            }
-        }
-        if outcome == TakenDown::Yes {
-            self.saver.maintenance_changed = true;
-            if let Some(worker) = worker {
-                self.end_life(worker, "its host is down for maintenance");
-            }
-        }
     }
 
-    fn host_mut(&mut self, order: &TakeDown) -> Option<&mut Host> {
-        let mut works = self.maintenance.iter_mut();
-        let work = works.find(|work| work.plan.number == order.plan)?;
-        work.hosts.iter_mut().find(|host| host.name == order.host)
+    fn host(&self, key: HostKey) -> &Host {
+        &self.maintenance[key.plan].hosts[key.host]
     }
 
-    fn check_completed(&mut self, place: usize) {
-        let work = &mut self.maintenance[place];
-        let over = |host: &Host| matches!(host.stage, Stage::Done | Stage::Gone);
-        if work.hosts.iter().all(over) {
-            work.completed = true;
-            self.saver.maintenance_changed = true;
-            let text = format!("plan {} is completed", self.maintenance[place].plan.number);
-            self.note("maintenance", None, text);
-        }
+    fn host_mut(&mut self, key: HostKey) -> &mut Host {
+        &mut self.maintenance[key.plan].hosts[key.host]
     }
 
     /// worker_of returns the worker of a host that is not known to be over.
--- /dev/null
+++ b/crates/stackpier-cell/src/maintenance/empty.rs
@@ -0,0 +1,81 @@
+// SPDX-License-Identifier: Apache-2.0
+//! Emptying a host before it goes down: which of its runs are stopped, and
+//! when.
+
+use stackpier_core::Millis;
+
+use crate::{
+    Cell, TaskKey,
+    arena::{RunKey, WorkerKey},
+    run::Phase,
+};
+
+use super::work::HostKey;
+
+/// EMPTY_MS is how long short tasks on a host get to end by themselves.
+const EMPTY_MS: u64 = 2_000;
+
+impl Cell {
+    /// empty moves what runs on a host, and orders it down when nothing does.
+    pub(super) fn empty(&mut self, key: HostKey, worker: WorkerKey, since: Millis) {
+        let now = self.now.mono;
+        if self.worker(worker).runs.is_empty() {
+            if now >= self.orders_from {
+                self.take_down(key);
+            }
+            return;
+        }
+        let late = now.since(since) >= EMPTY_MS;
+        for run in self.worker(worker).runs.clone() {
+            if self.is_to_move(run, late) {
+                self.move_away(run);
+            }
+        }
+    }
+
+    /// is_to_move tells whether a run on a host that is being emptied is to be
+    /// stopped now.
+    fn is_to_move(&self, key: RunKey, late: bool) -> bool {
+        let Some(run) = self.runs.get(key).filter(|run| run.phase == Phase::Running) else {
+            return false;
+        };
+        if run.lasting {
+            return self.can_miss(key);
+        }
+        late || self.shape(run.step).checkpointing
+    }
+
+    /// can_miss tells whether a lasting task may be stopped: less of its step's
+    /// tasks are away than may be.
+    fn can_miss(&self, key: RunKey) -> bool {
+        let Some(run) = self.runs.get(key) else {
+            return false;
+        };
+        let Some(most) = self.shape(run.step).may_miss else {
+            return true;
+        };
+        let step = self.step_of(run.step);
+        let tasks = (step.first_task.0..step.first_task.0 + step.count).map(TaskKey);
+        let others = tasks.filter(|task| *task != run.task);
+        let away = others.filter(|task| !self.is_at_work(*task)).count();
+        (away as u32) < most
+    }
+
+    /// is_at_work tells whether a lasting task has a run that works and is not
+    /// being stopped.
+    fn is_at_work(&self, task: TaskKey) -> bool {
+        let runs = self.task(task).runs.iter();
+        let mut runs = runs.filter_map(|key| self.runs.get(*key));
+        runs.any(|run| run.phase == Phase::Running && run.percent >= 100)
+    }
+
+    fn move_away(&mut self, key: RunKey) {
+        let Some(run) = self.runs.get(key) else {
+            return;
+        };
+        let name = self.name(run.task);
+        let text = "stopped: its host is to go down for maintenance".to_owned();
+        self.note("maintenance", Some(name), text);
+        self.stop(key);
+    }
+}
--- /dev/null
+++ b/crates/stackpier-cell/src/maintenance/order.rs
@@ -0,0 +1,104 @@
+// SPDX-License-Identifier: Apache-2.0
+//! Orders that take hosts down, and their answers.
+
+use crate::{Cell, Effect};
+
+use super::work::{HostKey, Stage, Work};
+
+/// ORDER_RETRY_MS is the pause before a host is ordered down again.
+const ORDER_RETRY_MS: u64 = 400;
+
+/// TakeDown orders a host down.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TakeDown {
+    /// The plan's number.
+    pub plan: u64,
+    /// The host.
+    pub host: String,
+    /// The owner's fence.
+    pub fence: u64,
+}
+
+/// TakenDown is the outcome of such an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TakenDown {
+    /// The host goes down, or has been down for this plan already.
+    Yes,
+    /// It can't be taken down now.
+    Busy,
+    /// The host is not known, or not of the plan.
+    Unknown,
+    /// A later owner gave orders for it.
+    Fenced,
+    /// There was no answer: it may go down, now or later.
+    Silent,
+}
+
+impl Cell {
+    /// take_down orders a host down, unless too many of its plan may be.
+    pub(super) fn take_down(&mut self, key: HostKey) {
+        if !self.has_authority() {
+            return;
+        }
+        let now = self.now.mono;
+        let work = &mut self.maintenance[key.plan];
+        if !work.may_go_down(key.host) {
+            return;
+        }
+        let host = &mut work.hosts[key.host];
+        host.stage = Stage::Ordered {
+            in_flight: true,
+            again: now,
+        };
+        let order = TakeDown {
+            plan: work.plan.number,
+            host: host.name.clone(),
+            fence: self.fence,
+        };
+        self.effects.push(Effect::TakeDown(order));
+    }
+
+    /// taken_down takes in the answer to an order.
+    pub(crate) fn taken_down(&mut self, order: &TakeDown, outcome: TakenDown) {
+        let now = self.now.mono;
+        let text = format!("host {} ordered down: {outcome:?}", order.host);
+        self.note("maintenance", None, text);
+        let Some(key) = self.host_ordered(order) else {
+            return;
+        };
+        match outcome {
+            TakenDown::Yes => self.went_down(key),
+            TakenDown::Unknown => self.host_mut(key).stage = Stage::Gone,
+            // Nothing was done: what runs there may go on meanwhile.
+            TakenDown::Busy => self.host_mut(key).stage = Stage::Emptying(now),
+            TakenDown::Silent => {
+                self.host_mut(key).stage = Stage::Ordered {
+                    in_flight: false,
+                    again: now.plus(ORDER_RETRY_MS),
+                };
+            }
+            TakenDown::Fenced => self.depose(),
+        }
+    }
+
+    /// went_down notes that a host is down, and with it the life of its worker.
+    fn went_down(&mut self, key: HostKey) {
+        let since = self.now.mono;
+        let worker = self.worker_of(&self.host(key).name);
+        let life = worker.map(|worker| self.worker(worker).info.id.clone());
+        self.host_mut(key).stage = Stage::Down { life, since };
+        self.saver.maintenance_changed = true;
+        if let Some(worker) = worker {
+            self.end_life(worker, "its host is down for maintenance");
+        }
+    }
+
+    /// host_ordered returns the host that an order is for.
+    fn host_ordered(&self, order: &TakeDown) -> Option<HostKey> {
+        let is_its = |work: &Work| work.plan.number == order.plan;
+        let plan = self.maintenance.iter().position(is_its)?;
+        let hosts = &self.maintenance[plan].hosts;
+        let host = hosts.iter().position(|host| host.name == order.host)?;
+        Some(HostKey { plan, host })
+    }
+}
--- a/crates/stackpier-cell/tests/interference.rs
+++ b/crates/stackpier-cell/tests/interference.rs
@@ -34,6 +34,15 @@
     }
 }
 
+/// fills_at_work returns how many runs of job 2, which fills, work on the
+/// first worker.
+fn fills_at_work(owner: &Owner) -> usize {
+    let runs = owner.workers[0].runs.iter();
+    let fills = runs.filter(|run| run.task.job.0 == 2);
+    fills.filter(|run| run.is_working()).count()
+}
+
+/// behaviour lets the tasks of a job serve with a tail latency.
 fn behaviour(owner: &mut Owner, job: u64, tail_ms: u32) {
     let size = step(1).size;
     let behaviour = Behaviour {
@@ -52,13 +61,9 @@
     owner.submit(1, spec(vec![serving(1)]));
     owner.submit(2, spec(vec![filling(3)]));
     owner.advance(4_000);
-    let runs = &owner.workers[0].runs;
-    let working = runs
-        .iter()
-        .filter(|run| run.task.job.0 == 2 && run.is_working())
-        .count();
     assert_eq!(
-        working, 0,
+        fills_at_work(&owner),
+        0,
         "the serving task has been over its target for seconds"
     );
 }
@@ -75,11 +80,9 @@
         owner.workers[0].set_tail(tail_ms);
         owner.advance(450);
     }
-    let runs = &owner.workers[0].runs;
-    let fills = runs.iter().filter(|run| run.task.job.0 == 2);
-    let working = fills.filter(|run| run.is_working()).count();
     assert_eq!(
-        working, 0,
+        fills_at_work(&owner),
+        0,
         "it has been over its target but for two figures"
     );
 }
--- a/crates/stackpier-cell/tests/maintenance.rs
+++ b/crates/stackpier-cell/tests/maintenance.rs
@@ -38,6 +38,14 @@
     saved.next().unwrap_or_default()
 }
 
+/// taken_down returns the hosts that were ordered down, sorted.
+fn taken_down(owner: &Owner) -> Vec<&str> {
+    let orders = owner.downs.iter();
+    let mut hosts: Vec<&str> = orders.map(|down| down.1.host.as_str()).collect();
+    hosts.sort_unstable();
+    hosts
+}
+
 /// at_work returns how many tasks of a job work on any worker.
 fn at_work(owner: &Owner, job: u64) -> usize {
     let runs = owner.workers.iter().flat_map(|worker| &worker.runs);
@@ -50,13 +58,7 @@
     let mut owner = Owner::new(6);
     owner.feed(Event::Plan(plan(&[0, 1, 2, 3, 4, 5], 20_000, 2)));
     owner.advance(20_000);
-    let mut hosts: Vec<&str> = owner
-        .downs
-        .iter()
-        .map(|down| down.1.host.as_str())
-        .collect();
-    hosts.sort_unstable();
-    assert_eq!(hosts, ["h0", "h1", "h2", "h3", "h4", "h5"]);
+    assert_eq!(taken_down(&owner), ["h0", "h1", "h2", "h3", "h4", "h5"]);
     let record = &records(&owner)[0];
     assert!(record.completed, "{record:?}");
     assert_eq!(record.down.len(), 6);
@@ -75,7 +77,6 @@
     }
 }
 
-/// A plan with time to spare takes few hosts at once.
 #[test]
 fn a_plan_with_time_to_spare_takes_few_hosts_at_once() {
     let mut owner = Owner::new(4);
@@ -116,8 +117,8 @@
     owner.advance(14_000);
     assert_eq!(owner.state(1), Some(State::Completed));
     assert_eq!(owner.downs.len(), 2);
-    let resumed = |start: &&(stackpier_cell::Start, usize)| start.0.checkpoint.is_some();
-    assert!(owner.starts.iter().any(|start| resumed(&start)));
+    let mut starts = owner.starts.iter();
+    assert!(starts.any(|(start, _)| start.checkpoint.is_some()));
 }
 
 #[test]
@@ -179,13 +180,7 @@
     later.advance(3_000);
     assert_eq!(later.downs.len(), 0, "two owners don't take turns");
     later.advance(15_000);
-    let mut hosts: Vec<&str> = later
-        .downs
-        .iter()
-        .map(|down| down.1.host.as_str())
-        .collect();
-    hosts.sort_unstable();
-    assert_eq!(hosts, ["h0", "h2"]);
+    assert_eq!(taken_down(&later), ["h0", "h2"]);
     assert!(records(&later)[0].completed);
 }
 
