Scheduler: loading, following and calls apart from owning

A value that can't be decoded was logged by five copies of the same lines; one function does it, with the same words. The list of what a save writes is put together apart from writing it.

--- /dev/null
+++ b/crates/stackpier-scheduler/src/calls.rs
@@ -0,0 +1,68 @@
+// SPDX-License-Identifier: Apache-2.0
+//! The owner's calls to workers, to the adviser and to hosts: each is sent,
+//! counted, and its outcome fed to the cell.
+
+use stackpier_cell::{
+    Ask, Event, Held, Hold, Pace, Start, Started, Stop, Stopped,
+    maintenance::{TakeDown, TakenDown},
+};
+
+use crate::{Platform, metrics, node::Node};
+
+impl<P: Platform> Node<P> {
+    pub(crate) async fn send_start(self, fence: u64, start: Start) {
+        let outcome = self.platform.start(&start).await;
+        self.count_worker("start", outcome == Started::Yes);
+        let order = &start.order;
+        let text = format!("run {} on worker {}: {outcome:?}", order.run, order.life);
+        self.say_of("place", Some(order.task.to_string()), &text);
+        let run = order.key;
+        self.feed(fence, Event::Started { run, outcome });
+    }
+
+    pub(crate) async fn send_stop(self, fence: u64, stop: Stop) {
+        let outcome = self.platform.stop(&stop).await;
+        self.count_worker("stop", outcome == Stopped::Yes);
+        let run = stop.order.key;
+        self.feed(fence, Event::Stopped { run, outcome });
+    }
+
+    pub(crate) async fn send_pace(self, pace: Pace) {
+        let taken = self.platform.pace(&pace).await;
+        self.count_worker("pace", taken);
+        let text = format!("pace {} ordered, taken: {taken}", pace.percent);
+        self.say_of("pace", Some(pace.order.task.to_string()), &text);
+    }
+
+    pub(crate) async fn send_hold(self, fence: u64, hold: Hold) {
+        let sent = self.mono();
+        let outcome = self.platform.hold(&hold).await;
+        let answered = matches!(outcome, Held::Report(_));
+        self.count_worker("hold", answered);
+        let event = Event::Held {
+            worker: hold.worker,
+            sent,
+            outcome,
+        };
+        self.feed(fence, event);
+    }
+
+    pub(crate) async fn send_down(self, fence: u64, order: TakeDown) {
+        let outcome = self.platform.take_down(&order, &self.settings.vm).await;
+        self.count_worker("take_down", outcome == TakenDown::Yes);
+        self.feed(fence, Event::TakenDown(order, outcome));
+    }
+
+    pub(crate) async fn send_ask(self, fence: u64, ask: Ask) {
+        let answer = self.platform.advise(&ask).await;
+        self.count_worker("advise", answer.is_some());
+        self.feed(fence, Event::Advised(ask.step, answer));
+    }
+
+    fn count_worker(&self, call: &'static str, done: bool) {
+        let outcome = if done { "done" } else { "failed" };
+        self.metrics
+            .worker_calls
+            .add(1, &metrics::labels(call, outcome));
+    }
+}
--- /dev/null
+++ b/crates/stackpier-scheduler/src/following.rs
@@ -0,0 +1,152 @@
+// SPDX-License-Identifier: Apache-2.0
+//! Following jobs and workers in the store for the owner.
+
+use std::collections::HashMap;
+
+use stackpier_cell::Event;
+use stackpier_core::key;
+
+use crate::{
+    Platform,
+    keys::{self, Entry, JOBS},
+    node::Node,
+    store::{Change, Item},
+    watch::{Feed, Follower},
+};
+
+/// JOBS_PAUSE_MS is the pause between two looks at new jobs in the store.
+/// Daemons also tell the owner of each job, so this only catches lost messages.
+const JOBS_PAUSE_MS: u64 = 700;
+
+/// Jobs follows jobs and their cancelling for the owner.
+pub(crate) struct Jobs<P> {
+    pub node: Node<P>,
+    pub fence: u64,
+    /// Progress under earlier owners, until the job is met.
+    pub progress: HashMap<key::Job, Vec<u8>>,
+}
+
+impl<P: Platform> Jobs<P> {
+    fn take_item(&mut self, item: &Item) {
+        match keys::entry(&item.key) {
+            Some(Entry::Job(job)) => self.take_job(job, item),
+            Some(Entry::Cancel(job)) => self.node.feed(self.fence, Event::Cancelled(job)),
+            None => self
+                .node
+                .say("owner", &format!("key {} is not known", item.key)),
+        }
+    }
+
+    fn take_job(&mut self, job: key::Job, item: &Item) {
+        let subject = || Some(format!("{:016x}", job.0));
+        let record = self.node.readable(subject(), "the job", &item.value);
+        let Some(record) = record else {
+            return;
+        };
+        let progress = self.progress.remove(&job);
+        let progress =
+            progress.and_then(|value| self.node.readable(subject(), "the progress", &value));
+        let event = Event::Accepted {
+            job,
+            record: Box::new(record),
+            progress: progress.map(Box::new),
+            cancelled: false,
+        };
+        self.node.feed(self.fence, event);
+    }
+}
+
+impl<P: Platform> Follower for Jobs<P> {
+    fn prefix(&self) -> &str {
+        JOBS
+    }
+
+    fn is_wanted(&self) -> bool {
+        self.node.is_at(self.fence)
+    }
+
+    fn pause_ms(&self) -> u64 {
+        JOBS_PAUSE_MS
+    }
+
+    fn take(&mut self, feed: Feed) {
+        for item in feed.into_items() {
+            self.take_item(&item);
+        }
+    }
+}
+
+/// Workers follows the list of workers for the owner.
+pub(crate) struct Workers<P> {
+    pub node: Node<P>,
+    pub fence: u64,
+    /// The ids of the workers that are listed.
+    pub listed: Vec<String>,
+}
+
+impl<P: Platform> Workers<P> {
+    fn take_item(&mut self, item: &Item) {
+        match self.node.platform.worker(item) {
+            Ok(info) => {
+                if !self.listed.contains(&info.id) {
+                    self.listed.push(info.id.clone());
+                }
+                self.node.feed(self.fence, Event::Listed(info));
+            }
+            Err(error) => {
+                let text = format!("entry {} is not readable: {error}", item.key);
+                self.node.say("worker", &text);
+            }
+        }
+    }
+
+    fn remove(&mut self, id: &str) {
+        self.listed.retain(|listed| listed != id);
+        self.node.feed(self.fence, Event::Unlisted(id.to_owned()));
+    }
+
+    fn take_all(&mut self, items: &[Item]) {
+        let platform = &self.node.platform;
+        let present: Vec<&str> = items
+            .iter()
+            .map(|item| platform.worker_id(&item.key))
+            .collect();
+        let gone: Vec<String> = self
+            .listed
+            .iter()
+            .filter(|id| !present.contains(&id.as_str()))
+            .cloned()
+            .collect();
+        for id in gone {
+            self.remove(&id);
+        }
+        items.iter().for_each(|item| self.take_item(item));
+    }
+}
+
+impl<P: Platform> Follower for Workers<P> {
+    fn prefix(&self) -> &str {
+        self.node.platform.workers_prefix()
+    }
+
+    fn is_wanted(&self) -> bool {
+        self.node.is_at(self.fence)
+    }
+
+    fn take(&mut self, feed: Feed) {
+        match feed {
+            Feed::All(items) => self.take_all(&items),
+            Feed::Changes(changes) => {
+                for change in changes {
+                    match change {
+                        Change::Put(item) => self.take_item(&item),
+                        Change::Removed(key) => {
+                            let id = self.node.platform.worker_id(&key).to_owned();
+                            self.remove(&id);
+                        }
+                    }
+                }
+            }
+        }
+    }
+}
--- a/crates/stackpier-scheduler/src/lib.rs
+++ b/crates/stackpier-scheduler/src/lib.rs
@@ -7,13 +7,16 @@
 //! the outside speaks is behind the traits [`Store`], [`Fleet`],
 //! [`Adviser`], [`Hosts`] and [`Catalog`], which an adapter implements.
 
+mod calls;
 pub mod catalog;
 pub mod daemon;
 pub mod fleet;
+mod following;
 pub mod http;
 mod jobs;
 mod keys;
 mod link;
+mod loading;
 pub mod log;
 mod member;
 pub mod metrics;
--- /dev/null
+++ b/crates/stackpier-scheduler/src/loading.rs
@@ -0,0 +1,184 @@
+// SPDX-License-Identifier: Apache-2.0
+//! Loading the cell from the store when this daemon comes to own it.
+
+use std::{cell::RefCell, collections::HashMap, rc::Rc};
+
+use serde::de::DeserializeOwned;
+use stackpier_cell::{Cell, Memory, RosterEntry, maintenance};
+use stackpier_core::Result;
+use stackpier_protocol::codec::decode;
+
+use crate::{
+    Platform,
+    following::{Jobs, Workers},
+    keys::{self, JOBS, MAINTENANCE, MEMORY, PROGRESS, ROSTER},
+    node::{Node, Owned, pause},
+    owner::{Owner, tick},
+    saving::Revisions,
+    store::{Item, Listing},
+    watch::{Feed, Follower, follow},
+};
+
+/// LOAD_RETRY_MS is the pause before loading is tried again.
+const LOAD_RETRY_MS: u64 = 200;
+
+/// Loaded is all that the store keeps of a cell.
+struct Loaded {
+    jobs: Listing,
+    progress: Listing,
+    roster: Option<Item>,
+    memory: Option<Item>,
+    maintenance: Option<Item>,
+    workers: Listing,
+}
+
+impl<P: Platform> Node<P> {
+    /// load reads the cell from the store and begins to schedule it.
+    pub(crate) async fn load(&self, owned: Owned, predecessor: bool) {
+        let fence = owned.ownership.fence;
+        let loaded = loop {
+            match self.read().await {
+                Ok(loaded) => break loaded,
+                Err(error) => self.say("owner", &format!("cell not read yet: {error}")),
+            }
+            pause(LOAD_RETRY_MS).await;
+            if self.fence() != fence {
+                return;
+            }
+        };
+        if self.fence() != fence {
+            return;
+        }
+        let text = format!(
+            "owns the cell with fence {fence}: {} jobs, {} workers listed, predecessor may act: {predecessor}",
+            loaded.progress.items.len(),
+            loaded.workers.items.len()
+        );
+        self.say("owner", &text);
+        self.metrics.ownerships.add(1, &[]);
+        self.install(owned, predecessor, loaded);
+    }
+
+    fn fence(&self) -> u64 {
+        self.owned
+            .borrow()
+            .as_ref()
+            .map_or(0, |owned| owned.ownership.fence)
+    }
+
+    /// read reads all parts of the cell at once: a store that is slow would
+    /// otherwise be waited for once for each.
+    async fn read(&self) -> Result<Loaded> {
+        let (jobs, progress, roster, memory, maintenance, workers) = tokio::join!(
+            self.store_list(JOBS),
+            self.store_list(PROGRESS),
+            self.store_get(ROSTER),
+            self.store_get(MEMORY),
+            self.store_get(MAINTENANCE),
+            self.store_list(self.platform.workers_prefix()),
+        );
+        Ok(Loaded {
+            jobs: jobs?,
+            progress: progress?,
+            roster: roster?,
+            memory: memory?,
+            maintenance: maintenance?,
+            workers: workers?,
+        })
+    }
+
+    /// install puts the cell in its place and begins to follow its jobs and
+    /// workers.
+    fn install(&self, owned: Owned, predecessor: bool, loaded: Loaded) {
+        let fence = owned.ownership.fence;
+        let mut revisions = Revisions::default();
+        let mut cell = Cell::new(self.settings.cell, fence, self.now(), predecessor);
+        self.restore(&mut cell, &mut revisions, &loaded);
+        let mut progress = HashMap::new();
+        for item in &loaded.progress.items {
+            revisions.set(&item.key, item.revision);
+            if let Some(job) = keys::progress_of(&item.key) {
+                progress.insert(job, item.value.clone());
+            }
+        }
+        self.owner.replace(Some(Owner {
+            cell,
+            fence,
+            revision: owned.revision,
+            revisions: Rc::new(RefCell::new(revisions)),
+        }));
+        self.feed_queues();
+        self.feed_plans();
+        let jobs = Jobs {
+            node: self.clone(),
+            fence,
+            progress,
+        };
+        let workers = Workers {
+            node: self.clone(),
+            fence,
+            listed: Vec::new(),
+        };
+        self.start_followers(jobs, loaded.jobs, workers, loaded.workers);
+        tokio::task::spawn_local(tick(self.clone(), fence));
+    }
+
+    /// restore gives a cell what earlier owners kept: the workers that they
+    /// used, what they learnt and which hosts they took down.
+    fn restore(&self, cell: &mut Cell, revisions: &mut Revisions, loaded: &Loaded) {
+        if let Some(item) = &loaded.roster {
+            revisions.set(ROSTER, item.revision);
+            let entries = self.readable::<Vec<RosterEntry>>(None, "the roster", &item.value);
+            let entries = entries.unwrap_or_default();
+            entries.iter().for_each(|entry| cell.add_roster(entry));
+        }
+        if let Some(item) = &loaded.memory {
+            revisions.set(MEMORY, item.revision);
+            let memory = self.readable::<Memory>(None, "what was learnt", &item.value);
+            if let Some(memory) = memory {
+                cell.remember(&memory);
+            }
+        }
+        if let Some(item) = &loaded.maintenance {
+            revisions.set(MAINTENANCE, item.revision);
+            let records =
+                self.readable::<Vec<maintenance::Record>>(None, "what was taken down", &item.value);
+            if let Some(records) = records {
+                cell.resume_maintenance(records);
+            }
+        }
+    }
+
+    /// readable decodes a value that an owner or a daemon wrote, and logs it if
+    /// that fails.
+    pub(crate) fn readable<T: DeserializeOwned>(
+        &self,
+        subject: Option<String>,
+        what: &str,
+        value: &[u8],
+    ) -> Option<T> {
+        match decode(value) {
+            Ok(value) => Some(value),
+            Err(error) => {
+                let text = format!("{what} is not readable: {error}");
+                self.say_of("owner", subject, &text);
+                None
+            }
+        }
+    }
+
+    /// start_followers takes in the jobs and workers of two listings, and
+    /// follows the changes after them.
+    fn start_followers(
+        &self,
+        mut jobs: Jobs<P>,
+        kept: Listing,
+        mut workers: Workers<P>,
+        listed: Listing,
+    ) {
+        jobs.take(Feed::All(kept.items));
+        workers.take(Feed::All(listed.items));
+        tokio::task::spawn_local(follow(self.clone(), jobs, Some(kept.at)));
+        tokio::task::spawn_local(follow(self.clone(), workers, Some(listed.at)));
+    }
+}
--- a/crates/stackpier-scheduler/src/saving.rs
+++ b/crates/stackpier-scheduler/src/saving.rs
@@ -5,7 +5,7 @@
 
 use std::{cell::RefCell, collections::HashMap, rc::Rc};
 
-use stackpier_cell::Save;
+use stackpier_cell::{Save, maintenance::Record};
 use stackpier_protocol::codec::encode;
 
 use crate::{
@@ -45,6 +45,17 @@
         let Some((revision, revisions)) = self.saving(fence) else {
             return false;
         };
+        let puts = self.puts(&save);
+        for chunk in puts.chunks(PUTS) {
+            if !self.write(fence, revision, &revisions, chunk).await {
+                return false;
+            }
+        }
+        self.forget(fence, revision, &save).await
+    }
+
+    /// puts returns what a save writes.
+    fn puts(&self, save: &Save) -> Vec<Put> {
         let mut puts = Vec::new();
         if let Some(roster) = &save.roster {
             puts.push(put(ROSTER.to_owned(), roster));
@@ -54,22 +65,23 @@
         }
         if let Some(records) = &save.maintenance {
             puts.push(put(MAINTENANCE.to_owned(), records));
-            for record in records {
-                match self.platform.plan_state(record.plan, record.completed) {
-                    Ok(state) => puts.push(state),
-                    Err(error) => self.say("save", &format!("state of a plan: {error}")),
-                }
-            }
+            puts.extend(records.iter().filter_map(|record| self.plan_put(record)));
         }
         for (job, progress) in &save.jobs {
             puts.push(put(keys::progress(*job), progress));
         }
-        for chunk in puts.chunks(PUTS) {
-            if !self.write(fence, revision, &revisions, chunk).await {
-                return false;
+        puts
+    }
+
+    /// plan_put returns what operators are told of a plan.
+    fn plan_put(&self, record: &Record) -> Option<Put> {
+        match self.platform.plan_state(record.plan, record.completed) {
+            Ok(state) => Some(state),
+            Err(error) => {
+                self.say("save", &format!("state of a plan: {error}"));
+                None
             }
         }
-        self.forget(fence, revision, &save).await
     }
 
     fn saving(&self, fence: u64) -> Option<(u64, Rc<RefCell<Revisions>>)> {
