Metrics: registry, exporter and text of both daemons in one place

metrics.rs of both daemons built the registry, the exporter and the provider, and wrote the Prometheus text, by the same lines. stackpier-transport, which serves the operators' port, has them as Instruments; each daemon keeps its names and bounds.

--- a/crates/stackpier-scheduler/src/metrics.rs
+++ b/crates/stackpier-scheduler/src/metrics.rs
@@ -1,12 +1,11 @@
 // SPDX-License-Identifier: Apache-2.0
-//! The daemon's metrics: `opentelemetry` instruments, read as Prometheus text.
+//! What the daemon counts and measures.
 
 use opentelemetry::{
     KeyValue,
-    metrics::{Counter, Gauge, Histogram, MeterProvider},
+    metrics::{Counter, Gauge, Histogram},
 };
-use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::{Encoder, Registry, TextEncoder};
+use stackpier_transport::instruments::Instruments;
 
 /// LATENCY_BOUNDS are the upper bounds of the latency buckets, in seconds.
 const LATENCY_BOUNDS: [f64; 13] = [
@@ -15,9 +14,7 @@
 
 /// Metrics are the instruments of one daemon.
 pub struct Metrics {
-    registry: Registry,
-    /// Keeps the instruments alive.
-    _provider: SdkMeterProvider,
+    instruments: Instruments,
     /// Answers to client accounts, by call and status.
     pub answers: Counter<u64>,
     /// Time from a request's arrival to its answer, in seconds.
@@ -39,36 +36,25 @@
 impl Metrics {
     /// new registers all instruments.
     pub fn new() -> anyhow::Result<Metrics> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .build()?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("stackpier");
-        let count = |name: &'static str| meter.u64_counter(name).build();
-        let latency = meter
-            .f64_histogram("stackpier_answer_seconds")
-            .with_boundaries(LATENCY_BOUNDS.to_vec())
-            .build();
+        let instruments = Instruments::new()?;
+        let meter = instruments.meter();
+        let count = |name| instruments.counter(name);
         Ok(Metrics {
             answers: count("stackpier_answers"),
-            latency,
+            latency: instruments.seconds("stackpier_answer_seconds", &LATENCY_BOUNDS),
             store_calls: count("stackpier_store_calls"),
             worker_calls: count("stackpier_worker_calls"),
             decisions: count("stackpier_decisions"),
             ownerships: count("stackpier_ownerships"),
             running: meter.u64_gauge("stackpier_running").build(),
             waiting: meter.u64_gauge("stackpier_waiting").build(),
-            registry,
-            _provider: provider,
+            instruments,
         })
     }
 
     /// text returns all metrics in the text format of Prometheus.
     pub fn text(&self) -> anyhow::Result<Vec<u8>> {
-        let mut text = Vec::new();
-        TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
-        Ok(text)
+        self.instruments.text()
     }
 }
 
--- a/crates/stackpierd/src/metrics.rs
+++ b/crates/stackpierd/src/metrics.rs
@@ -1,15 +1,16 @@
 // SPDX-License-Identifier: Apache-2.0
-//! The daemon's metrics: `opentelemetry` instruments, read as Prometheus text.
+//! What the daemon counts and measures.
 
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use opentelemetry::{
     KeyValue,
-    metrics::{AsyncInstrument, Counter, Histogram, Meter, MeterProvider},
+    metrics::{AsyncInstrument, Counter, Histogram, Meter},
+};
+use stackpier_transport::{
+    instruments::Instruments,
+    peers::{Counters, Peers},
 };
-use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::{Encoder, Registry, TextEncoder};
-use stackpier_transport::peers::{Counters, Peers};
 
 /// LATENCY_BOUNDS are the upper bounds of the latency buckets, in seconds.
 const LATENCY_BOUNDS: [f64; 14] = [
@@ -18,9 +19,7 @@
 
 /// Metrics are the instruments of one daemon.
 pub struct Metrics {
-    registry: Registry,
-    /// Keeps the instruments alive.
-    _provider: SdkMeterProvider,
+    instruments: Instruments,
     /// Answers to callers, by kind.
     pub answers: Counter<u64>,
     /// Time from a request's arrival to its answer, in seconds.
@@ -40,36 +39,24 @@
 impl Metrics {
     /// new registers all instruments.
     pub fn new(peers: &Peers) -> anyhow::Result<Metrics> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .build()?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("stackpier");
-        observe(&meter, peers);
-        let count = |name: &'static str| meter.u64_counter(name).build();
-        let latency = meter
-            .f64_histogram("stackpier_request_seconds")
-            .with_boundaries(LATENCY_BOUNDS.to_vec())
-            .build();
+        let instruments = Instruments::new()?;
+        observe(instruments.meter(), peers);
+        let count = |name| instruments.counter(name);
         Ok(Metrics {
             answers: count("stackpier_answers"),
-            latency,
+            latency: instruments.seconds("stackpier_request_seconds", &LATENCY_BOUNDS),
             retries: count("stackpier_retries"),
             store_reads: count("stackpier_store_reads"),
             store_swaps: count("stackpier_store_swaps"),
             worker_calls: count("stackpier_worker_calls"),
             placements: count("stackpier_placements"),
-            registry,
-            _provider: provider,
+            instruments,
         })
     }
 
     /// text returns all metrics in the text format of Prometheus.
     pub fn text(&self) -> anyhow::Result<Vec<u8>> {
-        let mut text = Vec::new();
-        TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
-        Ok(text)
+        self.instruments.text()
     }
 }
 
