Fuzz: the world of placement in modules by job

placement.rs had 886 lines: steps, calls with their faults, messages between daemons, daemons, faults and intents in one impl. Each has its module below placement/, with the types it works on; the bodies are unchanged, compared line by line.

--- /dev/null
+++ b/crates/stackpier-fuzz/src/placement/daemon.rs
@@ -0,0 +1,141 @@
+// SPDX-License-Identifier: Apache-2.0
+//! A daemon of the world: its decision machines, and the events they get.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use stackpier_coordination::{
+    effect::{Event, Writer},
+    membership::{self, Table},
+    owner::{self, Owner},
+    placer::{self, Placer, View},
+    policy,
+};
+use stackpier_core::{Name, key::Boot};
+use stackpier_protocol::peer::RackReport;
+use stackpier_state::{catalogue::Catalogue, holders::Member};
+
+use super::{
+    MAX_DRIFT_MILLI, RACKS, World, calls::Target, data_centre, drift, messages::take_report, name,
+    rack,
+};
+use crate::time::Clock;
+
+/// SHARDS is the count of shards of homes.
+const SHARDS: u16 = 2;
+/// OWNER are the owners' options of the fuzz.
+const OWNER: owner::Options = owner::Options {
+    lease_ms: 3_000,
+    drift_ms: 600,
+    sync_ms: 300,
+    commit_ms: 50,
+    sweep_ms: 1_000,
+    shards: SHARDS,
+};
+
+/// PLACER are the placers' options of the fuzz.
+const PLACER: placer::Options = placer::Options {
+    commit_ms: 50,
+    sweep_ms: 1_000,
+    shards: SHARDS,
+    policy: policy::Options {
+        most_excess_milli: 300,
+    },
+};
+
+/// Daemon is the decision machines of one daemon, and what they share.
+#[derive(Debug)]
+pub(super) struct Daemon {
+    pub boot: Boot,
+    pub clock: Clock,
+    pub table: Table,
+    pub catalogue: Catalogue,
+    pub racks: BTreeMap<Name, RackReport>,
+    pub owners: BTreeMap<Name, Owner>,
+    pub placers: BTreeMap<u16, Placer>,
+    pub writer: Writer,
+    pub frozen: bool,
+    pub dead: bool,
+    pub inbox: VecDeque<(Target, Event)>,
+}
+
+impl World {
+    pub(super) fn fresh(&mut self, number: usize) -> Daemon {
+        let boot = self.boot();
+        let me = Member {
+            vm: name(&format!("entry-{number}")),
+            boot,
+        };
+        let options = membership::Options { silence_ms: 1_500 };
+        let mut table = Table::new(me, data_centre(), options);
+        table.list(self.roster.clone());
+        let owners = (0..RACKS).map(|n| (rack(n), Owner::new(rack(n), me, OWNER)));
+        let placers = (0..SHARDS).map(|shard| (shard, Placer::new(shard, PLACER)));
+        Daemon {
+            boot,
+            clock: Clock::new(
+                100_000 * (number as u64 + 1),
+                1_000 - MAX_DRIFT_MILLI + drift(number + 2),
+            ),
+            table,
+            catalogue: Catalogue::default(),
+            racks: BTreeMap::new(),
+            owners: owners.collect(),
+            placers: placers.collect(),
+            writer: Writer::new(boot),
+            frozen: false,
+            dead: false,
+            inbox: VecDeque::new(),
+        }
+    }
+
+    pub(super) fn tick(&mut self, number: usize) {
+        if self.daemons[number].frozen || self.daemons[number].dead {
+            return;
+        }
+        for place in 0..RACKS {
+            self.machine(number, Target::Rack(rack(place)), Event::Tick);
+        }
+        for shard in 0..SHARDS {
+            self.machine(number, Target::Homes(shard), Event::Tick);
+        }
+    }
+
+    /// machine gives one event to one machine and takes its effects.
+    pub(super) fn machine(&mut self, number: usize, target: Target, event: Event) {
+        let time = self.time;
+        let daemon = &mut self.daemons[number];
+        let now = daemon.clock.at(time);
+        let effects = match target {
+            Target::Rack(rack) => {
+                let Some(owner) = daemon.owners.get_mut(&rack) else {
+                    return;
+                };
+                owner.step(now, event, &daemon.table, &mut daemon.writer)
+            }
+            Target::Homes(shard) => {
+                let view = View {
+                    table: &daemon.table,
+                    catalogue: &daemon.catalogue,
+                    racks: &daemon.racks,
+                };
+                let Some(placer) = daemon.placers.get_mut(&shard) else {
+                    return;
+                };
+                placer.step(now, event, view, &mut daemon.writer)
+            }
+        };
+        let reports: Vec<RackReport> = daemon
+            .owners
+            .values()
+            .filter_map(Owner::report)
+            .cloned()
+            .collect();
+        reports
+            .into_iter()
+            .for_each(|report| take_report(daemon, report));
+        let boot = daemon.boot;
+        for effect in effects {
+            self.effect(number, boot, target, effect);
+        }
+    }
+}
