--- a/crates/stackpier-fuzz/src/config.rs
+++ b/crates/stackpier-fuzz/src/config.rs
@@ -17,7 +17,10 @@
     page::{ABSENT, Fetched, Swapped},
 };
 
-use crate::counts::{hit, trace};
+use crate::{
+    choice::name,
+    counts::{hit, trace},
+};
 
 /// DAEMONS is the count of daemons.
 const DAEMONS: usize = 4;
@@ -88,10 +91,6 @@
     boots: u64,
 }
 
-fn name(text: &str) -> Name {
-    Name::try_from(text).unwrap_or_else(|error| panic!("'{text}': {error}"))
-}
-
 /// label returns one of two names that share a shard.
 fn label(n: u8) -> Name {
     let wanted = shard_of(name("fleet"));
--- a/crates/stackpier-fuzz/src/lib.rs
+++ b/crates/stackpier-fuzz/src/lib.rs
@@ -4,6 +4,7 @@
 //! machines are the ones that the daemon runs.
 
 pub mod cell;
+mod choice;
 pub mod config;
 pub mod counts;
 pub mod once;
--- a/crates/stackpier-fuzz/src/placement.rs
+++ b/crates/stackpier-fuzz/src/placement.rs
@@ -17,7 +17,11 @@
 use stackpier_standin::worker::{Span, Worker};
 use stackpier_state::{Page, Revision, intent::Shard, page::Key};
 
-use crate::{counts::trace, time::Clock};
+use crate::{
+    choice::{name, pick},
+    counts::trace,
+    time::Clock,
+};
 
 use calls::Operation;
 use daemon::Daemon;
@@ -75,10 +79,6 @@
     held: Vec<(usize, Message)>,
 }
 
-fn name(text: &str) -> Name {
-    Name::try_from(text).unwrap_or_else(|error| panic!("'{text}': {error}"))
-}
-
 fn data_centre() -> Name {
     name("dc-a")
 }
@@ -216,14 +216,6 @@
     }
 }
 
-fn pick<T>(all: &mut Vec<T>, n: u8) -> Option<T> {
-    if all.is_empty() {
-        return None;
-    }
-    let place = usize::from(n) % all.len();
-    Some(all.remove(place))
-}
-
 fn drift(number: usize) -> u64 {
     // Rates from 96% to 104% of true time.
     (number as u64 * 31) % (2 * MAX_DRIFT_MILLI)
