--- a/crates/stackpier-scheduler/src/following.rs
+++ b/crates/stackpier-scheduler/src/following.rs
@@ -17,6 +17,10 @@
 /// JOBS_PAUSE_MS is the pause between two looks at new jobs in the store.
 /// Daemons also tell the owner of each job, so this only catches lost messages.
 const JOBS_PAUSE_MS: u64 = 700;
+/// WORKERS_PAUSE_MS is the pause between two looks at the list of workers, each
+/// of which writes its entry every 1.5 s: without it each entry costs a call. A
+/// worker stays for two seconds or more after it said that it leaves.
+const WORKERS_PAUSE_MS: u64 = 250;
 
 /// Jobs follows jobs and their cancelling for the owner.
 pub(crate) struct Jobs<P> {
@@ -133,6 +137,10 @@
         self.node.is_at(self.fence)
     }
 
+    fn pause_ms(&self) -> u64 {
+        WORKERS_PAUSE_MS
+    }
+
     fn take(&mut self, feed: Feed) {
         match feed {
             Feed::All(items) => self.take_all(&items),
--- a/crates/stackpier-scheduler/src/owner.rs
+++ b/crates/stackpier-scheduler/src/owner.rs
@@ -128,8 +128,9 @@
     /// depose gives the cell up if it is owned with a lower fence.
     pub(crate) fn depose(&self, fence: u64, why: &str) {
         let own = self.owner.borrow().as_ref().map(|owner| owner.fence);
-        if own.is_some_and(|own| own < fence) {
+        if let Some(own) = own.filter(|own| *own < fence) {
             self.owner.replace(None);
+            self.outdated.set(self.outdated.get().max(own));
             self.say("owner", &format!("gave up the cell: {why}"));
         }
     }
