Filling tasks are barred by full workers only; maintenance goes on without a host

And without an address for hosts each host counted as not known, so that operators were told `completed` (no test). Ruled out: n/a, the code shows each. Change: only looks that find no worker with room bar others; a host counts as done 15 s after it went down; 0.4 s between two orders; records of plans not read are kept; plans are left where no address takes hosts down.

--- a/crates/stackpier-cell/src/maintenance.rs
+++ b/crates/stackpier-cell/src/maintenance.rs
@@ -96,7 +96,14 @@
 
     /// maintenance_records returns what the store is to keep of all plans.
     pub(crate) fn maintenance_records(&self) -> Vec<Record> {
-        self.maintenance.iter().map(Work::record).collect()
+        let works = self.maintenance.iter().map(Work::record);
+        let read = |number: u64| {
+            self.maintenance
+                .iter()
+                .any(|work| work.plan.number == number)
+        };
+        let unread = self.maintained.iter().filter(|record| !read(record.plan));
+        works.chain(unread.cloned()).collect()
     }
 
     /// check_maintenance moves all plans on.
@@ -174,8 +181,9 @@
                     self.take_down(key);
                 }
             }
-            Stage::Down { life, .. } => {
-                if worker.is_some_and(|worker| self.is_new(worker, life.as_deref())) {
+            Stage::Down { life, since } => {
+                let back = worker.is_some_and(|worker| self.is_new(worker, life.as_deref()));
+                if back || now.since(since) >= GIVE_UP_MS {
                     self.host_mut(key).stage = Stage::Done;
                 }
             }
--- a/crates/stackpier-cell/src/maintenance/empty.rs
+++ b/crates/stackpier-cell/src/maintenance/empty.rs
@@ -20,7 +20,7 @@
     pub(super) fn empty(&mut self, key: HostKey, worker: WorkerKey, since: Millis) {
         let now = self.now.mono;
         if self.worker(worker).runs.is_empty() {
-            if now >= self.orders_from {
+            if now >= self.orders_from.max(self.host(key).not_before) {
                 self.take_down(key);
             }
             return;
--- a/crates/stackpier-cell/src/maintenance/order.rs
+++ b/crates/stackpier-cell/src/maintenance/order.rs
@@ -70,7 +70,11 @@
             TakenDown::Yes => self.went_down(key),
             TakenDown::Unknown => self.host_mut(key).stage = Stage::Gone,
             // Nothing was done: what runs there may go on meanwhile.
-            TakenDown::Busy => self.host_mut(key).stage = Stage::Emptying(now),
+            TakenDown::Busy => {
+                let host = self.host_mut(key);
+                host.stage = Stage::Emptying(now);
+                host.not_before = now.plus(ORDER_RETRY_MS);
+            }
             TakenDown::Silent => {
                 self.host_mut(key).stage = Stage::Ordered {
                     in_flight: false,
--- a/crates/stackpier-cell/src/maintenance/work.rs
+++ b/crates/stackpier-cell/src/maintenance/work.rs
@@ -55,6 +55,8 @@
     pub stage: Stage,
     /// Since when no worker of it has been known.
     pub absent: Option<Millis>,
+    /// No order before this time.
+    pub not_before: Millis,
 }
 
 impl Host {
@@ -63,6 +65,7 @@
             name: name.to_owned(),
             stage: Stage::Waiting,
             absent: None,
+            not_before: Millis(0),
         }
     }
 
--- a/crates/stackpier-cell/src/place.rs
+++ b/crates/stackpier-cell/src/place.rs
@@ -131,7 +131,7 @@
             if barred.len() < MOST_TRIED
                 && let Some(need) = self.need(step)
                 && !barred.iter().any(|earlier| need.asks_no_less(earlier))
-                && self.place_step(&need) != Look::Placed
+                && self.place_step(&need) == Look::Full
                 && need.is_plain()
             {
                 barred.push(need);
--- a/crates/stackpier-cell/tests/faults.rs
+++ b/crates/stackpier-cell/tests/faults.rs
@@ -402,3 +402,28 @@
     let ids: Vec<&str> = last.iter().map(|entry| entry.id.as_str()).collect();
     assert_eq!(ids, ["w0"]);
 }
+
+/// A step that only waits out a failure says nothing of room for others alike.
+#[test]
+fn a_filling_task_that_waits_bars_no_other_of_its_image() {
+    let mut owner = Owner::new(2);
+    let fills = |count| Step {
+        fills: true,
+        ..step(count)
+    };
+    let failing = stackpier_standin::fleet::Behaviour {
+        fails: true,
+        work_ms: 10,
+        ..stackpier_standin::fleet::Behaviour::default()
+    };
+    owner.behaviours.insert((1, 0), failing);
+    owner.submit(1, spec(vec![fills(1)]));
+    owner.advance(200);
+    let begun = owner.now_ms;
+    owner.submit(2, spec(vec![fills(1)]));
+    while owner.places(2, 0).is_empty() && owner.now_ms < begun + 5_000 {
+        owner.advance(10);
+    }
+    let waited_ms = owner.now_ms - begun;
+    assert!(waited_ms <= 400, "waited {waited_ms} ms");
+}
--- a/crates/stackpier-cell/tests/maintenance.rs
+++ b/crates/stackpier-cell/tests/maintenance.rs
@@ -184,6 +184,50 @@
     assert!(records(&later)[0].completed);
 }
 
+/// A host whose new worker never answers must not hold back the others.
+#[test]
+fn a_host_that_does_not_come_back_does_not_hold_the_plan_up() {
+    let mut owner = Owner::new(2);
+    owner.feed(Event::Plan(plan(&[0, 1], 10_000, 1)));
+    owner.advance(1_000);
+    let first = owner.downs[0].1.host.clone();
+    let place = owner
+        .workers
+        .iter()
+        .position(|worker| worker.info.host == first);
+    owner.cut[place.expect("a worker of the host")] = true;
+    owner.advance(25_000);
+    assert_eq!(taken_down(&owner), ["h0", "h1"]);
+}
+
+#[test]
+fn a_refused_order_is_sent_again_after_a_pause() {
+    let mut owner = Owner::new(1);
+    owner.down_answers = vec![TakenDown::Busy; 40];
+    owner.feed(Event::Plan(plan(&[0], 10_000, 1)));
+    owner.advance(3_000);
+    let orders = owner.downs.len();
+    assert!(
+        (4..=8).contains(&orders),
+        "{orders} orders in three seconds"
+    );
+}
+
+/// The record of a plan that this owner was not told of yet is not lost.
+#[test]
+fn records_of_plans_not_read_yet_are_kept() {
+    let mut owner = Owner::new(1);
+    let other = Record {
+        plan: 3,
+        down: vec!["h9".to_owned()],
+        completed: true,
+    };
+    owner.cell.resume_maintenance(vec![other.clone()]);
+    owner.feed(Event::Plan(plan(&[0], 10_000, 1)));
+    owner.advance(200);
+    assert!(records(&owner).contains(&other), "{:?}", records(&owner));
+}
+
 #[test]
 fn a_completed_plan_is_not_done_again() {
     let mut owner = Owner::new(1);
--- a/crates/stackpier-scheduler/src/daemon.rs
+++ b/crates/stackpier-scheduler/src/daemon.rs
@@ -179,6 +179,11 @@
                 return;
             }
         };
+        if self.settings.hosts.is_none() {
+            let text = format!("plan {} is left: no address takes hosts down", plan.number);
+            self.say("config", &text);
+            return;
+        }
         let known = |other: &Plan| other.number == plan.number;
         if self.plans.borrow().iter().any(known) {
             return;
