Sight: how long a job has had nothing running, and what keeps it from each worker

The summary counts waiting tasks only.

Change: an offer of a worker is a score or an Obstacle; each second the log says for the three longest waiting jobs with nothing running how many workers are kept from them by what; a line if a task that could run is in no list; the metric stackpier_longest_wait_milliseconds. The memory kept free beside filling tasks is apart from what a task asks for, so that the two can be told apart; the members of a filling gang no longer count it once each.

--- a/crates/stackpier-cell/src/explain.rs
+++ b/crates/stackpier-cell/src/explain.rs
@@ -10,17 +10,19 @@
 
 impl Cell {
     /// explain returns a line for each task of a job that is not done.
-    pub fn explain(&self, job: key::Job) -> Vec<String> {
+    pub fn explain(&mut self, job: key::Job) -> Vec<String> {
         let Some(key) = self.job_keys.get(&job) else {
             return Vec::new();
         };
         let job = self.job(*key);
         let tasks = (job.first_task.0..job.first_task.0 + job.tasks).map(TaskKey);
-        let open = tasks.filter(|task| !self.task(*task).done);
-        open.map(|task| self.explain_task(task)).collect()
+        let open: Vec<TaskKey> = tasks.filter(|task| !self.task(*task).done).collect();
+        open.into_iter()
+            .map(|task| self.explain_task(task))
+            .collect()
     }
 
-    fn explain_task(&self, key: TaskKey) -> String {
+    fn explain_task(&mut self, key: TaskKey) -> String {
         let name = self.name(key);
         let task = self.task(key);
         let step = self.step_of(task.step);
@@ -37,13 +39,9 @@
                 self.job(step.job).state
             );
         }
-        let inherited = !self.may_start(step.job);
-        let failed = task.failed_runs.len();
-        format!(
-            "{name}: waits, step queued {}, runs of an earlier owner possible {inherited}, \
-             failed runs {failed}",
-            step.queued
-        )
+        let (key, queued, failed) = (task.step, step.queued, task.failed_runs.len());
+        let why = self.obstacles(key);
+        format!("{name}: waits, step queued {queued}, failed runs {failed}: {why}")
     }
 
     fn explain_run(&self, key: RunKey) -> String {
--- a/crates/stackpier-cell/src/job.rs
+++ b/crates/stackpier-cell/src/job.rs
@@ -28,6 +28,11 @@
     pub tasks: u32,
     /// Tasks that are not done.
     pub left: u32,
+    /// Runs of its tasks that may hold room on workers.
+    pub runs: u32,
+    /// Since when it has had nothing running, or when the turn of its last
+    /// released step came.
+    pub idle_since: Millis,
     /// Whether an earlier owner may have started its tasks.
     pub inherited: bool,
     /// By when it should be done, by the owner's monotonic clock.
--- a/crates/stackpier-cell/src/lib.rs
+++ b/crates/stackpier-cell/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod maintenance;
 mod memory;
 mod names;
+mod obstacle;
 mod options;
 mod order;
 mod outlook;
--- a/crates/stackpier-cell/src/lifecycle.rs
+++ b/crates/stackpier-cell/src/lifecycle.rs
@@ -54,6 +54,8 @@
             first_task: TaskKey(self.tasks.len() as u32),
             tasks: spec.width() * spec.rounds(),
             left: spec.width() * spec.rounds(),
+            runs: 0,
+            idle_since: self.now.mono,
             inherited: record.fence < self.fence,
             objective: self.objective(record, chain),
             dirty: false,
@@ -167,6 +169,9 @@
             self.undue.push(key);
             return;
         }
+        let now = self.now.mono;
+        let job = self.step_of(key).job;
+        self.job_mut(job).idle_since = now;
         let step = self.step_of(key);
         for task in (step.first_task.0..step.first_task.0 + step.count).map(TaskKey) {
             self.make_ready(task);
--- /dev/null
+++ b/crates/stackpier-cell/src/obstacle.rs
@@ -0,0 +1,180 @@
+// SPDX-License-Identifier: Apache-2.0
+//! What keeps a waiting task from the workers, and which jobs wait with nothing
+//! running.
+
+use std::{collections::BTreeMap, fmt};
+
+use crate::{
+    Cell, TaskName,
+    arena::{StepKey, TaskKey},
+};
+
+/// IDLE_MS is how long a job may have nothing running, though its turn has come,
+/// before the log says why: users call a job lost from three seconds on.
+const IDLE_MS: u64 = 2_000;
+/// MOST_NOTED is for how many such jobs the log says why at a time, the longest
+/// waiting first.
+const MOST_NOTED: usize = 3;
+
+/// Obstacle is what keeps a task from a worker.
+#[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
+pub(crate) enum Obstacle {
+    /// It is of another service, lacks the step's label or ticket, or has as
+    /// many tasks of the step as it may.
+    Excluded,
+    /// It gets no starts now: it does not answer, leaves, or fails runs.
+    Unusable,
+    /// It lacks free processors, memory or accelerators.
+    Full,
+    /// It lacks the memory that is kept free of filling tasks.
+    Reserve,
+    /// Too few of its processors are expected to be unused.
+    Busy,
+    /// The expected harm to its serving tasks is this high.
+    Harm(f64),
+    /// It is not in the rack of the data, and there is time to wait for one.
+    Far,
+}
+
+impl Obstacle {
+    fn name(self) -> &'static str {
+        match self {
+            Obstacle::Excluded => "excluded",
+            Obstacle::Unusable => "unusable",
+            Obstacle::Full => "full",
+            Obstacle::Reserve => "reserve",
+            Obstacle::Busy => "busy",
+            Obstacle::Harm(_) => "harm",
+            Obstacle::Far => "far",
+        }
+    }
+}
+
+/// Tally counts the workers by what keeps a task from them.
+#[derive(Debug, Default)]
+struct Tally {
+    free: usize,
+    workers: BTreeMap<&'static str, usize>,
+    least_harm: Option<f64>,
+}
+
+impl Tally {
+    fn add(&mut self, offer: Result<f64, Obstacle>) {
+        let Err(obstacle) = offer else {
+            self.free += 1;
+            return;
+        };
+        *self.workers.entry(obstacle.name()).or_insert(0) += 1;
+        if let Obstacle::Harm(harm) = obstacle {
+            let least = self.least_harm.unwrap_or(f64::MAX);
+            self.least_harm = Some(least.min(harm));
+        }
+    }
+}
+
+impl fmt::Display for Tally {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "workers free {}", self.free)?;
+        for (name, count) in &self.workers {
+            write!(f, ", {name} {count}")?;
+        }
+        match self.least_harm {
+            Some(harm) => write!(f, ", least harm {harm:.2}"),
+            None => Ok(()),
+        }
+    }
+}
+
+/// Idle is a step whose turn has come, of a job that has nothing running.
+#[derive(Clone, Copy, Debug)]
+struct Idle {
+    step: StepKey,
+    task: TaskKey,
+    waits_ms: u64,
+}
+
+impl Cell {
+    /// longest_wait_ms returns for how long a job has had nothing running though
+    /// its turn has come: of all jobs the longest time, zero if there is none.
+    pub fn longest_wait_ms(&self) -> u64 {
+        let waits = self.idle().map(|idle| idle.waits_ms);
+        waits.max().unwrap_or(0)
+    }
+
+    /// note_idle writes what keeps the longest waiting jobs without a run.
+    pub(crate) fn note_idle(&mut self) {
+        let mut idle: Vec<Idle> = self.idle().collect();
+        idle.retain(|idle| idle.waits_ms >= IDLE_MS);
+        idle.sort_by_key(|idle| std::cmp::Reverse(idle.waits_ms));
+        let count = idle.len();
+        for idle in idle.into_iter().take(MOST_NOTED) {
+            let why = self.obstacles(idle.step);
+            let text = format!(
+                "nothing of the job has run for {} ms, one of {count} such: {why}",
+                idle.waits_ms
+            );
+            let name: TaskName = self.name(idle.task);
+            self.note("wait", Some(name), text);
+        }
+    }
+
+    /// note_stranded writes which tasks could run and stand in no list: they are
+    /// neither done, running nor waiting to be placed. There are none unless a
+    /// decision went wrong.
+    pub(crate) fn note_stranded(&mut self) {
+        let stranded: Vec<TaskKey> = self.stranded().collect();
+        let Some(first) = stranded.first() else {
+            return;
+        };
+        let name = self.name(*first);
+        let text = format!("{} tasks that could run are in no list", stranded.len());
+        self.note("wait", Some(name), text);
+    }
+
+    fn stranded(&self) -> impl Iterator<Item = TaskKey> + '_ {
+        let open = self.jobs.iter().filter(|job| !job.state.is_final());
+        let tasks = open.flat_map(|job| job.first_task.0..job.first_task.0 + job.tasks);
+        tasks.map(TaskKey).filter(|key| {
+            let task = self.task(*key);
+            let step = self.step_of(task.step);
+            let due = step.due_unix_ms <= self.now.unix.0;
+            let listed = task.done || task.ready || !task.runs.is_empty();
+            !listed && step.blocked_by == 0 && due
+        })
+    }
+
+    /// obstacles returns in words what keeps the tasks of a step from starting.
+    pub(crate) fn obstacles(&mut self, step: StepKey) -> String {
+        if !self.has_authority() {
+            return "the store has not confirmed the ownership lately".to_owned();
+        }
+        let job = self.step_of(step).job;
+        if !self.may_start(job) {
+            return "runs of an earlier owner are possible".to_owned();
+        }
+        let Some(need) = self.need(step) else {
+            return format!("queue {} is not known", self.job(job).queue);
+        };
+        let mut tally = Tally::default();
+        for worker in self.live() {
+            tally.add(self.offer(&need, worker));
+        }
+        format!("{}; {tally}", need.describe())
+    }
+
+    /// idle returns the steps with tasks to place whose job has nothing running.
+    fn idle(&self) -> impl Iterator<Item = Idle> + '_ {
+        let steps = self.waiting.iter().chain(&self.filling);
+        steps.filter_map(|key| {
+            let step = self.step_of(*key);
+            let job = self.job(step.job);
+            let task = *step.ready.first()?;
+            let due = job.runs == 0 && !job.state.is_final();
+            due.then(|| Idle {
+                step: *key,
+                task,
+                waits_ms: self.now.mono.since(job.idle_since),
+            })
+        })
+    }
+}
--- a/crates/stackpier-cell/src/place.rs
+++ b/crates/stackpier-cell/src/place.rs
@@ -213,7 +213,7 @@
         }
         while let Some(best) = choices.pop() {
             // A worker may have filled up since it was rated.
-            let Some(score) = self.offer(need, best.worker) else {
+            let Ok(score) = self.offer(need, best.worker) else {
                 continue;
             };
             let choice = Choice { score, ..best };
--- a/crates/stackpier-cell/src/place/fill.rs
+++ b/crates/stackpier-cell/src/place/fill.rs
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 //! Where filling tasks do the least harm to serving tasks.
 
-use crate::{Cell, arena::WorkerKey};
+use crate::{Cell, arena::WorkerKey, obstacle::Obstacle};
 
 use super::offer::{Need, SUSPECT_SCORE};
 
@@ -15,15 +15,15 @@
 impl Cell {
     /// fill_score prefers workers where the least harm to serving tasks is
     /// expected, then those with most processors unused.
-    pub(super) fn fill_score(&self, need: &Need, key: WorkerKey) -> Option<f64> {
+    pub(super) fn fill_score(&self, need: &Need, key: WorkerKey) -> Result<f64, Obstacle> {
         let worker = self.worker(key);
         let spare = worker.spare_milli(self.options.serving_use_milli);
         if spare < i64::from(need.full.milli_cores) * ROOM_PERCENT / 100 {
-            return None;
+            return Err(Obstacle::Busy);
         }
         let harm = self.harm(key, need.image, need.full.milli_cores);
         if harm > need.most_harm {
-            return None;
+            return Err(Obstacle::Harm(harm));
         }
         let suspect = if worker.health.is_suspect() {
             SUSPECT_SCORE
@@ -31,6 +31,6 @@
             0.0
         };
         let room = spare as f64 / f64::from(worker.info.capacity.milli_cores.max(1));
-        Some(room - HARM_WEIGHT * harm - suspect)
+        Ok(room - HARM_WEIGHT * harm - suspect)
     }
 }
--- a/crates/stackpier-cell/src/place/gang.rs
+++ b/crates/stackpier-cell/src/place/gang.rs
@@ -48,15 +48,17 @@
     }
 
     fn fit_gang(&self, need: &Need, count: usize, rack: Option<u16>) -> Option<Vec<WorkerKey>> {
+        let mut whole = need.size;
+        whole.memory_mib += need.reserve_mib;
         let mut chosen = Vec::new();
         for key in self.live() {
             let worker = self.worker(key);
-            if rack.is_some_and(|rack| rack != worker.rack) || !self.allows(need, key) {
+            if rack.is_some_and(|rack| rack != worker.rack) || self.admit(need, key).is_err() {
                 continue;
             }
             let mut free = worker.free();
             let mut here = 0;
-            while chosen.len() < count && here < need.most && need.size.fits(&free) {
+            while chosen.len() < count && here < need.most && whole.fits(&free) {
                 free = free.minus(&need.size);
                 here += 1;
                 chosen.push(key);
--- a/crates/stackpier-cell/src/place/offer.rs
+++ b/crates/stackpier-cell/src/place/offer.rs
@@ -10,6 +10,7 @@
     Cell,
     arena::{ImageKey, StepKey, WorkerKey},
     interference::Estimate,
+    obstacle::Obstacle,
     worker::{Life, Worker},
 };
 
@@ -65,6 +66,8 @@
     pub service: u16,
     /// What must be free; without processors for tasks that fill.
     pub size: Size,
+    /// Memory that must be free besides, in MiB.
+    pub reserve_mib: u32,
     /// What one task asks for.
     pub full: Size,
     pub fills: bool,
@@ -95,6 +98,20 @@
             && self.rack.is_none()
     }
 
+    /// describe returns in words what a task asks for.
+    pub(crate) fn describe(&self) -> String {
+        let Size {
+            milli_cores,
+            memory_mib,
+            accelerators,
+        } = self.full;
+        format!(
+            "asks for {milli_cores} thousandths of a core, {memory_mib} MiB and \
+             {accelerators} accelerators, harm of {} allowed",
+            self.most_harm
+        )
+    }
+
     /// asks_no_less tells whether a worker that is no place for the filling
     /// tasks of an earlier look is none for these.
     pub(super) fn asks_no_less(&self, earlier: &Need) -> bool {
@@ -118,9 +135,10 @@
         let job = self.job(entry.job);
         let shape = &job.spec.steps[usize::from(entry.number)];
         let mut size = shape.size;
+        let mut reserve_mib = 0;
         if shape.fills {
             size.milli_cores = 0;
-            size.memory_mib += self.options.fill_reserve_mib;
+            reserve_mib = self.options.fill_reserve_mib;
         }
         let latest = job.objective.0.saturating_sub(entry.chain_ms);
         let slack = latest.saturating_sub(self.now.mono.0);
@@ -134,6 +152,7 @@
             step,
             service,
             size,
+            reserve_mib,
             full: shape.size,
             fills: shape.fills,
             lasting: shape.lasting,
@@ -156,20 +175,25 @@
     /// choices rates all workers that offer room to a step.
     pub(crate) fn choices(&self, need: &Need) -> BinaryHeap<Choice> {
         let rate = |worker| {
-            let score = self.offer(need, worker)?;
+            let score = self.offer(need, worker).ok()?;
             Some(Choice { worker, score })
         };
         self.live().filter_map(rate).collect()
     }
 
-    /// offer returns how well a worker suits a task of a step, or `None` if it
-    /// may not or should not take one.
-    pub(super) fn offer(&self, need: &Need, key: WorkerKey) -> Option<f64> {
+    /// offer returns how well a worker suits a task of a step, or what keeps the
+    /// task from it.
+    pub(crate) fn offer(&self, need: &Need, key: WorkerKey) -> Result<f64, Obstacle> {
         let worker = self.worker(key);
-        if !need.size.fits(&worker.free()) || !self.allows(need, key) {
-            return None;
+        let free = worker.free();
+        if !need.size.fits(&free) {
+            return Err(Obstacle::Full);
+        }
+        self.admit(need, key)?;
+        if free.minus(&need.size).memory_mib < need.reserve_mib {
+            return Err(Obstacle::Reserve);
         }
-        let rack = rack_score(need, worker)?;
+        let rack = rack_score(need, worker).ok_or(Obstacle::Far)?;
         let own = if need.fills {
             self.fill_score(need, key)?
         } else if need.lasting {
@@ -177,26 +201,32 @@
         } else {
             pack_score(worker, need.size)
         };
-        Some(own + rack)
+        Ok(own + rack)
     }
 
-    /// allows tells whether a worker may take tasks of a step at all, whatever
+    /// admit tells whether a worker may take tasks of a step at all, whatever
     /// its room.
-    pub(super) fn allows(&self, need: &Need, key: WorkerKey) -> bool {
+    pub(super) fn admit(&self, need: &Need, key: WorkerKey) -> Result<(), Obstacle> {
         let worker = self.worker(key);
-        if worker.service != need.service || !self.is_usable(worker) {
-            return false;
+        if worker.service != need.service {
+            return Err(Obstacle::Excluded);
+        }
+        if !self.is_usable(worker) {
+            return Err(Obstacle::Unusable);
         }
         if need.labelled
             && let Some(label) = &self.shape(need.step).label
             && !worker.info.labels.contains(label)
         {
-            return false;
+            return Err(Obstacle::Excluded);
         }
         if need.advised && self.ticket(need.step, key).is_none() {
-            return false;
+            return Err(Obstacle::Excluded);
+        }
+        if need.most != u32::MAX && self.members_on(need.step, worker) >= need.most {
+            return Err(Obstacle::Excluded);
         }
-        need.most == u32::MAX || self.members_on(need.step, worker) < need.most
+        Ok(())
     }
 
     fn is_usable(&self, worker: &Worker) -> bool {
--- a/crates/stackpier-cell/src/summary.rs
+++ b/crates/stackpier-cell/src/summary.rs
@@ -79,6 +79,8 @@
             ready(&self.filling)
         );
         self.note("summary", None, text);
+        self.note_idle();
+        self.note_stranded();
         self.describe_model();
     }
 
--- a/crates/stackpier-fuzz/src/cell/world.rs
+++ b/crates/stackpier-fuzz/src/cell/world.rs
@@ -356,8 +356,8 @@
     }
 
     /// explain returns what the owner says of a job's open tasks.
-    pub fn explain(&self, job: key::Job) -> Vec<String> {
-        let owner = self.owners.last();
+    pub fn explain(&mut self, job: key::Job) -> Vec<String> {
+        let owner = self.owners.last_mut();
         owner.map_or(Vec::new(), |owner| owner.cell.explain(job))
     }
 
--- a/crates/stackpier-scheduler/src/metrics.rs
+++ b/crates/stackpier-scheduler/src/metrics.rs
@@ -31,6 +31,9 @@
     pub running: Gauge<u64>,
     /// Tasks that wait to be placed; zero on followers.
     pub waiting: Gauge<u64>,
+    /// For how long a job has had nothing running though its turn has come, the
+    /// longest of all, in milliseconds; zero on followers.
+    pub longest_wait: Gauge<u64>,
 }
 
 impl Metrics {
@@ -48,6 +51,9 @@
             ownerships: count("stackpier_ownerships"),
             running: meter.u64_gauge("stackpier_running").build(),
             waiting: meter.u64_gauge("stackpier_waiting").build(),
+            longest_wait: meter
+                .u64_gauge("stackpier_longest_wait_milliseconds")
+                .build(),
             instruments,
         })
     }
--- a/crates/stackpier-scheduler/src/owner.rs
+++ b/crates/stackpier-scheduler/src/owner.rs
@@ -146,14 +146,23 @@
 pub(crate) async fn tick<P: Platform>(node: Node<P>, fence: u64) {
     while node.is_at(fence) {
         node.feed(fence, Event::Tick);
-        if let Some(owner) = node.owner.borrow().as_ref() {
-            node.metrics
-                .running
-                .record(owner.cell.running() as u64, &[]);
-            node.metrics.waiting.record(owner.cell.ready() as u64, &[]);
-        }
+        node.measure();
         pause(TICK_MS).await;
     }
-    node.metrics.running.record(0, &[]);
-    node.metrics.waiting.record(0, &[]);
+    node.measure();
+}
+
+impl<P: Platform> Node<P> {
+    /// measure records how full the cell is, zeros if another daemon owns it.
+    fn measure(&self) {
+        let owner = self.owner.borrow();
+        let cell = owner.as_ref().map(|owner| &owner.cell);
+        let of = |read: fn(&Cell) -> u64| cell.map_or(0, read);
+        let metrics = &self.metrics;
+        let running = of(|cell| cell.running() as u64);
+        let waiting = of(|cell| cell.ready() as u64);
+        metrics.running.record(running, &[]);
+        metrics.waiting.record(waiting, &[]);
+        metrics.longest_wait.record(of(Cell::longest_wait_ms), &[]);
+    }
 }
