Bounds that protect others give way for steps that starve

Cause: a filling task started only where the expected harm was at most 0.4 or 0.7, 18 GB stayed free and enough processors were expected to be unused. All three are estimates or margins that may never give way: expected harm grows with a task's width, lasting tasks stand on all workers, and what never runs teaches nothing. Class: an unbounded wait on an estimate.

The same cause elsewhere, mended here: memory kept free (on workers of 16 GB no filling task ever started); processors in use (a task as wide as a worker); the limit of 40 kinds of tasks in a look; the order, which puts what is late last. On the way: the list of waiting tasks could hold one that was done (progress of an earlier owner); finish_task takes it out.

Change: a step with nothing running for 2 s while half of its service is unused, or for 20 s, gets one task started without these bounds; see place/starvation.rs.

Tests: starvation.rs. The tests of many steps and of a full service came with the mend; the first failed (45 steps at once) until starts were spread.

A task that fits no worker's memory or processors still waits.

--- a/crates/stackpier-cell/src/cell.rs
+++ b/crates/stackpier-cell/src/cell.rs
@@ -268,10 +268,9 @@
         self.worker_mut(run.worker).remove(key, &run);
         self.task_mut(run.task).runs.retain(|other| *other != key);
         let now = self.now.mono;
-        let job = self.step_of(run.step).job;
-        let job = self.job_mut(job);
-        job.runs -= 1;
-        job.idle_since = now;
+        let step = self.step_mut(run.step);
+        step.runs -= 1;
+        step.idle_since = now;
         self.place_wanted = true;
         Some(run)
     }
--- a/crates/stackpier-cell/src/ends.rs
+++ b/crates/stackpier-cell/src/ends.rs
@@ -87,7 +87,6 @@
 
     /// finish notes that a task is done and stops copies of it.
     fn finish(&mut self, task: TaskKey) {
-        self.unqueue(task);
         if self.finish_task(task) {
             for copy in self.task(task).runs.clone() {
                 self.stop(copy);
--- a/crates/stackpier-cell/src/job.rs
+++ b/crates/stackpier-cell/src/job.rs
@@ -28,11 +28,6 @@
     pub tasks: u32,
     /// Tasks that are not done.
     pub left: u32,
-    /// Runs of its tasks that may hold room on workers.
-    pub runs: u32,
-    /// Since when it has had nothing running, or when the turn of its last
-    /// released step came.
-    pub idle_since: Millis,
     /// Whether an earlier owner may have started its tasks.
     pub inherited: bool,
     /// By when it should be done, by the owner's monotonic clock.
@@ -60,6 +55,10 @@
     pub blocked_by: u32,
     /// Tasks that wait to be placed.
     pub ready: Vec<TaskKey>,
+    /// Runs of its tasks that may hold room on workers.
+    pub runs: u32,
+    /// Since when it has had nothing running, or when its turn came.
+    pub idle_since: Millis,
     /// Whether the step stands in a queue.
     pub queued: bool,
     /// The longest chain of work from this step on, in milliseconds.
--- a/crates/stackpier-cell/src/lifecycle.rs
+++ b/crates/stackpier-cell/src/lifecycle.rs
@@ -54,8 +54,6 @@
             first_task: TaskKey(self.tasks.len() as u32),
             tasks: spec.width() * spec.rounds(),
             left: spec.width() * spec.rounds(),
-            runs: 0,
-            idle_since: self.now.mono,
             inherited: record.fence < self.fence,
             objective: self.objective(record, chain),
             dirty: false,
@@ -99,6 +97,8 @@
             left: shape.count,
             blocked_by: shape.after.len() as u32,
             ready: Vec::new(),
+            runs: 0,
+            idle_since: self.now.mono,
             queued: false,
             chain_ms,
             due_unix_ms: spec.due_ms(round).unwrap_or(0),
@@ -170,8 +170,7 @@
             return;
         }
         let now = self.now.mono;
-        let job = self.step_of(key).job;
-        self.job_mut(job).idle_since = now;
+        self.step_mut(key).idle_since = now;
         let step = self.step_of(key);
         for task in (step.first_task.0..step.first_task.0 + step.count).map(TaskKey) {
             self.make_ready(task);
@@ -227,6 +226,9 @@
         if self.task(key).done {
             return false;
         }
+        // It may wait to be placed: a copy has done its work, or the progress of an
+        // earlier owner released its step before it showed the task as done.
+        self.unqueue(key);
         let task = self.task_mut(key);
         task.done = true;
         task.checkpoint = None;
--- a/crates/stackpier-cell/src/obstacle.rs
+++ b/crates/stackpier-cell/src/obstacle.rs
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
-//! What keeps a waiting task from the workers, and which jobs wait with nothing
+//! What keeps a waiting task from the workers, and which steps wait with nothing
 //! running.
 
 use std::{collections::BTreeMap, fmt};
@@ -9,10 +9,10 @@
     arena::{StepKey, TaskKey},
 };
 
-/// IDLE_MS is how long a job may have nothing running, though its turn has come,
+/// IDLE_MS is how long a step may have nothing running, though its turn has come,
 /// before the log says why: users call a job lost from three seconds on.
 const IDLE_MS: u64 = 2_000;
-/// MOST_NOTED is for how many such jobs the log says why at a time, the longest
+/// MOST_NOTED is for how many such steps the log says why at a time, the longest
 /// waiting first.
 const MOST_NOTED: usize = 3;
 
@@ -30,6 +30,8 @@
     Reserve,
     /// Too few of its processors are expected to be unused.
     Busy,
+    /// The effect of the last start in spite of these bounds was not seen yet.
+    Unsettled,
     /// The expected harm to its serving tasks is this high.
     Harm(f64),
     /// It is not in the rack of the data, and there is time to wait for one.
@@ -44,6 +46,7 @@
             Obstacle::Full => "full",
             Obstacle::Reserve => "reserve",
             Obstacle::Busy => "busy",
+            Obstacle::Unsettled => "unsettled",
             Obstacle::Harm(_) => "harm",
             Obstacle::Far => "far",
         }
@@ -85,7 +88,7 @@
     }
 }
 
-/// Idle is a step whose turn has come, of a job that has nothing running.
+/// Idle is a step whose turn has come and that has nothing running.
 #[derive(Clone, Copy, Debug)]
 struct Idle {
     step: StepKey,
@@ -94,14 +97,14 @@
 }
 
 impl Cell {
-    /// longest_wait_ms returns for how long a job has had nothing running though
-    /// its turn has come: of all jobs the longest time, zero if there is none.
+    /// longest_wait_ms returns for how long a step has had nothing running though
+    /// its turn has come: of all steps the longest time, zero if there is none.
     pub fn longest_wait_ms(&self) -> u64 {
         let waits = self.idle().map(|idle| idle.waits_ms);
         waits.max().unwrap_or(0)
     }
 
-    /// note_idle writes what keeps the longest waiting jobs without a run.
+    /// note_idle writes what keeps the longest waiting steps without a run.
     pub(crate) fn note_idle(&mut self) {
         let mut idle: Vec<Idle> = self.idle().collect();
         idle.retain(|idle| idle.waits_ms >= IDLE_MS);
@@ -110,7 +113,7 @@
         for idle in idle.into_iter().take(MOST_NOTED) {
             let why = self.obstacles(idle.step);
             let text = format!(
-                "nothing of the job has run for {} ms, one of {count} such: {why}",
+                "nothing of the step has run for {} ms, one of {count} such: {why}",
                 idle.waits_ms
             );
             let name: TaskName = self.name(idle.task);
@@ -152,9 +155,12 @@
         if !self.may_start(job) {
             return "runs of an earlier owner are possible".to_owned();
         }
-        let Some(need) = self.need(step) else {
+        let Some(mut need) = self.need(step) else {
             return format!("queue {} is not known", self.job(job).queue);
         };
+        if need.fills && self.is_starving(&need) {
+            need = need.unbounded();
+        }
         let mut tally = Tally::default();
         for worker in self.live() {
             tally.add(self.offer(&need, worker));
@@ -162,18 +168,17 @@
         format!("{}; {tally}", need.describe())
     }
 
-    /// idle returns the steps with tasks to place whose job has nothing running.
+    /// idle returns the steps with tasks to place and nothing running.
     fn idle(&self) -> impl Iterator<Item = Idle> + '_ {
         let steps = self.waiting.iter().chain(&self.filling);
         steps.filter_map(|key| {
             let step = self.step_of(*key);
-            let job = self.job(step.job);
             let task = *step.ready.first()?;
-            let due = job.runs == 0 && !job.state.is_final();
-            due.then(|| Idle {
+            let over = self.job(step.job).state.is_final();
+            (step.runs == 0 && !over).then(|| Idle {
                 step: *key,
                 task,
-                waits_ms: self.now.mono.since(job.idle_since),
+                waits_ms: self.now.mono.since(step.idle_since),
             })
         })
     }
--- a/crates/stackpier-cell/src/order.rs
+++ b/crates/stackpier-cell/src/order.rs
@@ -46,8 +46,7 @@
 
     fn insert_run(&mut self, run: Run) -> RunKey {
         let worker = run.worker;
-        let job = self.step_of(run.step).job;
-        self.job_mut(job).runs += 1;
+        self.step_mut(run.step).runs += 1;
         let key = self.runs.insert(run);
         let run = self.runs.get(key).expect("the run was just inserted");
         self.workers[worker.0 as usize].add(key, run);
--- a/crates/stackpier-cell/src/place.rs
+++ b/crates/stackpier-cell/src/place.rs
@@ -9,6 +9,7 @@
 mod fill;
 mod gang;
 mod offer;
+mod starvation;
 
 use std::collections::BinaryHeap;
 
@@ -127,15 +128,18 @@
         // What found no worker: tasks alike that ask for as much find none
         // either.
         let mut barred: Vec<Need> = Vec::new();
-        for step in queue {
+        for step in &queue {
             if barred.len() < MOST_TRIED
-                && let Some(need) = self.need(step)
+                && let Some(need) = self.need(*step)
                 && !barred.iter().any(|earlier| need.asks_no_less(earlier))
                 && self.place_step(&need) == Look::Full
                 && need.is_plain()
             {
                 barred.push(need);
             }
+        }
+        self.place_starving(&queue);
+        for step in queue {
             self.requeue_step(step, true);
         }
     }
--- a/crates/stackpier-cell/src/place/fill.rs
+++ b/crates/stackpier-cell/src/place/fill.rs
@@ -8,17 +8,17 @@
 /// HARM_WEIGHT weighs the expected harm against the share of a worker's
 /// processors that is unused.
 const HARM_WEIGHT: f64 = 20.0;
-/// ROOM_PERCENT is the share of a task's processors that must be unused: it may
-/// work a little slower.
-const ROOM_PERCENT: i64 = 80;
 
 impl Cell {
     /// fill_score prefers workers where the least harm to serving tasks is
     /// expected, then those with most processors unused.
     pub(super) fn fill_score(&self, need: &Need, key: WorkerKey) -> Result<f64, Obstacle> {
         let worker = self.worker(key);
+        if need.unbounded && !self.is_settled(worker) {
+            return Err(Obstacle::Unsettled);
+        }
         let spare = worker.spare_milli(self.options.serving_use_milli);
-        if spare < i64::from(need.full.milli_cores) * ROOM_PERCENT / 100 {
+        if spare < i64::from(need.full.milli_cores) * need.unused_percent / 100 {
             return Err(Obstacle::Busy);
         }
         let harm = self.harm(key, need.image, need.full.milli_cores);
--- a/crates/stackpier-cell/src/place/offer.rs
+++ b/crates/stackpier-cell/src/place/offer.rs
@@ -27,6 +27,9 @@
 const EXPOSURE_WEIGHT: f64 = 400.0;
 /// SUSPECT_SCORE is taken off for a worker where runs failed or stood still.
 pub(super) const SUSPECT_SCORE: f64 = 5.0;
+/// UNUSED_PERCENT is the share of a filling task's processors that must be unused:
+/// it may work a little slower.
+const UNUSED_PERCENT: i64 = 80;
 /// RACK_SCORE prefers the rack of a step's data over any way of packing.
 const RACK_SCORE: f64 = 10.0;
 
@@ -86,6 +89,10 @@
     pub patient: bool,
     /// The most harm that a start may be expected to do.
     pub most_harm: f64,
+    /// The share of the task's processors that must be unused, in percent.
+    pub unused_percent: i64,
+    /// Whether the bounds that protect others give way.
+    pub unbounded: bool,
 }
 
 impl Need {
@@ -105,21 +112,40 @@
             memory_mib,
             accelerators,
         } = self.full;
+        let harm = match self.unbounded {
+            true => "any harm allowed".to_owned(),
+            false => format!("harm of {} allowed", self.most_harm),
+        };
         format!(
             "asks for {milli_cores} thousandths of a core, {memory_mib} MiB and \
-             {accelerators} accelerators, harm of {} allowed",
-            self.most_harm
+             {accelerators} accelerators, {harm}"
         )
     }
 
     /// asks_no_less tells whether a worker that is no place for the filling
     /// tasks of an earlier look is none for these.
     pub(super) fn asks_no_less(&self, earlier: &Need) -> bool {
-        self.service == earlier.service
+        self.is_as_large(earlier)
             && self.image == earlier.image
-            && earlier.full.fits(&self.full)
             && self.most_harm <= earlier.most_harm
     }
+
+    /// is_as_large tells whether the tasks ask for as much room as others, of the
+    /// same service.
+    pub(super) fn is_as_large(&self, other: &Need) -> bool {
+        self.service == other.service && other.full.fits(&self.full)
+    }
+
+    /// unbounded returns the same need without the bounds that protect others.
+    pub(crate) fn unbounded(self) -> Need {
+        Need {
+            reserve_mib: 0,
+            most_harm: f64::MAX,
+            unused_percent: 0,
+            unbounded: true,
+            ..self
+        }
+    }
 }
 
 impl Cell {
@@ -165,6 +191,8 @@
             rack: None,
             patient: self.now.mono.0 + FAR_MS < latest,
             most_harm,
+            unused_percent: UNUSED_PERCENT,
+            unbounded: false,
         };
         if let Some(rack) = shape.rack.clone() {
             need.rack = Some(self.racks.number(&rack));
--- a/crates/stackpier-cell/src/roster.rs
+++ b/crates/stackpier-cell/src/roster.rs
@@ -92,6 +92,7 @@
             note_after_save: 0,
             health: Health::default(),
             full_until: Millis(0),
+            unbounded_at: None,
             closed: false,
             outlooks: Vec::new(),
             drain_seen: info.draining.then_some(self.now.mono),
--- a/crates/stackpier-cell/src/worker.rs
+++ b/crates/stackpier-cell/src/worker.rs
@@ -95,6 +95,8 @@
     pub health: Health,
     /// No starts before this time, as it said that it had no room.
     pub full_until: Millis,
+    /// When a task last started here in spite of the bounds that protect others.
+    pub unbounded_at: Option<Millis>,
     pub drain_seen: Option<Millis>,
     /// Whether it gets no starts, as its host is to go down.
     pub closed: bool,
