Calm figures for half a second end the count of time over target

Cause: suspected, not proven. The count of 2.4 s after which these are paused or moved began anew with any single figure below 0.86 of the target, and figures are rough.

Change: figures must be calm for 500 ms, as each covers the last half second. Test: a_single_low_figure_does_not_end_the_harm, red before (3 tasks at work, 0 expected).

--- a/crates/stackpier-cell/src/order.rs
+++ b/crates/stackpier-cell/src/order.rs
@@ -80,6 +80,7 @@
             measured: None,
             deviation: 0.0,
             over_since: None,
+            calm_since: None,
             pace: 100,
             paced: Millis(0),
             slowed_since: None,
--- a/crates/stackpier-cell/src/run.rs
+++ b/crates/stackpier-cell/src/run.rs
@@ -12,6 +12,9 @@
 /// target: 0.86 of it. Figures are rough, and one that falls just below the
 /// target does not show that the task has recovered.
 const CALM_LOAD: f64 = load_at(0.86);
+/// CALM_MS is how long figures must be calm before a task counts as recovered: each
+/// covers half a second, so that the last one shares nothing with the first.
+const CALM_MS: u64 = 500;
 /// SETTLE_MS is how long after its start or a change of pace a run's figures
 /// are not learnt from: they cover the last half second.
 const SETTLE_MS: u64 = 600;
@@ -77,6 +80,8 @@
     pub(crate) deviation: f64,
     /// Since when the tail has been over its target.
     pub(crate) over_since: Option<Millis>,
+    /// Since when, while it counts as over its target, all figures were calm.
+    pub(crate) calm_since: Option<Millis>,
     /// The pace it was told, from 0 to 100.
     pub(crate) pace: u8,
     /// When it was told a pace.
@@ -92,14 +97,18 @@
             self.load = None;
             self.measured = None;
             self.over_since = None;
+            self.calm_since = None;
             return;
         };
         let load = interference::load(tail_ms, target_ms);
         self.load = Some(load);
         self.measured.get_or_insert(now);
-        if load < CALM_LOAD {
+        if load >= CALM_LOAD {
+            self.calm_since = None;
+        } else if now.since(*self.calm_since.get_or_insert(now)) >= CALM_MS {
             self.over_since = None;
-        } else if tail_ms > target_ms && self.over_since.is_none() {
+        }
+        if tail_ms > target_ms && self.over_since.is_none() {
             self.over_since = Some(now);
         }
     }
--- a/crates/stackpier-cell/tests/interference.rs
+++ b/crates/stackpier-cell/tests/interference.rs
@@ -87,6 +87,21 @@
     );
 }
 
+/// Figures are rough: one far below the target, between others above it, does not
+/// show that the task has recovered.
+#[test]
+fn a_single_low_figure_does_not_end_the_harm() {
+    let mut owner = Owner::new(1);
+    behaviour(&mut owner, 1, 24);
+    owner.submit(1, spec(vec![serving(1)]));
+    owner.submit(2, spec(vec![filling(3)]));
+    for tail_ms in [24, 24, 12, 24, 24, 12, 24, 24, 24] {
+        owner.workers[0].set_tail(tail_ms);
+        owner.advance(450);
+    }
+    assert_eq!(fills_at_work(&owner), 0, "it has been over its target");
+}
+
 #[test]
 fn filling_tasks_work_on_beside_a_calm_serving_task() {
     let mut owner = Owner::new(1);
