--- a/crates/stackpier-cell/src/cell.rs
+++ b/crates/stackpier-cell/src/cell.rs
@@ -131,6 +131,11 @@
             Event::Cancelled(job) => self.cancel(job),
             Event::Started { run, outcome } => self.started(run, outcome),
             Event::Stopped { run, outcome } => self.stopped(run, outcome),
+            Event::Paced {
+                run,
+                percent,
+                taken,
+            } => self.paced(run, percent, taken),
             Event::Held {
                 worker,
                 sent,
@@ -270,7 +275,10 @@
         let now = self.now.mono;
         let step = self.step_mut(run.step);
         step.runs -= 1;
-        step.idle_since = now;
+        // A run that never began leaves the step waiting for as long as it has.
+        if run.confirmed.is_some() {
+            step.idle_since = now;
+        }
         self.place_wanted = true;
         Some(run)
     }
--- a/crates/stackpier-cell/src/obstacle.rs
+++ b/crates/stackpier-cell/src/obstacle.rs
@@ -24,6 +24,8 @@
     Excluded,
     /// It gets no starts now: it does not answer, leaves, or fails runs.
     Unusable,
+    /// It runs tasks that serve, and nothing is to fill beside these.
+    Apart,
     /// It lacks free processors, memory or accelerators.
     Full,
     /// It lacks the memory that is kept free of filling tasks.
@@ -43,6 +45,7 @@
         match self {
             Obstacle::Excluded => "excluded",
             Obstacle::Unusable => "unusable",
+            Obstacle::Apart => "apart",
             Obstacle::Full => "full",
             Obstacle::Reserve => "reserve",
             Obstacle::Busy => "busy",
--- a/crates/stackpier-cell/src/order.rs
+++ b/crates/stackpier-cell/src/order.rs
@@ -82,6 +82,7 @@
             over_since: None,
             calm_since: None,
             pace: 100,
+            pace_missed: false,
             paced: Millis(0),
             slowed_since: None,
         }
--- a/crates/stackpier-cell/src/outlook.rs
+++ b/crates/stackpier-cell/src/outlook.rs
@@ -140,9 +140,6 @@
     /// it runs.
     pub(crate) fn harm(&self, key: WorkerKey, image: ImageKey, milli_cores: u32) -> f64 {
         let outlooks = &self.worker(key).outlooks;
-        if !self.options.colocate && !outlooks.is_empty() {
-            return f64::MAX;
-        }
         let cores = cores(milli_cores);
         let rise = |outlook: &Outlook| {
             let pair = self.model.pair(outlook.image, image);
--- a/crates/stackpier-cell/src/pace.rs
+++ b/crates/stackpier-cell/src/pace.rs
@@ -41,16 +41,18 @@
     /// set_paces keeps what fills on a worker at the pace that its serving
     /// tasks can bear.
     pub(crate) fn set_paces(&mut self, worker: WorkerKey) {
-        if self.worker(worker).lasting_milli == 0 || self.fillers(worker).is_empty() {
+        if self.fillers(worker).is_empty() {
             return;
         }
+        self.resend_paces(worker);
         if let Some(harmed) = self.harmed(worker) {
             self.relieve(worker, harmed);
-            return;
-        }
-        self.look_ahead_on(worker);
-        if !self.slow_down(worker) {
-            self.raise(worker);
+        } else {
+            self.look_ahead_on(worker);
+            // Also where nothing serves any more: what was slowed goes on.
+            if !self.slow_down(worker) {
+                self.raise(worker);
+            }
         }
         self.move_late(worker);
     }
@@ -179,6 +181,7 @@
             return;
         }
         run.pace = percent;
+        run.pace_missed = false;
         run.moved = now;
         run.paced = now;
         if percent >= MOVE_PACE {
@@ -190,24 +193,64 @@
         self.effects.push(Effect::Pace(Pace { order, percent }));
     }
 
+    /// paced takes in whether a worker took an order on pace. One that it may not
+    /// have taken is sent again with the next report.
+    pub(crate) fn paced(&mut self, key: RunKey, percent: u8, taken: bool) {
+        if let Some(run) = self.runs.get_mut(key)
+            && run.pace == percent
+        {
+            run.pace_missed = !taken;
+        }
+    }
+
+    /// resend_paces sends the orders on pace again that were not taken, or that an
+    /// earlier one overtook: a task that works on harms what serves beside it.
+    fn resend_paces(&mut self, worker: WorkerKey) {
+        let now = self.now.mono;
+        if !self.has_authority() {
+            return;
+        }
+        for key in self.fillers(worker) {
+            let missed = |run: &&mut Run| run.pace_missed || run.exceeds_pace(now);
+            let Some(run) = self.runs.get_mut(key).filter(missed) else {
+                continue;
+            };
+            run.pace_missed = false;
+            run.paced = now;
+            let percent = run.pace;
+            let order = self.order(key);
+            self.effects.push(Effect::Pace(Pace { order, percent }));
+        }
+    }
+
     /// is_cheap tells whether little work is lost by moving a run.
     fn is_cheap(&self, run: &Run) -> bool {
+        self.lost_ms(run) <= self.options.move_loss_ms
+    }
+
+    /// lost_ms returns the work that is lost by moving a run, in milliseconds.
+    fn lost_ms(&self, run: &Run) -> u64 {
         let shape = self.shape(run.step);
-        let lost = u64::from(shape.estimate_ms) * u64::from(run.percent) / 100;
-        shape.checkpointing || lost <= self.options.move_loss_ms
+        if shape.checkpointing {
+            return 0;
+        }
+        u64::from(shape.estimate_ms) * u64::from(run.percent) / 100
     }
 
     /// move_late moves tasks that have stood nearly still for long.
     fn move_late(&mut self, worker: WorkerKey) {
         let now = self.now.mono;
-        let long = |key: &RunKey| {
-            let run = self.runs.get(*key);
-            run.is_some_and(|run| {
-                let since = run.slowed_since;
-                since.is_some_and(|since| now.since(since) >= MOVE_AFTER_MS) && self.is_cheap(run)
-            })
+        let is_late = |key: &RunKey| {
+            let Some(run) = self.runs.get(*key) else {
+                return false;
+            };
+            let slowed_ms = run.slowed_since.map_or(0, |since| now.since(since));
+            // Having stood for as long as the work that is lost, it moves in any
+            // case: a pause may never end, and moving costs no more than it did.
+            let moves = self.is_cheap(run) || slowed_ms >= self.lost_ms(run);
+            slowed_ms >= MOVE_AFTER_MS && moves
         };
-        let late: Vec<RunKey> = self.fillers(worker).into_iter().filter(long).collect();
+        let late: Vec<RunKey> = self.fillers(worker).into_iter().filter(is_late).collect();
         late.into_iter().for_each(|key| self.relocate(key));
     }
 
--- a/crates/stackpier-cell/src/place/fill.rs
+++ b/crates/stackpier-cell/src/place/fill.rs
@@ -17,6 +17,9 @@
         if need.unbounded && !self.is_settled(worker) {
             return Err(Obstacle::Unsettled);
         }
+        if !self.options.colocate && !worker.outlooks.is_empty() {
+            return Err(Obstacle::Apart);
+        }
         let spare = worker.spare_milli(self.options.serving_use_milli);
         if spare < i64::from(need.full.milli_cores) * need.unused_percent / 100 {
             return Err(Obstacle::Busy);
--- a/crates/stackpier-cell/src/place/offer.rs
+++ b/crates/stackpier-cell/src/place/offer.rs
@@ -14,7 +14,8 @@
     worker::{Life, Worker},
 };
 
-/// FAR_MS is how long a task waits for a worker in the rack of its data.
+/// FAR_MS is how long before its latest start a task stops waiting for a worker in
+/// the rack of its data.
 const FAR_MS: u64 = 300;
 /// ALIKE_SCORE prefers a worker that serves only the image of a lasting task;
 /// it is above any number of tasks on a worker.
@@ -258,18 +259,24 @@
     }
 
     fn is_usable(&self, worker: &Worker) -> bool {
+        let now = self.now.mono;
+        self.is_open(worker)
+            && worker.rostered
+            && now >= worker.full_until
+            && worker.health.takes(now, || self.unproved(worker))
+    }
+
+    /// is_open tells whether a worker answers and is not about to leave.
+    pub(super) fn is_open(&self, worker: &Worker) -> bool {
         let now = self.now.mono;
         let listed = worker
             .unlisted_since
             .is_none_or(|since| now.since(since) < self.options.unlisted_ms);
         worker.life == Life::Met
-            && worker.rostered
             && !worker.info.draining
             && !worker.closed
             && listed
             && worker.silent_since.is_none()
-            && now >= worker.full_until
-            && worker.health.takes(now, || self.unproved(worker))
     }
 
     /// unproved returns how many runs on a worker have shown no progress.
@@ -335,8 +342,8 @@
     -f64::from(free.milli_cores) / capacity - suspect
 }
 
-/// rack_score prefers the rack of a step's data. A task waits a short time for
-/// that rack before it goes elsewhere.
+/// rack_score prefers the rack of a step's data. A task waits for that rack as long
+/// as it can be in time, then it goes elsewhere.
 fn rack_score(need: &Need, worker: &Worker) -> Option<f64> {
     let Some(rack) = need.rack else {
         return Some(0.0);
--- a/crates/stackpier-cell/src/place/starvation.rs
+++ b/crates/stackpier-cell/src/place/starvation.rs
@@ -8,7 +8,11 @@
 //! started in spite of them, where the least harm is expected. From then on the
 //! paces protect the serving tasks, as they do beside any other.
 
-use crate::{Cell, arena::StepKey, worker::Worker};
+use crate::{
+    Cell,
+    arena::{StepKey, TaskKey},
+    worker::Worker,
+};
 
 use super::{Look, Need};
 
@@ -22,12 +26,29 @@
 /// the last half second was like, so that the effect of one is seen before the next.
 const SETTLE_MS: u64 = 600;
 
-/// Load sums up the processors of a service, in thousandths of a core.
+/// MILLI is the number of thousandths in a whole.
+const MILLI: u64 = 1_000;
+
+/// Load sums up the processors of workers, in thousandths of a core.
 #[derive(Clone, Copy, Debug, Default)]
 struct Load {
     capacity: i64,
     reserved: i64,
-    unused: i64,
+    used: i64,
+}
+
+impl Load {
+    /// is_half tells whether half of the processors or more are free: not reserved,
+    /// or not in use.
+    fn is_half(&self) -> bool {
+        self.reserved.min(self.used) * 2 <= self.capacity
+    }
+}
+
+/// Services holds for each service that was looked at whether half of it is free.
+#[derive(Debug, Default)]
+struct Services {
+    half_free: Vec<(u16, bool)>,
 }
 
 impl Cell {
@@ -39,12 +60,16 @@
         let mut idle: Vec<StepKey> = steps.to_vec();
         idle.retain(|step| self.idle_ms(*step) >= STARVED_MS);
         idle.sort_by_key(|step| self.step_of(*step).idle_since);
+        let mut services = Services::default();
         // What found no worker: what asks for as much room finds none either.
         let mut barred: Vec<Need> = Vec::new();
         for step in idle {
-            let Some(need) = self.need(step).filter(|need| self.is_starving(need)) else {
+            let Some(need) = self.need(step) else {
                 continue;
             };
+            if !self.gives_way(&need, &mut services) {
+                continue;
+            }
             let need = need.unbounded();
             if barred.iter().any(|earlier| need.is_as_large(earlier)) {
                 continue;
@@ -56,10 +81,12 @@
     }
 
     /// idle_ms returns for how long a step with tasks to place has had nothing
-    /// running, zero if something runs.
+    /// running, zero if something runs. Each task that lasts has its own turn, so of
+    /// these it is the time since one last ended.
     fn idle_ms(&self, key: StepKey) -> u64 {
         let step = self.step_of(key);
-        if step.runs > 0 || step.ready.is_empty() {
+        let runs = step.runs > 0 && !self.shape(key).lasting;
+        if runs || step.ready.is_empty() {
             return 0;
         }
         self.now.mono.since(step.idle_since)
@@ -68,21 +95,54 @@
     /// is_starving tells whether a step has had nothing running for so long that the
     /// bounds that protect others give way for one of its tasks.
     pub(crate) fn is_starving(&self, need: &Need) -> bool {
+        self.gives_way(need, &mut Services::default())
+    }
+
+    fn gives_way(&self, need: &Need, services: &mut Services) -> bool {
         let idle_ms = self.idle_ms(need.step);
-        idle_ms >= LOADED_STARVED_MS || idle_ms >= STARVED_MS && self.is_half_unused(need.service)
+        let always_ms = if need.lasting {
+            STARVED_MS
+        } else {
+            LOADED_STARVED_MS
+        };
+        if idle_ms >= always_ms {
+            return true;
+        }
+        idle_ms >= STARVED_MS && self.is_half_free(need.service, services)
+    }
+
+    fn is_half_free(&self, service: u16, services: &mut Services) -> bool {
+        let known = services
+            .half_free
+            .iter()
+            .find(|(known, _)| *known == service);
+        if let Some((_, half_free)) = known {
+            return *half_free;
+        }
+        let half_free = self.load_of(service).is_half();
+        services.half_free.push((service, half_free));
+        half_free
     }
 
-    /// is_half_unused tells whether at least half of the processors of a service are
-    /// not reserved, or not expected to be in use.
-    fn is_half_unused(&self, service: u16) -> bool {
+    /// load_of sums up the workers of a service that may get starts.
+    fn load_of(&self, service: u16) -> Load {
         let live = self.live().map(|key| self.worker(key));
         let mut total = Load::default();
-        for worker in live.filter(|worker| worker.service == service) {
+        for worker in live.filter(|worker| worker.service == service && self.is_open(worker)) {
             total.capacity += i64::from(worker.info.capacity.milli_cores);
             total.reserved += i64::from(worker.reserved.milli_cores);
-            total.unused += worker.spare_milli(self.options.serving_use_milli);
+            total.used += self.used_milli(worker);
         }
-        total.reserved * 2 <= total.capacity || total.unused * 2 >= total.capacity
+        total
+    }
+
+    /// used_milli returns the processors that the runs on a worker are taken to use.
+    fn used_milli(&self, worker: &Worker) -> i64 {
+        let serving = u64::from(worker.lasting_milli) * u64::from(self.options.serving_use_milli);
+        let runs = worker.runs.iter().filter_map(|key| self.runs.get(*key));
+        let others = runs.filter(|run| !run.lasting);
+        let cores: f64 = others.map(|run| run.cores(self.now.mono)).sum();
+        (serving / MILLI) as i64 + (cores * MILLI as f64) as i64
     }
 
     /// is_settled tells whether the effect of the last start in spite of the bounds
@@ -99,10 +159,18 @@
         }
         let now = self.now.mono;
         let mut ready = self.step_of(need.step).ready.iter().copied();
-        let Some(task) = ready.find(|task| self.task(*task).not_before <= now) else {
+        let may = |key: &TaskKey| {
+            let task = self.task(*key);
+            task.ready && !task.done && task.not_before <= now
+        };
+        let Some(task) = ready.find(may) else {
             return Look::Barred;
         };
         let Some(worker) = self.find_room(task, need) else {
+            if need.advised {
+                // Also about workers that the bounds kept it from.
+                self.ask(need);
+            }
             return Look::Full;
         };
         self.unqueue(task);
--- a/crates/stackpier-cell/src/roster.rs
+++ b/crates/stackpier-cell/src/roster.rs
@@ -50,6 +50,9 @@
         let worker = self.worker_mut(key);
         if worker.life == Life::Over {
             // It was given up while it could not be reached, and shows again.
+            // The store's roster may lack it by now, and a later owner must know of it
+            // before it runs something.
+            worker.rostered = false;
             worker.life = Life::New;
             worker.clock = None;
             worker.hold_after = now;
--- a/crates/stackpier-cell/src/run.rs
+++ b/crates/stackpier-cell/src/run.rs
@@ -21,6 +21,9 @@
 /// WARM_MS is how long after its first figure a serving task's tail is not
 /// learnt from: it begins at nothing.
 const WARM_MS: u64 = 1_200;
+/// PACE_MARGIN is by how many percent of its processors a run may be reported above
+/// its pace before the order is taken to be lost: figures are rough.
+const PACE_MARGIN: u8 = 25;
 /// MILLI is the number of thousandths in a core.
 const MILLI: f64 = 1_000.0;
 
@@ -84,6 +87,8 @@
     pub(crate) calm_since: Option<Millis>,
     /// The pace it was told, from 0 to 100.
     pub(crate) pace: u8,
+    /// Whether the worker may not have taken the last order on its pace.
+    pub(crate) pace_missed: bool,
     /// When it was told a pace.
     pub(crate) paced: Millis,
     /// Since when its pace has been low.
@@ -126,6 +131,15 @@
         now.since(self.since.max(self.paced)) >= SETTLE_MS
     }
 
+    /// exceeds_pace tells whether a report shows clearly more processors in use than
+    /// the run's pace allows.
+    pub(crate) fn exceeds_pace(&self, now: Millis) -> bool {
+        let allowed = u32::from((self.pace + PACE_MARGIN).min(100));
+        let most_milli = u64::from(self.size.milli_cores) * u64::from(allowed) / 100;
+        let over = |used_milli: u32| u64::from(used_milli) > most_milli;
+        self.pace < 100 && self.is_settled(now) && self.used_milli.is_some_and(over)
+    }
+
     /// counted returns what the run takes of a worker's room: the processors
     /// of a filling run are not counted.
     pub(crate) fn counted(&self) -> Size {
--- a/crates/stackpier-cell/src/wire.rs
+++ b/crates/stackpier-cell/src/wire.rs
@@ -106,6 +106,15 @@
         /// The answer.
         outcome: Stopped,
     },
+    /// An order on the pace of a run was answered or was not.
+    Paced {
+        /// The run.
+        run: Index<Run>,
+        /// The share that was ordered, from 0 to 100.
+        percent: u8,
+        /// Whether the worker took it.
+        taken: bool,
+    },
     /// A hold was answered or was not.
     Held {
         /// The worker.
@@ -370,7 +379,7 @@
     Start(Start),
     /// Stop a run; answer with [`Event::Stopped`].
     Stop(Stop),
-    /// Set the pace of a run. No answer is needed: the next report shows it.
+    /// Set the pace of a run; answer with [`Event::Paced`].
     Pace(Pace),
     /// Renew a lease; answer with [`Event::Held`].
     Hold(Hold),
--- a/crates/stackpier-cell/tests/common/mod.rs
+++ b/crates/stackpier-cell/tests/common/mod.rs
@@ -7,8 +7,8 @@
 use std::collections::BTreeMap;
 
 use stackpier_cell::{
-    Advised, Ask, Cell, Effect, Event, Held, Hold, Info, Now, Options, Queue, Save, Start, Started,
-    Stop, Stopped, TaskName,
+    Advised, Ask, Cell, Effect, Event, Held, Hold, Info, Now, Options, Pace, Queue, Save, Start,
+    Started, Stop, Stopped, TaskName,
     maintenance::{TakeDown, TakenDown},
 };
 use stackpier_core::{Millis, Size, Unix, key};
@@ -41,6 +41,8 @@
     pub asked: Vec<usize>,
     /// How many of the next answers to starts are lost.
     pub lose_starts: usize,
+    /// How many of the next orders on pace are lost.
+    pub lose_paces: usize,
     /// Every order to take a host down, with its time and its answer.
     pub downs: Vec<(u64, TakeDown, TakenDown)>,
     /// The answers to the next of these orders; later ones are carried out.
@@ -157,6 +159,7 @@
             deposed: false,
             asked: Vec::new(),
             lose_starts: 0,
+            lose_paces: 0,
             downs: Vec::new(),
             down_answers: Vec::new(),
             pending: Vec::new(),
@@ -266,12 +269,7 @@
             Effect::Deposed => self.deposed = true,
             Effect::Start(start) => self.carry_start(start),
             Effect::Stop(stop) => self.carry_stop(&stop),
-            Effect::Pace(pace) => {
-                let place = self.place(&pace.order.address);
-                if !self.cut[place] {
-                    self.workers[place].pace(self.now_ms, &pace);
-                }
-            }
+            Effect::Pace(pace) => self.carry_pace(&pace),
             Effect::Hold(hold) => self.carry_hold(&hold),
             Effect::TakeDown(order) => self.carry_down(order),
             Effect::Save(save) => {
@@ -293,6 +291,22 @@
         self.answer(1, Event::Stopped { run, outcome });
     }
 
+    fn carry_pace(&mut self, pace: &Pace) {
+        let place = self.place(&pace.order.address);
+        let lost = self.cut[place] || self.lose_paces > 0;
+        self.lose_paces = self.lose_paces.saturating_sub(1);
+        let taken = !lost && self.workers[place].pace(self.now_ms, pace);
+        let (run, percent) = (pace.order.key, pace.percent);
+        self.answer(
+            1,
+            Event::Paced {
+                run,
+                percent,
+                taken,
+            },
+        );
+    }
+
     /// carry_down takes a host down: its worker is gone at once, and a new one
     /// is listed two seconds later.
     fn carry_down(&mut self, order: TakeDown) {
--- a/crates/stackpier-cell/tests/interference.rs
+++ b/crates/stackpier-cell/tests/interference.rs
@@ -6,6 +6,7 @@
 use common::{Owner, spec, step};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
 use stackpier_cell::{
     cycle::{Curve, Cycle},
     interference::{self, Estimate, Images, Model, Pressure},
@@ -286,3 +287,31 @@
     assert_eq!(again.serving[0].image, "serving");
     assert_eq!(again.serving[0].pairs, memory.serving[0].pairs);
 }
+
+/// An order on pace that gets no answer, or that another overtook, is sent again: at
+/// its old pace the task would harm what serves beside it.
+#[rstest]
+#[case::unanswered(true)]
+#[case::overtaken(false)]
+fn an_order_on_pace_that_was_not_carried_out_is_sent_again(#[case] unanswered: bool) {
+    let mut owner = Owner::new(1);
+    behaviour(&mut owner, 1, 8);
+    owner.submit(1, spec(vec![serving(1)]));
+    let long = Step {
+        estimate_ms: 60_000,
+        checkpointing: false,
+        ..filling(1)
+    };
+    owner.submit(2, spec(vec![long]));
+    owner.advance(5_000);
+    owner.workers[0].set_tail(60);
+    owner.lose_paces = usize::from(unanswered);
+    owner.advance(5_000);
+    if !unanswered {
+        let mut runs = owner.workers[0].runs.iter_mut();
+        let run = runs.find(|run| run.task.job.0 == 2).expect("a run");
+        run.pace = 100;
+        owner.advance(3_000);
+    }
+    assert_eq!(fills_at_work(&owner), 0);
+}
--- a/crates/stackpier-cell/tests/starvation.rs
+++ b/crates/stackpier-cell/tests/starvation.rs
@@ -20,8 +20,8 @@
 
 mod common;
 
-use common::{Owner, info, spec, step};
-use stackpier_cell::{Event, Memory, Serving, Term};
+use common::{Owner, info, queue, spec, step};
+use stackpier_cell::{Event, Memory, Options, Queue, Serving, Term};
 use stackpier_core::{Size, key};
 use stackpier_standin::fleet::Behaviour;
 use stackpier_state::job::{State, Step};
@@ -199,3 +199,211 @@
     let why = owner.cell.explain(key::Job(FILLING));
     assert!(has_started(&owner), "{why:?}");
 }
+
+/// What was slowed down beside a serving task goes on once that has left.
+#[test]
+fn a_paused_task_goes_on_when_the_serving_one_has_left() {
+    let mut owner = Owner::new(1);
+    serve(&mut owner, lasting(1, 1_000), 60);
+    let long = Step {
+        checkpointing: false,
+        estimate_ms: 4_000,
+        ..filling(1, 1_000)
+    };
+    owner.submit(FILLING, spec(vec![long]));
+    owner.advance(6_000);
+    assert!(has_started(&owner), "it was tried");
+    owner.feed(Event::Cancelled(key::Job(LASTING)));
+    owner.advance(20_000);
+    let why = owner.cell.explain(key::Job(FILLING));
+    assert_eq!(owner.state(FILLING), Some(State::Completed), "{why:?}");
+}
+
+/// A task that saves nothing is not left standing where the load stays: once it has
+/// stood for as long as the work that is lost, it moves.
+#[test]
+fn a_paused_task_moves_where_the_load_stays() {
+    let mut owner = Owner::with(2, 1, false);
+    owner.feed(Event::Listed(info(0)));
+    owner.advance(100);
+    serve(&mut owner, lasting(1, 2_500), 8);
+    let long = Step {
+        estimate_ms: 10_000,
+        checkpointing: false,
+        ..filling(1, 2_000)
+    };
+    owner.submit(FILLING, spec(vec![long]));
+    owner.advance(3_000);
+    assert_eq!(owner.places(FILLING, 0), vec![0]);
+    owner.workers[0].set_tail(60);
+    owner.feed(Event::Listed(info(1)));
+    owner.advance(60_000);
+    let why = owner.cell.explain(key::Job(FILLING));
+    assert_eq!(owner.state(FILLING), Some(State::Completed), "{why:?}");
+}
+
+/// The adviser is also asked about workers that the bounds kept a task from.
+#[test]
+fn a_starving_task_of_an_advised_queue_has_its_turn() {
+    let mut owner = Owner::new(4);
+    presses(&mut owner, &["filling".to_owned()], 0.09);
+    serve(&mut owner, lasting(4, 5_000), 8);
+    let advised = Queue {
+        advised: true,
+        ..queue("advised", 0)
+    };
+    owner.feed(Event::Queues(vec![advised]));
+    owner.submit_to(FILLING, "advised", spec(vec![filling(1, 6_000)]), 1, None);
+    owner.advance(5_000);
+    let why = owner.cell.explain(key::Job(FILLING));
+    assert!(has_started(&owner), "asked {:?}; {why:?}", owner.asked);
+}
+
+/// A start that the worker refuses leaves the step waiting for as long as it has.
+#[test]
+fn a_refused_start_does_not_begin_the_wait_again() {
+    let mut owner = Owner::new(1);
+    presses(&mut owner, &["filling".to_owned()], 0.5);
+    serve(&mut owner, lasting(3, 2_500), 8);
+    let calm = Step {
+        image: "calm".to_owned(),
+        estimate_ms: 100_000,
+        ..filling(2, 1_000)
+    };
+    owner.submit(3, spec(vec![calm]));
+    owner.advance(1_000);
+    // The worker has less room than the owner believes, for the first start only.
+    let refused = Behaviour {
+        size: Size {
+            memory_mib: 63_000,
+            ..Size::default()
+        },
+        ..Behaviour::default()
+    };
+    owner.behaviours.insert((FILLING, 0), refused);
+    owner.submit(FILLING, spec(vec![filling(1, 2_500)]));
+    owner.advance(20_500);
+    owner.behaviours.remove(&(FILLING, 0));
+    owner.advance(WAIT_MS);
+    let why = owner.cell.explain(key::Job(FILLING));
+    assert!(has_started(&owner), "{why:?}");
+}
+
+/// Each task that lasts has its own turn, also if it fills.
+#[test]
+fn each_lasting_task_that_fills_has_its_turn() {
+    let mut owner = Owner::new(2);
+    presses(&mut owner, &["filling".to_owned()], 0.5);
+    serve(&mut owner, lasting(1, 5_000), 8);
+    let mut both = Step {
+        lasting: true,
+        ..filling(2, 2_000)
+    };
+    both.size.memory_mib = 40_000;
+    let behaviour = Behaviour {
+        size: Size {
+            milli_cores: 0,
+            ..both.size
+        },
+        fills_milli: 2_000,
+        lasts: true,
+        ..Behaviour::default()
+    };
+    owner.behaviours.insert((FILLING, 0), behaviour);
+    owner.submit(FILLING, spec(vec![both]));
+    owner.advance(WAIT_MS);
+    let why = owner.cell.explain(key::Job(FILLING));
+    assert_eq!(owner.places(FILLING, 0).len(), 2, "{why:?}");
+}
+
+/// What runs is taken to use what reports show, not what it asked for.
+#[test]
+fn a_service_that_is_hardly_used_counts_as_free() {
+    let mut owner = Owner::new(1);
+    presses(&mut owner, &["filling".to_owned()], 0.5);
+    serve(&mut owner, lasting(2, 2_500), 8);
+    let idle = Step {
+        image: "calm".to_owned(),
+        estimate_ms: 100_000,
+        ..filling(1, 2_000)
+    };
+    let behaviour = Behaviour {
+        work_ms: 100_000,
+        size: Size {
+            milli_cores: 0,
+            ..idle.size
+        },
+        fills_milli: 200,
+        ..Behaviour::default()
+    };
+    owner.behaviours.insert((3, 0), behaviour);
+    owner.submit(3, spec(vec![idle]));
+    owner.advance(2_000);
+    assert_eq!(owner.places(3, 0).len(), 1, "it takes room");
+    owner.submit(FILLING, spec(vec![filling(1, 3_000)]));
+    owner.advance(WAIT_MS);
+    let why = owner.cell.explain(key::Job(FILLING));
+    assert!(has_started(&owner), "{why:?}");
+}
+
+/// Workers that leave are no free room.
+#[test]
+fn workers_that_leave_do_not_count_as_free() {
+    let mut owner = Owner::new(3);
+    presses(&mut owner, &["filling".to_owned()], 0.5);
+    serve(&mut owner, lasting(1, 8_000), 8);
+    let full = owner.places(LASTING, 0)[0];
+    for place in (0..3).filter(|place| *place != full) {
+        let mut leaving = info(place);
+        leaving.draining = true;
+        leaving.remaining_ms = Some(100_000);
+        owner.feed(Event::Listed(leaving));
+    }
+    let calm = Step {
+        image: "calm".to_owned(),
+        estimate_ms: 100_000,
+        ..filling(1, 2_000)
+    };
+    owner.submit(3, spec(vec![calm]));
+    owner.advance(1_000);
+    assert_eq!(owner.places(3, 0), vec![full]);
+    owner.submit(FILLING, spec(vec![filling(1, 4_000)]));
+    owner.advance(10_000);
+    assert!(!has_started(&owner), "the only worker left is in use");
+}
+
+/// Where nothing is to fill beside serving tasks, nothing does, however long it waits.
+#[test]
+fn nothing_starts_beside_serving_tasks_where_that_is_ruled_out() {
+    let options = Options {
+        colocate: false,
+        max_lease_ms: 6_000,
+        ..Options::default()
+    };
+    let mut owner = Owner::with_options(2, 1, false, options);
+    for place in 0..2 {
+        owner.feed(Event::Listed(info(place)));
+    }
+    owner.advance(100);
+    serve(&mut owner, lasting(2, 5_000), 8);
+    owner.submit(FILLING, spec(vec![filling(1, 1_000)]));
+    owner.advance(30_000);
+    assert!(!has_started(&owner), "{:?}", owner.places(FILLING, 0));
+}
+
+/// Starts in spite of the bounds are spread: the effect of one is seen before the next.
+#[test]
+fn starts_of_starving_steps_on_a_worker_are_spread_over_time() {
+    let mut owner = Owner::new(1);
+    presses(&mut owner, &["filling".to_owned()], 4.0);
+    serve(&mut owner, lasting(1, 1_000), 8);
+    for job in 100..110 {
+        owner.submit(job, spec(vec![filling(1, 150)]));
+    }
+    owner.advance(2_500);
+    let started = owner
+        .starts
+        .iter()
+        .filter(|(start, _)| start.order.task.job.0 >= 100);
+    assert_eq!(started.count(), 1);
+}
--- a/crates/stackpier-fuzz/src/cell/world/calls.rs
+++ b/crates/stackpier-fuzz/src/cell/world/calls.rs
@@ -52,6 +52,11 @@
                 run: stop.order.key,
                 outcome: Stopped::Silent,
             },
+            Effect::Pace(pace) => Event::Paced {
+                run: pace.order.key,
+                percent: pace.percent,
+                taken: false,
+            },
             Effect::Hold(hold) => Event::Held {
                 worker: hold.worker,
                 sent: self.now().mono,
@@ -101,10 +106,11 @@
                 run: stop.order.key,
                 outcome: self.workers[target].stop(self.now_ms, stop),
             },
-            Effect::Pace(pace) => {
-                self.workers[target].pace(self.now_ms, pace);
-                return None;
-            }
+            Effect::Pace(pace) => Event::Paced {
+                run: pace.order.key,
+                percent: pace.percent,
+                taken: self.workers[target].pace(self.now_ms, pace),
+            },
             Effect::Hold(hold) => {
                 let outcome = self.workers[target].hold(self.now_ms, hold);
                 self.oracle.note(&mut self.workers[target]);
--- a/crates/stackpier-scheduler/src/calls.rs
+++ b/crates/stackpier-scheduler/src/calls.rs
@@ -27,11 +27,17 @@
         self.feed(fence, Event::Stopped { run, outcome });
     }
 
-    pub(crate) async fn send_pace(self, pace: Pace) {
+    pub(crate) async fn send_pace(self, fence: u64, pace: Pace) {
         let taken = self.platform.pace(&pace).await;
         self.count_worker("pace", taken);
         let text = format!("pace {} ordered, taken: {taken}", pace.percent);
         self.say_of("pace", Some(pace.order.task.to_string()), &text);
+        let event = Event::Paced {
+            run: pace.order.key,
+            percent: pace.percent,
+            taken,
+        };
+        self.feed(fence, event);
     }
 
     pub(crate) async fn send_hold(self, fence: u64, hold: Hold) {
--- a/crates/stackpier-scheduler/src/owner.rs
+++ b/crates/stackpier-scheduler/src/owner.rs
@@ -81,7 +81,7 @@
             Effect::Deposed => self.depose(fence + 1, "a worker or the store knows a later fence"),
             Effect::Start(start) => self.spawn(move |node| node.send_start(fence, start)),
             Effect::Stop(stop) => self.spawn(move |node| node.send_stop(fence, stop)),
-            Effect::Pace(pace) => self.spawn(move |node| node.send_pace(pace)),
+            Effect::Pace(pace) => self.spawn(move |node| node.send_pace(fence, pace)),
             Effect::Hold(hold) => self.spawn(move |node| node.send_hold(fence, hold)),
             Effect::TakeDown(order) => self.spawn(move |node| node.send_down(fence, order)),
             Effect::Ask(ask) => self.spawn(move |node| node.send_ask(fence, ask)),
