A host that can't be emptied takes tasks again

Two tasks of a step that may miss one stand on a host to be emptied. The first is stopped and finds room only on that host, which gets no starts; the second waits for the first. Nothing left that state: the task stayed away and the plan never ended.

Change: a host without a run that was stopped for 8 s is opened, and tried again after 8 s more.

Test: a_host_that_can_not_be_emptied_takes_tasks_again, red before (14 passed, 1 failed: one task at work, two expected).

The plan is late as before, since there is no room; the tasks are not kept away.

--- a/crates/stackpier-cell/src/maintenance.rs
+++ b/crates/stackpier-cell/src/maintenance.rs
@@ -144,6 +144,7 @@
         for key in self.next_hosts(plan).into_iter().take(room) {
             let host = self.host_mut(key);
             host.stage = Stage::Emptying(now);
+            host.progress = now;
             let text = format!("host {} is being emptied", host.name);
             self.note("maintenance", None, text);
         }
@@ -153,7 +154,9 @@
     /// those with the least to move first.
     fn next_hosts(&self, plan: usize) -> Vec<HostKey> {
         let hosts = self.maintenance[plan].hosts.iter().enumerate();
-        let waiting = hosts.filter(|(_, host)| host.stage == Stage::Waiting);
+        let now = self.now.mono;
+        let waits = |host: &Host| host.stage == Stage::Waiting && host.not_before <= now;
+        let waiting = hosts.filter(|(_, host)| waits(host));
         let weight = |(number, host): (usize, &Host)| {
             let worker = self.worker_of(&host.name)?;
             Some((self.worker(worker).lasting_milli, number))
--- a/crates/stackpier-cell/src/maintenance/empty.rs
+++ b/crates/stackpier-cell/src/maintenance/empty.rs
@@ -10,10 +10,15 @@
     run::Phase,
 };
 
-use super::work::HostKey;
+use super::work::{HostKey, Stage};
 
 /// EMPTY_MS is how long short tasks on a host get to end by themselves.
 const EMPTY_MS: u64 = 2_000;
+/// STUCK_MS is how long emptying a host may go on without a run that is stopped: a
+/// lasting task takes up to four seconds to be at work elsewhere.
+const STUCK_MS: u64 = 8_000;
+/// RETRY_MS is the pause before a host that could not be emptied is tried again.
+const RETRY_MS: u64 = 8_000;
 
 impl Cell {
     /// empty moves what runs on a host, and orders it down when nothing does.
@@ -29,8 +34,23 @@
         for run in self.worker(worker).runs.clone() {
             if self.is_to_move(run, late) {
                 self.move_away(run);
+                self.host_mut(key).progress = now;
             }
         }
+        if now.since(self.host(key).progress) >= STUCK_MS {
+            self.reopen(key);
+        }
+    }
+
+    /// reopen lets a host take tasks again that can't be emptied now: what was moved
+    /// off it may find room nowhere else, and what is left waits for just that.
+    fn reopen(&mut self, key: HostKey) {
+        let not_before = self.now.mono.plus(RETRY_MS);
+        let host = self.host_mut(key);
+        host.stage = Stage::Waiting;
+        host.not_before = not_before;
+        let text = format!("host {} can't be emptied now", host.name);
+        self.note("maintenance", None, text);
     }
 
     /// is_to_move tells whether a run on a host that is being emptied is to be
--- a/crates/stackpier-cell/src/maintenance/work.rs
+++ b/crates/stackpier-cell/src/maintenance/work.rs
@@ -55,7 +55,9 @@
     pub stage: Stage,
     /// Since when no worker of it has been known.
     pub absent: Option<Millis>,
-    /// No order before this time.
+    /// When the last of its runs was stopped, or emptying it began.
+    pub progress: Millis,
+    /// No order, and no new try at emptying it, before this time.
     pub not_before: Millis,
 }
 
@@ -65,6 +67,7 @@
             name: name.to_owned(),
             stage: Stage::Waiting,
             absent: None,
+            progress: Millis(0),
             not_before: Millis(0),
         }
     }
--- a/crates/stackpier-cell/tests/maintenance.rs
+++ b/crates/stackpier-cell/tests/maintenance.rs
@@ -8,6 +8,7 @@
     Event,
     maintenance::{Plan, Record, TakenDown},
 };
+use stackpier_standin::fleet::Behaviour;
 use stackpier_state::job::{State, Step};
 
 /// DOWN_MS is how long the stand-in keeps a host down.
@@ -251,3 +252,28 @@
     owner.advance(2_000);
     assert!(owner.deposed);
 }
+
+/// Two tasks of a step are on the host, and what is moved off it finds room nowhere
+/// else: the second must not wait for the first, which waits for the host.
+#[test]
+fn a_host_that_can_not_be_emptied_takes_tasks_again() {
+    let mut owner = Owner::new(2);
+    for (job, count, milli_cores) in [(1, 1, 8_000), (2, 2, 3_000)] {
+        let mut wide = lasting(count, 1);
+        wide.size.milli_cores = milli_cores;
+        let behaviour = Behaviour {
+            size: wide.size,
+            lasts: true,
+            ..Behaviour::default()
+        };
+        owner.behaviours.insert((job, 0), behaviour);
+        owner.submit(job, spec(vec![wide]));
+        owner.advance(1_000);
+    }
+    let host = owner.places(2, 0)[0];
+    owner.feed(Event::Plan(plan(&[host], 10_000, 1)));
+    owner.advance(2_000);
+    assert_eq!(at_work(&owner, 2), 1, "one was moved off");
+    owner.advance(9_000);
+    assert_eq!(at_work(&owner, 2), 2, "both work again");
+}
