Jobs keep their queue as it was configured

The store kept a job's queue by name. A daemon that came to own the cell after a configuration had dropped the queue knew neither its service nor its attempts: the job waited for ever, and only a log line said so.

Change: a job's record holds its queue as configured at its acceptance; an owner that does not know the queue takes it from there. Queue is a type of stackpier-state now.

--- a/crates/stackpier-cell/src/lib.rs
+++ b/crates/stackpier-cell/src/lib.rs
@@ -46,8 +46,9 @@
 pub use cell::Cell;
 pub use memory::{Memory, Serving, Term};
 pub use options::Options;
+pub use stackpier_state::job::Queue;
 pub use wire::{
-    Advised, Ask, Effect, End, Event, Held, Hold, How, Note, Now, Order, Pace, Queue, Report,
-    RosterEntry, Row, Save, Start, Started, Stop, Stopped, TaskName,
+    Advised, Ask, Effect, End, Event, Held, Hold, How, Note, Now, Order, Pace, Report, RosterEntry,
+    Row, Save, Start, Started, Stop, Stopped, TaskName,
 };
 pub use worker::Info;
--- a/crates/stackpier-cell/src/lifecycle.rs
+++ b/crates/stackpier-cell/src/lifecycle.rs
@@ -26,6 +26,11 @@
         if self.job_keys.contains_key(&id) {
             return;
         }
+        // A later configuration may lack the queue; this owner may never have seen it.
+        let queue = &record.queue;
+        if !self.queues.contains_key(&queue.name) {
+            self.queues.insert(queue.name.clone(), queue.clone());
+        }
         let key = self.add_job(id, record);
         if let Some(progress) = progress {
             self.restore(key, progress);
@@ -47,7 +52,7 @@
         let chain = chains.iter().copied().max().unwrap_or(0);
         let job = Job {
             id,
-            queue: record.queue.clone(),
+            queue: record.queue.name.clone(),
             payload: Rc::from(spec.payload.as_str()),
             state: State::Pending,
             first_step: StepKey(self.steps.len() as u32),
@@ -74,7 +79,7 @@
 
     /// objective returns by when a job should be done, on the own clock.
     fn objective(&self, record: &Record, chain_ms: u64) -> Millis {
-        let queue = self.queues.get(&record.queue);
+        let queue = self.queues.get(&record.queue.name);
         let (stretch, target_ms) = queue.map_or((1.0, 0), |queue| (queue.stretch, queue.target_ms));
         let allowed = (chain_ms as f64 * stretch) as u64 + target_ms;
         let age = self.now.unix.0.saturating_sub(record.accepted_ms);
--- a/crates/stackpier-cell/src/wire.rs
+++ b/crates/stackpier-cell/src/wire.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 use stackpier_core::{Millis, Unix, arena::Index, key};
-use stackpier_state::job::{Progress, Record};
+use stackpier_state::job::{Progress, Queue, Record};
 
 use crate::{
     arena::{StepKey, WorkerKey},
@@ -49,27 +49,6 @@
     }
 }
 
-/// Queue is what the configuration says of one queue.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Queue {
-    /// The queue's name.
-    pub name: String,
-    /// The service whose workers run its tasks.
-    pub service: String,
-    /// Zero goes first.
-    pub priority: u8,
-    /// Failed runs of a task after which its job has failed.
-    pub attempts: u16,
-    /// The factor on a job's longest chain of work in its latency objective.
-    pub stretch: f64,
-    /// What is added to the objective, in milliseconds.
-    pub target_ms: u64,
-    /// Whether the queue's service guards its capacity by itself.
-    pub guarded: bool,
-    /// Whether an adviser knows which workers may run its steps.
-    pub advised: bool,
-}
-
 /// Event is something that happened, as the owner sees it.
 #[derive(Clone, Debug)]
 pub enum Event {
--- a/crates/stackpier-cell/tests/common/mod.rs
+++ b/crates/stackpier-cell/tests/common/mod.rs
@@ -185,14 +185,14 @@
     pub fn submit_to(
         &mut self,
         job: u64,
-        queue: &str,
+        name: &str,
         spec: Spec,
         fence: u64,
         progress: Option<Progress>,
     ) {
         self.specs.insert(job, spec.clone());
         let record = Record {
-            queue: queue.to_owned(),
+            queue: queue(name, 0),
             spec,
             fence,
             accepted_ms: UNIX + self.now_ms - 1,
--- a/crates/stackpier-cell/tests/jobs.rs
+++ b/crates/stackpier-cell/tests/jobs.rs
@@ -4,7 +4,7 @@
 
 mod common;
 
-use common::{Owner, QUEUE, UNIX, name, queue, spec, step};
+use common::{Owner, QUEUE, UNIX, info, name, queue, spec, step};
 use stackpier_cell::Event;
 use stackpier_core::key;
 use stackpier_standin::fleet::Behaviour;
@@ -334,3 +334,17 @@
     assert_eq!(tickets.count(), 20);
     assert!(owner.asked.len() < 12, "{:?} questions", owner.asked);
 }
+
+/// A configuration dropped the queue, and another daemon took over: it never saw the
+/// queue, and the job still runs.
+#[test]
+fn a_job_of_a_dropped_queue_runs_under_a_later_owner() {
+    let mut owner = Owner::with(2, 2, true);
+    for place in 0..2 {
+        owner.feed(Event::Listed(info(place)));
+    }
+    owner.advance(100);
+    owner.submit_to(2, "dropped", spec(vec![step(1)]), 1, None);
+    owner.advance(30_000);
+    assert_eq!(owner.state(2), Some(State::Completed));
+}
--- a/crates/stackpier-fuzz/src/cell/world/jobs.rs
+++ b/crates/stackpier-fuzz/src/cell/world/jobs.rs
@@ -8,7 +8,7 @@
 use stackpier_standin::fleet::Behaviour;
 use stackpier_state::job::{Record, Spec, Step};
 
-use super::{Message, QUEUE, START, World};
+use super::{Message, START, World, queue};
 
 impl World {
     /// plan_jobs draws all jobs, and when each is handed in and cancelled.
@@ -88,7 +88,7 @@
     /// submit hands a job in to the newest owner.
     pub(super) fn submit(&mut self, job: key::Job) {
         let record = Record {
-            queue: QUEUE.to_owned(),
+            queue: queue(),
             spec: self.oracle.specs[&job].clone(),
             fence: self.store.fence,
             accepted_ms: START + self.now_ms,
--- a/crates/stackpier-scheduler/src/jobs.rs
+++ b/crates/stackpier-scheduler/src/jobs.rs
@@ -53,7 +53,7 @@
                 return Err(refusal("no owner of the cell is known", unclear));
             };
             let record = Record {
-                queue: queue.name.clone(),
+                queue: queue.clone(),
                 spec: spec.clone(),
                 fence: owned.ownership.fence,
                 accepted_ms: self.now().unix.0,
--- a/crates/stackpier-state/src/job.rs
+++ b/crates/stackpier-state/src/job.rs
@@ -120,11 +120,33 @@
     }
 }
 
+/// Queue is what the configuration says of one queue.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Queue {
+    /// The queue's name.
+    pub name: String,
+    /// The service whose workers run its tasks.
+    pub service: String,
+    /// Zero goes first.
+    pub priority: u8,
+    /// Failed runs of a task after which its job has failed.
+    pub attempts: u16,
+    /// The factor on a job's longest chain of work in its latency objective.
+    pub stretch: f64,
+    /// What is added to the objective, in milliseconds.
+    pub target_ms: u64,
+    /// Whether the queue's service guards its capacity by itself.
+    pub guarded: bool,
+    /// Whether an adviser knows which workers may run its steps.
+    pub advised: bool,
+}
+
 /// Record is what the store keeps of an accepted job. It never changes.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Record {
-    /// The queue that the job was handed in to.
-    pub queue: String,
+    /// The queue that the job was handed in to, as it was configured then: later
+    /// configurations may lack it, and the job still runs.
+    pub queue: Queue,
     /// The job.
     pub spec: Spec,
     /// The fence of the cell's owner at the moment of acceptance.
