--- a/crates/stackpier-cell/tests/starvation.rs
+++ b/crates/stackpier-cell/tests/starvation.rs
@@ -11,12 +11,13 @@
 //! was kept from every worker for as long as the serving tasks stayed; and because
 //! it never ran, nothing was learnt that would have lowered the expectation.
 //!
-//! Cause: bounds that protect others (harm, memory and processors kept free) held
-//! without an end, however long a job had had nothing running.
+//! Cause, as far as shown: bounds that protect others (harm, memory and processors
+//! kept free) held without an end, however long a step had had nothing running.
 //!
-//! Proof: the owner's log of days with such waits names the obstacle of each worker:
-//! harm, busy processors and memory kept free, none else, for up to 24 seconds; and
-//! these tests, in which nothing but one of the three stands in the way.
+//! Proof: the owner's log of other days names the obstacle of each worker: harm, busy
+//! processors and memory kept free, none else, for up to 24 seconds; and in these
+//! tests nothing but one of the three stands in the way. The day itself was not seen
+//! again, so that this was its cause is inferred.
 
 mod common;
 
