--- a/crates/stackpier-standin/src/proxy.rs
+++ b/crates/stackpier-standin/src/proxy.rs
@@ -4,7 +4,10 @@
 use std::{
     io::{Read, Write},
     net::{Shutdown, TcpListener, TcpStream},
-    sync::{Arc, Mutex, PoisonError},
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
     thread,
     time::Duration,
 };
@@ -47,7 +50,53 @@
     Answer,
 }
 
-type Switch = Arc<Mutex<Mode>>;
+/// Switch is what the proxy does, for all of its connections.
+#[derive(Debug, Default)]
+struct Switch {
+    mode: Mutex<Mode>,
+    /// How often the connections of the time went silent.
+    silences: AtomicU64,
+}
+
+impl Switch {
+    fn mode(&self) -> Mode {
+        *self.mode.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn set(&self, mode: Mode) {
+        *self.mode.lock().unwrap_or_else(PoisonError::into_inner) = mode;
+    }
+
+    fn silences(&self) -> u64 {
+        self.silences.load(Ordering::SeqCst)
+    }
+}
+
+/// Gate is the switch as one connection sees it.
+#[derive(Clone)]
+struct Gate {
+    switch: Arc<Switch>,
+    /// The count of silences when the connection was accepted.
+    born: u64,
+}
+
+impl Gate {
+    fn new(switch: &Arc<Switch>) -> Gate {
+        Gate {
+            switch: Arc::clone(switch),
+            born: switch.silences(),
+        }
+    }
+
+    fn mode(&self) -> Mode {
+        self.switch.mode()
+    }
+
+    /// is_silent tells whether the connection went silent.
+    fn is_silent(&self) -> bool {
+        self.switch.silences() > self.born
+    }
+}
 
 /// Forward is one port of the proxy and where it leads.
 #[derive(Clone, Debug)]
@@ -61,13 +110,13 @@
 /// Proxy is one port with a switch of its own, in this process.
 #[derive(Clone, Debug)]
 pub struct Proxy {
-    switch: Switch,
+    switch: Arc<Switch>,
 }
 
 impl Proxy {
     /// start forwards connections until the process ends.
     pub fn start(forward: Forward) -> std::io::Result<Proxy> {
-        let switch = Switch::default();
+        let switch = Arc::new(Switch::default());
         let proxy = Proxy {
             switch: Arc::clone(&switch),
         };
@@ -78,13 +127,20 @@
 
     /// set changes what the proxy does, also to the connections there.
     pub fn set(&self, mode: Mode) {
-        *self.switch.lock().unwrap_or_else(PoisonError::into_inner) = mode;
+        self.switch.set(mode);
+    }
+
+    /// silence stops forwarding on the connections there, both ways and for
+    /// good: what is sent on them is lost, and neither end learns that the
+    /// other one closed. New connections are not touched.
+    pub fn silence(&self) {
+        self.switch.silences.fetch_add(1, Ordering::SeqCst);
     }
 }
 
 /// run forwards all ports and takes modes for them as JSON on `control`.
 pub fn run(forwards: Vec<Forward>, control: &str) -> anyhow::Result<()> {
-    let switch = Switch::default();
+    let switch = Arc::new(Switch::default());
     let server = Server::http(control).map_err(|error| anyhow::anyhow!(error))?;
     for one in forwards {
         let listener = TcpListener::bind(&one.listen)?;
@@ -95,11 +151,11 @@
     Ok(())
 }
 
-fn accept(listener: &TcpListener, to: &str, switch: &Switch) {
+fn accept(listener: &TcpListener, to: &str, switch: &Arc<Switch>) {
     for accepted in listener.incoming() {
         let Ok(client) = accepted else { continue };
-        let (to, switch) = (to.to_owned(), Arc::clone(switch));
-        thread::spawn(move || forward(client, &to, &switch));
+        let (to, gate) = (to.to_owned(), Gate::new(switch));
+        thread::spawn(move || forward(client, &to, &gate));
     }
 }
 
@@ -109,7 +165,7 @@
         let read = request.as_reader().read_to_end(&mut body).is_ok();
         let status = match (read, from_json(&body)) {
             (true, Ok(mode)) => {
-                *switch.lock().unwrap_or_else(PoisonError::into_inner) = mode;
+                switch.set(mode);
                 200
             }
             _ => 400,
@@ -118,25 +174,21 @@
     }
 }
 
-fn mode(switch: &Switch) -> Mode {
-    *switch.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
-fn forward(client: TcpStream, to: &str, switch: &Switch) -> Option<()> {
-    if matches!(mode(switch), Mode::Cut) {
+fn forward(client: TcpStream, to: &str, gate: &Gate) -> Option<()> {
+    if matches!(gate.mode(), Mode::Cut) {
         return client.shutdown(Shutdown::Both).ok();
     }
     let server = TcpStream::connect(to).ok()?;
     client.set_nodelay(true).ok()?;
     server.set_nodelay(true).ok()?;
     let (client_too, server_too) = (client.try_clone().ok()?, server.try_clone().ok()?);
-    let switch_too = Arc::clone(switch);
-    thread::spawn(move || pump(client_too, server_too, Way::Request, &switch_too));
-    pump(server, client, Way::Answer, switch);
+    let gate_too = gate.clone();
+    thread::spawn(move || pump(client_too, server_too, Way::Request, &gate_too));
+    pump(server, client, Way::Answer, gate);
     Some(())
 }
 
-fn pump(mut from: TcpStream, mut to: TcpStream, way: Way, switch: &Switch) {
+fn pump(mut from: TcpStream, mut to: TcpStream, way: Way, gate: &Gate) {
     let mut moved = 0;
     let mut chunk = [0; CHUNK];
     let _ = from.set_read_timeout(Some(POLL));
@@ -144,29 +196,37 @@
         let count = match from.read(&mut chunk) {
             Ok(0) => break,
             Ok(count) => count,
-            Err(error) if waits(&error) => match mode(switch) {
-                Mode::Cut => break,
+            Err(error) if waits(&error) => match gate.mode() {
+                Mode::Cut if !gate.is_silent() => break,
                 _ => continue,
             },
             Err(_) => break,
         };
-        let Some(allowed) = admit(way, moved, count, switch) else {
+        let Some(allowed) = admit(way, moved, count, gate) else {
             break;
         };
+        if gate.is_silent() {
+            continue;
+        }
         if to.write_all(&chunk[..allowed]).is_err() || allowed < count {
             break;
         }
         moved += allowed;
     }
+    if gate.is_silent() {
+        // The other way's thread keeps both sockets until its own end closes.
+        return;
+    }
     let _ = from.shutdown(Shutdown::Both);
     let _ = to.shutdown(Shutdown::Both);
 }
 
 /// admit waits while the mode holds bytes back, and returns how many of
 /// `count` may go on; `None` ends the connection.
-fn admit(way: Way, moved: usize, count: usize, switch: &Switch) -> Option<usize> {
+fn admit(way: Way, moved: usize, count: usize, gate: &Gate) -> Option<usize> {
     loop {
-        match mode(switch) {
+        match gate.mode() {
+            _ if gate.is_silent() => return Some(count),
             Mode::Cut => return None,
             Mode::Stall => thread::sleep(POLL),
             Mode::HalfOpen if way == Way::Answer => thread::sleep(POLL),
