Connections that go silent cost one time-out at most

Cause: `Client` kept up to six idle connections an address. After a silence each was tried and timed out in turn; a worker's lease ended before a hold got through. `Links` lost a whole message, and a late time-out closed the connection that had been opened since. Opening a connection was bounded by the call's limit only, 2.65 s for a watch now and 3.5 s before. Connections accepted from daemons stayed for ever, a body that stopped coming stayed for ever, and a part of a head held a planned stop up until one second before the end.

Change: a late call closes the idle connections to its address that brought no answer in the last 0.3 s. A message between daemons is sent on a new connection as well after half its time, at once if the kept one broke; not so a write, which follows an answered question. Connections from daemons end after 5 s without a message, bodies after 3 s, parts of heads 0.5 s after a planned stop closes. A watch waits 2.2 s + 0.45 s instead of 2.5 s + 1 s, so that with the pause after it a new one is sent within 2.9 s.

Ruled out: closing what answered since the late call was sent: a hold waits, and what answered before the silence was used again (its retry timed out, 2.1 s instead of 1.3 s until the worker answered). Only calls on reused connections: the late hold was on a new one. Shorter first tries: an owner that is slow would be asked twice and answered late. Repeating starts and holds: the cell does.

--- a/crates/stackpier-scheduler/src/daemon.rs
+++ b/crates/stackpier-scheduler/src/daemon.rs
@@ -62,8 +62,13 @@
         closing.clone(),
         Rc::clone(&aside),
     ));
-    tokio::task::spawn_local(serve(metrics, Metrics(node.clone()), closing, aside));
-    tokio::task::spawn_local(link::serve(peers, node.clone()));
+    tokio::task::spawn_local(serve(
+        metrics,
+        Metrics(node.clone()),
+        closing,
+        Rc::clone(&aside),
+    ));
+    tokio::task::spawn_local(link::serve(peers, node.clone(), aside));
     tokio::task::spawn_local(follow(node.clone(), Configs { node: node.clone() }, None));
     tokio::task::spawn_local(member::run(node.clone()));
     node.say("daemon", &format!("started: {settings:?}"));
--- a/crates/stackpier-scheduler/src/http.rs
+++ b/crates/stackpier-scheduler/src/http.rs
@@ -19,17 +19,32 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::watch,
-    time::{Instant, timeout_at},
+    time::{Instant, sleep, timeout, timeout_at},
 };
 
+use crate::socket;
+
 /// MAX_ANSWER_BYTES bounds the body of an answer: a page of the store's items
 /// is about 1 MB.
 const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
 /// MAX_IDLE bounds the idle connections kept to one address. Workers take 64
 /// connections each from all daemons together.
 const MAX_IDLE: usize = 6;
-/// HEADER_TIMEOUT is how long a client may take to send its headers.
+/// TRUST is how recent an answer must be to show, at the time-out of another
+/// call, that its connection is not silent as well. It is below what the calls
+/// wait beyond the time at which an answer is due, 450 ms at least: an answer
+/// from before a silence is older.
+const TRUST: Duration = Duration::from_millis(300);
+/// LINGER is how long a connection is kept at a planned stop after it was told
+/// to end, and again, while no request is answered on it: what remains is a
+/// request of which only a part has come.
+const LINGER: Duration = Duration::from_millis(500);
+/// HEADER_TIMEOUT is how long a connection may be idle, and how long a client
+/// may take to send its headers.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(15);
+/// BODY_TIMEOUT is how long a client may take to send its body: clients wait
+/// three seconds for an answer.
+const BODY_TIMEOUT: Duration = Duration::from_secs(3);
 /// ACCEPT_PAUSE is the pause after a failed accept, such as for want of
 /// descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -60,10 +75,21 @@
 
 type Sender = SendRequest<Full<Bytes>>;
 
+/// Kept is an idle connection.
+struct Kept {
+    sender: Sender,
+    /// When it last brought an answer.
+    answered: Instant,
+}
+
 /// Client sends calls over kept connections, one call at a time on each.
+///
+/// Connections may go silent for good without a reset, all at once. So a call
+/// that is late closes all idle connections to its address that have not just
+/// brought an answer: the next call opens a new one.
 #[derive(Clone, Default)]
 pub struct Client {
-    idle: Rc<RefCell<HashMap<String, Vec<Sender>>>>,
+    idle: Rc<RefCell<HashMap<String, Vec<Kept>>>>,
     opened: Rc<Cell<u64>>,
     calls: Rc<Cell<u64>>,
 }
@@ -74,7 +100,10 @@
     pub async fn call(&self, address: &str, call: Call) -> Result<Answer> {
         let end = Instant::now() + call.limit;
         self.calls.set(self.calls.get() + 1);
-        let late = |_| Error::new(Kind::Unreachable, format!("{address}: no answer in time"));
+        let late = |_| {
+            self.distrust(address);
+            Error::new(Kind::Unreachable, format!("{address}: no answer in time"))
+        };
         timeout_at(end, self.exchange(address, call))
             .await
             .map_err(late)?
@@ -90,9 +119,12 @@
         self.calls.get()
     }
 
-    /// forget closes the idle connections to an address.
-    pub fn forget(&self, address: &str) {
-        self.idle.borrow_mut().remove(address);
+    /// distrust closes the idle connections to an address that have not just
+    /// brought an answer.
+    fn distrust(&self, address: &str) {
+        if let Some(kept) = self.idle.borrow_mut().get_mut(address) {
+            kept.retain(|kept| kept.answered.elapsed() < TRUST);
+        }
     }
 
     async fn exchange(&self, address: &str, call: Call) -> Result<Answer> {
@@ -117,9 +149,9 @@
     fn take(&self, address: &str) -> Option<Sender> {
         let mut idle = self.idle.borrow_mut();
         let senders = idle.get_mut(address)?;
-        while let Some(sender) = senders.pop() {
-            if !sender.is_closed() {
-                return Some(sender);
+        while let Some(kept) = senders.pop() {
+            if !kept.sender.is_closed() {
+                return Some(kept.sender);
             }
         }
         None
@@ -132,14 +164,13 @@
             None => idle.entry(address.to_owned()).or_default(),
         };
         if senders.len() < MAX_IDLE && !sender.is_closed() {
-            senders.push(sender);
+            let answered = Instant::now();
+            senders.push(Kept { sender, answered });
         }
     }
 
     async fn connect(&self, address: &str) -> Result<Sender> {
-        let refused = |error: std::io::Error| unreachable(address, &error);
-        let stream = TcpStream::connect(address).await.map_err(refused)?;
-        stream.set_nodelay(true).map_err(refused)?;
+        let stream = socket::connect(address).await?;
         self.opened.set(self.opened.get() + 1);
         let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream));
         let (sender, connection) = handshake
@@ -190,7 +221,7 @@
 ) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
+            sleep(ACCEPT_PAUSE).await;
             continue;
         };
         if stream.set_nodelay(true).is_err() {
@@ -207,9 +238,15 @@
 }
 
 async fn connection<H: Handler>(stream: TcpStream, handler: H, mut closing: Closing) {
-    let service = service_fn(move |request| {
-        let handler = handler.clone();
-        async move { Ok::<_, std::convert::Infallible>(handler.handle(request).await) }
+    let answering = Rc::new(Cell::new(false));
+    let service = service_fn(|request| {
+        let (handler, answering) = (handler.clone(), Rc::clone(&answering));
+        async move {
+            answering.set(true);
+            let response = handler.handle(request).await;
+            answering.set(false);
+            Ok::<_, std::convert::Infallible>(response)
+        }
     });
     let mut builder = hyper::server::conn::http1::Builder::new();
     builder
@@ -223,7 +260,15 @@
         _ = connection.as_mut() => return,
         _ = closing.wait_for(|closing| *closing) => connection.as_mut().graceful_shutdown(),
     }
-    drop(connection.await);
+    loop {
+        tokio::select! {
+            _ = connection.as_mut() => return,
+            () = sleep(LINGER) => {}
+        }
+        if !answering.get() {
+            return;
+        }
+    }
 }
 
 /// listen opens a listener.
@@ -250,10 +295,14 @@
     response
 }
 
-/// body reads the body of a request up to a bound.
+/// body reads the body of a request up to a bound. One that stops coming is an
+/// error, so that a client that went silent holds up no planned stop.
 pub async fn body(body: Incoming, max_bytes: usize) -> Result<Bytes> {
     let limited = Limited::new(body, max_bytes);
-    match limited.collect().await {
+    let Ok(collected) = timeout(BODY_TIMEOUT, limited.collect()).await else {
+        return Err(Error::new(Kind::TooSlow, "the body did not come in time"));
+    };
+    match collected {
         Ok(collected) => Ok(collected.to_bytes()),
         Err(error) if error.is::<http_body_util::LengthLimitError>() => {
             let text = format!("the body is over {max_bytes} bytes");
--- a/crates/stackpier-scheduler/src/lib.rs
+++ b/crates/stackpier-scheduler/src/lib.rs
@@ -15,7 +15,7 @@
 pub mod http;
 mod jobs;
 mod keys;
-mod link;
+pub mod link;
 mod loading;
 pub mod log;
 mod member;
@@ -24,6 +24,7 @@
 mod owner;
 mod saving;
 pub mod settings;
+mod socket;
 pub mod store;
 mod watch;
 
--- a/crates/stackpier-scheduler/src/link.rs
+++ b/crates/stackpier-scheduler/src/link.rs
@@ -1,7 +1,13 @@
 // SPDX-License-Identifier: Apache-2.0
 //! Messages between daemons: `bincode` on `h2`, one stream for each.
 
-use std::{cell::RefCell, collections::HashMap, future::Future, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    future::Future,
+    rc::Rc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use h2::{RecvStream, SendStream, client, server};
@@ -15,19 +21,29 @@
 use stackpier_transport::stream::{broken, collect};
 use tokio::{
     net::{TcpListener, TcpStream},
-    time::timeout,
+    time::{Instant, sleep, timeout, timeout_at},
 };
 
-use crate::store::{Committed, Transaction};
+use crate::{
+    socket,
+    store::{Committed, Transaction},
+};
 
 /// URI is the target of every message; only the body matters.
 const URI: &str = "http://stackpier/message";
 /// ACCEPT_PAUSE is the pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// LINE_TIMEOUT is how long a connection may bring no message before the daemon
+/// that accepted it closes it: twenty heartbeats. One that went silent would
+/// otherwise be kept for ever.
+const LINE_TIMEOUT: Duration = Duration::from_secs(5);
+/// SECOND_TRY is the part of a message's time, as a divisor, after which it is
+/// sent on a new connection as well.
+const SECOND_TRY: u32 = 2;
 
 /// Request is a message to another daemon.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-pub(crate) enum Request {
+pub enum Request {
     /// A heartbeat from a follower to the owner it knows.
     Heartbeat(Heartbeat),
     /// Did the receiver hear from the owner with this fence lately?
@@ -49,17 +65,32 @@
     Write(Transaction),
 }
 
+impl Request {
+    /// patience returns how long a message waits on a kept connection before it
+    /// is sent on a new one as well. A write, which the store charges for, only
+    /// follows an answered question on the same connection.
+    fn patience(&self, limit: Duration) -> Duration {
+        match self {
+            Request::Write(_) => limit,
+            _ => limit / SECOND_TRY,
+        }
+    }
+}
+
 /// Heartbeat tells the owner how a follower fares.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-pub(crate) struct Heartbeat {
+pub struct Heartbeat {
+    /// The follower's VM.
     pub vm: String,
+    /// The fence of the owner that it knows.
     pub fence: u64,
+    /// The version of its configuration.
     pub config: u64,
 }
 
 /// Response is the answer to a [`Request`].
 #[derive(Clone, Debug, Serialize, Deserialize)]
-pub(crate) enum Response {
+pub enum Response {
     /// The answer to a heartbeat.
     Alive(Alive),
     /// A yes or no.
@@ -78,10 +109,12 @@
 
 /// Alive is the owner's answer to a heartbeat.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
-pub(crate) struct Alive {
+pub struct Alive {
+    /// The run of the daemon.
     pub boot: Boot,
     /// The fence that it knows, its own if it is the owner.
     pub fence: u64,
+    /// Whether it owns the cell, or is reading it.
     pub owner: bool,
     /// Whether the store answers it.
     pub store: bool,
@@ -90,82 +123,173 @@
 }
 
 /// Service answers messages.
-pub(crate) trait Service: Clone + 'static {
+pub trait Service: Clone + 'static {
+    /// answer returns the answer to a message.
     fn answer(&self, request: Request) -> impl Future<Output = Response>;
 }
 
-type Line = client::SendRequest<Bytes>;
+/// Line is a kept connection to another daemon.
+#[derive(Clone)]
+struct Line {
+    sender: client::SendRequest<Bytes>,
+    /// Its place in the order of opening.
+    number: u64,
+    /// When it last brought an answer.
+    answered: Rc<Cell<Instant>>,
+}
+
+impl Line {
+    /// exchange sends a message and waits for its answer.
+    async fn exchange(self, body: Bytes) -> Result<Response> {
+        let mut sender = self.sender.ready().await.map_err(broken)?;
+        let head = http::Request::post(URI).body(());
+        let head = head.map_err(|error| Error::new(Kind::Internal, error.to_string()))?;
+        let (response, mut stream) = sender.send_request(head, false).map_err(broken)?;
+        stream.send_data(body, true).map_err(broken)?;
+        let mut body = response.await.map_err(broken)?.into_body();
+        let answer = decode(&collect(&mut body).await?)?;
+        self.answered.set(Instant::now());
+        Ok(answer)
+    }
+}
 
 /// Links sends messages over kept connections.
+///
+/// A connection may go silent for good without a reset. So a message that has
+/// no answer after half of its time, on a kept connection that has brought no
+/// other answer meanwhile, is sent on a new one as well. Each message is safe to
+/// be taken in twice.
 #[derive(Clone, Default)]
-pub(crate) struct Links {
+pub struct Links {
     lines: Rc<RefCell<HashMap<String, Line>>>,
+    opened: Rc<Cell<u64>>,
 }
 
 impl Links {
     /// call sends a message and waits for the answer. After an error its
     /// connection is not used again.
-    pub(crate) async fn call(
+    pub async fn call(
         &self,
         address: &str,
         request: &Request,
         limit: Duration,
     ) -> Result<Response> {
-        let answered = timeout(limit, self.exchange(address, request)).await;
-        let late = || Error::new(Kind::Unreachable, format!("{address}: no answer in time"));
-        let answer = answered.unwrap_or_else(|_| Err(late()));
+        let body = Bytes::from(encode(request)?);
+        let sent = Instant::now();
+        let end = sent + limit;
+        let Some(kept) = self.kept(address) else {
+            return self.ask_anew(address, body, end).await;
+        };
+        let (number, answered) = (kept.number, Rc::clone(&kept.answered));
+        let first = self.ask(address, kept, body.clone(), end);
+        let mut first = std::pin::pin!(first);
+        tokio::select! {
+            answer = first.as_mut() => match answer {
+                Err(_) if Instant::now() < end => {
+                    return self.ask_anew(address, body, end).await;
+                }
+                answer => return answer,
+            },
+            () = sleep(request.patience(limit)) => {}
+        }
+        if answered.get() >= sent || Instant::now() >= end {
+            return first.await;
+        }
+        self.forget(address, number);
+        tokio::select! {
+            Ok(answer) = first => Ok(answer),
+            Ok(answer) = self.ask_anew(address, body, end) => Ok(answer),
+            else => Err(late(address)),
+        }
+    }
+
+    /// opened returns how many connections were opened.
+    pub fn opened(&self) -> u64 {
+        self.opened.get()
+    }
+
+    /// ask_anew sends a message on a connection that was opened since an
+    /// earlier one failed, or opens one.
+    async fn ask_anew(&self, address: &str, body: Bytes, end: Instant) -> Result<Response> {
+        let line = match self.kept(address) {
+            Some(line) => line,
+            None => timeout_at(end, self.open(address))
+                .await
+                .map_err(|_| late(address))??,
+        };
+        self.ask(address, line, body, end).await
+    }
+
+    /// ask sends a message on a connection, which is kept only if it answers.
+    async fn ask(&self, address: &str, line: Line, body: Bytes, end: Instant) -> Result<Response> {
+        let number = line.number;
+        let answered = timeout_at(end, line.exchange(body)).await;
+        let answer = answered.unwrap_or_else(|_| Err(late(address)));
         if answer.is_err() {
-            self.lines.borrow_mut().remove(address);
+            self.forget(address, number);
         }
         answer
     }
 
-    async fn exchange(&self, address: &str, request: &Request) -> Result<Response> {
-        let body = Bytes::from(encode(request)?);
-        let line = self.line(address).await?;
-        let mut line = line.ready().await.map_err(broken)?;
-        let head = http::Request::post(URI).body(());
-        let head = head.map_err(|error| Error::new(Kind::Internal, error.to_string()))?;
-        let (response, mut stream) = line.send_request(head, false).map_err(broken)?;
-        stream.send_data(body, true).map_err(broken)?;
-        let mut body = response.await.map_err(broken)?.into_body();
-        decode(&collect(&mut body).await?)
+    fn kept(&self, address: &str) -> Option<Line> {
+        self.lines.borrow().get(address).cloned()
     }
 
-    async fn line(&self, address: &str) -> Result<Line> {
-        if let Some(line) = self.lines.borrow().get(address) {
-            return Ok(line.clone());
+    /// forget keeps a connection no longer. One that was opened since stays.
+    fn forget(&self, address: &str, number: u64) {
+        let mut lines = self.lines.borrow_mut();
+        if lines.get(address).is_some_and(|line| line.number == number) {
+            lines.remove(address);
         }
-        let refused = |error| Error::new(Kind::Unreachable, format!("{address}: {error}"));
-        let stream = TcpStream::connect(address).await.map_err(refused)?;
-        stream.set_nodelay(true).map_err(refused)?;
-        let (line, connection) = client::handshake(stream).await.map_err(broken)?;
+    }
+
+    async fn open(&self, address: &str) -> Result<Line> {
+        let stream = socket::connect(address).await?;
+        let (sender, connection) = client::handshake(stream).await.map_err(broken)?;
         // Its errors come to light at the message that uses the connection.
         tokio::task::spawn_local(async move { drop(connection.await) });
+        self.opened.set(self.opened.get() + 1);
+        let line = Line {
+            sender,
+            number: self.opened.get(),
+            answered: Rc::new(Cell::new(Instant::now())),
+        };
         let mut lines = self.lines.borrow_mut();
         lines.insert(address.to_owned(), line.clone());
         Ok(line)
     }
 }
 
-/// serve answers the messages that come to a listener.
-pub(crate) async fn serve<S: Service>(listener: TcpListener, service: S) {
+fn late(address: &str) -> Error {
+    Error::new(Kind::Unreachable, format!("{address}: no answer in time"))
+}
+
+/// serve answers the messages that come to a listener, and counts the open
+/// connections.
+pub async fn serve<S: Service>(listener: TcpListener, service: S, open: Rc<Cell<usize>>) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
-        if stream.set_nodelay(true).is_ok() {
-            tokio::task::spawn_local(connection(stream, service.clone()));
+        if stream.set_nodelay(true).is_err() {
+            // The other daemon is gone already.
+            continue;
         }
+        let (service, open) = (service.clone(), Rc::clone(&open));
+        tokio::task::spawn_local(async move {
+            open.set(open.get() + 1);
+            connection(stream, service).await;
+            open.set(open.get() - 1);
+        });
     }
 }
 
 async fn connection<S: Service>(stream: TcpStream, service: S) {
-    let Ok(mut connection) = server::handshake(stream).await else {
+    let Ok(Ok(mut connection)) = timeout(LINE_TIMEOUT, server::handshake(stream)).await else {
         return;
     };
-    while let Some(Ok((request, respond))) = connection.accept().await {
+    while let Ok(Some(Ok((request, respond)))) = timeout(LINE_TIMEOUT, connection.accept()).await {
         let service = service.clone();
         let answer = answer(request.into_body(), respond, service);
         // A failed answer is seen by the daemon that asked.
--- a/crates/stackpier-scheduler/src/watch.rs
+++ b/crates/stackpier-scheduler/src/watch.rs
@@ -11,9 +11,11 @@
 };
 
 /// WAIT_MS is how long a watch waits. A cut may swallow its answer without a
-/// sign, so it is kept shorter than the three seconds after which users take a
-/// daemon to be in touch again.
-const WAIT_MS: u64 = 2_500;
+/// sign, and its connection may go silent while no other call notices. With what
+/// a watch may take beyond its wait (450 ms) and the pause after it, a new
+/// connection is tried within 2.9 s: before the three seconds after which users
+/// take a daemon to be in touch again.
+const WAIT_MS: u64 = 2_200;
 /// RETRY_MS is the pause after a call that failed.
 const RETRY_MS: u64 = 250;
 
