Holds hardly wait while a start is unclear

Cause: a start that was lost on a silent connection was repeated after 3.1 to 3.3 s. 1.8 s of it was the cell: its task waits for two reports, and each hold waited 500 ms for an end.

Change: holds on a worker with an unclear start, or a stop of one, wait 50 ms.

--- a/crates/stackpier-cell/src/hold.rs
+++ b/crates/stackpier-cell/src/hold.rs
@@ -13,6 +13,9 @@
 /// IDLE_MS is the pause between two holds on a worker that runs nothing. It
 /// only has to keep the reading of its clock fresh.
 const IDLE_MS: u64 = 5_000;
+/// UNCLEAR_MS is how long a hold waits while a start there got no answer: reports tell
+/// whether the run is there, and its task waits for two of them.
+const UNCLEAR_MS: u64 = 50;
 /// PERCENT_DONE is the percent of a lasting task that is at work.
 const PERCENT_DONE: u8 = 100;
 
@@ -24,15 +27,16 @@
 
     /// hold_soon sends a hold that waits for an end, unless one is on its way.
     pub(crate) fn hold_soon(&mut self, key: WorkerKey) {
-        let worker = self.worker(key);
-        let serves = |run: &RunKey| self.runs.get(*run).is_some_and(|run| run.serving);
-        let samples = worker.runs.iter().any(serves);
-        let wait = if samples {
-            self.options.sample_ms
-        } else {
-            self.options.hold_wait_ms
-        };
-        self.hold(key, wait);
+        let runs = self.worker(key).runs.iter();
+        let mut wait_ms = self.options.hold_wait_ms;
+        for run in runs.filter_map(|run| self.runs.get(*run)) {
+            if run.is_unclear() {
+                wait_ms = wait_ms.min(UNCLEAR_MS);
+            } else if run.serving {
+                wait_ms = wait_ms.min(self.options.sample_ms);
+            }
+        }
+        self.hold(key, wait_ms);
     }
 
     fn hold(&mut self, key: WorkerKey, wait_ms: u64) {
--- a/crates/stackpier-cell/src/run.rs
+++ b/crates/stackpier-cell/src/run.rs
@@ -140,6 +140,13 @@
         self.pace < 100 && self.is_settled(now) && self.used_milli.is_some_and(over)
     }
 
+    /// is_unclear tells whether it is not known if the run is there, so that reports
+    /// are wanted soon.
+    pub(crate) fn is_unclear(&self) -> bool {
+        let stops = self.phase == Phase::Stopping && self.confirmed.is_none();
+        stops || matches!(self.phase, Phase::Unsure(_))
+    }
+
     /// counted returns what the run takes of a worker's room: the processors
     /// of a filling run are not counted.
     pub(crate) fn counted(&self) -> Size {
