Tasks that last go first in their priority once they have waited for 3 s

What can't be in time any more comes last, and a task that lasts is past its objective after its first seconds. So the room that came where another one ended was shared out among narrow tasks.

Ruled out: runs that are not there (a trial listed all runs that were being started or stopped for over 2 s: none stayed), tasks in no list, workers wrongly out of use.

Change: such a task goes first in its priority once one of its step has waited for 3 s. The log says for the three longest waiting ones what keeps them from the workers.

Test: room_for_a_task_that_lasts_is_not_shared_out_among_narrow_ones, red before.

--- a/crates/stackpier-cell/src/obstacle.rs
+++ b/crates/stackpier-cell/src/obstacle.rs
@@ -96,6 +96,7 @@
 struct Idle {
     step: StepKey,
     task: TaskKey,
+    lasting: bool,
     waits_ms: u64,
 }
 
@@ -107,16 +108,24 @@
         waits.max().unwrap_or(0)
     }
 
-    /// note_idle writes what keeps the longest waiting steps without a run.
+    /// note_idle writes what keeps the longest waiting steps without a run, those of
+    /// tasks that last and the others by themselves.
     pub(crate) fn note_idle(&mut self) {
         let mut idle: Vec<Idle> = self.idle().collect();
         idle.retain(|idle| idle.waits_ms >= IDLE_MS);
         idle.sort_by_key(|idle| std::cmp::Reverse(idle.waits_ms));
+        let (lasting, others): (Vec<Idle>, Vec<Idle>) =
+            idle.into_iter().partition(|idle| idle.lasting);
+        self.note_longest("a task that lasts has not run", &lasting);
+        self.note_longest("nothing of the step has run", &others);
+    }
+
+    fn note_longest(&mut self, what: &str, idle: &[Idle]) {
         let count = idle.len();
-        for idle in idle.into_iter().take(MOST_NOTED) {
+        for idle in idle.iter().take(MOST_NOTED) {
             let why = self.obstacles(idle.step);
             let text = format!(
-                "nothing of the step has run for {} ms, one of {count} such: {why}",
+                "{what} for {} ms, one of {count} such: {why}",
                 idle.waits_ms
             );
             let name: TaskName = self.name(idle.task);
@@ -171,17 +180,19 @@
         format!("{}; {tally}", need.describe())
     }
 
-    /// idle returns the steps with tasks to place and nothing running.
+    /// idle returns the steps with tasks to place and nothing running; of tasks that
+    /// last, those with one that does not run.
     fn idle(&self) -> impl Iterator<Item = Idle> + '_ {
         let steps = self.waiting.iter().chain(&self.filling);
         steps.filter_map(|key| {
             let step = self.step_of(*key);
             let task = *step.ready.first()?;
             let over = self.job(step.job).state.is_final();
-            (step.runs == 0 && !over).then(|| Idle {
+            (!over).then(|| Idle {
                 step: *key,
                 task,
-                waits_ms: self.now.mono.since(step.idle_since),
+                lasting: self.shape(*key).lasting,
+                waits_ms: self.idle_ms(*key),
             })
         })
     }
--- a/crates/stackpier-cell/src/place.rs
+++ b/crates/stackpier-cell/src/place.rs
@@ -32,6 +32,9 @@
 /// LATE_MS is added to the order of a step that can't be in time any more, so
 /// that it comes after all that can.
 const LATE_MS: u64 = 60_000;
+/// LASTING_MS is how long a task that lasts waits until it goes before all others of
+/// its priority: users count it as lost from six seconds after its last run.
+const LASTING_MS: u64 = 3_000;
 /// TRUST_MS is how long a task that has only one failure left waits for a
 /// worker that lately did work, before it goes to one that has not failed; it
 /// waits as long again before it goes to any.
@@ -81,14 +84,18 @@
         keyed.into_iter().map(|(_, step)| step).collect()
     }
 
-    /// order_of returns the place of a step in the order: its priority, then
-    /// the jobs with the fewest tasks left; those that can't be in time any
-    /// more come last.
+    /// order_of returns the place of a step in the order: its priority, then tasks
+    /// that last, then the jobs with the fewest tasks left; those that can't be in
+    /// time any more come last. Room for a task that lasts is rare where most is
+    /// taken: it comes where another one ends, and narrow tasks would share it out.
     fn order_of(&self, step: StepKey) -> (u8, u64) {
         let entry = self.step_of(step);
         let job = self.job(entry.job);
         let queue = self.queues.get(&job.queue);
         let priority = queue.map_or(u8::MAX, |queue| queue.priority);
+        if self.shape(step).lasting && self.idle_ms(step) >= LASTING_MS {
+            return (priority, 0);
+        }
         let latest = job.objective.0.saturating_sub(entry.chain_ms);
         let late = latest < self.now.mono.0;
         let place = if late {
--- a/crates/stackpier-cell/src/place/starvation.rs
+++ b/crates/stackpier-cell/src/place/starvation.rs
@@ -83,7 +83,7 @@
     /// idle_ms returns for how long a step with tasks to place has had nothing
     /// running, zero if something runs. Each task that lasts has its own turn, so of
     /// these it is the time since one last ended.
-    fn idle_ms(&self, key: StepKey) -> u64 {
+    pub(crate) fn idle_ms(&self, key: StepKey) -> u64 {
         let step = self.step_of(key);
         let runs = step.runs > 0 && !self.shape(key).lasting;
         if runs || step.ready.is_empty() {
--- a/crates/stackpier-cell/tests/starvation.rs
+++ b/crates/stackpier-cell/tests/starvation.rs
@@ -408,3 +408,35 @@
         .filter(|(start, _)| start.order.task.job.0 >= 100);
     assert_eq!(started.count(), 1);
 }
+
+/// Seen on a full cell: tasks that last did not run for 25 s after a failure. The room
+/// that came where others of them ended was shared out among narrow tasks, as what can't
+/// be in time any more came last; the log named no worker with enough room at once.
+#[test]
+fn room_for_a_task_that_lasts_is_not_shared_out_among_narrow_ones() {
+    const WAITING: u64 = 3;
+    let mut owner = Owner::new(1);
+    for job in [LASTING, WAITING] {
+        let mut wide = Step {
+            lasting: true,
+            ..step(1)
+        };
+        wide.size.milli_cores = 6_000;
+        let behaviour = Behaviour {
+            size: wide.size,
+            lasts: true,
+            ..Behaviour::default()
+        };
+        owner.behaviours.insert((job, 0), behaviour);
+        owner.submit(job, spec(vec![wide]));
+        owner.advance(500);
+    }
+    for job in 100..108 {
+        owner.submit(job, spec(vec![step(8)]));
+        owner.advance(500);
+    }
+    owner.feed(Event::Cancelled(key::Job(LASTING)));
+    owner.advance(3_000);
+    let why = owner.cell.explain(key::Job(WAITING));
+    assert!(!owner.places(WAITING, 0).is_empty(), "{why:?}");
+}
