--- a/crates/stackpier-cell/tests/starvation.rs
+++ b/crates/stackpier-cell/tests/starvation.rs
@@ -431,12 +431,13 @@
         owner.submit(job, spec(vec![wide]));
         owner.advance(500);
     }
-    for job in 100..108 {
+    owner.advance(3_500);
+    // These are in time yet, as some always are.
+    for job in 100..102 {
         owner.submit(job, spec(vec![step(8)]));
-        owner.advance(500);
     }
     owner.feed(Event::Cancelled(key::Job(LASTING)));
-    owner.advance(3_000);
+    owner.advance(500);
     let why = owner.cell.explain(key::Job(WAITING));
     assert!(!owner.places(WAITING, 0).is_empty(), "{why:?}");
 }
