Silences count for new starts only after the store's word

Cause: a lease that is over by an owner's own record, a new life at an address, and the leases of the owner before show that nothing this owner knows of runs there. They do not show that no successor renewed the lease, or noted ends, since the store last confirmed the ownership. An owner cut off from the store acts for up to 5 s, and its workers may have met no later fence.

Weighed: a successor that renews and notes nothing until its predecessor's authority is over. It would do, but for 5 s after each take-over, mistaken or not, ends wait to be noted, and leases with less left than that run out: all that runs in a data centre which was out of reach for more than a second. Shorter authority: up to 5 s less of everything in a cut data centre, against what only silences need.

Change: `Worker::ended_unseen` holds when all had ended; the runs stay until the store has confirmed the ownership by a call sent after that, or until the worker answers. The store is asked at once. Lasting tasks of a dead life go on at once: they start again however they ended. Tasks of an earlier owner's jobs wait for such a word, too. Runs of a dead life are not stopped nor taken to stand still. `inherited` ends with the first report.

Its oracle took an end noted after the lease had lapsed as noted for all owners; the users' rule does not, and an earlier owner can't know. It now bars the owner that noted it and all later ones, and for ends noted under a lease still everyone.

--- a/crates/stackpier-cell/src/hold.rs
+++ b/crates/stackpier-cell/src/hold.rs
@@ -96,7 +96,11 @@
             self.note("worker", None, text);
         }
         let first = self.worker(key).life == Life::New;
-        self.worker_mut(key).life = Life::Met;
+        let worker = self.worker_mut(key);
+        worker.life = Life::Met;
+        worker.inherited = false;
+        // Its report tells better what runs there.
+        worker.ended_unseen = None;
         self.take_ends(key, report.ended);
         for row in &report.running {
             self.take_row(key, row);
--- a/crates/stackpier-cell/src/order.rs
+++ b/crates/stackpier-cell/src/order.rs
@@ -7,6 +7,7 @@
     Cell, Effect, Order, Start, Started, Stop, Stopped,
     arena::{RunKey, TaskKey, WorkerKey},
     run::{Phase, Run},
+    worker::Life,
 };
 
 /// INVALID_PAUSE_MS is the pause before a start that a worker called invalid
@@ -121,7 +122,9 @@
             return;
         };
         run.phase = Phase::Stopping;
-        if run.stop_sent || run.stop_taken.is_some() || now < run.stop_after || !authority {
+        let dead = self.workers[run.worker.0 as usize].life == Life::Over;
+        let told = run.stop_sent || run.stop_taken.is_some() || now < run.stop_after;
+        if dead || told || !authority {
             return;
         }
         run.stop_sent = true;
--- a/crates/stackpier-cell/src/roster.rs
+++ b/crates/stackpier-cell/src/roster.rs
@@ -78,6 +78,7 @@
             unlisted_since: None,
             rostered: false,
             inherited: false,
+            ended_unseen: None,
             runs: Vec::new(),
             reserved: Size::default(),
             lasting_milli: 0,
@@ -132,6 +133,7 @@
     /// check_workers sends holds that are due, and ends leases.
     pub(crate) fn check_workers(&mut self) {
         let now = self.now.mono;
+        self.settle_all();
         for key in self.live_now() {
             let worker = self.worker(key);
             if worker.silent_since.is_some() && worker.lapsed(now) {
@@ -147,19 +149,20 @@
 
     /// lapse ends all runs on a worker whose lease is over by its own clock.
     fn lapse(&mut self, key: WorkerKey) {
-        let runs = self.worker(key).runs.clone();
-        if runs.is_empty() {
+        let worker = self.worker(key);
+        let Some(end) = worker.lease_end() else {
+            return;
+        };
+        if worker.runs.is_empty() || worker.ended_unseen.is_some() {
             return;
         }
         let text = format!(
-            "lease of worker {} is over, {} runs ended with it",
-            self.worker(key).info.id,
-            runs.len()
+            "lease of worker {} is over as counted here, with {} runs",
+            worker.info.id,
+            worker.runs.len()
         );
         self.note("worker", None, text);
-        for run in runs {
-            self.requeue(run);
-        }
+        self.end_unseen(key, end);
     }
 
     /// retire gives a worker up that left the list and does not answer, once
@@ -185,17 +188,15 @@
             return;
         }
         worker.life = Life::Over;
-        let (runs, id) = (worker.runs.clone(), worker.info.id.clone());
         let text = format!(
-            "worker {id} is over: {why}; {} runs ended with it",
-            runs.len()
+            "worker {} is over: {why}; {} runs ended with it",
+            worker.info.id,
+            worker.runs.len()
         );
         self.note("worker", None, text);
-        for run in runs {
-            self.requeue(run);
-        }
         self.saver.roster_changed = true;
         self.place_wanted = true;
+        self.end_unseen(key, self.now.mono);
     }
 
     /// live returns the workers that are not known to be over.
--- a/crates/stackpier-cell/src/save.rs
+++ b/crates/stackpier-cell/src/save.rs
@@ -172,6 +172,7 @@
         self.saver.done = self.saver.sent;
         self.saver.not_before = now.plus(self.options.save_gap_ms);
         self.confirmed = self.confirmed.max(sent.sent_at);
+        self.settle_all();
         for key in sent.roster {
             let worker = self.worker_mut(key);
             if !worker.rostered {
--- a/crates/stackpier-cell/src/speculate.rs
+++ b/crates/stackpier-cell/src/speculate.rs
@@ -45,7 +45,7 @@
         // One percent of a long task takes long by itself.
         let limit = self.options.stall_ms + estimate / 10;
         let limit = if run.lasting { START_MS } else { limit };
-        let heard = worker.silent_since.is_none();
+        let heard = worker.is_heard();
         let at_work = run.lasting && run.percent >= 100;
         if !heard || at_work || run.pace < 100 || now.since(run.moved) < limit {
             return;
--- a/crates/stackpier-cell/src/takeover.rs
+++ b/crates/stackpier-cell/src/takeover.rs
@@ -4,12 +4,17 @@
 //! Jobs accepted under an earlier fence may have runs on workers that have
 //! not answered this owner yet. Their tasks wait until each such worker has
 //! answered, or until everything that the earlier owner leased has ended.
+//!
+//! A later owner may renew what this one takes for over, and note ends that
+//! this one never sees. A worker that answers this owner has met no later one.
+//! What is read from a silence counts only once the store has confirmed the
+//! ownership after it.
 
 use stackpier_core::Millis;
 
 use crate::{
     Cell, Effect, Options,
-    arena::JobKey,
+    arena::{JobKey, WorkerKey},
     worker::{CLOCK_ERROR_MILLI, Life, Worker},
 };
 
@@ -37,16 +42,65 @@
     /// may_start tells whether a job's tasks have no run that this owner
     /// can't know of.
     pub(crate) fn may_start(&self, job: JobKey) -> bool {
-        !self.job(job).inherited || self.now.mono >= self.inherited_until || self.has_met_all()
+        !self.job(job).inherited || self.owned_after(self.inherited_until) || self.has_met_all()
     }
 
     /// has_met_all tells whether all workers that an earlier owner may have
     /// used have answered or are over.
     pub(crate) fn has_met_all(&self) -> bool {
-        let unmet = |worker: &Worker| worker.inherited && worker.life == Life::New;
+        let unmet = |worker: &Worker| {
+            let over = worker.life == Life::Over && worker.ended_unseen.is_none();
+            worker.inherited && !over
+        };
         !self.workers.iter().any(unmet)
     }
 
+    /// owned_after tells whether the store confirmed the ownership after a
+    /// time: until then no later owner did anything. Times are whole
+    /// milliseconds, so it must have been asked in a later one.
+    pub(crate) fn owned_after(&self, time: Millis) -> bool {
+        self.confirmed > time
+    }
+
+    /// end_unseen takes what runs on a worker as ended by a time, though the
+    /// worker did not say so.
+    pub(crate) fn end_unseen(&mut self, key: WorkerKey, time: Millis) {
+        self.worker_mut(key).ended_unseen = Some(time);
+        self.settle(key);
+        self.check_confirmed();
+    }
+
+    /// settle makes the tasks ready that ran where all has ended unseen, as far
+    /// as no later owner can prove that wrong.
+    fn settle(&mut self, key: WorkerKey) {
+        let worker = self.worker(key);
+        let Some(time) = worker.ended_unseen else {
+            return;
+        };
+        let owned = self.owned_after(time);
+        let dead = worker.life == Life::Over;
+        for run in worker.runs.clone() {
+            // A dead worker runs nothing, whoever owns it. All that a later
+            // owner can know better is that a task was done before, and one
+            // that lasts starts again in any case.
+            let lasting = self.runs.get(run).is_some_and(|run| run.lasting);
+            if owned || dead && lasting {
+                self.requeue(run);
+            }
+        }
+        if owned {
+            self.worker_mut(key).ended_unseen = None;
+            self.place_wanted = true;
+        }
+    }
+
+    /// settle_all does so for all workers.
+    pub(crate) fn settle_all(&mut self) {
+        for key in (0..self.workers.len() as u32).map(WorkerKey) {
+            self.settle(key);
+        }
+    }
+
     /// has_authority tells whether the store confirmed the ownership lately
     /// enough to give orders.
     pub(crate) fn has_authority(&self) -> bool {
@@ -56,16 +110,31 @@
     pub(crate) fn confirm(&mut self, sent: Millis) {
         self.confirming = false;
         self.confirmed = self.confirmed.max(sent);
+        self.settle_all();
+        self.place_wanted = true;
     }
 
     pub(crate) fn check_confirmed(&mut self) {
-        let due = self.now.mono.since(self.confirmed) >= self.options.confirm_ms;
+        let idle = self.now.mono.since(self.confirmed) >= self.options.confirm_ms;
+        let due = idle || self.waits_for_store();
         if due && !self.confirming && !self.saver.is_busy() {
             self.confirming = true;
             self.effects.push(Effect::Confirm);
         }
     }
 
+    /// waits_for_store tells whether tasks wait for nothing but the store's
+    /// word.
+    fn waits_for_store(&self) -> bool {
+        let now = self.now.mono;
+        let leases = now >= self.inherited_until && !self.owned_after(self.inherited_until);
+        leases
+            || self
+                .workers
+                .iter()
+                .any(|worker| worker.ended_unseen.is_some())
+    }
+
     /// confirm_failed notes that the question to the store got no answer.
     pub fn confirm_failed(&mut self) {
         self.confirming = false;
--- a/crates/stackpier-cell/src/worker.rs
+++ b/crates/stackpier-cell/src/worker.rs
@@ -68,8 +68,11 @@
     pub unlisted_since: Option<Millis>,
     /// Whether the store knows that it may run something.
     pub rostered: bool,
-    /// Whether an earlier owner may have runs there.
+    /// Whether an earlier owner may have runs there that this one doesn't know.
     pub inherited: bool,
+    /// When what ran there had ended, if nothing but silence told so and the
+    /// store has not confirmed the ownership since.
+    pub ended_unseen: Option<Millis>,
     pub runs: Vec<RunKey>,
     /// Memory and accelerators of all runs, and the processors of those that
     /// are counted.
@@ -103,14 +106,23 @@
 }
 
 impl Worker {
-    /// lapsed tells whether everything that was leased has ended by now.
-    pub(crate) fn lapsed(&self, now: Millis) -> bool {
-        let Some(clock) = self.clock else {
-            return false;
-        };
+    /// lease_end returns when everything that this owner leased has ended, if
+    /// the worker ever answered.
+    pub(crate) fn lease_end(&self) -> Option<Millis> {
+        let clock = self.clock?;
         let left = self.deadline_ms.saturating_sub(clock.ms);
         let longest = left + left * CLOCK_ERROR_MILLI / 1_000 + LAPSE_MARGIN_MS;
-        now.since(clock.at) >= longest
+        Some(clock.at.plus(longest))
+    }
+
+    /// lapsed tells whether everything that this owner leased has ended by now.
+    pub(crate) fn lapsed(&self, now: Millis) -> bool {
+        self.lease_end().is_some_and(|end| now >= end)
+    }
+
+    /// is_heard tells whether it answers, as far as this owner knows.
+    pub(crate) fn is_heard(&self) -> bool {
+        self.life != Life::Over && self.silent_since.is_none()
     }
 
     /// lease returns the end of a lease that starts now, by the worker's
--- a/crates/stackpier-fuzz/src/cell/world/calls.rs
+++ b/crates/stackpier-fuzz/src/cell/world/calls.rs
@@ -108,7 +108,7 @@
             }
             Effect::Hold(hold) => {
                 let outcome = self.workers[target].hold(self.now_ms, hold);
-                self.oracle.note(&mut self.workers[target]);
+                self.oracle.note(&mut self.workers[target], hold.fence);
                 Event::Held {
                     worker: hold.worker,
                     sent,
--- a/crates/stackpier-fuzz/src/cell/world/jobs.rs
+++ b/crates/stackpier-fuzz/src/cell/world/jobs.rs
@@ -52,7 +52,7 @@
                 memory_mib: self.between(500, 4_000) as u32,
                 accelerators: 0,
             },
-            estimate_ms: self.between(100, 2_500) as u32,
+            estimate_ms: self.new_estimate_ms(),
             after: if number > 0 {
                 vec![number - 1]
             } else {
@@ -66,6 +66,17 @@
         }
     }
 
+    /// new_estimate_ms draws how long a task works: most a short time, one step
+    /// in ten longer than a lease.
+    fn new_estimate_ms(&mut self) -> u32 {
+        let (low, high) = if self.random.random_bool(0.1) {
+            (7_000, 12_000)
+        } else {
+            (100, 2_500)
+        };
+        self.between(low, high) as u32
+    }
+
     fn new_behaviours(&mut self, step: &Step) -> Vec<Behaviour> {
         let mut size = step.size;
         let mut fills_milli = 0;
--- a/crates/stackpier-standin/src/fleet.rs
+++ b/crates/stackpier-standin/src/fleet.rs
@@ -95,6 +95,8 @@
     pub ends: Vec<End>,
     /// Ends that were noted.
     pub noted: Vec<End>,
+    /// The last end that was listed when the lease lapsed.
+    pub lapsed_end: u64,
     fence: u64,
     next_end: u64,
     lease_end_ms: u64,
@@ -114,6 +116,7 @@
             runs: Vec::new(),
             ends: Vec::new(),
             noted: Vec::new(),
+            lapsed_end: 0,
             fence: 0,
             next_end: 1,
             lease_end_ms: 0,
@@ -171,6 +174,9 @@
             let run = self.runs.remove(place);
             self.end(&run, how);
         }
+        if lapsed {
+            self.lapsed_end = self.next_end - 1;
+        }
     }
 
     fn end(&mut self, run: &Run, how: How) {
