Hosts go down only on a fresh word of the store, and silence is no work

Cause: an owner without the store ordered hosts down for 5 s, and a later owner begins 3.5 s after its take-over: where fences aren't checked their orders can take turns, and each counts only its own hosts as down. A lasting task on a silent worker counted as at work, so that another of its step could be stopped with none to be missed.

Change: hosts are emptied and ordered down up to 2.5 s after the store's last word; with the call's time-out of 0.9 s that is before a later owner's first order. Tasks of workers that do not answer count as away.

Cost: none in service; a plan waits while the store or a worker is away.

--- a/crates/stackpier-cell/src/maintenance/empty.rs
+++ b/crates/stackpier-cell/src/maintenance/empty.rs
@@ -7,7 +7,7 @@
 use crate::{
     Cell, TaskKey,
     arena::{RunKey, WorkerKey},
-    run::Phase,
+    run::{Phase, Run},
 };
 
 use super::work::HostKey;
@@ -19,6 +19,9 @@
     /// empty moves what runs on a host, and orders it down when nothing does.
     pub(super) fn empty(&mut self, key: HostKey, worker: WorkerKey, since: Millis) {
         let now = self.now.mono;
+        if !self.may_order_down() {
+            return;
+        }
         if self.worker(worker).runs.is_empty() {
             if now >= self.orders_from.max(self.host(key).not_before) {
                 self.take_down(key);
@@ -61,12 +64,13 @@
         (away as u32) < most
     }
 
-    /// is_at_work tells whether a lasting task has a run that works and is not
-    /// being stopped.
+    /// is_at_work tells whether a lasting task has a run that works, as far as
+    /// its worker says, and is not being stopped.
     fn is_at_work(&self, task: TaskKey) -> bool {
         let runs = self.task(task).runs.iter();
         let mut runs = runs.filter_map(|key| self.runs.get(*key));
-        runs.any(|run| run.phase == Phase::Running && run.percent >= 100)
+        let works = |run: &Run| run.phase == Phase::Running && run.percent >= 100;
+        runs.any(|run| works(run) && self.worker(run.worker).is_heard())
     }
 
     fn move_away(&mut self, key: RunKey) {
--- a/crates/stackpier-cell/src/maintenance/order.rs
+++ b/crates/stackpier-cell/src/maintenance/order.rs
@@ -8,6 +8,11 @@
 /// ORDER_RETRY_MS is the pause before a host is ordered down again.
 const ORDER_RETRY_MS: u64 = 400;
 
+/// ORDER_AUTHORITY_MS is how long after the store last confirmed the ownership
+/// hosts are emptied and ordered down. With a call's time-out of less than a
+/// second it ends before `turn_gap_ms`, after which a later owner begins.
+const ORDER_AUTHORITY_MS: u64 = 2_500;
+
 /// TakeDown orders a host down.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TakeDown {
@@ -37,7 +42,7 @@
 impl Cell {
     /// take_down orders a host down, unless too many of its plan may be.
     pub(super) fn take_down(&mut self, key: HostKey) {
-        if !self.has_authority() {
+        if !self.may_order_down() {
             return;
         }
         let now = self.now.mono;
@@ -58,6 +63,11 @@
         self.effects.push(Effect::TakeDown(order));
     }
 
+    /// may_order_down tells whether no later owner can order hosts down yet.
+    pub(super) fn may_order_down(&self) -> bool {
+        self.now.mono.since(self.confirmed) < ORDER_AUTHORITY_MS
+    }
+
     /// taken_down takes in the answer to an order.
     pub(crate) fn taken_down(&mut self, order: &TakeDown, outcome: TakenDown) {
         let now = self.now.mono;
--- a/crates/stackpier-cell/tests/maintenance.rs
+++ b/crates/stackpier-cell/tests/maintenance.rs
@@ -251,3 +251,39 @@
     owner.advance(2_000);
     assert!(owner.deposed);
 }
+
+/// A later owner orders hosts down 3.5 s after its take-over, and the orders of
+/// two owners must not take turns.
+#[test]
+fn without_the_store_the_last_order_comes_before_a_later_owners_first() {
+    let mut owner = Owner::new(1);
+    owner.down_answers = vec![TakenDown::Busy; 40];
+    owner.feed(Event::Plan(plan(&[0], 10_000, 1)));
+    owner.advance(1_000);
+    owner.store = false;
+    let lost_at = owner.now_ms;
+    owner.advance(6_000);
+    let last_at = owner.downs.last().expect("an order").0;
+    assert!(last_at < lost_at + 3_000, "{} ms after", last_at - lost_at);
+    owner.store = true;
+    owner.advance(1_000);
+    assert!(owner.downs.last().expect("an order").0 > lost_at + 6_000);
+}
+
+/// Whether the tasks of a silent worker work is not known, so they may be away.
+#[test]
+fn tasks_of_a_silent_worker_count_as_away() {
+    let mut owner = Owner::new(3);
+    let one_each = Step {
+        most_per_worker: Some(1),
+        ..lasting(2, 1)
+    };
+    owner.submit(1, spec(vec![one_each]));
+    owner.advance(1_000);
+    let places = owner.places(1, 0);
+    owner.cut[places[1]] = true;
+    owner.advance(1_000);
+    owner.feed(Event::Plan(plan(&[places[0]], 3_000, 1)));
+    owner.advance(2_000);
+    assert_eq!(owner.places(1, 0), places, "one may be away already");
+}
