A new owner's authority counts from the store's word, not from the end of the reading

Cause: a cell began as confirmed when it had been read, though the swap that made this daemon its owner lies before: with a slow store or a cut in between, seconds before. In that time a later owner may have come, and all that waits for the store's word would have taken the reading's end for it.

Red: the test without the call has one start instead of none.

--- a/crates/stackpier-cell/src/takeover.rs
+++ b/crates/stackpier-cell/src/takeover.rs
@@ -107,6 +107,12 @@
         self.now.mono.since(self.confirmed) < self.options.authority_ms
     }
 
+    /// confirmed_at sets when the store was asked that last confirmed the
+    /// ownership before the cell was read.
+    pub fn confirmed_at(&mut self, sent: Millis) {
+        self.confirmed = sent;
+    }
+
     pub(crate) fn confirm(&mut self, sent: Millis) {
         self.confirming = false;
         self.confirmed = self.confirmed.max(sent);
--- a/crates/stackpier-cell/tests/superseded.rs
+++ b/crates/stackpier-cell/tests/superseded.rs
@@ -20,9 +20,10 @@
 
 mod common;
 
-use common::{Owner, QUEUE, info, spec, step};
+use common::{Owner, QUEUE, info, queue, spec, step};
 use rstest::rstest;
-use stackpier_cell::{How, RosterEntry};
+use stackpier_cell::{Cell, Event, How, Options, RosterEntry};
+use stackpier_core::Millis;
 use stackpier_standin::fleet::Worker;
 use stackpier_state::job::Step;
 
@@ -124,7 +125,7 @@
         address: "address-1".to_owned(),
     });
     owner.cut[1] = true;
-    owner.feed(stackpier_cell::Event::Listed(info(0)));
+    owner.feed(Event::Listed(info(0)));
     owner.submit_to(1, QUEUE, spec(vec![step(1)]), 1, None);
     owner.advance(10_000);
     owner.store = false;
@@ -142,6 +143,29 @@
     assert_eq!(owner.places(1, 0), [0]);
 }
 
+/// Reading the cell takes time in which a later owner may come: authority counts
+/// from the store's word, not from the end of the reading.
+#[test]
+fn an_owner_that_was_long_in_reading_gives_no_orders_before_it_is_confirmed() {
+    let mut owner = Owner::with(1, 2, true);
+    owner.store = false;
+    owner.now_ms = 10_000;
+    owner.cell = Cell::new(Options::default(), 2, owner.now(), true);
+    owner.cell.confirmed_at(Millis(4_000));
+    owner.feed(Event::Queues(vec![queue(QUEUE, 0)]));
+    owner.cell.add_roster(&RosterEntry {
+        id: "w0".to_owned(),
+        address: "address-0".to_owned(),
+    });
+    owner.feed(Event::Listed(info(0)));
+    owner.submit_to(1, QUEUE, spec(vec![step(1)]), 2, None);
+    owner.advance(2_000);
+    assert_eq!(owner.starts.len(), 0);
+    owner.store = true;
+    owner.advance(500);
+    assert_eq!(owner.starts.len(), 1);
+}
+
 /// What workers say themselves is acted on without the store: a data centre that
 /// is cut off goes on with it.
 #[test]
