A worker that was given up gets starts only once the roster has it again

Cause: a worker that left the list and was given up is taken off the roster; when it shows again it still counted as on it, so tasks could start there up to a save before a later owner would know that it must wait for it.

Red: a_worker_that_shows_again… (a start without the store). Found by reading; the window is one save, 40 ms and a round trip.

--- a/crates/stackpier-cell/src/roster.rs
+++ b/crates/stackpier-cell/src/roster.rs
@@ -188,6 +188,7 @@
             return;
         }
         worker.life = Life::Over;
+        worker.rostered = false;
         let text = format!(
             "worker {} is over: {why}; {} runs ended with it",
             worker.info.id,
--- a/crates/stackpier-cell/src/save.rs
+++ b/crates/stackpier-cell/src/save.rs
@@ -175,7 +175,7 @@
         self.settle_all();
         for key in sent.roster {
             let worker = self.worker_mut(key);
-            if !worker.rostered {
+            if !worker.rostered && worker.life == Life::Met {
                 worker.rostered = true;
                 self.place_wanted = true;
             }
--- a/crates/stackpier-cell/tests/superseded.rs
+++ b/crates/stackpier-cell/tests/superseded.rs
@@ -166,6 +166,25 @@
     assert_eq!(owner.starts.len(), 1);
 }
 
+/// A worker that was given up is off the roster, which a later owner goes by: it
+/// gets no starts before it is on it again.
+#[test]
+fn a_worker_that_shows_again_gets_no_starts_before_the_roster_has_it() {
+    let mut owner = Owner::new(1);
+    owner.cut[0] = true;
+    owner.feed(Event::Unlisted("w0".to_owned()));
+    owner.advance(13_000);
+    owner.store = false;
+    owner.cut[0] = false;
+    owner.feed(Event::Listed(info(0)));
+    owner.submit(1, spec(vec![step(1)]));
+    owner.advance(2_000);
+    assert_eq!(owner.starts.len(), 0);
+    owner.store = true;
+    owner.advance(500);
+    assert_eq!(owner.starts.len(), 1);
+}
+
 /// What workers say themselves is acted on without the store: a data centre that
 /// is cut off goes on with it.
 #[test]
