The swap's time, not a further read, is the word a new owner starts with

Change: the time at which the swap was first sent is noted. If it was done, then not before; so it holds for a swap without an answer, and costs nothing.

--- a/crates/stackpier-scheduler/src/loading.rs
+++ b/crates/stackpier-scheduler/src/loading.rs
@@ -5,13 +5,13 @@
 
 use serde::de::DeserializeOwned;
 use stackpier_cell::{Cell, Memory, RosterEntry, maintenance};
-use stackpier_core::{Millis, Result};
+use stackpier_core::Result;
 use stackpier_protocol::codec::decode;
 
 use crate::{
     Platform,
     following::{Jobs, Workers},
-    keys::{self, JOBS, MAINTENANCE, MEMORY, OWNER, PROGRESS, ROSTER},
+    keys::{self, JOBS, MAINTENANCE, MEMORY, PROGRESS, ROSTER},
     node::{Node, Owned, pause},
     owner::{Owner, tick},
     saving::Revisions,
@@ -24,8 +24,6 @@
 
 /// Loaded is all that the store keeps of a cell.
 struct Loaded {
-    /// When the store was asked who owns the cell.
-    asked: Millis,
     jobs: Listing,
     progress: Listing,
     roster: Option<Item>,
@@ -78,9 +76,7 @@
     /// read reads all parts of the cell at once: a store that is slow would
     /// otherwise be waited for once for each.
     async fn read(&self) -> Result<Loaded> {
-        let asked = self.mono();
-        let (owner, jobs, progress, roster, memory, maintenance, workers) = tokio::join!(
-            self.store_get(OWNER),
+        let (jobs, progress, roster, memory, maintenance, workers) = tokio::join!(
             self.store_list(JOBS),
             self.store_list(PROGRESS),
             self.store_get(ROSTER),
@@ -88,12 +84,7 @@
             self.store_get(MAINTENANCE),
             self.store_list(self.platform.workers_prefix()),
         );
-        // The owner is taken in as the store shows it.
-        if let Some(item) = owner? {
-            self.take_ownership(&item);
-        }
         Ok(Loaded {
-            asked,
             jobs: jobs?,
             progress: progress?,
             roster: roster?,
@@ -110,7 +101,7 @@
         let mut revisions = Revisions::default();
         let mut cell = Cell::new(self.settings.cell, fence, self.now(), predecessor);
         // Reading may have taken seconds, in which a later owner may have come.
-        cell.confirmed_at(loaded.asked);
+        cell.confirmed_at(self.owned_since(fence));
         self.restore(&mut cell, &mut revisions, &loaded);
         let mut progress = HashMap::new();
         for item in &loaded.progress.items {
--- a/crates/stackpier-scheduler/src/member.rs
+++ b/crates/stackpier-scheduler/src/member.rs
@@ -412,6 +412,7 @@
         };
         let value = encode(&ownership).expect("an ownership is encoded");
         let transaction = Transaction::swap(OWNER, revision, value.clone());
+        self.node.note_swap(fence);
         match self.node.store_commit(&transaction).await {
             Committed::Done(revision) => Some(Item {
                 key: OWNER.to_owned(),
--- a/crates/stackpier-scheduler/src/node.rs
+++ b/crates/stackpier-scheduler/src/node.rs
@@ -42,6 +42,14 @@
     pub revision: u64,
 }
 
+/// Swap is the write by which this daemon took the cell over, or tried to.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Swap {
+    pub fence: u64,
+    /// When it was first sent: if it was done, then not before.
+    pub sent: Millis,
+}
+
 /// Inner is the shared state.
 pub struct Inner<P> {
     pub(crate) settings: Settings,
@@ -59,6 +67,8 @@
     pub(crate) members: RefCell<BTreeMap<String, Member>>,
     pub(crate) owned: RefCell<Option<Owned>>,
     pub(crate) owner: RefCell<Option<Owner>>,
+    /// The last swap of the ownership.
+    pub(crate) swap: Slot<Swap>,
     /// Whether this daemon is reading the cell that it owns.
     pub(crate) loading: Slot<bool>,
     /// The highest fence that was found to be outdated while this daemon owned
@@ -114,6 +124,7 @@
             members: RefCell::default(),
             owned: RefCell::default(),
             owner: RefCell::default(),
+            swap: Slot::default(),
             loading: Slot::default(),
             outdated: Slot::default(),
             store: StoreHealth::default(),
@@ -144,6 +155,25 @@
         Millis(self.start.elapsed().as_millis() as u64 + 1)
     }
 
+    /// note_swap notes that the ownership is about to be swapped.
+    pub(crate) fn note_swap(&self, fence: u64) {
+        if self.swap.get().fence != fence {
+            let sent = self.mono();
+            self.swap.set(Swap { fence, sent });
+        }
+    }
+
+    /// owned_since returns the latest time at which this daemon is known to have
+    /// owned the cell with a fence, before the cell was read.
+    pub(crate) fn owned_since(&self, fence: u64) -> Millis {
+        let swap = self.swap.get();
+        if swap.fence == fence {
+            swap.sent
+        } else {
+            Millis::default()
+        }
+    }
+
     /// say writes a log line of a part, within the part's rate.
     pub(crate) fn say(&self, part: &'static str, text: &str) {
         self.say_of(part, None, text);
