--- a/crates/stackpier-cell/src/roster.rs
+++ b/crates/stackpier-cell/src/roster.rs
@@ -50,9 +50,6 @@
         let worker = self.worker_mut(key);
         if worker.life == Life::Over {
             // It was given up while it could not be reached, and shows again.
-            // The store's roster may lack it by now, and a later owner must know of it
-            // before it runs something.
-            worker.rostered = false;
             worker.life = Life::New;
             worker.clock = None;
             worker.hold_after = now;
@@ -85,6 +82,7 @@
             unlisted_since: None,
             rostered: false,
             inherited: false,
+            ended_unseen: None,
             runs: Vec::new(),
             reserved: Size::default(),
             lasting_milli: 0,
@@ -140,6 +138,7 @@
     /// check_workers sends holds that are due, and ends leases.
     pub(crate) fn check_workers(&mut self) {
         let now = self.now.mono;
+        self.settle_all();
         for key in self.live_now() {
             let worker = self.worker(key);
             if worker.silent_since.is_some() && worker.lapsed(now) {
@@ -156,19 +155,20 @@
 
     /// lapse ends all runs on a worker whose lease is over by its own clock.
     fn lapse(&mut self, key: WorkerKey) {
-        let runs = self.worker(key).runs.clone();
-        if runs.is_empty() {
+        let worker = self.worker(key);
+        let Some(end) = worker.lease_end() else {
+            return;
+        };
+        if worker.runs.is_empty() || worker.ended_unseen.is_some() {
             return;
         }
         let text = format!(
-            "lease of worker {} is over, {} runs ended with it",
-            self.worker(key).info.id,
-            runs.len()
+            "lease of worker {} is over as counted here, with {} runs",
+            worker.info.id,
+            worker.runs.len()
         );
         self.note("worker", None, text);
-        for run in runs {
-            self.requeue(run);
-        }
+        self.end_unseen(key, end);
     }
 
     /// retire gives a worker up that left the list and does not answer, once
@@ -211,17 +211,17 @@
             return;
         }
         worker.life = Life::Over;
-        let (runs, id) = (worker.runs.clone(), worker.info.id.clone());
+        // If it shows again, it is in the roster before it gets starts.
+        worker.rostered = false;
         let text = format!(
-            "worker {id} is over: {why}; {} runs ended with it",
-            runs.len()
+            "worker {} is over: {why}; {} runs ended with it",
+            worker.info.id,
+            worker.runs.len()
         );
         self.note("worker", None, text);
-        for run in runs {
-            self.requeue(run);
-        }
         self.saver.roster_changed = true;
         self.place_wanted = true;
+        self.end_unseen(key, self.now.mono);
     }
 
     /// live returns the workers that are not known to be over.
--- a/crates/stackpier-fuzz/src/cell/world/calls.rs
+++ b/crates/stackpier-fuzz/src/cell/world/calls.rs
@@ -72,7 +72,7 @@
         let Some(target) = self.target(&order) else {
             return;
         };
-        if self.down[target] || self.now_ms < self.cut_until[target] {
+        if self.down[target] || !self.reaches(place, target) {
             if reply != Reply::TooLate {
                 self.silence(place, &order);
             }
@@ -81,6 +81,7 @@
         let Some(event) = self.answer(target, &order, sent) else {
             return;
         };
+        self.hear(place, &order, &event);
         match reply {
             Reply::Comes => {
                 let delay = self.between(0, 4);
@@ -113,7 +114,7 @@
             },
             Effect::Hold(hold) => {
                 let outcome = self.workers[target].hold(self.now_ms, hold);
-                self.oracle.note(&mut self.workers[target]);
+                self.oracle.note(&mut self.workers[target], hold.fence);
                 Event::Held {
                     worker: hold.worker,
                     sent,
--- a/crates/stackpier-fuzz/src/cell/world/faults.rs
+++ b/crates/stackpier-fuzz/src/cell/world/faults.rs
@@ -4,7 +4,7 @@
 use rand::RngExt;
 use stackpier_cell::Event;
 
-use super::{Message, WORKERS, World};
+use super::{DATA_CENTRES, Message, WORKERS, World};
 
 /// Faults are the rates of what goes wrong, in thousandths of the chances.
 #[derive(Clone, Copy, Debug, Default)]
@@ -27,6 +27,9 @@
     pub grey: u32,
     /// Chances a second that the store is away for a while.
     pub outages: u32,
+    /// Chances a second that a series of cuts begins, in which the owner's data
+    /// centre is cut off after another one and before that is back.
+    pub series: u32,
     /// Jobs in a thousand that are cancelled.
     pub cancels: u32,
     /// Tasks in a thousand whose every run fails.
@@ -46,6 +49,7 @@
             freezes: rate * 2,
             grey: rate,
             outages: rate * 2,
+            series: rate * 2,
             cancels: 50,
             poison: 5,
         }
@@ -59,7 +63,13 @@
             self.trouble(place);
         }
         if self.chance(self.faults.takeovers) {
-            self.take_over();
+            let data_centre = self.between(0, DATA_CENTRES as u64 - 1) as usize;
+            if !self.is_apart(data_centre) {
+                self.take_over(data_centre);
+            }
+        }
+        if self.chance(self.faults.series) {
+            self.begin_series();
         }
         if self.chance(self.faults.freezes) {
             self.count("freeze");
@@ -82,8 +92,9 @@
             self.count("cut");
             self.cut_until[place] = self.now_ms + self.between(200, 9_000);
         }
-        if self.chance(self.faults.crashes) && !self.down[place] {
-            self.crash(place);
+        if self.chance(self.faults.crashes) {
+            let back_ms = self.between(500, 6_000);
+            self.crash(place, back_ms);
         }
         let grey = self.chance(self.faults.grey);
         let hangs = self.random.random_bool(0.5);
@@ -93,16 +104,18 @@
         worker.grey = grey && !hangs;
     }
 
-    /// crash ends a worker's process with everything on it.
-    fn crash(&mut self, place: usize) {
+    /// crash ends a worker's process with everything on it, unless it is down.
+    pub(super) fn crash(&mut self, place: usize, back_ms: u64) {
+        if self.down[place] {
+            return;
+        }
         self.count("crash");
         self.down[place] = true;
         self.workers[place].advance(self.now_ms);
         self.oracle.lose(&self.workers[place]);
         self.workers[place].runs.clear();
         self.workers[place].ends.clear();
-        let after = self.between(500, 6_000);
-        self.send(after, Message::Revive(place));
+        self.send(back_ms, Message::Revive(place));
         let id = self.workers[place].info.id.clone();
         let owner = self.owners.len() - 1;
         self.feed(owner, Event::Unlisted(id));
--- a/crates/stackpier-scheduler/src/loading.rs
+++ b/crates/stackpier-scheduler/src/loading.rs
@@ -100,6 +100,8 @@
         let fence = owned.ownership.fence;
         let mut revisions = Revisions::default();
         let mut cell = Cell::new(self.settings.cell, fence, self.now(), predecessor);
+        // Reading may have taken seconds, in which a later owner may have come.
+        cell.confirmed_at(self.owned_since(fence));
         self.restore(&mut cell, &mut revisions, &loaded);
         let mut progress = HashMap::new();
         for item in &loaded.progress.items {
