Logic that stood several times stands once

Why: three copies of a checked name in the experiments, three picks by number written out in the fuzz of intents, two intervals between commits, and three conversions of a renewer to a member did the same.

Change: label::name serves the experiments, choice::pick the fuzz; interval_ms holds the speed-up of urgent commits, which the owner took from the placer; member() turns a renewer into a daemon.

--- a/crates/stackpier-coordination/src/lib.rs
+++ b/crates/stackpier-coordination/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod history;
 pub mod holder;
 pub mod interference;
+mod interval;
 pub mod limit;
 pub mod membership;
 pub mod once;
--- a/crates/stackpier-coordination/src/owner.rs
+++ b/crates/stackpier-coordination/src/owner.rs
@@ -26,7 +26,7 @@
     holders::Member,
     homes,
     page::{ABSENT, Fetched, Key, Swapped},
-    rack::{Phase, Rack, Row},
+    rack::{Phase, Rack, Renewer, Row},
     work::{Outcome, Run},
 };
 
@@ -35,8 +35,8 @@
     effect::{Effect, Event, Note, Writer},
     history::History,
     interference::{self, Model},
+    interval::interval_ms,
     membership::Table,
-    placer::URGENT_SPEEDUP,
     reaction::{self, Budget, Watch},
 };
 
@@ -247,7 +247,7 @@
         let Some((_, page)) = &mut self.page else {
             return;
         };
-        let done = |old: &stackpier_state::rack::Renewer| old.boot == from.boot && old.term < below;
+        let done = |old: &Renewer| old.boot == from.boot && old.term < below;
         page.former.retain(|old| !done(old));
     }
 
@@ -269,7 +269,7 @@
         if self.page.as_ref().is_some_and(|(old, _)| *old > revision) {
             return;
         }
-        let mine = |renewer: stackpier_state::rack::Renewer| renewer.boot == self.me.boot;
+        let mine = |renewer: Renewer| renewer.boot == self.me.boot;
         let term = page.renewer.map_or(0, |renewer| renewer.term);
         let listed = page.former.iter().copied().any(mine);
         let renews = page.renewer.is_some_and(mine);
@@ -366,12 +366,7 @@
         let Some((_, page)) = &mut self.page else {
             return;
         };
-        let gone = |old: &stackpier_state::rack::Renewer| {
-            table.gone(Member {
-                vm: old.vm,
-                boot: old.boot,
-            })
-        };
+        let gone = |old: &Renewer| table.gone(member(*old));
         // What this very process sent under an earlier term quotes clock
         // readings that it got before now, so it is no other renewer.
         let me = self.me.boot;
@@ -428,10 +423,7 @@
     fn may_commit(&self, now: Millis) -> bool {
         let mut claimed = self.told.iter().flat_map(|claims| &claims.claimed);
         let urgent = claimed.any(|home| home.work.urgent);
-        let interval = match urgent {
-            true => self.options.commit_ms / URGENT_SPEEDUP,
-            false => self.options.commit_ms,
-        };
+        let interval = interval_ms(self.options.commit_ms, urgent);
         self.committed.is_none_or(|at| now.since(at) >= interval)
     }
 
@@ -488,6 +480,14 @@
     }
 }
 
+/// member returns the daemon that a renewer is.
+fn member(renewer: Renewer) -> Member {
+    Member {
+        vm: renewer.vm,
+        boot: renewer.boot,
+    }
+}
+
 /// shard_of returns the shard of homes that a row's task belongs to.
 fn shard_of(row: &Row, shards: u16) -> u16 {
     stackpier_core::key::shard(row.run.task.job, shards)
--- a/crates/stackpier-coordination/src/owner/revise.rs
+++ b/crates/stackpier-coordination/src/owner/revise.rs
@@ -6,14 +6,12 @@
 use stackpier_core::{Millis, Name, key::Boot};
 use stackpier_protocol::{peer::Claims, platform::Standing};
 use stackpier_state::{
-    Revision,
-    holders::Member,
-    homes,
+    Revision, homes,
     rack::{Condition, Phase, Rack, Row, Worker},
     work::{Outcome, Run},
 };
 
-use super::{Contact, Owner, Snapshots, shard_of};
+use super::{Contact, Owner, Snapshots, member, shard_of};
 use crate::{
     effect::{Effect, Note},
     membership::Table,
@@ -53,15 +51,9 @@
 
     /// revise_renewer takes the rack over if it has no living renewer.
     pub(super) fn revise_renewer(&self, now: Millis, table: &Table, next: &mut Rack) {
-        let alive = next.renewer.is_some_and(|renewer| {
-            table.alive(
-                now,
-                Member {
-                    vm: renewer.vm,
-                    boot: renewer.boot,
-                },
-            )
-        });
+        let alive = next
+            .renewer
+            .is_some_and(|renewer| table.alive(now, member(renewer)));
         if !alive && !table.stopping() && table.preferred(now, self.rack.as_str()) {
             next.take_over(self.me.vm, self.me.boot);
         }
--- a/crates/stackpier-coordination/src/owner/words.rs
+++ b/crates/stackpier-coordination/src/owner/words.rs
@@ -12,7 +12,7 @@
     rack::{Phase, Rack, Row},
 };
 
-use super::{Owner, shard_of};
+use super::{Owner, member, shard_of};
 use crate::effect::Effect;
 
 impl Owner {
@@ -42,10 +42,7 @@
         let renewer = self.page()?.renewer?;
         Some(Effect::Hint(Hint::TakenOver {
             rack: self.rack,
-            renewer: Member {
-                vm: renewer.vm,
-                boot: renewer.boot,
-            },
+            renewer: member(renewer),
             term: renewer.term,
         }))
     }
--- a/crates/stackpier-coordination/src/placer.rs
+++ b/crates/stackpier-coordination/src/placer.rs
@@ -20,14 +20,11 @@
 
 use crate::{
     effect::{Effect, Event, Note, Writer},
+    interval::interval_ms,
     membership::Table,
-    policy::{self},
+    policy,
 };
 
-/// URGENT_SPEEDUP is how many times shorter the interval between commits is
-/// for urgent work.
-pub const URGENT_SPEEDUP: u64 = 8;
-
 /// Options are the times and counts a placer goes by.
 #[derive(Clone, Copy, Debug)]
 pub struct Options {
@@ -269,19 +266,16 @@
         }
         let may_commit = self
             .committed
-            .is_none_or(|at| now.since(at) >= self.interval());
+            .is_none_or(|at| now.since(at) >= self.interval_ms());
         self.try_swap(now, may_commit, view, writer, effects);
     }
 
-    /// interval is the shortest time between two commits: shorter while urgent
+    /// interval_ms is the shortest time between two commits: shorter while urgent
     /// work waits.
-    fn interval(&self) -> u64 {
+    fn interval_ms(&self) -> u64 {
         let waits = |home: &Home| home.work.urgent && home.place == Place::Pending;
         let urgent = self.page().is_some_and(|page| page.homes.iter().any(waits));
-        match urgent || self.urgent {
-            true => self.options.commit_ms / URGENT_SPEEDUP,
-            false => self.options.commit_ms,
-        }
+        interval_ms(self.options.commit_ms, urgent || self.urgent)
     }
 
     /// sweep reads the page again, and tells each rack the sum of its claims,
--- a/crates/stackpier-fuzz/src/config.rs
+++ b/crates/stackpier-fuzz/src/config.rs
@@ -18,7 +18,7 @@
 };
 
 use crate::{
-    choice::name,
+    choice::{name, pick},
     counts::{hit, trace},
 };
 
@@ -207,11 +207,7 @@
     }
 
     fn take(&mut self, n: u8) -> Option<(Operation, Next)> {
-        if self.operations.is_empty() {
-            return None;
-        }
-        let place = usize::from(n) % self.operations.len();
-        let mut operation = self.operations.remove(place);
+        let mut operation = pick(&mut self.operations, n)?;
         let next = operation.next.take()?;
         Some((operation, next))
     }
@@ -264,11 +260,9 @@
     }
 
     fn late(&mut self, n: u8) {
-        if self.detached.is_empty() {
+        let Some((expect, page)) = pick(&mut self.detached, n) else {
             return;
-        }
-        let place = usize::from(n) % self.detached.len();
-        let (expect, page) = self.detached.remove(place);
+        };
         match self.swap(expect, page) {
             Swapped::Won(_) => hit("branch: late swap took effect"),
             _ => hit("branch: late swap lost"),
@@ -340,12 +334,9 @@
     }
 
     fn arrive(&mut self, n: u8) {
-        if self.reads.is_empty() {
+        let Some((number, Some((revision, page)))) = pick(&mut self.reads, n) else {
             return;
-        }
-        let place = usize::from(n) % self.reads.len();
-        let (number, read) = self.reads.remove(place);
-        let Some((revision, page)) = read else { return };
+        };
         let catalogue = &mut self.daemons[number].0;
         let shard = shard_of(label(0));
         if self.guard == Guard::TakeAny {
--- a/crates/stackpier-load/src/capacity/build.rs
+++ b/crates/stackpier-load/src/capacity/build.rs
@@ -32,6 +32,8 @@
     work::{Class, Outcome, Run, Work},
 };
 
+use crate::label::name;
+
 /// WORKERS_PER_RACK is the users' count.
 const WORKERS_PER_RACK: usize = 8;
 /// WRITE is a write number of usual length.
@@ -49,10 +51,6 @@
     accelerators: 2,
 };
 
-fn name(text: &str) -> Name {
-    Name::try_from(text).unwrap_or_else(|error| panic!("'{text}': {error}"))
-}
-
 fn numbered(text: &str, number: usize) -> Name {
     name(&format!("{text}-{number:04}"))
 }
--- a/crates/stackpier-load/src/main.rs
+++ b/crates/stackpier-load/src/main.rs
@@ -3,6 +3,7 @@
 //! experiments with the decisions, as tables and JSON.
 
 mod capacity;
+mod label;
 mod placement;
 mod routing;
 mod table;
--- a/crates/stackpier-load/src/placement/model.rs
+++ b/crates/stackpier-load/src/placement/model.rs
@@ -5,6 +5,8 @@
 use rand::{Rng, RngExt};
 use stackpier_core::{Name, Size};
 
+use crate::label::name;
+
 /// WORKERS is the count of workers.
 pub const WORKERS: usize = 48;
 /// WORKERS_PER_RACK is the users' count.
@@ -173,7 +175,3 @@
 pub fn rack_name(worker: usize) -> Name {
     name(&format!("rack-{}", worker / WORKERS_PER_RACK))
 }
-
-fn name(text: &str) -> Name {
-    Name::try_from(text).unwrap_or_else(|error| panic!("'{text}': {error}"))
-}
--- a/crates/stackpier-load/src/routing/policy.rs
+++ b/crates/stackpier-load/src/routing/policy.rs
@@ -13,6 +13,8 @@
 use stackpier_protocol::peer::Endpoint;
 use stackpier_state::work::Run;
 
+use crate::label::name;
+
 /// BASELINE_SENDS is how often a baseline sends a request at most.
 pub const BASELINE_SENDS: usize = 4;
 
@@ -243,7 +245,7 @@
 }
 
 fn worker(number: usize) -> Name {
-    Name::try_from(format!("worker-{number}").as_str()).unwrap_or_else(|error| panic!("{error}"))
+    name(&format!("worker-{number}"))
 }
 
 fn endpoint(number: usize) -> Endpoint {
