--- /dev/null
+++ b/crates/stackpier-coordination/src/owner/read.rs
@@ -0,0 +1,97 @@
+// SPDX-License-Identifier: Apache-2.0
+//! The owner's reads: its rack's page, and shards of homes.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use stackpier_core::Millis;
+use stackpier_state::{
+    Page, Revision, homes,
+    page::{ABSENT, Fetched, Key},
+    rack::{Rack, Renewer},
+};
+
+use super::{Owner, Step};
+use crate::{
+    effect::{Effect, Note},
+    membership::Table,
+};
+
+/// Reading collects shards of homes.
+#[derive(Clone, Debug)]
+pub(super) struct Reading {
+    pub(super) waiting: BTreeSet<u16>,
+    pub(super) got: Snapshots,
+}
+
+/// Snapshots are shards of homes with the revisions they were read at.
+pub(super) type Snapshots = BTreeMap<u16, (Revision, homes::Shard)>;
+
+impl Owner {
+    pub(super) fn loaded(&mut self, now: Millis, fetched: Fetched, effects: &mut Vec<Effect>) {
+        if !matches!(self.step, Step::Loading) {
+            return;
+        }
+        self.step = Step::Idle;
+        match fetched {
+            Fetched::Found(revision, Page::Rack(page)) => self.adopt(now, revision, page, effects),
+            Fetched::Absent => self.page = Some((ABSENT, Rack::empty())),
+            Fetched::Found(..) | Fetched::Failed => return,
+        }
+        self.stale = false;
+    }
+
+    /// adopt takes a newer page that another daemon may have written.
+    fn adopt(&mut self, now: Millis, revision: Revision, page: Rack, effects: &mut Vec<Effect>) {
+        if self.page.as_ref().is_some_and(|(old, _)| *old > revision) {
+            return;
+        }
+        let mine = |renewer: Renewer| renewer.boot == self.me.boot;
+        let term = page.renewer.map_or(0, |renewer| renewer.term);
+        let listed = page.former.iter().copied().any(mine);
+        let renews = page.renewer.is_some_and(mine);
+        if !renews && (listed || self.renews()) && self.renounced != Some(term) {
+            self.renounced = Some(term);
+            effects.push(Effect::Note(Note::GaveUp(self.rack, term)));
+        }
+        if renews && !self.renews() {
+            // A lost reply hid that our own take-over was written.
+            self.sole_since = page.former.is_empty().then_some((term, now));
+            self.contacts.clear();
+        }
+        self.page = Some((revision, page));
+    }
+
+    pub(super) fn homes_read(&mut self, shard: u16, fetched: Fetched) {
+        let Step::Reading(reading) = &mut self.step else {
+            return;
+        };
+        if !reading.waiting.remove(&shard) {
+            return;
+        }
+        match fetched {
+            Fetched::Found(revision, Page::Homes(page)) => {
+                reading.got.insert(shard, (revision, page));
+            }
+            Fetched::Absent => {
+                reading.got.insert(shard, (ABSENT, homes::Shard::default()));
+            }
+            Fetched::Found(..) | Fetched::Failed => {
+                self.dirty.insert(shard);
+            }
+        }
+    }
+
+    pub(super) fn read_homes(&mut self, table: &Table, effects: &mut Vec<Effect>) {
+        if self.dirty.is_empty() {
+            return;
+        }
+        let waiting = std::mem::take(&mut self.dirty);
+        let data_centre = table.data_centre();
+        let read = |shard: &u16| Effect::Read(Key::Homes(data_centre, *shard));
+        effects.extend(waiting.iter().map(read));
+        self.step = Step::Reading(Reading {
+            waiting,
+            got: BTreeMap::new(),
+        });
+    }
+}
--- /dev/null
+++ b/crates/stackpier-coordination/src/owner/renewer.rs
@@ -0,0 +1,90 @@
+// SPDX-License-Identifier: Apache-2.0
+//! Which daemon renews the rack's leases, and since when no other can.
+
+use stackpier_core::Millis;
+use stackpier_protocol::peer::{Hint, Renounced};
+use stackpier_state::{holders::Member, rack::Renewer};
+
+use super::Owner;
+use crate::{effect::Effect, membership::Table};
+
+impl Owner {
+    /// renews tells whether this daemon is the rack's renewer, by the page it
+    /// last saw.
+    pub fn renews(&self) -> bool {
+        let renewer = self.page.as_ref().and_then(|(_, page)| page.renewer);
+        renewer.is_some_and(|renewer| renewer.boot == self.me.boot)
+    }
+
+    /// renounced returns the promise not to renew, if one is due.
+    pub fn renounced(&self) -> Option<Renounced> {
+        self.renounced.map(|below| Renounced {
+            rack: self.rack,
+            below,
+        })
+    }
+
+    /// give_up lets another daemon take the rack over, for a planned stop.
+    pub fn give_up(&mut self) {
+        if let Some(renewer) = self.page().and_then(|page| page.renewer)
+            && renewer.boot == self.me.boot
+        {
+            self.renounced = Some(renewer.term + 1);
+        }
+    }
+
+    /// heard_renounced takes another daemon's promise not to renew.
+    pub fn heard_renounced(&mut self, from: Member, below: u64) {
+        let Some((_, page)) = &mut self.page else {
+            return;
+        };
+        let done = |old: &Renewer| old.boot == from.boot && old.term < below;
+        page.former.retain(|old| !done(old));
+    }
+
+    /// note_sole notes the moment from which no former renewer can renew.
+    pub(super) fn note_sole(&mut self, now: Millis, table: &Table) {
+        let Some((_, page)) = &mut self.page else {
+            return;
+        };
+        let gone = |old: &Renewer| table.gone(member(*old));
+        // What this very process sent under an earlier term quotes clock
+        // readings that it got before now, so it is no other renewer.
+        let me = self.me.boot;
+        page.former.retain(|old| old.boot != me && !gone(old));
+        let Some(renewer) = page.renewer else { return };
+        let known = self
+            .sole_since
+            .is_some_and(|(term, _)| term == renewer.term);
+        if renewer.boot == self.me.boot && page.former.is_empty() && !known {
+            self.sole_since = Some((renewer.term, now));
+        }
+    }
+
+    /// hear_renewer has the page read again if it concerns this daemon: it may
+    /// have lost the rack, or won it by a swap whose answer was lost.
+    pub(super) fn hear_renewer(&mut self, renewer: Member, term: u64) {
+        let known = self.page().and_then(|page| page.renewer);
+        let newer = term > known.map_or(0, |renewer| renewer.term);
+        let concerned = self.renews() || renewer.boot == self.me.boot;
+        self.stale |= newer && concerned;
+    }
+
+    /// renewer_hint tells all daemons whom the page names as renewer.
+    pub(super) fn renewer_hint(&self) -> Option<Effect> {
+        let renewer = self.page()?.renewer?;
+        Some(Effect::Hint(Hint::TakenOver {
+            rack: self.rack,
+            renewer: member(renewer),
+            term: renewer.term,
+        }))
+    }
+}
+
+/// member returns the daemon that a renewer is.
+pub(super) fn member(renewer: Renewer) -> Member {
+    Member {
+        vm: renewer.vm,
+        boot: renewer.boot,
+    }
+}
--- a/crates/stackpier-coordination/src/owner/words.rs
+++ b/crates/stackpier-coordination/src/owner/words.rs
@@ -7,12 +7,9 @@
     peer::{Claims, Hint, claims_sum},
     sync::Ended,
 };
-use stackpier_state::{
-    holders::Member,
-    rack::{Phase, Rack, Row},
-};
+use stackpier_state::rack::{Phase, Rack, Row};
 
-use super::{Owner, member, shard_of};
+use super::{Owner, shard_of};
 use crate::effect::Effect;
 
 impl Owner {
@@ -28,25 +25,6 @@
         }
     }
 
-    /// hear_renewer has the page read again if it concerns this daemon: it may
-    /// have lost the rack, or won it by a swap whose answer was lost.
-    pub(super) fn hear_renewer(&mut self, renewer: Member, term: u64) {
-        let known = self.page().and_then(|page| page.renewer);
-        let newer = term > known.map_or(0, |renewer| renewer.term);
-        let concerned = self.renews() || renewer.boot == self.me.boot;
-        self.stale |= newer && concerned;
-    }
-
-    /// renewer_hint tells all daemons whom the page names as renewer.
-    pub(super) fn renewer_hint(&self) -> Option<Effect> {
-        let renewer = self.page()?.renewer?;
-        Some(Effect::Hint(Hint::TakenOver {
-            rack: self.rack,
-            renewer: member(renewer),
-            term: renewer.term,
-        }))
-    }
-
     /// hear takes a placer's word, or reads its shard if the word is older than
     /// what the page was settled by.
     pub(super) fn hear(&mut self, claims: Claims) {
