The placer's commits, wanted tasks and words are modules

Change: commit, wanted and words are modules below placer; the look for urgent intents is a function. No change of behaviour.

--- /dev/null
+++ b/crates/stackpier-coordination/src/placer/wanted.rs
@@ -0,0 +1,102 @@
+// SPDX-License-Identifier: Apache-2.0
+//! The tasks that accepted intents want, and the homes brought in line with
+//! them.
+
+use std::collections::BTreeMap;
+
+use stackpier_core::key;
+use stackpier_state::{
+    catalogue::Catalogue,
+    homes::{End, Home, Place, Shard},
+    intent::{Kind, Object, URGENT_PRIORITY},
+    work::{Class, Work},
+};
+
+use super::{Placer, View};
+
+impl Placer {
+    /// reconcile makes homes for wanted tasks and marks those no longer
+    /// wanted.
+    pub(super) fn reconcile(&self, view: View<'_>, next: &mut Shard) {
+        let data_centre = view.table.data_centre();
+        let mut places: BTreeMap<key::Task, usize> = BTreeMap::new();
+        for (place, home) in next.homes.iter().enumerate() {
+            places.insert(home.work.task, place);
+        }
+        let mut wanted = BTreeMap::new();
+        for object in view.catalogue.objects() {
+            let job = object.job.within(data_centre);
+            if key::shard(job, self.options.shards) != self.shard {
+                continue;
+            }
+            let count = match object.cancelled {
+                true => 0,
+                false => object.intent.tasks(data_centre),
+            };
+            wanted.insert(job, count);
+            for index in 0..count {
+                let work = work(object, key::Task { job, index });
+                match places.get(&work.task) {
+                    Some(place) => want(&mut next.homes[*place], work),
+                    None => next.homes.push(Home::new(work)),
+                }
+            }
+        }
+        for home in &mut next.homes {
+            let task = home.work.task;
+            let shrunk = wanted
+                .get(&task.job)
+                .is_some_and(|count| task.index >= *count);
+            if shrunk || superseded(view.catalogue, home) {
+                unwant(home);
+            }
+        }
+    }
+}
+
+/// work returns what a worker needs to know of a task.
+fn work(object: &Object, task: key::Task) -> Work {
+    let (class, run_time_ms) = match &object.intent.kind {
+        Kind::Service(_) => (Class::Service, 0),
+        Kind::Batch(batch) => (Class::Batch, batch.run_time_ms),
+    };
+    Work {
+        task,
+        name: object.intent.name,
+        generation: object.generation,
+        urgent: object.intent.priority >= URGENT_PRIORITY,
+        class,
+        size: object.intent.size,
+        run_time_ms,
+    }
+}
+
+/// superseded tells whether a later job has taken the name of a home's job.
+fn superseded(catalogue: &Catalogue, home: &Home) -> bool {
+    let object = catalogue.object(home.work.name);
+    object.is_some_and(|object| object.generation > home.work.generation)
+}
+
+/// want brings a home in line with its intent.
+fn want(home: &mut Home, work: Work) {
+    home.unwanted = false;
+    match home.place {
+        Place::Pending => home.work = work,
+        Place::Ended(End::Cancelled) if work.class == Class::Service => {
+            home.work = work;
+            home.place = Place::Pending;
+            home.attempt = home.attempt.next();
+        }
+        Place::Claimed(_) | Place::Ended(_) => {}
+    }
+}
+
+/// unwant ends a waiting task and asks to stop a claimed one.
+fn unwant(home: &mut Home) {
+    home.unwanted = true;
+    match &mut home.place {
+        Place::Pending => home.place = Place::Ended(End::Cancelled),
+        Place::Claimed(claim) => claim.stop = true,
+        Place::Ended(_) => {}
+    }
+}
