Routing is modules for service, upstream, cost and router

Change: a module for each; an upstream takes the outcome of its own requests. The public paths stay. No change of behaviour.

--- /dev/null
+++ b/crates/stackpier-coordination/src/route/cost.rs
@@ -0,0 +1,64 @@
+// SPDX-License-Identifier: Apache-2.0
+//! The expected time to an answer, by which a service's upstreams are compared.
+
+use rand::{Rng, RngExt};
+use stackpier_core::Millis;
+
+use super::{Key, Service, Upstream};
+
+/// LEAST_SUCCESS is the lowest share of successes that costs are reckoned with.
+const LEAST_SUCCESS: f64 = 0.01;
+/// FORGOTTEN is the weight below which old knowledge counts for nothing.
+const FORGOTTEN: f64 = 0.05;
+
+impl Service {
+    /// cheapest returns the upstream with the lowest cost; of equal ones it
+    /// takes any, so that entry VMs don't all take the same.
+    pub(super) fn cheapest<R: Rng>(&self, now: Millis, pool: &[Key], rng: &mut R) -> Option<Key> {
+        if pool.is_empty() {
+            return None;
+        }
+        let median = self.median_ms();
+        let start = rng.random_range(0..pool.len());
+        let order = (0..pool.len()).map(|step| pool[(start + step) % pool.len()]);
+        order.min_by(|one, other| {
+            let (one, other) = (self.cost(now, median, *one), self.cost(now, median, *other));
+            one.total_cmp(&other)
+        })
+    }
+
+    /// cost is the expected time to an answer. An upstream that fails fast is
+    /// dear, not cheap; what is known of one that is not used fades, so that it
+    /// is tried again.
+    fn cost(&self, now: Millis, median: f64, key: Key) -> f64 {
+        self.upstreams.get(key).map_or(f64::MAX, |upstream| {
+            let age = now.since(upstream.measured) as f64;
+            let faded = 0.5_f64.powf(age / self.options.half_life_ms);
+            let weight = if faded < FORGOTTEN { 0.0 } else { faded };
+            let success = 1.0 - (1.0 - upstream.success) * weight;
+            let latency = self.believed_ms(weight, median, upstream);
+            let load = 1.0 + f64::from(upstream.in_flight) / self.options.limit.start;
+            load * latency / success.max(LEAST_SUCCESS).powi(2)
+        })
+    }
+
+    /// believed_ms returns an upstream's latency as far as it tells: noise
+    /// counts as the median, and old samples count with their `weight`.
+    fn believed_ms(&self, weight: f64, median: f64, upstream: &Upstream) -> f64 {
+        let latency = median + (upstream.latency_ms - median) * weight;
+        match latency <= median * self.options.noise {
+            true => median,
+            false => latency,
+        }
+    }
+
+    /// median_ms returns the median latency of the upstreams.
+    pub(super) fn median_ms(&self) -> f64 {
+        let mut all: Vec<f64> = self.upstreams.values().map(|u| u.latency_ms).collect();
+        if all.is_empty() {
+            return self.options.assumed_ms;
+        }
+        let middle = all.len() / 2;
+        *all.select_nth_unstable_by(middle, f64::total_cmp).1
+    }
+}
