The fuzz of accepted intents is modules, without tuples

Change: step, store and operation are modules; each tuple is a type. The assertions are those of before, in the same places.

--- /dev/null
+++ b/crates/stackpier-fuzz/src/config/store.rs
@@ -0,0 +1,70 @@
+// SPDX-License-Identifier: Apache-2.0
+//! The fake store: one page of intents, and what was ever written to it.
+
+use std::collections::BTreeMap;
+
+use stackpier_state::{
+    Page, Revision,
+    intent::Shard,
+    page::{ABSENT, Fetched, Swapped},
+};
+
+use crate::counts::hit;
+
+/// Stored is the page with its revision.
+#[derive(Clone, Debug)]
+pub(super) struct Stored {
+    pub(super) revision: Revision,
+    pub(super) page: Shard,
+}
+
+/// Store keeps the page and its history.
+#[derive(Debug, Default)]
+pub(super) struct Store {
+    writes: u64,
+    stored: Option<Stored>,
+    /// Version by submission, of every page that was ever stored.
+    versions: BTreeMap<u128, u64>,
+}
+
+impl Store {
+    /// stored returns the page, if there is one.
+    pub(super) fn stored(&self) -> Option<&Stored> {
+        self.stored.as_ref()
+    }
+
+    /// version returns the version at which a submission was first stored.
+    pub(super) fn version(&self, submission: u128) -> Option<u64> {
+        self.versions.get(&submission).copied()
+    }
+
+    /// read answers a call to read the page.
+    pub(super) fn read(&self) -> Fetched {
+        match &self.stored {
+            Some(stored) => Fetched::Found(stored.revision, Page::Intents(stored.page.clone())),
+            None => Fetched::Absent,
+        }
+    }
+
+    /// swap replaces the page if it still has this revision.
+    pub(super) fn swap(&mut self, expect: Revision, page: Page) -> Swapped {
+        let Page::Intents(page) = page else {
+            return Swapped::Lost;
+        };
+        let current = self.stored.as_ref();
+        let current = current.map_or(ABSENT, |stored| stored.revision);
+        if current != expect {
+            hit("branch: swap lost to a racing operator");
+            return Swapped::Lost;
+        }
+        self.writes += 1;
+        let revision = Revision(self.writes);
+        for object in &page.objects {
+            if let Some(newest) = object.submissions.last() {
+                self.versions.entry(*newest).or_insert(object.version);
+            }
+        }
+        self.stored = Some(Stored { revision, page });
+        Swapped::Won(revision)
+    }
+}
