Calls to workers and printed tables in shorter functions

Why: each mixed a choice with what follows from it, in about 50 lines.

Change: whether a worker is due for a call is a function; a line, its widths and its text are one each.

--- a/crates/stackpier-coordination/src/owner/calls.rs
+++ b/crates/stackpier-coordination/src/owner/calls.rs
@@ -61,25 +61,13 @@
         let open = |worker: Name, run: &Run| page.live(worker).any(|row| row.run == *run);
         self.lapsing
             .retain(|worker, runs| runs.iter().any(|run| open(*worker, run)));
-        for worker in page
-            .workers
-            .iter()
-            .filter(|w| w.condition != Condition::Gone)
-        {
-            if table.vm(worker.name).is_none() {
-                continue;
-            }
+        let callable = |w: &&Worker| w.condition != Condition::Gone && table.vm(w.name).is_some();
+        for worker in page.workers.iter().filter(callable) {
             let contact = self.contacts.entry(worker.name).or_insert_with(|| Contact {
                 heard: now,
                 ..Contact::default()
             });
-            let wait = self.options.sync_ms;
-            let due = contact.called.is_none_or(|at| now.since(at) >= wait);
-            let gap = contact
-                .called
-                .is_none_or(|at| now.since(at) >= URGENT_GAP_MS);
-            let urgent = gap && urgent(page, worker, contact);
-            if contact.calling || !(due || urgent) {
+            if !due(now, page, worker, contact, self.options.sync_ms) {
                 continue;
             }
             contact.calling = true;
@@ -98,6 +86,16 @@
     }
 }
 
+/// due tells whether a worker is to be called now: after `sync_ms` or, if that
+/// is urgent, after a shorter time.
+fn due(now: Millis, page: &Rack, worker: &Worker, contact: &Contact, sync_ms: u64) -> bool {
+    if contact.calling {
+        return false;
+    }
+    let passed = |wait_ms| contact.called.is_none_or(|at| now.since(at) >= wait_ms);
+    passed(sync_ms) || (passed(URGENT_GAP_MS) && urgent(page, worker, contact))
+}
+
 /// urgent tells whether a worker has runs to start or stop.
 fn urgent(page: &Rack, worker: &Worker, contact: &Contact) -> bool {
     if contact.boot != worker.boot || contact.called.is_some_and(|at| at > contact.heard) {
--- a/crates/stackpier-load/src/table.rs
+++ b/crates/stackpier-load/src/table.rs
@@ -20,39 +20,41 @@
         return Ok(());
     };
     let names: Vec<&String> = first.keys().collect();
-    let mut lines = vec![
-        names
-            .iter()
-            .map(|name| (*name).clone())
-            .collect::<Vec<String>>(),
-    ];
-    for value in &values {
-        lines.push(
-            names
-                .iter()
-                .map(|name| cell(&value[name.as_str()]))
-                .collect(),
-        );
-    }
+    let mut lines: Vec<Line> = vec![names.iter().map(|name| name.to_string()).collect()];
+    lines.extend(values.iter().map(|value| line(value, &names)));
     let widths: Vec<usize> = (0..names.len())
-        .map(|column| {
-            lines
-                .iter()
-                .map(|line| line[column].len())
-                .max()
-                .unwrap_or(0)
-        })
+        .map(|column| width(&lines, column))
         .collect();
-    for line in lines {
-        let cells = line
-            .iter()
-            .zip(&widths)
-            .map(|(cell, width)| format!("{cell:>width$}"));
-        println!("{}", cells.collect::<Vec<_>>().join("  "));
+    for line in &lines {
+        println!("{}", aligned(line, &widths));
     }
     Ok(())
 }
 
+/// Line is the cells of one line.
+type Line = Vec<String>;
+
+fn line(value: &Value, names: &[&String]) -> Line {
+    names
+        .iter()
+        .map(|name| cell(&value[name.as_str()]))
+        .collect()
+}
+
+/// width returns the count of bytes of a column's longest cell.
+fn width(lines: &[Line], column: usize) -> usize {
+    let widths = lines.iter().map(|line| line[column].len());
+    widths.max().unwrap_or(0)
+}
+
+fn aligned(line: &Line, widths: &[usize]) -> String {
+    let cells = line
+        .iter()
+        .zip(widths)
+        .map(|(cell, width)| format!("{cell:>width$}"));
+    cells.collect::<Vec<_>>().join("  ")
+}
+
 fn cell(value: &Value) -> String {
     match value {
         Value::String(text) => text.clone(),
