Doc comments where types and constants had none

Why: a newcomer met 28 types and constants without a word on what they are for, and three comments that did not open with the name.

--- a/crates/stackpier-coordination/src/history.rs
+++ b/crates/stackpier-coordination/src/history.rs
@@ -16,6 +16,7 @@
     states: VecDeque<State>,
 }
 
+/// State is what ran from a reading of the clock on.
 #[derive(Clone, Debug)]
 struct State {
     since: Clock,
--- a/crates/stackpier-load/src/capacity.rs
+++ b/crates/stackpier-load/src/capacity.rs
@@ -61,6 +61,7 @@
     measure: fn(usize) -> Result<f64>,
 }
 
+/// SUBJECTS are all that are measured.
 const SUBJECTS: [Subject; 13] = [
     subject("rack page", "runs", "bytes", 16, |n| {
         page_bytes(Page::Rack(build::rack(n)))
--- a/crates/stackpier-load/src/main.rs
+++ b/crates/stackpier-load/src/main.rs
@@ -11,6 +11,7 @@
 use anyhow::{Result, bail};
 use lexopt::{Arg, Parser, ValueExt};
 
+/// HELP is the text of `--help`.
 const HELP: &str = "\
 Usage: stackpier-load COMMAND [--seed N] [--json]
 
--- a/crates/stackpier-load/src/routing/model.rs
+++ b/crates/stackpier-load/src/routing/model.rs
@@ -16,9 +16,9 @@
 pub const MEAN_MS: f64 = 20.0;
 /// FIXED_MS is the part of it that does not vary.
 const FIXED_MS: f64 = 8.0;
-/// NOISY_FROM_MS and NOISY_UNTIL_MS bound the wave of noisy neighbours.
+/// NOISY_FROM_MS is when the wave of noisy neighbours begins.
 const NOISY_FROM_MS: f64 = 15_000.0;
-/// See [`NOISY_FROM_MS`].
+/// NOISY_UNTIL_MS is when the wave of noisy neighbours ends.
 const NOISY_UNTIL_MS: f64 = 40_000.0;
 
 /// Scenario is what is wrong with the upstreams.
--- a/crates/stackpier-load/src/routing/simulation.rs
+++ b/crates/stackpier-load/src/routing/simulation.rs
@@ -62,6 +62,7 @@
     (UPSTREAMS * SLOTS) as f64 / MEAN_MS
 }
 
+/// Event is something that happens at a time.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Event {
     Arrive,
@@ -73,9 +74,10 @@
     Expire(usize),
 }
 
-/// Entry of the heap: time in microseconds, then order of creation.
+/// Timed is an entry of the heap: time in microseconds, then order of creation.
 type Timed = Reverse<(u64, usize)>;
 
+/// Request is a caller's request; times are in milliseconds.
 struct Request {
     entry: usize,
     arrived: f64,
@@ -85,6 +87,7 @@
     last_send: Option<usize>,
 }
 
+/// Send is one send of a request to an upstream; times are in milliseconds.
 struct Send {
     request: usize,
     slot: Slot,
@@ -93,6 +96,7 @@
     back: bool,
 }
 
+/// Run is the state of one simulation.
 struct Run {
     scenario: Scenario,
     rng: ChaCha8Rng,
--- a/crates/stackpier-standin/src/main.rs
+++ b/crates/stackpier-standin/src/main.rs
@@ -9,6 +9,7 @@
 use stackpier_protocol::codec::from_json;
 use stackpier_standin::{platform, proxy, worker_http};
 
+/// HELP is the text of `--help`.
 const HELP: &str = "\
 Usage:
   stackpier-standin platform --listen IP:PORT --roster FILE [--listen ... --roster ...]
@@ -16,6 +17,7 @@
   stackpier-standin proxy --control IP:PORT --listen IP:PORT --to IP:PORT [--listen ... --to ...]
 ";
 
+/// Given is what the command line says.
 #[derive(Default)]
 struct Given {
     listen: Vec<String>,
--- a/crates/stackpier-standin/src/platform.rs
+++ b/crates/stackpier-standin/src/platform.rs
@@ -59,6 +59,7 @@
     pub largest_value: u64,
 }
 
+/// State is the store and what goes wrong with it.
 struct State {
     store: Store,
     /// One list for each port, as data centres may reach VMs by different
@@ -70,11 +71,13 @@
     writes: Bucket,
 }
 
+/// Platform is the state with a signal for watches.
 struct Platform {
     state: Mutex<State>,
     changed: Condvar,
 }
 
+/// Answer is an HTTP status and a body.
 struct Answer {
     status: u16,
     body: Vec<u8>,
--- a/crates/stackpier-standin/src/worker.rs
+++ b/crates/stackpier-standin/src/worker.rs
@@ -25,6 +25,7 @@
     pub ended: Option<(Clock, Outcome)>,
 }
 
+/// Running is a run at work.
 #[derive(Clone, Copy, Debug)]
 struct Running {
     run: Run,
--- a/crates/stackpier-standin/src/worker_http.rs
+++ b/crates/stackpier-standin/src/worker_http.rs
@@ -70,6 +70,7 @@
     pub slowdown_milli: u32,
 }
 
+/// Shared is what the threads of a worker share.
 struct Shared {
     options: Options,
     start: Instant,
--- a/crates/stackpier-testkit/src/ports.rs
+++ b/crates/stackpier-testkit/src/ports.rs
@@ -16,6 +16,7 @@
 /// STRIDE keeps the ports of test processes that run at once apart.
 const STRIDE: u32 = 397;
 
+/// NEXT is the offset of the next port to try.
 static NEXT: AtomicU32 = AtomicU32::new(0);
 
 /// RESERVED holds a datagram socket for each port that was handed out, which
--- a/crates/stackpier-transport/src/callers.rs
+++ b/crates/stackpier-transport/src/callers.rs
@@ -108,6 +108,7 @@
     }
 }
 
+/// Shared is what the connections of a port share.
 struct Shared<S> {
     service: Arc<S>,
     options: Options,
--- a/crates/stackpier-transport/src/peers.rs
+++ b/crates/stackpier-transport/src/peers.rs
@@ -43,11 +43,13 @@
     fn serve(&self, request: Request) -> Response;
 }
 
+/// Inbound is a message received, and where its answer goes.
 struct Inbound {
     request: Request,
     reply: oneshot::Sender<Response>,
 }
 
+/// Outbound is a message to be sent, and where its answer goes.
 struct Outbound {
     address: SocketAddr,
     body: Bytes,
@@ -192,6 +194,7 @@
     Ok(())
 }
 
+/// Inbox passes messages to the threads that serve them.
 #[derive(Clone)]
 struct Inbox {
     quick: Sender<Inbound>,
@@ -295,6 +298,7 @@
     }
 }
 
+/// Line is an open connection to another daemon.
 #[derive(Clone)]
 struct Line {
     sender: client::SendRequest<Bytes>,
--- a/crates/stackpierd/src/clock.rs
+++ b/crates/stackpierd/src/clock.rs
@@ -8,6 +8,7 @@
 
 use stackpier_core::{Millis, Unix};
 
+/// START is about the start of the process.
 static START: LazyLock<Instant> = LazyLock::new(Instant::now);
 
 /// now returns the monotonic time since about the start of the process.
--- a/crates/stackpierd/src/daemon.rs
+++ b/crates/stackpierd/src/daemon.rs
@@ -145,7 +145,7 @@
         self.peers.call(address, request, PEER_LIMIT).ok()
     }
 
-    /// tell sends a message to all other daemons of the data centre and waits
+    /// tell_data_centre sends a message to all other daemons of the data centre and waits
     /// for no answer.
     pub fn tell_data_centre(&self, request: &Request) -> Result<()> {
         for address in self.neighbours() {
--- a/crates/stackpierd/src/holders.rs
+++ b/crates/stackpierd/src/holders.rs
@@ -51,6 +51,7 @@
     Ok(())
 }
 
+/// Keeper keeps the holder map in line with the live daemons.
 struct Keeper<'a, B> {
     daemon: &'a Daemon<B>,
     read: Option<Millis>,
--- a/crates/stackpierd/src/intents.rs
+++ b/crates/stackpierd/src/intents.rs
@@ -9,7 +9,7 @@
 use stackpier_state::{
     Page, Revision,
     catalogue::SHARDS,
-    page::{Fetched, Index, Key},
+    page::{ABSENT, Fetched, Index, Key, Swapped},
 };
 
 use crate::{
@@ -22,6 +22,9 @@
 /// GAP is the shortest time between two looks at the index.
 const GAP: Duration = Duration::from_millis(200);
 
+/// BUMP_ROUNDS is how often a bump of the index is tried against racing ones.
+const BUMP_ROUNDS: usize = 8;
+
 /// start watches and polls on threads of their own.
 pub fn start<B: Backend>(daemon: &Arc<Daemon<B>>) -> std::io::Result<()> {
     let watching = Arc::clone(daemon);
@@ -49,6 +52,7 @@
     Ok(())
 }
 
+/// Seen is the index that all pages were read by.
 #[derive(Default)]
 struct Seen {
     revision: Revision,
@@ -106,9 +110,7 @@
     /// bump_index tells the watches of all daemons that a shard changed. It is
     /// only a hint, so a failure is left to the polls.
     pub fn bump_index(&self, shard: u16) {
-        use stackpier_state::page::{ABSENT, Swapped};
-        const ROUNDS: usize = 8;
-        for _ in 0..ROUNDS {
+        for _ in 0..BUMP_ROUNDS {
             let (revision, mut index) = match self.backend.read(Key::Index) {
                 Fetched::Found(revision, Page::Index(index)) => (revision, index),
                 Fetched::Absent => (ABSENT, Index::default()),
--- a/crates/stackpierd/src/main.rs
+++ b/crates/stackpierd/src/main.rs
@@ -34,6 +34,7 @@
     settings::{self, Settings},
 };
 
+/// HELP is the text of `--help`.
 const HELP: &str = "\
 stackpierd: the daemon of an entry VM
 
@@ -48,6 +49,7 @@
 /// started in the same millisecond differ.
 const BOOT_RANDOM_BITS: u32 = 20;
 
+/// Command is what the command line asks for.
 enum Command {
     Run(PathBuf),
     Check(PathBuf),
--- a/crates/stackpierd/src/routing.rs
+++ b/crates/stackpierd/src/routing.rs
@@ -20,6 +20,7 @@
     inner: Mutex<Inner>,
 }
 
+/// Inner is the routing state behind the lock.
 struct Inner {
     router: Router,
     waiting: HashMap<Ticket, Sender<Slot>>,
--- a/crates/stackpierd/src/scheduler.rs
+++ b/crates/stackpierd/src/scheduler.rs
@@ -107,6 +107,7 @@
     daemon.backend.sync(&address?, call)
 }
 
+/// Scheduler drives the owners and placers of this daemon.
 struct Scheduler<B> {
     daemon: Arc<Daemon<B>>,
     tasks: Sender<Task>,
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -9,6 +9,7 @@
 
 use anyhow::{Result, bail, ensure};
 
+/// HELP is the list of commands.
 const HELP: &str = "\
 Usage:
   cargo xtask demo    run the whole path on loopback and say what was seen
