--- a/crates/stackpier-fuzz/src/placement.rs
+++ b/crates/stackpier-fuzz/src/placement.rs
@@ -75,8 +75,8 @@
     workers: Vec<Machine>,
     under_way: Vec<Operation>,
     detached: Vec<Operation>,
-    messages: Vec<(usize, Message)>,
-    held: Vec<(usize, Message)>,
+    messages: Vec<Message>,
+    held: Vec<Message>,
 }
 
 fn data_centre() -> Name {
@@ -183,13 +183,9 @@
                 self.beat(number, other);
             }
         }
-        self.messages
-            .drain(..)
-            .collect::<Vec<_>>()
-            .into_iter()
-            .for_each(|(to, message)| {
-                self.take(to, message);
-            });
+        for message in std::mem::take(&mut self.messages) {
+            self.take(message);
+        }
         for number in 0..DAEMONS {
             self.tick(number);
         }
--- a/crates/stackpier-fuzz/src/placement/calls.rs
+++ b/crates/stackpier-fuzz/src/placement/calls.rs
@@ -10,7 +10,11 @@
     work::Outcome,
 };
 
-use super::{DAEMONS, Guard, World, messages::Message, pick};
+use super::{
+    DAEMONS, Guard, World,
+    messages::{Body, Message},
+    pick,
+};
 use crate::counts::{hit, trace};
 
 /// Target is the machine of a daemon that a call is made for.
@@ -45,7 +49,10 @@
             Effect::Sync(worker, call) => Work::Sync(worker, call),
             Effect::Hint(hint) => {
                 for other in 0..DAEMONS {
-                    self.messages.push((other, Message::Hint(hint.clone())));
+                    self.messages.push(Message {
+                        to: other,
+                        body: Body::Hint(hint.clone()),
+                    });
                 }
                 return;
             }
--- a/crates/stackpier-fuzz/src/placement/messages.rs
+++ b/crates/stackpier-fuzz/src/placement/messages.rs
@@ -7,9 +7,16 @@
 use super::{World, calls::Target, daemon::Daemon, data_centre, pick};
 use crate::counts::hit;
 
-/// Message is what daemons tell each other.
+/// Message is on its way to a daemon.
 #[derive(Clone, Debug)]
-pub(super) enum Message {
+pub(super) struct Message {
+    pub(super) to: usize,
+    pub(super) body: Body,
+}
+
+/// Body is what daemons tell each other.
+#[derive(Clone, Debug)]
+pub(super) enum Body {
     Beat(Box<Heartbeat>),
     Hint(Hint),
 }
@@ -39,40 +46,44 @@
                 .filter_map(Owner::renounced)
                 .collect(),
         };
-        self.messages.push((to, Message::Beat(Box::new(beat))));
+        self.messages.push(Message {
+            to,
+            body: Body::Beat(Box::new(beat)),
+        });
     }
 
     pub(super) fn arrive(&mut self, n: u8) {
-        let Some((to, message)) = pick(&mut self.messages, n) else {
-            return;
-        };
-        self.take(to, message);
+        if let Some(message) = pick(&mut self.messages, n) {
+            self.take(message);
+        }
     }
 
     /// hold keeps a copy of a placer's word under way.
     pub(super) fn hold(&mut self, n: u8) {
-        let claims = |entry: &&(usize, Message)| matches!(entry.1, Message::Hint(Hint::Claims(_)));
-        let words: Vec<(usize, Message)> = self.messages.iter().filter(claims).cloned().collect();
+        let claims = |message: &&Message| matches!(message.body, Body::Hint(Hint::Claims(_)));
+        let words: Vec<Message> = self.messages.iter().filter(claims).cloned().collect();
         if !words.is_empty() {
             self.held.push(words[usize::from(n) % words.len()].clone());
         }
     }
 
     pub(super) fn release(&mut self, n: u8) {
-        if let Some((to, message)) = pick(&mut self.held, n) {
+        if let Some(message) = pick(&mut self.held, n) {
             hit("fault: placer's word arrived late");
-            self.take(to, message);
+            self.take(message);
         }
     }
 
-    pub(super) fn take(&mut self, to: usize, message: Message) {
+    /// take has a message served by its daemon, unless that is frozen or over.
+    pub(super) fn take(&mut self, message: Message) {
+        let to = message.to;
         let time = self.time;
         let daemon = &mut self.daemons[to];
         if daemon.frozen || daemon.dead {
             return;
         }
-        match message {
-            Message::Hint(hint) => match hint {
+        match message.body {
+            Body::Hint(hint) => match hint {
                 Hint::Claims(Claims { rack, .. }) | Hint::TakenOver { rack, .. } => {
                     self.machine(to, Target::Rack(rack), Event::Hint(hint));
                 }
@@ -81,7 +92,7 @@
                 }
                 Hint::Holders => {}
             },
-            Message::Beat(beat) => {
+            Body::Beat(beat) => {
                 daemon.table.heard(daemon.clock.at(time), &beat);
                 for report in beat.racks {
                     take_report(daemon, report);
