--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,5 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
-//! `cargo xtask demo | test`: the two commands of the README.
+//! `cargo xtask demo | test | fuzz | measure`: the demo, the tests, the fuzz and
+//! the experiments.
 
 mod demo;
 mod measure;
--- a/xtask/src/red.rs
+++ b/xtask/src/red.rs
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 //! Tests that are known to fail: `KNOWN-RED.txt` names them, one line each, as
-//! `TEST: cause, issue`. A run of all tests passes over just these and prints them.
+//! `TEST: cause, issue`. A run of all tests passes over just these and prints
+//! them.
 
 use std::{fs, io::ErrorKind};
 
