Units of times in doc comments

Why: what operators and callers set, and what routing estimates, had its unit in the name only.

Change: comments alone.

Tests: coordination 10 passed; clippy and rustfmt clean over the workspace.

--- a/crates/stackpier-coordination/src/breaker.rs
+++ b/crates/stackpier-coordination/src/breaker.rs
@@ -8,9 +8,9 @@
 pub struct Options {
     /// Failures in a row that eject.
     pub failures: u32,
-    /// The first pause.
+    /// The first pause, in milliseconds.
     pub pause_ms: u64,
-    /// The longest pause.
+    /// The longest pause, in milliseconds.
     pub longest_ms: u64,
 }
 
--- a/crates/stackpier-coordination/src/membership.rs
+++ b/crates/stackpier-coordination/src/membership.rs
@@ -17,7 +17,8 @@
 /// Options are the times membership goes by.
 #[derive(Clone, Copy, Debug)]
 pub struct Options {
-    /// A daemon without a word for this long is taken as unreachable.
+    /// Time without a word, in milliseconds, after which a daemon is taken as
+    /// unreachable.
     pub silence_ms: u64,
 }
 
--- a/crates/stackpier-coordination/src/once.rs
+++ b/crates/stackpier-coordination/src/once.rs
@@ -17,9 +17,9 @@
 /// Options are the times keys are judged by.
 #[derive(Clone, Copy, Debug)]
 pub struct Options {
-    /// Keys older than this are refused.
+    /// Age in milliseconds above which keys are refused.
     pub window_ms: u64,
-    /// How far the clocks of callers and daemons may differ.
+    /// How far the clocks of callers and daemons may differ, in milliseconds.
     pub allowance_ms: u64,
 }
 
--- a/crates/stackpier-coordination/src/owner.rs
+++ b/crates/stackpier-coordination/src/owner.rs
@@ -42,21 +42,23 @@
 use read::{Reading, Snapshots};
 use renewer::member;
 
-/// NO_SLOWDOWN_MILLI is the slowdown of a task that runs as if alone.
+/// NO_SLOWDOWN_MILLI is the slowdown of a task that runs as if alone, in
+/// thousandths.
 const NO_SLOWDOWN_MILLI: u32 = 1_000;
 
 /// Options are the times and counts an owner goes by.
 #[derive(Clone, Copy, Debug)]
 pub struct Options {
-    /// Length of a worker's lease.
+    /// Length of a worker's lease, in milliseconds.
     pub lease_ms: u64,
-    /// Time added to a lease before it counts as lapsed, for clock drift.
+    /// Time added to a lease before it counts as lapsed, for clock drift, in
+    /// milliseconds.
     pub drift_ms: u64,
-    /// Time between two calls to a worker.
+    /// Time between two calls to a worker, in milliseconds.
     pub sync_ms: u64,
-    /// Shortest time between two commits of the page.
+    /// Shortest time between two commits of the page, in milliseconds.
     pub commit_ms: u64,
-    /// Time between two looks at everything, hinted or not.
+    /// Time between two looks at everything, hinted or not, in milliseconds.
     pub sweep_ms: u64,
     /// Count of shards of homes in the data centre.
     pub shards: u16,
--- a/crates/stackpier-coordination/src/owner/calls.rs
+++ b/crates/stackpier-coordination/src/owner/calls.rs
@@ -11,7 +11,8 @@
 use super::{Contact, NO_SLOWDOWN_MILLI, Owner};
 use crate::{effect::Effect, membership::Table};
 
-/// URGENT_GAP_MS is the shortest time between two calls to a worker.
+/// URGENT_GAP_MS is the shortest time between two calls to a worker, in
+/// milliseconds.
 const URGENT_GAP_MS: u64 = 20;
 
 impl Owner {
--- a/crates/stackpier-coordination/src/placer.rs
+++ b/crates/stackpier-coordination/src/placer.rs
@@ -32,9 +32,9 @@
 /// Options are the times and counts a placer goes by.
 #[derive(Clone, Copy, Debug)]
 pub struct Options {
-    /// Shortest time between two commits of the page.
+    /// Shortest time between two commits of the page, in milliseconds.
     pub commit_ms: u64,
-    /// Time between two looks at everything, hinted or not.
+    /// Time between two looks at everything, hinted or not, in milliseconds.
     pub sweep_ms: u64,
     /// Count of shards of homes in the data centre.
     pub shards: u16,
--- a/crates/stackpier-coordination/src/placer/commit.rs
+++ b/crates/stackpier-coordination/src/placer/commit.rs
@@ -22,8 +22,8 @@
 }
 
 impl Placer {
-    /// interval_ms is the shortest time between two commits: shorter while urgent
-    /// work waits.
+    /// interval_ms is the shortest time between two commits, in milliseconds:
+    /// shorter while urgent work waits.
     pub(super) fn interval_ms(&self) -> u64 {
         let waits = |home: &Home| home.work.urgent && home.place == Place::Pending;
         let urgent = self.page().is_some_and(|page| page.homes.iter().any(waits));
--- a/crates/stackpier-coordination/src/reaction.rs
+++ b/crates/stackpier-coordination/src/reaction.rs
@@ -21,7 +21,7 @@
     pub calms: u32,
     /// Least excess a neighbour must be blamed for to be evicted.
     pub least_blame: f64,
-    /// Time in which a rack earns one eviction.
+    /// Time in which a rack earns one eviction, in milliseconds.
     pub eviction_ms: u64,
     /// Evictions a rack can save up.
     pub evictions: u32,
--- a/crates/stackpier-coordination/src/route.rs
+++ b/crates/stackpier-coordination/src/route.rs
@@ -29,15 +29,17 @@
     pub ejected_milli: u32,
     /// Weight of a new latency sample, from 0 to 1.
     pub smoothing: f64,
-    /// Latency assumed of an upstream that has not answered yet.
+    /// Latency assumed of an upstream that has not answered yet, in
+    /// milliseconds.
     pub assumed_ms: f64,
-    /// Longest expected wait for a slot; a longer queue only adds delay.
+    /// Longest expected wait for a slot, in milliseconds; a longer queue only
+    /// adds delay.
     pub longest_wait_ms: u64,
     /// Latencies up to this many times the median count as the median, so that
     /// chance does not steer.
     pub noise: f64,
     /// Time in which what is known of an unused upstream's latency loses half
-    /// its weight.
+    /// its weight, in milliseconds.
     pub half_life_ms: f64,
 }
 
--- a/crates/stackpier-coordination/src/route/cost.rs
+++ b/crates/stackpier-coordination/src/route/cost.rs
@@ -42,8 +42,9 @@
         })
     }
 
-    /// believed_ms returns an upstream's latency as far as it tells: noise
-    /// counts as the median, and old samples count with their `weight`.
+    /// believed_ms returns an upstream's latency in milliseconds, as far as it
+    /// tells: noise counts as the median, and old samples count with their
+    /// `weight`.
     fn believed_ms(&self, weight: f64, median: f64, upstream: &Upstream) -> f64 {
         let latency = median + (upstream.latency_ms - median) * weight;
         match latency <= median * self.options.noise {
@@ -52,7 +53,7 @@
         }
     }
 
-    /// median_ms returns the median latency of the upstreams.
+    /// median_ms returns the median latency of the upstreams, in milliseconds.
     pub(super) fn median_ms(&self) -> f64 {
         let mut all: Vec<f64> = self.upstreams.values().map(|u| u.latency_ms).collect();
         if all.is_empty() {
--- a/crates/stackpier-coordination/src/route/service.rs
+++ b/crates/stackpier-coordination/src/route/service.rs
@@ -21,7 +21,7 @@
     keys: Vec<Key>,
     queue: Queue,
     budget: Budget,
-    /// Smoothed time a request occupies a slot.
+    /// Smoothed time a request occupies a slot, in milliseconds.
     holding_ms: f64,
 }
 
@@ -156,7 +156,8 @@
         self.budget.spend()
     }
 
-    /// expected_wait_ms estimates the wait of a request with this deadline.
+    /// expected_wait_ms estimates the wait of a request with this deadline, in
+    /// milliseconds.
     fn expected_wait_ms(&self, deadline: Millis) -> f64 {
         let slots: f64 = self
             .upstreams
--- a/crates/stackpier-load/src/placement/model.rs
+++ b/crates/stackpier-load/src/placement/model.rs
@@ -113,15 +113,15 @@
 pub struct Job {
     /// Its kind.
     pub kind: usize,
-    /// When it arrives.
+    /// When it arrives, in seconds.
     pub arrives_s: u64,
     /// Count of tasks.
     pub tasks: usize,
     /// Size that was declared, and is committed.
     pub size: Size,
-    /// How long a task runs alone.
+    /// How long a task runs alone, in seconds.
     pub run_s: f64,
-    /// When it should be done.
+    /// When it should be done, in seconds.
     pub deadline_s: u64,
 }
 
--- a/crates/stackpier-standin/src/worker_http.rs
+++ b/crates/stackpier-standin/src/worker_http.rs
@@ -34,7 +34,7 @@
     pub slots: usize,
     /// Requests in service at once, refused ones included.
     pub connections: usize,
-    /// Time one request takes.
+    /// Time one request takes, in milliseconds.
     pub work_ms: u64,
 }
 
@@ -62,7 +62,7 @@
 #[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Knobs {
-    /// Added to the time each request takes.
+    /// Added to the time each request takes, in milliseconds.
     pub extra_ms: u64,
     /// Whether every task that is started fails.
     pub fail_all: bool,
--- a/crates/stackpier-transport/src/callers.rs
+++ b/crates/stackpier-transport/src/callers.rs
@@ -37,9 +37,10 @@
     pub body_bytes: usize,
     /// Largest head of a request, in bytes; at least 8,192.
     pub head_bytes: usize,
-    /// Longest time for a request's head, an idle connection's included.
+    /// Longest time for a request's head, an idle connection's included, in
+    /// milliseconds.
     pub head_ms: u64,
-    /// Longest time for a request's body.
+    /// Longest time for a request's body, in milliseconds.
     pub body_ms: u64,
 }
 
