--- a/crates/stackpier-load/src/main.rs
+++ b/crates/stackpier-load/src/main.rs
@@ -3,6 +3,7 @@
 //! experiments with the decisions, as tables and JSON.
 
 mod capacity;
+mod label;
 mod placement;
 mod routing;
 mod table;
@@ -10,6 +11,7 @@
 use anyhow::{Result, bail};
 use lexopt::{Arg, Parser, ValueExt};
 
+/// HELP is the text of `--help`.
 const HELP: &str = "\
 Usage: stackpier-load COMMAND [--seed N] [--json]
 
--- a/crates/stackpier-load/src/placement/model.rs
+++ b/crates/stackpier-load/src/placement/model.rs
@@ -5,6 +5,8 @@
 use rand::{Rng, RngExt};
 use stackpier_core::{Name, Size};
 
+use crate::label::name;
+
 /// WORKERS is the count of workers.
 pub const WORKERS: usize = 48;
 /// WORKERS_PER_RACK is the users' count.
@@ -111,15 +113,15 @@
 pub struct Job {
     /// Its kind.
     pub kind: usize,
-    /// When it arrives.
+    /// When it arrives, in seconds.
     pub arrives_s: u64,
     /// Count of tasks.
     pub tasks: usize,
     /// Size that was declared, and is committed.
     pub size: Size,
-    /// How long a task runs alone.
+    /// How long a task runs alone, in seconds.
     pub run_s: f64,
-    /// When it should be done.
+    /// When it should be done, in seconds.
     pub deadline_s: u64,
 }
 
@@ -173,7 +175,3 @@
 pub fn rack_name(worker: usize) -> Name {
     name(&format!("rack-{}", worker / WORKERS_PER_RACK))
 }
-
-fn name(text: &str) -> Name {
-    Name::try_from(text).unwrap_or_else(|error| panic!("'{text}': {error}"))
-}
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,5 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
-//! `cargo xtask demo | test`: the two commands of the README.
+//! `cargo xtask demo | test | fuzz | measure`: the demo, the tests, the fuzz and
+//! the experiments.
 
 mod demo;
 mod measure;
@@ -9,6 +10,7 @@
 
 use anyhow::{Result, bail, ensure};
 
+/// HELP is the list of commands.
 const HELP: &str = "\
 Usage:
   cargo xtask demo    run the whole path on loopback and say what was seen
