stackpier explain: any daemon tells where a job's tasks are

Purpose: what a job waits for stood in the owner's log only, and only for the three steps that had waited longest.

Change: beside /metrics a daemon answers GET /explain/JOB: its owner from the cell, another daemon with the owner's VM and metrics address, which it asks the owner for over the link between daemons. `stackpier explain JOB --at HOST:PORT` follows that and prints a line a task, or JSON. Its exit codes are 0 found, 1 not reached, 2 wrong use, 3 unknown job; the other commands keep theirs, where not reached is 5. The reading of a job's id moved from the adapter to key::Job, as the daemon and the tool need it, too.

Two daemons of different builds talk as before: the question and its answer are new messages at the end of their lists. A daemon that does not know the question gives no address; the tool then names the owner only.

--- a/crates/stackpier-cli/src/client.rs
+++ b/crates/stackpier-cli/src/client.rs
@@ -16,7 +16,14 @@
 /// get asks for a value.
 pub fn get<T: DeserializeOwned>(servers: &[String], path: &str) -> Result<T> {
     ask(servers, |server| {
-        minreq::get(format!("http://{server}{path}"))
+        minreq::get(format!("http://{server}{path}")).with_timeout(TIMEOUT_S)
+    })
+}
+
+/// get_within asks one server for a value, with a time-out in seconds.
+pub fn get_within<T: DeserializeOwned>(server: &str, path: &str, timeout_s: u64) -> Result<T> {
+    ask(&[server.to_owned()], |server| {
+        minreq::get(format!("http://{server}{path}")).with_timeout(timeout_s)
     })
 }
 
@@ -29,7 +36,9 @@
 ) -> Result<T> {
     let body = to_json(body)?;
     ask(servers, |server| {
-        minreq::post(format!("http://{server}{path}")).with_body(body.clone())
+        minreq::post(format!("http://{server}{path}"))
+            .with_timeout(TIMEOUT_S)
+            .with_body(body.clone())
     })
 }
 
@@ -40,7 +49,7 @@
 {
     let mut last = Error::new(Kind::Unreachable, "no server given");
     for server in servers {
-        match request(server).with_timeout(TIMEOUT_S).send() {
+        match request(server).send() {
             Ok(response) => match read(&response) {
                 Err(error) if tries_next(error.kind) => last = error,
                 answer => return answer,
--- a/crates/stackpier-cli/src/command.rs
+++ b/crates/stackpier-cli/src/command.rs
@@ -2,7 +2,7 @@
 //! The command line, parsed.
 
 use lexopt::{Arg, Parser, ValueExt};
-use stackpier_core::{Error, Kind, Result};
+use stackpier_core::{Error, Kind, Result, key::Job};
 use uuid::Uuid;
 
 /// DEFAULT_SERVER is asked when no `--server` is given.
@@ -20,6 +20,8 @@
   status NAME    show an intent and its tasks
   list           list accepted intents
   check FILE     check an intent file without a server
+  explain JOB    show where the tasks of a job run, or what keeps them from
+                 starting; JOB is its id, 16 hex digits
 
 Options:
   --server IP:PORT   operators' port of a daemon; give it more than once, and
@@ -28,6 +30,7 @@
   --expect VERSION   refuse the change unless the intent has this version;
                      0 means it must be new
   --submission UUID  id of the change; the same id twice is one change
+  --at HOST:PORT     metrics address of any daemon, for explain
   --json             print JSON
   --version
   --help
@@ -37,9 +40,12 @@
   stackpier --server 10.0.0.1:7071 --server 10.0.0.2:7071 submit fleet.json
   stackpier --expect 3 cancel ledger-reconciliation
   stackpier --json status fleet
+  stackpier explain e3c5a1039b5205d9 --at 10.0.0.1:9464
 
 Exit codes: 0 done, 1 internal, 2 bad input, 3 not found, 4 conflict,
 5 unreachable, 6 not run, 7 not known whether it was done.
+Of explain: 0 found, 1 no daemon that can tell was reached, 2 bad input,
+3 not found.
 ";
 
 /// Command is what to do.
@@ -57,6 +63,8 @@
     List,
     /// Check a file.
     Check(String),
+    /// Explain where the tasks of a job are, by a daemon's metrics address.
+    Explain(Job, String),
     /// Print a text.
     Print(String),
 }
@@ -72,6 +80,8 @@
     pub expect: Option<u64>,
     /// Id of the change.
     pub submission: u128,
+    /// The metrics address of a daemon.
+    pub at: Option<String>,
     /// Whether to print JSON.
     pub json: bool,
 }
@@ -89,6 +99,7 @@
         servers: Vec::new(),
         expect: None,
         submission: Uuid::now_v7().as_u128(),
+        at: None,
         json: false,
     };
     while let Some(arg) = parser.next()? {
@@ -99,6 +110,7 @@
             Arg::Long("submission") => {
                 given.submission = parser.value()?.parse::<Uuid>()?.as_u128();
             }
+            Arg::Long("at") => given.at = Some(parser.value()?.string()?),
             Arg::Long("json") => given.json = true,
             Arg::Long("help") | Arg::Short('h') => return Ok(Ok(given)),
             Arg::Long("version") => {
@@ -112,10 +124,11 @@
     if given.servers.is_empty() {
         given.servers.push(DEFAULT_SERVER.to_owned());
     }
-    Ok(command(&words).map(|command| Given { command, ..given }))
+    let at = given.at.as_deref();
+    Ok(command(&words, at).map(|command| Given { command, ..given }))
 }
 
-fn command(words: &[String]) -> Result<Command> {
+fn command(words: &[String], at: Option<&str>) -> Result<Command> {
     let words: Vec<&str> = words.iter().map(String::as_str).collect();
     match words.as_slice() {
         ["submit", file] => Ok(Command::Submit((*file).to_owned())),
@@ -124,6 +137,7 @@
         ["status", name] => Ok(Command::Status((*name).to_owned())),
         ["list"] => Ok(Command::List),
         ["check", file] => Ok(Command::Check((*file).to_owned())),
+        ["explain", job] => Ok(Command::Explain(Job::try_from(*job)?, address(at)?)),
         [] => Ok(Command::Print(HELP.to_owned())),
         other => {
             let text = format!("no such command: '{}'\n{HELP}", other.join(" "));
@@ -131,3 +145,14 @@
         }
     }
 }
+
+/// address checks the address given by `--at`.
+fn address(at: Option<&str>) -> Result<String> {
+    let wrong = || Error::new(Kind::BadInput, "explain needs --at HOST:PORT");
+    let at = at.ok_or_else(wrong)?;
+    let (host, port) = at.rsplit_once(':').ok_or_else(wrong)?;
+    if host.is_empty() || port.parse::<u16>().is_err() {
+        return Err(wrong());
+    }
+    Ok(at.to_owned())
+}
--- a/crates/stackpier-cli/src/main.rs
+++ b/crates/stackpier-cli/src/main.rs
@@ -3,6 +3,7 @@
 
 mod client;
 mod command;
+mod explain;
 mod print;
 
 use std::process::ExitCode;
@@ -16,19 +17,28 @@
 use stackpier_state::intent::{Intent, Object, Raw};
 
 fn main() -> ExitCode {
-    match command::parse().and_then(run) {
+    let given = match command::parse() {
+        Ok(given) => given,
+        Err(error) => return fail(&error, error.kind.answer().exit),
+    };
+    match run(&given) {
         Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("stackpier: {error}");
-            if let Some(seconds) = error.retry_after_s() {
-                eprintln!("stackpier: try again in {seconds} s");
-            }
-            ExitCode::from(error.kind.answer().exit as u8)
-        }
+        Err(error) => match given.command {
+            Command::Explain(..) => fail(&error, explain::exit(error.kind)),
+            _ => fail(&error, error.kind.answer().exit),
+        },
+    }
+}
+
+fn fail(error: &Error, exit: i32) -> ExitCode {
+    eprintln!("stackpier: {error}");
+    if let Some(seconds) = error.retry_after_s() {
+        eprintln!("stackpier: try again in {seconds} s");
     }
+    ExitCode::from(exit as u8)
 }
 
-fn run(given: Given) -> Result<()> {
+fn run(given: &Given) -> Result<()> {
     match &given.command {
         Command::Print(text) => {
             print!("{text}");
@@ -39,16 +49,17 @@
             println!("{file} is valid: '{}'", intent.name);
             Ok(())
         }
-        Command::Submit(file) => submit(&given, file),
-        Command::Cancel(name) => cancel(&given, name),
-        Command::List => print::list(&given, client::get::<Listed>(&given.servers, "/intents")?),
+        Command::Submit(file) => submit(given, file),
+        Command::Cancel(name) => cancel(given, name),
+        Command::Explain(job, at) => print::explained(given, *job, explain::ask(*job, at)?),
+        Command::List => print::list(given, client::get::<Listed>(&given.servers, "/intents")?),
         Command::Get(name) => {
             let path = format!("/intents/{name}");
-            print::object(&given, client::get::<Object>(&given.servers, &path)?)
+            print::object(given, client::get::<Object>(&given.servers, &path)?)
         }
         Command::Status(name) => {
             let path = format!("/intents/{name}/status");
-            print::status(&given, client::get::<Status>(&given.servers, &path)?)
+            print::status(given, client::get::<Status>(&given.servers, &path)?)
         }
     }
 }
--- a/crates/stackpier-cli/src/print.rs
+++ b/crates/stackpier-cli/src/print.rs
@@ -2,9 +2,10 @@
 //! Answers as text or JSON.
 
 use serde::Serialize;
-use stackpier_core::{Error, Kind, Result};
+use stackpier_core::{Error, Kind, Result, key};
 use stackpier_protocol::operator::{Accepted, Listed, Status, TaskStatus};
 use stackpier_state::{
+    explain,
     homes::Place,
     intent::{Kind as IntentKind, Object},
 };
@@ -23,6 +24,22 @@
     Ok(())
 }
 
+/// explained prints where the tasks of a job are.
+pub fn explained(given: &Given, id: key::Job, job: explain::Job) -> Result<()> {
+    if given.json {
+        return json(&job);
+    }
+    let state = format!("{:?}", job.state).to_lowercase();
+    println!("{id} {state}, {} tasks open", job.open);
+    for task in &job.tasks {
+        println!("{} {}", task.name, task.standing);
+    }
+    if job.left_out > 0 {
+        println!("{} more tasks left out", job.left_out);
+    }
+    Ok(())
+}
+
 /// list prints the accepted intents.
 pub fn list(given: &Given, listed: Listed) -> Result<()> {
     if given.json {
--- a/crates/stackpier-core/src/key.rs
+++ b/crates/stackpier-core/src/key.rs
@@ -7,7 +7,12 @@
 use uuid::Uuid;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::{Name, Unix};
+use crate::{Error, Kind, Name, Unix};
+
+/// JOB_DIGITS is the number of digits of a job's id in text: 64 bits in hex.
+const JOB_DIGITS: usize = 16;
+/// HEX is the radix of a job's id in text.
+const HEX: u32 = 16;
 
 /// Job identifies one accepted intent for its whole life.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -20,6 +25,27 @@
     }
 }
 
+impl TryFrom<&str> for Job {
+    type Error = Error;
+
+    fn try_from(text: &str) -> crate::Result<Job> {
+        let wrong = || {
+            let why = format!("'{text}' is no id of 16 hex digits");
+            Error::new(Kind::BadInput, why)
+        };
+        if text.len() != JOB_DIGITS || !text.bytes().all(|byte| byte.is_ascii_hexdigit()) {
+            return Err(wrong());
+        }
+        u64::from_str_radix(text, HEX).map(Job).map_err(|_| wrong())
+    }
+}
+
+impl fmt::Display for Job {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
 /// Task identifies one replica of a service or one task of a batch job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Task {
--- a/crates/stackpier-protocol/src/lib.rs
+++ b/crates/stackpier-protocol/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod caller;
 pub mod codec;
+pub mod explain;
 pub mod operator;
 pub mod packed;
 pub mod peer;
--- a/crates/stackpier-scheduler/src/daemon.rs
+++ b/crates/stackpier-scheduler/src/daemon.rs
@@ -9,7 +9,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use stackpier_cell::{Event, maintenance::Plan};
-use stackpier_protocol::codec::encode;
+use stackpier_protocol::{codec::encode, explain};
 use tokio::{
     signal::unix::{SignalKind, signal},
     sync::watch,
@@ -252,6 +252,7 @@
                 None => Response::NotOwner,
             },
             Request::Write(transaction) => Response::Written(self.write_for(&transaction).await),
+            Request::Metrics => Response::Metrics(self.settings.metrics.to_string()),
             request => self.answer_as_owner(request),
         }
     }
@@ -288,6 +289,7 @@
             | Request::Heard(_)
             | Request::Store
             | Request::Config
+            | Request::Metrics
             | Request::Write(_) => Response::NotOwner,
         }
     }
@@ -308,7 +310,7 @@
     }
 }
 
-/// Metrics shows the daemon's metrics.
+/// Metrics shows the daemon's metrics, and explains where a job's tasks are.
 struct Metrics<P>(Node<P>);
 
 impl<P> Clone for Metrics<P> {
@@ -318,7 +320,10 @@
 }
 
 impl<P: Platform> Handler for Metrics<P> {
-    async fn handle(&self, _: Query<Incoming>) -> Answer<Full<Bytes>> {
+    async fn handle(&self, query: Query<Incoming>) -> Answer<Full<Bytes>> {
+        if let Some(id) = query.uri().path().strip_prefix(explain::PATH) {
+            return self.0.reply_explained(query.method(), id).await;
+        }
         match self.0.metrics.text() {
             Ok(text) => answer(200, text, None),
             Err(error) => {
--- a/crates/stackpier-scheduler/src/lib.rs
+++ b/crates/stackpier-scheduler/src/lib.rs
@@ -10,6 +10,7 @@
 mod calls;
 pub mod catalog;
 pub mod daemon;
+mod explain;
 pub mod fleet;
 mod following;
 pub mod http;
--- a/crates/stackpier-scheduler/src/link.rs
+++ b/crates/stackpier-scheduler/src/link.rs
@@ -47,6 +47,8 @@
     /// A write by a daemon that can't reach the store. It is safe to be done
     /// twice.
     Write(Transaction),
+    /// Where the receiver shows its metrics.
+    Metrics,
 }
 
 /// Heartbeat tells the owner how a follower fares.
@@ -74,6 +76,8 @@
     Written(Committed),
     /// The receiver does not own the cell.
     NotOwner,
+    /// The address of the metrics.
+    Metrics(String),
 }
 
 /// Alive is the owner's answer to a heartbeat.
