stackpier trace: the log lines of one job, of several daemons, in order

Purpose: a job's lines are spread over the daemons that took, owned and were asked for it; on-call engineers sorted them by hand.

--- a/crates/stackpier-cli/src/command.rs
+++ b/crates/stackpier-cli/src/command.rs
@@ -22,6 +22,9 @@
   check FILE     check an intent file without a server
   explain JOB    show where the tasks of a job run, or what keeps them from
                  starting; JOB is its id, 16 hex digits
+  trace JOB [FILE...]
+                 show the log lines of a job, of several daemons' logs in the
+                 order of their wall clocks; without files, standard input
 
 Options:
   --server IP:PORT   operators' port of a daemon; give it more than once, and
@@ -31,7 +34,8 @@
                      0 means it must be new
   --submission UUID  id of the change; the same id twice is one change
   --at HOST:PORT     metrics address of any daemon, for explain
-  --json             print JSON
+  --owners           with trace: also show who owned the cell meanwhile
+  --json             print JSON; trace prints an object a line
   --version
   --help
 
@@ -41,6 +45,7 @@
   stackpier --expect 3 cancel ledger-reconciliation
   stackpier --json status fleet
   stackpier explain e3c5a1039b5205d9 --at 10.0.0.1:9464
+  stackpier trace e3c5a1039b5205d9 --owners daemon-1.log daemon-2.log
 
 Exit codes: 0 done, 1 internal, 2 bad input, 3 not found, 4 conflict,
 5 unreachable, 6 not run, 7 not known whether it was done.
@@ -65,6 +70,8 @@
     Check(String),
     /// Explain where the tasks of a job are, by a daemon's metrics address.
     Explain(Job, String),
+    /// Show the log lines of a job in these files.
+    Trace(Job, Vec<String>),
     /// Print a text.
     Print(String),
 }
@@ -82,6 +89,8 @@
     pub submission: u128,
     /// The metrics address of a daemon.
     pub at: Option<String>,
+    /// Whether a trace shows the owners of the cell.
+    pub owners: bool,
     /// Whether to print JSON.
     pub json: bool,
 }
@@ -100,6 +109,7 @@
         expect: None,
         submission: Uuid::now_v7().as_u128(),
         at: None,
+        owners: false,
         json: false,
     };
     while let Some(arg) = parser.next()? {
@@ -111,6 +121,7 @@
                 given.submission = parser.value()?.parse::<Uuid>()?.as_u128();
             }
             Arg::Long("at") => given.at = Some(parser.value()?.string()?),
+            Arg::Long("owners") => given.owners = true,
             Arg::Long("json") => given.json = true,
             Arg::Long("help") | Arg::Short('h') => return Ok(Ok(given)),
             Arg::Long("version") => {
@@ -138,6 +149,10 @@
         ["list"] => Ok(Command::List),
         ["check", file] => Ok(Command::Check((*file).to_owned())),
         ["explain", job] => Ok(Command::Explain(Job::try_from(*job)?, address(at)?)),
+        ["trace", job, files @ ..] => {
+            let files = files.iter().map(|file| (*file).to_owned());
+            Ok(Command::Trace(Job::try_from(*job)?, files.collect()))
+        }
         [] => Ok(Command::Print(HELP.to_owned())),
         other => {
             let text = format!("no such command: '{}'\n{HELP}", other.join(" "));
--- a/crates/stackpier-cli/src/main.rs
+++ b/crates/stackpier-cli/src/main.rs
@@ -5,6 +5,7 @@
 mod command;
 mod explain;
 mod print;
+mod trace;
 
 use std::process::ExitCode;
 
@@ -52,6 +53,7 @@
         Command::Submit(file) => submit(given, file),
         Command::Cancel(name) => cancel(given, name),
         Command::Explain(job, at) => print::explained(given, *job, explain::ask(*job, at)?),
+        Command::Trace(job, files) => trace::run(given, *job, files),
         Command::List => print::list(given, client::get::<Listed>(&given.servers, "/intents")?),
         Command::Get(name) => {
             let path = format!("/intents/{name}");
