--- a/crates/stackpier-state/src/explain.rs
+++ b/crates/stackpier-state/src/explain.rs
@@ -173,7 +173,7 @@
                 let runs: Vec<String> = runs.iter().map(Run::to_string).collect();
                 f.write_str(&runs.join(", "))
             }
-            Standing::Blocked(steps) => write!(f, "waits for {steps} earlier steps"),
+            Standing::Blocked(steps) => write!(f, "waits, earlier steps not done: {steps}"),
             Standing::Undue => f.write_str("its round is not due"),
             Standing::Ended => f.write_str("its job has ended"),
             Standing::Stranded => f.write_str("could run, but stands in no list"),
