--- a/crates/stackpier-scheduler/src/link.rs
+++ b/crates/stackpier-scheduler/src/link.rs
@@ -63,6 +63,8 @@
     /// A write by a daemon that can't reach the store. It is safe to be done
     /// twice.
     Write(Transaction),
+    /// Where the receiver shows its metrics.
+    Metrics,
 }
 
 impl Request {
@@ -105,6 +107,8 @@
     Written(Committed),
     /// The receiver does not own the cell.
     NotOwner,
+    /// The address of the metrics.
+    Metrics(String),
 }
 
 /// Alive is the owner's answer to a heartbeat.
