Ports for tests are looked at without listening on them

The testkit listened on a port to see whether it was free; a process that another thread was starting held a copy of that socket until it ran its program.

Ruled out: two tests with one port (the datagram socket reserves it).

Change: the port is free if nobody takes a connection there.

--- a/crates/stackpier-testkit/src/ports.rs
+++ b/crates/stackpier-testkit/src/ports.rs
@@ -2,7 +2,7 @@
 //! Free ports on loopback, below the range that outgoing connections use.
 
 use std::{
-    net::{SocketAddr, TcpListener, UdpSocket},
+    net::{SocketAddr, TcpStream, UdpSocket},
     sync::{
         Mutex, PoisonError,
         atomic::{AtomicU32, Ordering},
@@ -33,7 +33,9 @@
         let Ok(reservation) = UdpSocket::bind(address) else {
             continue;
         };
-        if TcpListener::bind(address).is_ok() {
+        // Listening to find out would leave a copy of the socket in each process that
+        // is being started meanwhile, until it runs its program.
+        if TcpStream::connect(address).is_err() {
             let mut reserved = RESERVED.lock().unwrap_or_else(PoisonError::into_inner);
             reserved.push(reservation);
             return address;
