--- a/crates/stackpier-cell/src/place/starvation.rs
+++ b/crates/stackpier-cell/src/place/starvation.rs
@@ -20,7 +20,8 @@
 /// while half of its service is unused: users call a job lost from three seconds on.
 const STARVED_MS: u64 = 2_000;
 /// LOADED_STARVED_MS is the same while more is in use. Room comes and goes then, and
-/// what starts in spite of the bounds costs others.
+/// what starts in spite of the bounds costs others: with two seconds here, too, 0.01 to
+/// 0.02 of a day's worth, means of twenty days on each of two deployments.
 const LOADED_STARVED_MS: u64 = 20_000;
 /// SETTLE_MS is the least time between two such starts on a worker: reports show what
 /// the last half second was like, so that the effect of one is seen before the next.
@@ -38,17 +39,18 @@
 }
 
 impl Load {
-    /// is_half tells whether half of the processors or more are free: not reserved,
-    /// or not in use.
-    fn is_half(&self) -> bool {
+    /// is_half_free tells whether half of the processors or more are not reserved, or
+    /// not in use.
+    fn is_half_free(&self) -> bool {
         self.reserved.min(self.used) * 2 <= self.capacity
     }
 }
 
-/// Services holds for each service that was looked at whether half of it is free.
-#[derive(Debug, Default)]
-struct Services {
-    half_free: Vec<(u16, bool)>,
+/// Service is one whose load was summed up in this look.
+#[derive(Clone, Copy, Debug)]
+struct Service {
+    number: u16,
+    half_free: bool,
 }
 
 impl Cell {
@@ -60,7 +62,7 @@
         let mut idle: Vec<StepKey> = steps.to_vec();
         idle.retain(|step| self.idle_ms(*step) >= STARVED_MS);
         idle.sort_by_key(|step| self.step_of(*step).idle_since);
-        let mut services = Services::default();
+        let mut services: Vec<Service> = Vec::new();
         // What found no worker: what asks for as much room finds none either.
         let mut barred: Vec<Need> = Vec::new();
         for step in idle {
@@ -95,10 +97,11 @@
     /// is_starving tells whether a step has had nothing running for so long that the
     /// bounds that protect others give way for one of its tasks.
     pub(crate) fn is_starving(&self, need: &Need) -> bool {
-        self.gives_way(need, &mut Services::default())
+        self.gives_way(need, &mut Vec::new())
     }
 
-    fn gives_way(&self, need: &Need, services: &mut Services) -> bool {
+    /// gives_way tells the same, and keeps the loads that it sums up.
+    fn gives_way(&self, need: &Need, services: &mut Vec<Service>) -> bool {
         let idle_ms = self.idle_ms(need.step);
         let always_ms = if need.lasting {
             STARVED_MS
@@ -111,16 +114,13 @@
         idle_ms >= STARVED_MS && self.is_half_free(need.service, services)
     }
 
-    fn is_half_free(&self, service: u16, services: &mut Services) -> bool {
-        let known = services
-            .half_free
-            .iter()
-            .find(|(known, _)| *known == service);
-        if let Some((_, half_free)) = known {
-            return *half_free;
+    fn is_half_free(&self, number: u16, services: &mut Vec<Service>) -> bool {
+        let known = services.iter().find(|service| service.number == number);
+        if let Some(service) = known {
+            return service.half_free;
         }
-        let half_free = self.load_of(service).is_half();
-        services.half_free.push((service, half_free));
+        let half_free = self.load_of(number).is_half_free();
+        services.push(Service { number, half_free });
         half_free
     }
 
