A figure in a comment corrected; one check of the starvation tests stands once

The check that a job has started, with its reason, was written out in each test.

Change: comment and tests only; the checks are the same. Tests of the cell passed.

--- a/crates/stackpier-cell/src/place/starvation.rs
+++ b/crates/stackpier-cell/src/place/starvation.rs
@@ -56,8 +56,9 @@
 impl Cell {
     /// place_starving starts one task of each step that starves and finds a worker,
     /// those first that have had nothing running for longest. It comes after all that
-    /// the bounds allow: done first it cost 0.01 to 0.03 of a day's worth, as steps
-    /// that waited for long are late in any case.
+    /// the bounds allow, as steps that waited for long are late in any case. Done first
+    /// it gave 0.003 and 0.006 less mean worth on six days of two deployments, which is
+    /// within the noise of single plays.
     pub(super) fn place_starving(&mut self, steps: &[StepKey]) {
         let mut idle: Vec<StepKey> = steps.to_vec();
         idle.retain(|step| self.idle_ms(*step) >= STARVED_MS);
--- a/crates/stackpier-cell/tests/starvation.rs
+++ b/crates/stackpier-cell/tests/starvation.rs
@@ -91,6 +91,12 @@
     !owner.places(FILLING, 0).is_empty()
 }
 
+/// assert_started fails with what keeps the filling job from starting.
+fn assert_started(owner: &mut Owner) {
+    let why = owner.cell.explain(key::Job(FILLING));
+    assert!(has_started(owner), "{why:?}");
+}
+
 #[test]
 fn a_wide_task_is_not_kept_from_all_workers_for_expected_harm() {
     let mut owner = Owner::new(4);
@@ -98,8 +104,7 @@
     serve(&mut owner, lasting(4, 5_000), 8);
     owner.submit(FILLING, spec(vec![filling(1, 6_000)]));
     owner.advance(WAIT_MS);
-    let why = owner.cell.explain(key::Job(FILLING));
-    assert!(has_started(&owner), "{why:?}");
+    assert_started(&mut owner);
 }
 
 #[test]
@@ -108,8 +113,7 @@
     serve(&mut owner, lasting(12, 2_500), 12);
     owner.submit(FILLING, spec(vec![filling(1, 5_500)]));
     owner.advance(WAIT_MS);
-    let why = owner.cell.explain(key::Job(FILLING));
-    assert!(has_started(&owner), "{why:?}");
+    assert_started(&mut owner);
 }
 
 #[test]
@@ -125,6 +129,7 @@
     owner.advance(120_000);
     assert_eq!(owner.state(FILLING), Some(State::Completed));
 }
+
 #[test]
 fn a_task_is_not_kept_from_small_workers_for_memory_kept_free() {
     let mut owner = Owner::with(2, 1, false);
@@ -140,8 +145,7 @@
     owner.advance(100);
     owner.submit(FILLING, spec(vec![filling(1, 1_000)]));
     owner.advance(WAIT_MS);
-    let why = owner.cell.explain(key::Job(FILLING));
-    assert!(has_started(&owner), "{why:?}");
+    assert_started(&mut owner);
 }
 
 #[test]
@@ -150,8 +154,7 @@
     serve(&mut owner, lasting(2, 6_000), 4);
     owner.submit(FILLING, spec(vec![filling(1, 8_000)]));
     owner.advance(WAIT_MS);
-    let why = owner.cell.explain(key::Job(FILLING));
-    assert!(has_started(&owner), "{why:?}");
+    assert_started(&mut owner);
 }
 
 /// A look at the filling tasks ends after a number of kinds that found no worker, so
@@ -197,8 +200,7 @@
     owner.advance(10_000);
     assert!(!has_started(&owner), "room may come yet");
     owner.advance(13_000);
-    let why = owner.cell.explain(key::Job(FILLING));
-    assert!(has_started(&owner), "{why:?}");
+    assert_started(&mut owner);
 }
 
 /// What was slowed down beside a serving task goes on once that has left.
@@ -286,8 +288,7 @@
     owner.advance(20_500);
     owner.behaviours.remove(&(FILLING, 0));
     owner.advance(WAIT_MS);
-    let why = owner.cell.explain(key::Job(FILLING));
-    assert!(has_started(&owner), "{why:?}");
+    assert_started(&mut owner);
 }
 
 /// Each task that lasts has its own turn, also if it fills.
@@ -343,8 +344,7 @@
     assert_eq!(owner.places(3, 0).len(), 1, "it takes room");
     owner.submit(FILLING, spec(vec![filling(1, 3_000)]));
     owner.advance(WAIT_MS);
-    let why = owner.cell.explain(key::Job(FILLING));
-    assert!(has_started(&owner), "{why:?}");
+    assert_started(&mut owner);
 }
 
 /// Workers that leave are no free room.
