A model of a cell's workers in the load tool, and times of the owner's decisions

The load tool's placement experiment drove the older engine, which no deployment of the users runs. In its place stands a small model of workers, jobs and faults over the same step() as the daemon's: serving and filling images whose pairs and swings the owner has to learn, workers that are cut off, slow, failing or standing still, orders that are carried out late, a store that is away, bursts and cancelling.

The stand-in worker has a speed, and a tail for each run.

--- a/crates/stackpier-load/src/main.rs
+++ b/crates/stackpier-load/src/main.rs
@@ -1,15 +1,10 @@
 // SPDX-License-Identifier: Apache-2.0
-//! `stackpier-load routing | placement | capacity --seed S`: seeded
-//! experiments with the decisions, as tables and JSON.
-
-mod capacity;
-mod label;
-mod placement;
-mod routing;
-mod table;
+//! `stackpier-load routing | cell | steps | capacity --seed S`: seeded experiments
+//! with the decisions, as tables and JSON.
 
 use anyhow::{Result, bail};
 use lexopt::{Arg, Parser, ValueExt};
+use stackpier_load::{capacity, cell, routing};
 
 /// HELP is the text of `--help`.
 const HELP: &str = "\
@@ -17,8 +12,9 @@
 
 Commands:
   capacity   bytes and processor time of decisions at several sizes
-  placement  compare placement policies over two seasons
+  cell       play the heavy days of a cell, and the same with the pairs known
   routing    compare routing policies over scenarios and loads
+  steps      time the owner's decisions at 500, 2,000 and 16,000 workers
 ";
 
 /// DEFAULT_SEED is used when none is given.
@@ -43,8 +39,9 @@
     }
     match command.as_str() {
         "capacity" => capacity::run(json),
-        "placement" => placement::run(seed, json),
+        "cell" => cell::days::run(seed, json),
         "routing" => routing::run(seed, json),
+        "steps" => cell::timing::run(seed, json),
         _ => bail!("no such command\n{HELP}"),
     }
 }
--- a/crates/stackpier-standin/src/fleet.rs
+++ b/crates/stackpier-standin/src/fleet.rs
@@ -63,6 +63,26 @@
         self.pace > 0 && self.stops_at.is_none()
     }
 
+    /// behaviour returns what the task does.
+    pub fn behaviour(&self) -> &Behaviour {
+        &self.behaviour
+    }
+
+    /// set_tail changes the tail latency that it reports, if it serves.
+    pub fn set_tail(&mut self, tail_ms: u32) {
+        self.behaviour.tail_ms = self.behaviour.tail_ms.map(|_| tail_ms);
+    }
+
+    /// left_ms returns for how long it still works at its present pace, or `None` if
+    /// it lasts or stands still.
+    pub fn left_ms(&self) -> Option<u64> {
+        if self.behaviour.lasts || self.pace == 0 {
+            return None;
+        }
+        let work_ms = self.behaviour.work_ms.saturating_sub(self.worked_ms);
+        Some(self.restoring_ms + work_ms * FULL / u64::from(self.pace))
+    }
+
     fn saved(&self) -> String {
         if !self.behaviour.saves {
             return String::new();
@@ -89,6 +109,8 @@
     pub hangs: bool,
     /// Whether it fails everything.
     pub grey: bool,
+    /// How fast its tasks work, in percent of what is usual.
+    pub speed_percent: u64,
     /// The runs that are there.
     pub runs: Vec<Run>,
     /// Ends that were not noted.
@@ -113,6 +135,7 @@
             clock_offset_ms,
             hangs: false,
             grey: false,
+            speed_percent: FULL,
             runs: Vec::new(),
             ends: Vec::new(),
             noted: Vec::new(),
@@ -132,7 +155,7 @@
     /// set_tail changes the tail latency of all tasks that serve.
     pub fn set_tail(&mut self, tail_ms: u32) {
         for run in &mut self.runs {
-            run.behaviour.tail_ms = run.behaviour.tail_ms.map(|_| tail_ms);
+            run.set_tail(tail_ms);
         }
     }
 
@@ -147,7 +170,8 @@
             }
             let restoring = run.restoring_ms.min(passed);
             run.restoring_ms -= restoring;
-            run.worked_ms += (passed - restoring) * u64::from(run.pace) / FULL;
+            let percent = u64::from(run.pace) * self.speed_percent / FULL;
+            run.worked_ms += (passed - restoring) * percent / FULL;
         }
         let lapsed = clock >= self.lease_end_ms;
         let grey = self.grey;
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -18,7 +18,7 @@
   cargo xtask fuzz --cases N --seed S
                       run the stateful fuzz with many cases
   cargo xtask measure routing [--seed S]
-  cargo xtask measure placement [--seed S]
+  cargo xtask measure cell | steps [--seed S]
   cargo xtask measure capacity
                       run an experiment and print its tables
 ";
@@ -49,10 +49,10 @@
             ])
         }
         ["measure-daemons"] => measure::run(),
-        ["measure", experiment @ ("routing" | "placement")] => load(&[*experiment]),
+        ["measure", experiment @ ("routing" | "cell" | "steps")] => load(&[*experiment]),
         [
             "measure",
-            experiment @ ("routing" | "placement"),
+            experiment @ ("routing" | "cell" | "steps"),
             "--seed",
             seed,
         ] => load(&[*experiment, "--seed", *seed]),
