The model's serving steps swing with phases of their own, and runs fail

Closer to the users' sheets: half of the serving steps may have one task on a worker only, each step has a phase of its own, and three to five runs of a hundred fail.

--- a/crates/stackpier-cell/src/cell.rs
+++ b/crates/stackpier-cell/src/cell.rs
@@ -7,7 +7,7 @@
 use stackpier_state::job::State;
 
 use crate::{
-    Effect, Event, Note, Now, Options, Queue, TaskName,
+    Effect, Event, Mechanism, Note, Now, Options, Queue, TaskName,
     arena::{JobKey, RunKey, StepKey, TaskKey, WorkerKey},
     cycle::Cycle,
     interference::{Images, Model},
@@ -17,6 +17,7 @@
     place::{Budget, Counted, Filling},
     run::Run,
     save::Saver,
+    spare::Spare,
     worker::Worker,
 };
 
@@ -82,6 +83,7 @@
     pub(crate) maintained: Vec<Record>,
     /// From when this owner orders hosts down: two owners don't take turns.
     pub(crate) orders_from: Millis,
+    pub(crate) spare: Spare,
     pub(crate) saver: Saver,
     /// When the store last confirmed that this daemon owns the cell.
     pub(crate) confirmed: Millis,
@@ -134,6 +136,7 @@
             maintenance: Vec::new(),
             maintained: Vec::new(),
             orders_from: Cell::orders_from(&options, now.mono, fence),
+            spare: Spare::default(),
             saver: Saver::default(),
             confirmed: now.mono,
             confirming: false,
@@ -196,6 +199,11 @@
         self.jobs.iter().filter(waits).count() as u64
     }
 
+    /// has tells whether a mechanism is switched on.
+    pub(crate) fn has(&self, mechanism: Mechanism) -> bool {
+        !self.options.without.contains(mechanism)
+    }
+
     /// fence returns the fence of this ownership.
     pub fn fence(&self) -> u64 {
         self.fence
@@ -364,6 +372,7 @@
             self.check_drains();
             self.check_maintenance();
             self.check_copies();
+            self.check_spared();
             self.forget_jobs();
         }
         self.summarise();
--- a/crates/stackpier-cell/src/learn.rs
+++ b/crates/stackpier-cell/src/learn.rs
@@ -5,7 +5,7 @@
 use stackpier_core::Millis;
 
 use crate::{
-    Cell,
+    Cell, Mechanism,
     arena::{RunKey, WorkerKey},
     interference::{Estimate, Pressure},
 };
@@ -65,8 +65,10 @@
             let Some(sample) = self.sample(key, &beside) else {
                 continue;
             };
-            self.take_deviation(key, &sample);
-            if steady {
+            if self.has(Mechanism::Deviation) {
+                self.take_deviation(key, &sample);
+            }
+            if steady && self.has(Mechanism::Learning) {
                 self.learn_from(key, &sample, &beside);
             }
         }
--- a/crates/stackpier-cell/src/maintenance/empty.rs
+++ b/crates/stackpier-cell/src/maintenance/empty.rs
@@ -70,7 +70,7 @@
 
     /// can_miss tells whether a lasting task may be stopped: less of its step's
     /// tasks are away than may be.
-    fn can_miss(&self, key: RunKey) -> bool {
+    pub(crate) fn can_miss(&self, key: RunKey) -> bool {
         let Some(run) = self.runs.get(key) else {
             return false;
         };
--- a/crates/stackpier-cell/src/memory.rs
+++ b/crates/stackpier-cell/src/memory.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use stackpier_core::Millis;
 
-use crate::{Cell, interference::Estimate};
+use crate::{Cell, Mechanism, interference::Estimate};
 
 /// SAVE_MS is the least time between two saves of what was learnt. A pair is
 /// known after some seconds, and it rides on saves that are made anyway.
@@ -72,7 +72,10 @@
     /// memory_due returns what was learnt, if it is time to save it.
     pub(crate) fn memory_due(&mut self) -> Option<Memory> {
         let now = self.now.mono;
-        if now.since(self.remembered) < SAVE_MS || self.model.is_empty() {
+        if !self.has(Mechanism::Memory)
+            || now.since(self.remembered) < SAVE_MS
+            || self.model.is_empty()
+        {
             return None;
         }
         self.remembered = Millis(now.0);
--- a/crates/stackpier-cell/src/options.rs
+++ b/crates/stackpier-cell/src/options.rs
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 //! The settings of a cell's decisions.
 
+use crate::Mechanisms;
+
 /// RATINGS_PER_CORE is how many ratings a millisecond a daemon with one core may do. At
 /// 60 to 120 ns each, measured on cells of 500 to 16,000 workers, that is a quarter of
 /// the core: the rest is for reports, calls, requests and heartbeats.
@@ -71,6 +73,8 @@
     pub ratings_per_ms: u32,
     /// Whether a task that fills may run beside a task that serves.
     pub colocate: bool,
+    /// Mechanisms that are switched off.
+    pub without: Mechanisms,
 }
 
 impl Default for Options {
@@ -100,6 +104,7 @@
             speculate_percent: 180,
             ratings_per_ms: RATINGS_PER_CORE,
             colocate: true,
+            without: Mechanisms::default(),
         }
     }
 }
--- a/crates/stackpier-cell/src/pace.rs
+++ b/crates/stackpier-cell/src/pace.rs
@@ -3,7 +3,7 @@
 //! serving task beside them nears its target.
 
 use crate::{
-    Cell, Effect, Pace,
+    Cell, Effect, Mechanism, Pace,
     arena::{RunKey, WorkerKey},
     interference::load_at,
     outlook::Outlook,
@@ -50,7 +50,7 @@
         } else {
             self.look_ahead_on(worker);
             // Also where nothing serves any more: what was slowed goes on.
-            if !self.slow_down(worker) {
+            if self.has(Mechanism::Pace) && !self.slow_down(worker) {
                 self.raise(worker);
             }
         }
@@ -60,6 +60,9 @@
     /// harmed returns the serving task that has been over its target for the
     /// longest, if that is too long.
     fn harmed(&self, worker: WorkerKey) -> Option<RunKey> {
+        if !self.has(Mechanism::Relief) {
+            return None;
+        }
         let now = self.now.mono;
         let over = |key: &RunKey| {
             let since = self.runs.get(*key)?.over_since?;
@@ -239,6 +242,9 @@
 
     /// move_late moves tasks that have stood nearly still for long.
     fn move_late(&mut self, worker: WorkerKey) {
+        if !self.has(Mechanism::Moves) {
+            return;
+        }
         let now = self.now.mono;
         let is_late = |key: &RunKey| {
             let Some(run) = self.runs.get(*key) else {
--- a/crates/stackpier-cell/src/place.rs
+++ b/crates/stackpier-cell/src/place.rs
@@ -16,7 +16,7 @@
 use std::collections::BinaryHeap;
 
 use crate::{
-    Cell,
+    Cell, Mechanism,
     arena::{StepKey, TaskKey, WorkerKey},
     ends::SICK_FAILURES,
 };
@@ -122,13 +122,16 @@
         let job = self.job(entry.job);
         let queue = self.queues.get(&job.queue);
         let priority = queue.map_or(u8::MAX, |queue| queue.priority);
-        if self.shape(step).lasting && self.idle_ms(step) >= LASTING_MS {
+        let first = self.has(Mechanism::LastingFirst) && self.shape(step).lasting;
+        if first && self.idle_ms(step) >= LASTING_MS {
             return (priority, 0);
         }
         let latest = job.objective.0.saturating_sub(entry.chain_ms);
-        let late = latest < self.now.mono.0;
+        let late = latest < self.now.mono.0 && self.has(Mechanism::LateLast);
         let place = if late {
             latest + LATE_MS
+        } else if !self.has(Mechanism::FewestLeft) {
+            latest
         } else {
             u64::from(job.left)
         };
@@ -258,7 +261,7 @@
     /// that has only a failure left goes where work was lately done.
     fn trusts(&self, task: TaskKey, key: WorkerKey) -> bool {
         let failures = self.task(task).failed_runs.len() as u16;
-        if failures == 0 {
+        if failures == 0 || !self.has(Mechanism::Trust) {
             return true;
         }
         let job = self.step_of(self.task(task).step).job;
--- a/crates/stackpier-cell/src/place/offer.rs
+++ b/crates/stackpier-cell/src/place/offer.rs
@@ -7,7 +7,7 @@
 use stackpier_core::Size;
 
 use crate::{
-    Cell,
+    Cell, Mechanism,
     arena::{ImageKey, StepKey, WorkerKey},
     interference::Estimate,
     obstacle::Obstacle,
@@ -24,6 +24,9 @@
 /// EMPTY_SCORE prefers a worker that serves nothing over one that serves other
 /// images.
 const EMPTY_SCORE: f64 = 100.0;
+/// SPARED_SCORE is taken off for a worker that is kept free of serving tasks: it is
+/// below any other that has room.
+const SPARED_SCORE: f64 = 10_000.0;
 /// EXPOSURE_WEIGHT weighs what a lasting task adds to that which disturbs a
 /// worker, in load for each core, against the number of tasks of its image.
 const EXPOSURE_WEIGHT: f64 = 400.0;
@@ -166,12 +169,18 @@
         let mut reserve_mib = 0;
         if shape.fills {
             size.milli_cores = 0;
-            reserve_mib = self.options.fill_reserve_mib;
+            reserve_mib = match self.has(Mechanism::Reserve) {
+                true => self.options.fill_reserve_mib,
+                false => 0,
+            };
         }
         let latest = job.objective.0.saturating_sub(entry.chain_ms);
         let slack = latest.saturating_sub(self.now.mono.0);
         let late = latest < self.now.mono.0;
-        let most_harm = if late || slack * 2 > entry.chain_ms {
+        let patient = late || slack * 2 > entry.chain_ms;
+        let most_harm = if !self.has(Mechanism::Harm) {
+            f64::MAX
+        } else if patient && self.has(Mechanism::Calm) {
             self.options.calm_harm
         } else {
             self.options.most_harm
@@ -193,7 +202,10 @@
             rack: None,
             patient: self.now.mono.0 + FAR_MS < latest,
             most_harm,
-            unused_percent: UNUSED_PERCENT,
+            unused_percent: match self.has(Mechanism::Unused) {
+                true => UNUSED_PERCENT,
+                false => 0,
+            },
             unbounded: false,
         };
         if let Some(rack) = shape.rack.clone() {
@@ -238,7 +250,7 @@
         } else if need.lasting {
             self.serving_score(need, worker)
         } else {
-            pack_score(worker, need.size)
+            self.pack_score(worker, need.size)
         };
         Ok(own + rack)
     }
@@ -273,11 +285,11 @@
         self.is_open(worker)
             && worker.rostered
             && now >= worker.full_until
-            && worker.health.takes(now, || self.unproved(worker))
+            && (!self.has(Mechanism::Health) || worker.health.takes(now, || self.unproved(worker)))
     }
 
     /// is_open tells whether a worker answers and is not about to leave.
-    pub(super) fn is_open(&self, worker: &Worker) -> bool {
+    pub(crate) fn is_open(&self, worker: &Worker) -> bool {
         let now = self.now.mono;
         let listed = worker
             .unlisted_since
@@ -295,7 +307,7 @@
         runs.filter(|run| run.percent == 0).count()
     }
 
-    fn members_on(&self, step: StepKey, worker: &Worker) -> u32 {
+    pub(crate) fn members_on(&self, step: StepKey, worker: &Worker) -> u32 {
         let runs = worker.runs.iter().filter_map(|key| self.runs.get(*key));
         runs.filter(|run| run.step == step).count() as u32
     }
@@ -313,17 +325,22 @@
             }
         }
         let company = match (alike, others) {
+            _ if !self.has(Mechanism::Company) => 0.0,
             (0, 0) => EMPTY_SCORE,
             (_, 0) => ALIKE_SCORE,
             _ => f64::from(alike - others) - EXPOSURE_WEIGHT * self.exposure(need.image, worker),
         };
-        company + pack_score(worker, need.size)
+        let spared = if worker.spared { SPARED_SCORE } else { 0.0 };
+        company - spared + self.pack_score(worker, need.size)
     }
 
     /// exposure returns by how much a lasting task would widen what disturbs a
     /// worker: the sum, over filling images, of its coefficient above those of
     /// the tasks that serve there.
     fn exposure(&self, image: ImageKey, worker: &Worker) -> f64 {
+        if !self.has(Mechanism::Exposure) {
+            return 0.0;
+        }
         let serving: Vec<ImageKey> = worker
             .outlooks
             .iter()
@@ -338,18 +355,21 @@
         let wider = |(filling, pair): (ImageKey, Estimate)| (pair.mean - most(filling)).max(0.0);
         self.model.pairs_of(image).map(wider).sum()
     }
-}
 
-/// pack_score prefers the worker that is left with the least room.
-fn pack_score(worker: &Worker, size: Size) -> f64 {
-    let free = worker.free().minus(&size);
-    let capacity = f64::from(worker.info.capacity.milli_cores.max(1));
-    let suspect = if worker.health.is_suspect() {
-        SUSPECT_SCORE
-    } else {
-        0.0
-    };
-    -f64::from(free.milli_cores) / capacity - suspect
+    /// pack_score prefers the worker that is left with the least room.
+    fn pack_score(&self, worker: &Worker, size: Size) -> f64 {
+        let suspect = if worker.health.is_suspect() {
+            SUSPECT_SCORE
+        } else {
+            0.0
+        };
+        if !self.has(Mechanism::Packing) {
+            return -suspect;
+        }
+        let free = worker.free().minus(&size);
+        let capacity = f64::from(worker.info.capacity.milli_cores.max(1));
+        -f64::from(free.milli_cores) / capacity - suspect
+    }
 }
 
 /// rack_score prefers the rack of a step's data. A task waits for that rack as long
--- a/crates/stackpier-cell/src/place/starvation.rs
+++ b/crates/stackpier-cell/src/place/starvation.rs
@@ -11,7 +11,7 @@
 use std::cmp::Reverse;
 
 use crate::{
-    Cell,
+    Cell, Mechanism,
     arena::{StepKey, TaskKey},
     worker::Worker,
 };
@@ -61,6 +61,9 @@
     /// that waited for long are late in any case: done first it gave 0.003 and 0.006 less
     /// mean worth on six days of two deployments, within the noise of single plays.
     pub(super) fn starving(&mut self) -> Vec<StepKey> {
+        if !self.has(Mechanism::Starving) {
+            return Vec::new();
+        }
         let mut services: Vec<Service> = Vec::new();
         let mut idle = self.filling.clone();
         idle.retain(|step| self.idle_ms(*step) >= STARVED_MS);
--- a/crates/stackpier-cell/src/roster.rs
+++ b/crates/stackpier-cell/src/roster.rs
@@ -99,6 +99,7 @@
             full_until: Millis(0),
             unbounded_at: None,
             closed: false,
+            spared: false,
             outlooks: Vec::new(),
             drain_seen: info.draining.then_some(self.now.mono),
             info,
--- a/crates/stackpier-cell/src/speculate.rs
+++ b/crates/stackpier-cell/src/speculate.rs
@@ -3,7 +3,7 @@
 //! are allowed.
 
 use crate::{
-    Cell,
+    Cell, Mechanism,
     arena::{RunKey, TaskKey},
     run::Phase,
 };
@@ -47,7 +47,12 @@
         let limit = if run.lasting { START_MS } else { limit };
         let heard = worker.is_heard();
         let at_work = run.lasting && run.percent >= 100;
-        if !heard || at_work || run.pace < 100 || now.since(run.moved) < limit {
+        if !self.has(Mechanism::Stall)
+            || !heard
+            || at_work
+            || run.pace < 100
+            || now.since(run.moved) < limit
+        {
             return;
         }
         let (worker, task) = (run.worker, run.task);
@@ -75,7 +80,13 @@
         let task = self.task(run.task);
         let alone = task.runs.len() == 1 && !task.done && !task.ready;
         let goes_on = run.phase == Phase::Running && !self.job_of(run.task).state.is_final();
-        if !shape.speculative || !alone || !goes_on || shape.lasting || shape.gang {
+        if !self.has(Mechanism::Copies)
+            || !shape.speculative
+            || !alone
+            || !goes_on
+            || shape.lasting
+            || shape.gang
+        {
             return None;
         }
         let estimate = u64::from(shape.estimate_ms);
--- a/crates/stackpier-cell/src/worker.rs
+++ b/crates/stackpier-cell/src/worker.rs
@@ -103,6 +103,8 @@
     pub drain_seen: Option<Millis>,
     /// Whether it gets no starts, as its host is to go down.
     pub closed: bool,
+    /// Whether it is kept free of serving tasks, for what fills.
+    pub spared: bool,
     /// What is expected of the serving tasks there.
     pub outlooks: Vec<Outlook>,
 }
--- a/crates/stackpier-load/src/cell/pattern.rs
+++ b/crates/stackpier-load/src/cell/pattern.rs
@@ -65,6 +65,8 @@
                 worth: 0.383,
                 late_worth: 0.0575,
                 images: 1,
+                apart: 0.15,
+                fails: 0.05,
             },
             Kind {
                 name: FILLING,
@@ -83,6 +85,8 @@
                 worth: 1.11,
                 late_worth: 0.166,
                 images: 9,
+                apart: 0.0,
+                fails: 0.05,
             },
             Kind {
                 name: SERVING,
@@ -101,6 +105,8 @@
                 worth: 0.306,
                 late_worth: 0.0459,
                 images: 5,
+                apart: 0.5,
+                fails: 0.03,
             },
         ],
         pairs: USUAL,
--- a/crates/stackpier-load/src/cell/site.rs
+++ b/crates/stackpier-load/src/cell/site.rs
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 //! The workers and the kinds of jobs of a deployment in the model.
 
+use std::f64::consts::TAU;
+
 use rand::{Rng, RngExt};
 use stackpier_core::Size;
 use stackpier_state::job::{Queue, Spec, Step};
@@ -58,6 +60,10 @@
     pub late_worth: f64,
     /// The number of images.
     pub images: usize,
+    /// The share of steps of which a worker may have one task only.
+    pub apart: f64,
+    /// The share of runs that fail by their own fault.
+    pub fails: f64,
 }
 
 /// Site is a deployment.
@@ -137,6 +143,7 @@
             spec,
             work_ms,
             images,
+            phase: random.random_range(0.0..TAU),
         }
     }
 
@@ -166,6 +173,7 @@
             target_ms: if lasts { serving.target_ms() } else { 0 },
             fills: self.role == Role::Filling,
             may_miss: lasts.then_some(1),
+            most_per_worker: random.random_bool(self.apart).then_some(1),
             ..Step::default()
         }
     }
@@ -180,4 +188,6 @@
     pub work_ms: Vec<u64>,
     /// The image of each step, by its number.
     pub images: Vec<usize>,
+    /// The phase of the swing of its load, if it serves.
+    pub phase: f64,
 }
--- a/crates/stackpier-load/src/cell/truth.rs
+++ b/crates/stackpier-load/src/cell/truth.rs
@@ -59,8 +59,6 @@
     pub serving: Serving,
     /// By serving, then by filling image: the load that one core adds.
     coefficients: Vec<Vec<f64>>,
-    /// The phase of each serving image's swing.
-    phases: Vec<f64>,
 }
 
 impl Truth {
@@ -82,13 +80,9 @@
         let coefficients = (0..serving_images)
             .map(|_| (0..filling_images).map(|_| coefficient()).collect())
             .collect();
-        let phases = (0..serving_images)
-            .map(|_| random.random_range(0.0..TAU))
-            .collect();
         Truth {
             serving,
             coefficients,
-            phases,
         }
     }
 
@@ -98,15 +92,16 @@
         self.coefficients[serving][filling]
     }
 
-    /// own_load returns the load of a serving image without what fills beside it.
-    pub fn own_load(&self, serving: usize, now_ms: u64) -> f64 {
+    /// own_load returns the load of a serving task without what fills beside it. The
+    /// tasks of a step swing together, with a phase of their own.
+    pub fn own_load(&self, phase: f64, now_ms: u64) -> f64 {
         let Serving {
             load,
             swing,
             swing_s,
             ..
         } = self.serving;
-        let angle = TAU * now_ms as f64 / 1_000.0 / swing_s + self.phases[serving];
+        let angle = TAU * now_ms as f64 / 1_000.0 / swing_s + phase;
         load * (1.0 + swing * angle.sin())
     }
 
--- a/crates/stackpier-load/src/cell/world/calls.rs
+++ b/crates/stackpier-load/src/cell/world/calls.rs
@@ -113,7 +113,10 @@
     fn take_start(&mut self, start: &Start, place: usize) -> Started {
         let task = start.order.task;
         let job = &self.jobs[&task.job.0];
-        let behaviour = job.behaviour(task.step);
+        let mut behaviour = job.behaviour(task.step);
+        if self.random.random_bool(job.kind.fails) {
+            behaviour.fail_after(self.random.random_range(0.0..=1.0));
+        }
         let fills = job.kind.role == Role::Filling;
         let apart = !self.workers[place].runs.iter().any(serves);
         let outcome = self.workers[place].start(self.now_ms, start, behaviour);
--- a/crates/stackpier-load/src/cell/world/watch.rs
+++ b/crates/stackpier-load/src/cell/world/watch.rs
@@ -3,6 +3,8 @@
 
 use std::collections::BTreeMap;
 
+use stackpier_standin::fleet::Run;
+
 use super::{
     super::{outcome::Outcome, site::Role},
     Happening, World,
@@ -41,7 +43,7 @@
     /// loads returns the load of each run on a worker that serves.
     fn loads(&self, place: usize) -> Vec<Option<Load>> {
         let runs = &self.workers[place].runs;
-        let image = |run: &stackpier_standin::fleet::Run| {
+        let image = |run: &Run| {
             let job = &self.jobs[&run.task.job.0];
             job.drawn.images[usize::from(run.task.step)]
         };
@@ -51,15 +53,20 @@
                 f64::from(run.behaviour().fills_milli) / CORE * f64::from(run.pace) / PERCENT;
             *cores.entry(image(run)).or_default() += used;
         }
-        let load = |run: &stackpier_standin::fleet::Run| {
+        let load = |run: &Run| {
             serves(run).then(|| Load {
-                own: self.truth.own_load(image(run), self.now_ms),
+                own: self.truth.own_load(self.phase(run), self.now_ms),
                 added: self.truth.added(image(run), &cores),
             })
         };
         runs.iter().map(load).collect()
     }
 
+    /// phase returns the phase of the swing of a serving run's load.
+    fn phase(&self, run: &Run) -> f64 {
+        self.jobs[&run.task.job.0].drawn.phase
+    }
+
     /// sample looks at all that serves.
     pub(super) fn sample(&mut self) {
         let limit = self.truth.serving.load_at_target();
--- a/crates/stackpier-scheduler/src/member.rs
+++ b/crates/stackpier-scheduler/src/member.rs
@@ -8,6 +8,7 @@
 
 use std::time::Duration;
 
+use stackpier_cell::Mechanism;
 use stackpier_core::{Millis, key};
 use stackpier_protocol::codec::{decode, encode};
 
@@ -294,7 +295,8 @@
             return None;
         }
         let since = *self.storeless_since.get_or_insert(now);
-        (now.since(since) >= STORELESS_MS).then_some(Doubt::Storeless)
+        let replaced = !self.is_without(Mechanism::Storeless);
+        (replaced && now.since(since) >= STORELESS_MS).then_some(Doubt::Storeless)
     }
 
     async fn heartbeat(&self, ownership: &Ownership) -> Option<Alive> {
@@ -346,7 +348,8 @@
     /// take_over tries to own the cell, unless others still hear its owner.
     async fn take_over(&mut self, doubt: Doubt, owned: Option<Owned>) {
         let fence = owned.as_ref().map_or(0, |owned| owned.ownership.fence);
-        if doubt == Doubt::Silent && self.is_heard(&owned, fence).await {
+        let asks = doubt == Doubt::Silent && !self.is_without(Mechanism::Votes);
+        if asks && self.is_heard(&owned, fence).await {
             self.doubt = None;
             self.node.heard.set(self.node.mono());
             return;
@@ -360,6 +363,10 @@
         self.swap(doubt, owned, fence).await;
     }
 
+    fn is_without(&self, mechanism: Mechanism) -> bool {
+        self.node.settings.cell.without.contains(mechanism)
+    }
+
     async fn is_heard(&self, owned: &Option<Owned>, fence: u64) -> bool {
         let own = &self.node.settings.vm;
         let owner = owned.as_ref().map(|owned| owned.ownership.vm.clone());
--- a/crates/stackpier-scheduler/src/settings.rs
+++ b/crates/stackpier-scheduler/src/settings.rs
@@ -5,6 +5,7 @@
 use std::{net::SocketAddr, path::Path, result::Result as Checked};
 
 use serde::Deserialize;
+use stackpier_cell::{Mechanism, Mechanisms};
 use stackpier_core::{
     Error, Kind, Result,
     field::{Invalid, invalid, within},
@@ -47,6 +48,9 @@
     shown_s: u64,
     grace_s: f64,
     cores: f64,
+    /// Mechanisms of the decisions that are switched off.
+    #[serde(default)]
+    without: Vec<String>,
 }
 
 /// Settings are the checked settings of one daemon.
@@ -130,6 +134,7 @@
                     + TURN_MARGIN_MS,
                 early_ms: within("early_ms", raw.early_ms, 0..=LONGEST_MS, "ms")? / 4,
                 show_ms: shown_s * 1_000 + defaults.lease_ms,
+                without: mechanisms(&raw.without)?,
                 ratings_per_ms: (cores * f64::from(stackpier_cell::RATINGS_PER_CORE)) as u32,
                 ..defaults
             },
@@ -141,6 +146,10 @@
     }
 }
 
+fn mechanisms(names: &[String]) -> Checked<Mechanisms, Invalid> {
+    names.iter().map(|name| name.parse::<Mechanism>()).collect()
+}
+
 fn named(field: &str, value: String) -> Checked<String, Invalid> {
     if value.is_empty() {
         return Err(invalid(field, "''", "a name"));
--- /dev/null
+++ b/crates/stackpier-scheduler/tests/settings.rs
@@ -0,0 +1,53 @@
+// SPDX-License-Identifier: Apache-2.0
+//! Settings are checked: what is wrong ends the start with one clear line.
+
+use rstest::rstest;
+use stackpier_cell::{Mechanism, RATINGS_PER_CORE};
+use stackpier_scheduler::Settings;
+
+fn text(cores: &str, without: &str) -> String {
+    format!(
+        r#"{{"vm":"a","data_centre":"dc","callers":"127.0.0.1:1","readiness":"127.0.0.1:2",
+        "peers":"127.0.0.1:3","metrics":"127.0.0.1:4","store":"127.0.0.1:5",
+        "longest_lease_ms":10000,"stop_ms":900,"early_ms":250,"shown_s":120,"grace_s":6,
+        "cores":{cores},"without":{without}}}"#
+    )
+}
+
+#[rstest]
+fn mechanisms_are_switched_off_by_name() {
+    let settings = Settings::parse(text("1", r#"["pace","votes"]"#).as_bytes()).unwrap();
+    let without = settings.cell.without;
+    let off = |mechanism: &Mechanism| without.contains(*mechanism);
+    let off: Vec<Mechanism> = Mechanism::ALL.into_iter().filter(off).collect();
+    assert_eq!(off, [Mechanism::Pace, Mechanism::Votes]);
+}
+
+#[rstest]
+fn every_mechanism_is_known_by_its_name() {
+    for mechanism in Mechanism::ALL {
+        assert_eq!(mechanism.as_str().parse::<Mechanism>().unwrap(), mechanism);
+    }
+}
+
+#[rstest]
+fn an_unknown_mechanism_is_refused() {
+    let error = Settings::parse(text("1", r#"["haste"]"#).as_bytes()).unwrap_err();
+    let line = error.to_string();
+    assert!(line.contains("without") && line.contains("haste"), "{line}");
+    assert!(!line.contains('\n'));
+}
+
+#[rstest]
+#[case::none("0")]
+#[case::too_many("1001")]
+fn cores_out_of_bounds_are_refused(#[case] cores: &str) {
+    let error = Settings::parse(text(cores, "[]").as_bytes()).unwrap_err();
+    assert!(error.to_string().contains("cores"), "{error}");
+}
+
+#[rstest]
+fn placing_may_do_less_on_a_smaller_vm() {
+    let settings = Settings::parse(text("0.25", "[]").as_bytes()).unwrap();
+    assert_eq!(settings.cell.ratings_per_ms, RATINGS_PER_CORE / 4);
+}
--- a/crates/stackpier-standin/src/fleet.rs
+++ b/crates/stackpier-standin/src/fleet.rs
@@ -39,6 +39,15 @@
     pub tail_ms: Option<u32>,
 }
 
+impl Behaviour {
+    /// fail_after lets a run fail after a share of its work; one that lasts fails after
+    /// as much.
+    pub fn fail_after(&mut self, share: f64) {
+        self.fails = true;
+        self.work_ms = (self.work_ms as f64 * share) as u64;
+    }
+}
+
 /// Run is a run on a worker.
 #[derive(Clone, Debug)]
 pub struct Run {
@@ -177,7 +186,8 @@
         let grey = self.grey;
         let over = |run: &Run| -> Option<How> {
             let behaviour = run.behaviour;
-            let worked = run.worked_ms >= behaviour.work_ms && !behaviour.lasts;
+            let ends = !behaviour.lasts || behaviour.fails;
+            let worked = run.worked_ms >= behaviour.work_ms && ends;
             let stopped = run.stops_at.is_some_and(|at| clock >= at);
             match () {
                 () if lapsed => Some(How::Lapsed),
