What is of no use any more goes after what is late

Cause: jobs that can't be in time went by their age, all alike.

Change: a step whose job can't be done within three objectives goes last.

--- a/crates/stackpier-cell/src/job.rs
+++ b/crates/stackpier-cell/src/job.rs
@@ -32,6 +32,8 @@
     pub inherited: bool,
     /// By when it should be done, by the owner's monotonic clock.
     pub objective: Millis,
+    /// From when it earns nothing any more.
+    pub worthless: Millis,
     /// Whether its progress must be saved.
     pub dirty: bool,
     pub ended_unix_ms: u64,
--- a/crates/stackpier-cell/src/lifecycle.rs
+++ b/crates/stackpier-cell/src/lifecycle.rs
@@ -13,6 +13,10 @@
     job::{Job, Step, Task},
 };
 
+/// LATE_TIMES is how many objectives after its acceptance a job still is of use, by the
+/// users' rules: a seventh of its worth.
+const LATE_TIMES: u64 = 3;
+
 impl Cell {
     /// accept takes in a job that is in the store, with what an earlier owner
     /// saved of it. A job that is known already is left as it is.
@@ -60,7 +64,8 @@
             tasks: spec.width() * spec.rounds(),
             left: spec.width() * spec.rounds(),
             inherited: record.fence < self.fence,
-            objective: self.objective(record, chain),
+            objective: self.objective(record, chain, 1),
+            worthless: self.objective(record, chain, LATE_TIMES),
             dirty: false,
             ended_unix_ms: 0,
             ended_at: None,
@@ -77,13 +82,14 @@
         key
     }
 
-    /// objective returns by when a job should be done, on the own clock.
-    fn objective(&self, record: &Record, chain_ms: u64) -> Millis {
+    /// objective returns by when a job should be done, or some times as long after its
+    /// acceptance, on the own clock.
+    fn objective(&self, record: &Record, chain_ms: u64, times: u64) -> Millis {
         let queue = self.queues.get(&record.queue.name);
         let (stretch, target_ms) = queue.map_or((1.0, 0), |queue| (queue.stretch, queue.target_ms));
         let allowed = (chain_ms as f64 * stretch) as u64 + target_ms;
         let age = self.now.unix.0.saturating_sub(record.accepted_ms);
-        Millis((self.now.mono.0 + allowed).saturating_sub(age))
+        Millis((self.now.mono.0 + allowed * times).saturating_sub(age))
     }
 
     /// add_step adds a step with its tasks.
--- a/crates/stackpier-cell/src/place.rs
+++ b/crates/stackpier-cell/src/place.rs
@@ -37,6 +37,8 @@
 /// LATE_MS is added to the order of a step that can't be in time any more, so
 /// that it comes after all that can.
 const LATE_MS: u64 = 60_000;
+/// HOPELESS_MS is the same for a step of a job that can't be of any use any more.
+const HOPELESS_MS: u64 = 600_000_000;
 /// LASTING_MS is how long a task that lasts waits until it goes before all others of
 /// its priority: users count it as lost from six seconds after its last run.
 const LASTING_MS: u64 = 3_000;
@@ -128,7 +130,10 @@
         }
         let latest = job.objective.0.saturating_sub(entry.chain_ms);
         let late = latest < self.now.mono.0 && self.has(Mechanism::LateLast);
-        let place = if late {
+        let hopeless = job.worthless.0.saturating_sub(entry.chain_ms) < self.now.mono.0;
+        let place = if late && hopeless {
+            latest + HOPELESS_MS
+        } else if late {
             latest + LATE_MS
         } else if !self.has(Mechanism::FewestLeft) {
             latest
--- a/crates/stackpier-cell/tests/common/mod.rs
+++ b/crates/stackpier-cell/tests/common/mod.rs
@@ -190,7 +190,7 @@
         fence: u64,
         progress: Option<Progress>,
     ) {
-        self.specs.insert(job, spec.clone());
+        self.describe(job, spec.clone());
         let record = Record {
             queue: queue(name, 0),
             spec,
@@ -205,6 +205,11 @@
         });
     }
 
+    /// describe tells the workers what the tasks of a job are.
+    pub fn describe(&mut self, job: u64, spec: Spec) {
+        self.specs.insert(job, spec);
+    }
+
     /// feed gives the cell an event and carries out what it decides.
     pub fn feed(&mut self, event: Event) {
         let now = self.now();
