--- a/crates/stackpier-cell/src/cell.rs
+++ b/crates/stackpier-cell/src/cell.rs
@@ -54,22 +54,10 @@
     pub(crate) undue: Vec<StepKey>,
     /// Whether something changed that lets tasks be placed.
     pub(crate) place_wanted: bool,
-    /// Whether that was not looked at yet, for tasks that count and tasks that fill.
-    pub(crate) counted_due: bool,
-    pub(crate) filling_due: bool,
-    /// The pass over steps that wait for room, empty if there is none.
+    /// The passes over steps whose tasks count.
     pub(crate) counted: Counted,
-    /// The pass over steps that fill.
+    /// The passes over steps whose tasks fill.
     pub(crate) fills: Filling,
-    /// Whether that pass is not over.
-    pub(crate) filling_now: bool,
-    /// When the last pass over steps that fill began.
-    pub(crate) filled_at: Millis,
-    /// The work that placing tasks that count may do.
-    pub(crate) counted_budget: Budget,
-    /// The work that placing tasks that fill may do: with ratings in common, a cell in
-    /// which many tasks wait for room would leave none for them.
-    pub(crate) filling_budget: Budget,
     pub(crate) summarised: Millis,
     /// When all runs were last looked at.
     pub(crate) swept: Millis,
@@ -120,14 +108,11 @@
             filling: Vec::new(),
             undue: Vec::new(),
             place_wanted: false,
-            counted_due: false,
-            filling_due: false,
-            counted: Counted::default(),
-            fills: Filling::default(),
-            filling_now: false,
-            filled_at: Millis(0),
-            counted_budget: Budget::new(counted_ratings, now.mono),
-            filling_budget: Budget::new(options.ratings_per_ms - counted_ratings, now.mono),
+            counted: Counted::new(Budget::new(counted_ratings, now.mono)),
+            fills: Filling::new(Budget::new(
+                options.ratings_per_ms - counted_ratings,
+                now.mono,
+            )),
             summarised: now.mono,
             swept: now.mono,
             model: Model::default(),
@@ -222,7 +207,7 @@
 
     /// ratings returns how many ratings placing has done so far, for measurements.
     pub fn ratings(&self) -> u64 {
-        self.counted_budget.done() + self.filling_budget.done()
+        self.counted.budget.done() + self.fills.budget.done()
     }
 
     /// queued returns the steps with tasks to place.
--- a/crates/stackpier-cell/src/outlook.rs
+++ b/crates/stackpier-cell/src/outlook.rs
@@ -137,7 +137,7 @@
         let cores = cores(milli_cores);
         let mut harm = 0.0;
         for outlook in &self.worker(key).outlooks {
-            self.filling_budget.spend(1);
+            self.fills.budget.spend(1);
             let pair = self.model.pair(outlook.image, image);
             let added = Estimate {
                 mean: (pair.mean * cores).max(0.0),
--- a/crates/stackpier-cell/src/place.rs
+++ b/crates/stackpier-cell/src/place.rs
@@ -84,39 +84,34 @@
             return;
         }
         if std::mem::take(&mut self.place_wanted) {
-            self.counted_due = true;
-            self.filling_due = true;
+            self.counted.due = true;
+            self.fills.due = true;
         }
-        self.counted_budget.renew(self.now.mono);
-        self.filling_budget.renew(self.now.mono);
+        self.counted.budget.renew(self.now.mono);
+        self.fills.budget.renew(self.now.mono);
         self.place_counted();
         self.place_filling();
     }
 
     fn place_counted(&mut self) {
         if self.counted.steps().is_empty() {
-            if !self.counted_due || self.counted_budget.is_spent() {
+            if !self.counted.due || self.counted.budget.is_spent() {
                 return;
             }
-            self.counted_due = false;
             self.begin_counted();
         }
         self.go_on_counted();
     }
 
     fn place_filling(&mut self) {
-        let now = self.now.mono;
-        if !self.filling_now {
-            let soon = now.since(self.filled_at) < FILL_GAP_MS;
-            if !self.filling_due || soon {
+        if !self.fills.under_way {
+            let soon = self.now.mono.since(self.fills.began) < FILL_GAP_MS;
+            if !self.fills.due || soon {
                 return;
             }
-            self.filling_due = false;
-            self.filled_at = now;
-            self.filling_now = true;
             self.begin_filling();
         }
-        self.filling_now = !self.go_on_filling();
+        self.go_on_filling();
     }
 
     /// sorted returns the steps of a queue in the order of placement, without
--- a/crates/stackpier-cell/src/place/offer.rs
+++ b/crates/stackpier-cell/src/place/offer.rs
@@ -225,9 +225,9 @@
 
     fn budget_of(&self, need: &Need) -> &Budget {
         if need.fills {
-            &self.filling_budget
+            &self.fills.budget
         } else {
-            &self.counted_budget
+            &self.counted.budget
         }
     }
 
--- a/crates/stackpier-cell/src/place/pass.rs
+++ b/crates/stackpier-cell/src/place/pass.rs
@@ -2,12 +2,12 @@
 //! Passes over the waiting steps, in slices: each call of the decisions goes on where
 //! the one before it had spent its ratings.
 
-use stackpier_core::Size;
+use stackpier_core::{Millis, Size};
 
 use crate::{
     Cell,
     arena::{StepKey, WorkerKey},
-    place::{Look, MOST_TRIED, Need},
+    place::{Budget, Look, MOST_TRIED, Need},
 };
 
 /// Full is a size for which no worker of a service had room.
@@ -32,9 +32,14 @@
     most: Size,
 }
 
-/// Counted is a pass over the steps whose tasks count in a worker's room.
-#[derive(Debug, Default)]
+/// Counted is the passes over the steps whose tasks count in a worker's room.
+#[derive(Debug)]
 pub(crate) struct Counted {
+    /// The ratings that they may take. With ratings in common, a cell in which many tasks
+    /// wait for room would leave none for those that fill.
+    pub budget: Budget,
+    /// Whether something changed since the last pass began.
+    pub due: bool,
     /// Steps to look at, the next one last.
     steps: Vec<StepKey>,
     /// Sizes that found no room in this pass.
@@ -43,9 +48,17 @@
     room: Vec<Room>,
 }
 
-/// Filling is a pass over the steps whose tasks fill.
-#[derive(Debug, Default)]
+/// Filling is the passes over the steps whose tasks fill.
+#[derive(Debug)]
 pub(crate) struct Filling {
+    /// The ratings that they may take.
+    pub budget: Budget,
+    /// Whether something changed since the last pass began.
+    pub due: bool,
+    /// Whether a pass is under way.
+    pub under_way: bool,
+    /// When the last pass began.
+    pub began: Millis,
     /// Workers whose serving tasks are to be looked at anew.
     workers: Vec<WorkerKey>,
     /// Steps to look at, the next one last.
@@ -61,6 +74,17 @@
 }
 
 impl Counted {
+    /// new has nothing to look at.
+    pub(crate) fn new(budget: Budget) -> Counted {
+        Counted {
+            budget,
+            due: false,
+            steps: Vec::new(),
+            full: Vec::new(),
+            room: Vec::new(),
+        }
+    }
+
     /// is_full tells whether no worker has room for tasks, as far as the pass knows.
     fn is_full(&self, need: &Need) -> bool {
         let room = self.room.iter().find(|room| room.service == need.service);
@@ -75,6 +99,22 @@
 }
 
 impl Filling {
+    /// new has nothing to look at.
+    pub(crate) fn new(budget: Budget) -> Filling {
+        Filling {
+            budget,
+            due: false,
+            under_way: false,
+            began: Millis(0),
+            workers: Vec::new(),
+            steps: Vec::new(),
+            barred: Vec::new(),
+            starving: Vec::new(),
+            without_room: Vec::new(),
+            looked_up: false,
+        }
+    }
+
     /// steps returns the steps that are still to be looked at.
     pub(crate) fn steps(&self) -> &[StepKey] {
         &self.steps
@@ -86,18 +126,17 @@
     pub(super) fn begin_counted(&mut self) {
         let queue = std::mem::take(&mut self.waiting);
         let mut steps = self.sorted(queue);
-        self.counted_budget.spend(steps.len());
+        self.counted.budget.spend(steps.len());
         steps.reverse();
         let room = if steps.is_empty() {
             Vec::new()
         } else {
             self.room()
         };
-        self.counted = Counted {
-            steps,
-            full: Vec::new(),
-            room,
-        };
+        self.counted.due = false;
+        self.counted.steps = steps;
+        self.counted.full.clear();
+        self.counted.room = room;
     }
 
     /// room returns the room of each service.
@@ -114,13 +153,13 @@
                 }),
             }
         }
-        self.counted_budget.spend(self.workers.len());
+        self.counted.budget.spend(self.workers.len());
         rooms
     }
 
     /// go_on_counted looks at the steps of the pass until the ratings are spent.
     pub(super) fn go_on_counted(&mut self) {
-        while !self.counted_budget.is_spent()
+        while !self.counted.budget.is_spent()
             && let Some(step) = self.counted.steps.pop()
         {
             if !self.has_nothing_left(step)
@@ -142,24 +181,27 @@
     pub(super) fn begin_filling(&mut self) {
         let queue = std::mem::take(&mut self.filling);
         let mut steps = self.sorted(queue);
-        self.filling_budget.spend(steps.len());
+        self.fills.budget.spend(steps.len());
         steps.reverse();
         let workers = if steps.is_empty() {
             Vec::new()
         } else {
             self.live_now()
         };
-        self.fills = Filling {
-            workers,
-            steps,
-            ..Filling::default()
-        };
+        let fills = &mut self.fills;
+        fills.due = false;
+        fills.under_way = true;
+        fills.began = self.now.mono;
+        fills.workers = workers;
+        fills.steps = steps;
+        fills.barred.clear();
+        fills.without_room.clear();
+        fills.looked_up = false;
     }
 
-    /// go_on_filling goes on with the pass until the ratings are spent, and tells
-    /// whether it is over.
-    pub(super) fn go_on_filling(&mut self) -> bool {
-        while !self.filling_budget.is_spent() {
+    /// go_on_filling goes on with the pass until the ratings are spent or it is over.
+    pub(super) fn go_on_filling(&mut self) {
+        while !self.fills.budget.is_spent() {
             if let Some(worker) = self.fills.workers.pop() {
                 self.renew_outlooks(worker);
             } else if let Some(step) = self.fills.steps.pop() {
@@ -170,17 +212,17 @@
             } else if let Some(step) = self.fills.starving.pop() {
                 self.look_at_starving(step);
             } else {
-                return true;
+                self.fills.under_way = false;
+                return;
             }
         }
-        false
     }
 
     fn renew_outlooks(&mut self, key: WorkerKey) {
         let worker = self.worker(key);
         if worker.lasting_milli > 0 || !worker.outlooks.is_empty() {
             self.look_ahead_on(key);
-            self.filling_budget.spend(self.worker(key).outlooks.len());
+            self.fills.budget.spend(self.worker(key).outlooks.len());
         }
     }
 
