Memory kept free of filling tasks follows what short tasks ask for

Cause: 18,000 MiB were two of the largest short tasks of two customers' sheets, on any worker.

Tried first: none kept free.

Change: the mean of the short tasks handed in lately. Kept, as it depends on no customer's sheet.

--- a/crates/stackpier-cell/src/cell.rs
+++ b/crates/stackpier-cell/src/cell.rs
@@ -17,6 +17,7 @@
     place::{Budget, Counted, Filling},
     run::Run,
     save::Saver,
+    short::ShortMemory,
     spare::Spare,
     worker::Worker,
 };
@@ -71,6 +72,8 @@
     pub(crate) maintained: Vec<Record>,
     /// From when this owner orders hosts down: two owners don't take turns.
     pub(crate) orders_from: Millis,
+    /// What short tasks ask for.
+    pub(crate) short_memory: ShortMemory,
     pub(crate) spare: Spare,
     pub(crate) saver: Saver,
     /// When the store last confirmed that this daemon owns the cell.
@@ -121,6 +124,7 @@
             maintenance: Vec::new(),
             maintained: Vec::new(),
             orders_from: Cell::orders_from(&options, now.mono, fence),
+            short_memory: ShortMemory::default(),
             spare: Spare::default(),
             saver: Saver::default(),
             confirmed: now.mono,
--- a/crates/stackpier-cell/src/lib.rs
+++ b/crates/stackpier-cell/src/lib.rs
@@ -38,6 +38,7 @@
 mod roster;
 mod run;
 mod save;
+mod short;
 mod spare;
 mod speculate;
 mod summary;
--- a/crates/stackpier-cell/src/lifecycle.rs
+++ b/crates/stackpier-cell/src/lifecycle.rs
@@ -52,6 +52,7 @@
     fn add_job(&mut self, id: key::Job, record: &Record) -> JobKey {
         let key = JobKey(self.jobs.len() as u32);
         let spec = Rc::new(record.spec.clone());
+        self.short_memory.see(&spec);
         let chains = chains(&spec);
         let chain = chains.iter().copied().max().unwrap_or(0);
         let job = Job {
--- a/crates/stackpier-cell/src/options.rs
+++ b/crates/stackpier-cell/src/options.rs
@@ -49,9 +49,6 @@
     /// Share of a serving task's reservation that it is taken to use, in
     /// thousandths. Trials packed best at 600.
     pub serving_use_milli: u32,
-    /// Memory kept free of filling tasks on each worker, in MiB, so that short
-    /// tasks find room: two of the largest short tasks of the users' sheets.
-    pub fill_reserve_mib: u32,
     /// The highest expected rise in the number of serving tasks over target
     /// that placing a filling task may cause.
     pub most_harm: f64,
@@ -96,7 +93,6 @@
             unlisted_ms: 2_500,
             early_ms: 0,
             serving_use_milli: 450,
-            fill_reserve_mib: 18_000,
             most_harm: 0.7,
             calm_harm: 0.4,
             move_loss_ms: 600,
--- a/crates/stackpier-cell/src/place/offer.rs
+++ b/crates/stackpier-cell/src/place/offer.rs
@@ -170,7 +170,7 @@
         if shape.fills {
             size.milli_cores = 0;
             reserve_mib = match self.has(Mechanism::Reserve) {
-                true => self.options.fill_reserve_mib,
+                true => self.short_memory.mean_mib(),
                 false => 0,
             };
         }
