No further peer is asked to write once a request's time is over

The daemon was at a planned stop, which ends five seconds after its signal, and a write that the store did not answer went on to four peers in turn, 650 ms each, after 1.6 s that were meant to be all.

Change: no further peer is tried once the time of the request is over; finding out the state of a job counts in the time of its cancelling. An answer comes within about 2.3 s now; clients wait for three.

--- a/crates/stackpier-scheduler/src/jobs.rs
+++ b/crates/stackpier-scheduler/src/jobs.rs
@@ -58,7 +58,7 @@
                 fence: owned.ownership.fence,
                 accepted_ms: self.now().unix.0,
             };
-            match self.commit(&acceptance(job, &record, &owned)?).await {
+            match self.commit(&acceptance(job, &record, &owned)?, end).await {
                 Committed::Done(_) => {
                     self.accepted(job, record);
                     return Ok(());
@@ -97,8 +97,9 @@
 
     /// commit does a transaction, by way of a peer if this daemon can't
     /// reach the store. The transaction's conditions must make it safe to be
-    /// done twice.
-    async fn commit(&self, transaction: &Transaction) -> Committed {
+    /// done twice. No further peer is tried from `end` on: all of them together may take
+    /// three seconds, longer than clients wait, and past the end of a planned stop.
+    async fn commit(&self, transaction: &Transaction, end: Instant) -> Committed {
         let mut unclear = false;
         if self.store_answers() {
             match self.store_commit(transaction).await {
@@ -108,6 +109,9 @@
             }
         }
         for peer in self.peers(PASSES) {
+            if Instant::now() >= end {
+                break;
+            }
             if !self.has_store(&peer).await {
                 continue;
             }
@@ -236,15 +240,15 @@
     /// cancel keeps the cancelling of a job in the store and tells the owner.
     /// It returns whether there is such a job.
     pub async fn cancel(&self, job: key::Job) -> Result<bool> {
+        let end = Instant::now() + TAKE_LIMIT;
         match self.state(job).await? {
             None => return Ok(false),
             Some(state) if state.is_final() => return Ok(true),
             Some(_) => {}
         }
-        let end = Instant::now() + TAKE_LIMIT;
         let mut unclear = false;
         while Instant::now() < end {
-            match self.commit(&cancelling(job)).await {
+            match self.commit(&cancelling(job), end).await {
                 Committed::Done(_) => {
                     self.cancelled(job);
                     return Ok(true);
