--- /dev/null
+++ b/crates/stackpier-load/tests/patterns.rs
@@ -0,0 +1,67 @@
+// SPDX-License-Identifier: Apache-2.0
+//! The heavy days by name: who waits, who is refused, and where work goes. The floors are
+//! what a customer's sheet sets for its worst kind of job on such days, 0.15 to 0.34 of
+//! what is owed, and well below what seeds 1 to 4 give; they catch a kind that starves.
+
+use rstest::rstest;
+use stackpier_load::cell::{
+    outcome::{Outcome, percentile},
+    pattern::{FILLING, Pattern, SERVING, SHORT},
+    world::play,
+};
+
+/// SEED is the seed of these days.
+const SEED: u64 = 3;
+/// SEEDS are those of days that are compared.
+const SEEDS: [u64; 4] = [1, 2, 3, 4];
+/// LENGTH_MS is how long they are: past the faults of each.
+const LENGTH_MS: u64 = 24_000;
+/// SERVING_FLOOR is the least that serving tasks earn: harm counts four times there.
+const SERVING_FLOOR: f64 = 0.7;
+/// WAIT_MS is within which time half of the short jobs have begun on any of the days.
+const WAIT_MS: u64 = 1_000;
+
+#[rstest]
+#[case::calm(Pattern::Calm, 0.5, 0.6)]
+#[case::heavy_pairs(Pattern::HeavyPairs, 0.4, 0.2)]
+#[case::cut_when_full(Pattern::CutWhenFull, 0.4, 0.5)]
+#[case::wide_burst(Pattern::WideBurst, 0.4, 0.5)]
+#[case::bad_workers(Pattern::BadWorkers, 0.3, 0.5)]
+#[case::store_away(Pattern::StoreAway, 0.3, 0.4)]
+fn no_kind_of_job_starves(
+    #[case] pattern: Pattern,
+    #[case] short_floor: f64,
+    #[case] filling_floor: f64,
+) {
+    let mut day = pattern.day();
+    day.site.length_ms = LENGTH_MS;
+    let outcome = play(&day, SEED);
+    let [short, filling, serving] = [SHORT, FILLING, SERVING].map(|kind| outcome.of(kind));
+    let shares = [short.share(), filling.share(), serving.share()];
+    assert!(shares[0] >= short_floor, "{shares:?}");
+    assert!(shares[1] >= filling_floor, "{shares:?}");
+    assert!(shares[2] >= SERVING_FLOOR, "{shares:?}");
+    let waits = percentile(&short.first_ms, 0.5);
+    assert!(waits <= WAIT_MS, "half of the short jobs wait {waits} ms");
+    let refused = short.refused + filling.refused + serving.refused;
+    assert_eq!(
+        refused > 0,
+        pattern == Pattern::StoreAway,
+        "{refused} refused"
+    );
+}
+
+/// Where most pairs disturb, work goes to workers that were emptied for it, on most days
+/// of that kind; on the calm ones none is.
+#[rstest]
+fn work_goes_to_emptied_workers_on_heavy_days_only() {
+    let apart = |pattern: Pattern| {
+        let mut day = pattern.day();
+        day.site.length_ms = LENGTH_MS;
+        let outcomes = SEEDS.map(|seed| play(&day, seed));
+        let sum = |of: fn(&Outcome) -> u64| outcomes.iter().map(of).sum::<u64>() as f64;
+        sum(|outcome| outcome.filled_apart) / sum(|outcome| outcome.filled)
+    };
+    let (calm, heavy) = (apart(Pattern::Calm), apart(Pattern::HeavyPairs));
+    assert!(heavy > 2.0 * calm, "{heavy} and {calm}");
+}
