--- a/crates/stackpier-cell/src/logistic.rs
+++ b/crates/stackpier-cell/src/logistic.rs
@@ -8,10 +8,10 @@
 /// curve that is nearest to the normal distribution.
 const LOGISTIC: f64 = 1.702;
 /// FAR is the distance from which a value counts as surely below or above: the
-/// likelihood is within 0.001 of that.
+/// likelihood is within 0.0012 of that.
 const FAR: f64 = 4.0;
 /// STEPS is how many parts of the table one standard deviation has. Between them the
-/// curve is taken as straight, with an error below 0.0002.
+/// curve is taken as straight, with an error below 0.0002 by its curvature.
 const STEPS: f64 = 32.0;
 /// ENTRIES is the number of entries, for distances from -FAR to FAR.
 const ENTRIES: usize = (2.0 * FAR * STEPS) as usize + 2;
--- a/crates/stackpier-cell/src/options.rs
+++ b/crates/stackpier-cell/src/options.rs
@@ -5,8 +5,7 @@
 
 /// RATINGS_PER_CORE is how many ratings a millisecond a daemon with one core may do. At
 /// 50 ns each, measured on a cell of 500 workers, that is two fifths of the core: the
-/// rest is for reports, calls, requests and heartbeats. On a day of 490 workers with a
-/// thousand tasks waiting, 2,500 left tasks that fill waiting for seconds.
+/// rest is for reports, calls, requests and heartbeats.
 pub const RATINGS_PER_CORE: u32 = 8_000;
 
 /// Options are the times, limits and weights of a cell. Times are in
--- a/crates/stackpier-cell/src/place/budget.rs
+++ b/crates/stackpier-cell/src/place/budget.rs
@@ -1,13 +1,17 @@
 // SPDX-License-Identifier: Apache-2.0
 //! How much work placing may do: in one call of the decisions, so that the owner goes on
-//! answering heartbeats and reports, and over time, so that it keeps up on a small VM.
+//! answering heartbeats and reports, and over time, so that it keeps up on a small VM. On
+//! 490 workers with a thousand tasks waiting, an owner without the bounds fell seconds
+//! behind: a day's worth was 0.50 to 0.65 there, 0.76 to 0.78 with them and the order of
+//! late jobs, in 35 and 8 plays.
 
 use std::cell::Cell as Counter;
 
 use stackpier_core::Millis;
 
-/// SLICE is how many ratings one call may do, for tasks of each sort: less than
-/// a millisecond, measured with the load tool's `steps` on cells of 500 to 16,000 workers.
+/// SLICE is how many ratings one call may do, for tasks of each sort. A step is looked at
+/// whole, so a call may do more: 2.8 ms at most on 2,000 workers, measured with the load
+/// tool's `steps`, and 182 ms without a bound.
 const SLICE: i64 = 6_000;
 /// SAVED_MS is for how long ratings that were not done are saved up.
 const SAVED_MS: i64 = 100;
--- a/crates/stackpier-cell/src/short.rs
+++ b/crates/stackpier-cell/src/short.rs
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 //! The memory that short tasks ask for, as far as they were handed in: as much is kept
-//! free of filling tasks on each worker, so that a short one finds room beside them.
+//! free of filling tasks on each worker, so that a short one finds room beside them. With
+//! none kept free, fifty days lost 0.006 of their worth on the mean; with a fixed 18,000
+//! MiB, days on workers half as large lost 0.022, the mean of five.
 
 use stackpier_state::job::Spec;
 
--- a/crates/stackpier-cell/src/spare.rs
+++ b/crates/stackpier-cell/src/spare.rs
@@ -6,6 +6,8 @@
 //! that serves nothing takes all of them. So while filling tasks wait that would occupy
 //! a whole worker, the workers with the fewest serving tasks are emptied, a few at a
 //! time: their tasks move to workers with room, as far as their steps can miss them.
+//! It buys 0.013 of a day's worth, the mean of 23 days on most of which pairs press hard,
+//! and 0.005, the mean of fifty others, both by exact replays.
 
 use stackpier_core::{Millis, Size};
 
--- a/crates/stackpier-load/tests/patterns.rs
+++ b/crates/stackpier-load/tests/patterns.rs
@@ -4,6 +4,7 @@
 //! what is owed, and well below what seeds 1 to 4 give; they catch a kind that starves.
 
 use rstest::rstest;
+use stackpier_cell::Mechanism;
 use stackpier_load::cell::{
     outcome::{Outcome, percentile},
     pattern::{FILLING, Pattern, SERVING, SHORT},
@@ -51,17 +52,28 @@
     );
 }
 
-/// Where most pairs disturb, work goes to workers that were emptied for it, on most days
-/// of that kind; on the calm ones none is.
+/// apart returns the share of filling starts that went to workers which serve nothing.
+fn apart(pattern: Pattern, without: Option<Mechanism>) -> f64 {
+    let mut day = pattern.day();
+    day.options.without = without.into_iter().collect();
+    let outcomes = SEEDS.map(|seed| play(&day, seed));
+    let sum = |of: fn(&Outcome) -> u64| outcomes.iter().map(of).sum::<u64>() as f64;
+    sum(|outcome| outcome.filled_apart) / sum(|outcome| outcome.filled)
+}
+
+/// Where most pairs disturb, much of the filling work goes to workers that were emptied
+/// for it. Without that it does not: few workers are free of serving tasks by themselves.
+#[rstest]
+fn work_goes_to_emptied_workers_on_heavy_days() {
+    let with = apart(Pattern::HeavyPairs, None);
+    let without = apart(Pattern::HeavyPairs, Some(Mechanism::Spare));
+    assert!(with > 3.0 * without, "{with}, and {without} without it");
+}
+
+/// On the calm day no worker is emptied: it goes as if none could be.
 #[rstest]
-fn work_goes_to_emptied_workers_on_heavy_days_only() {
-    let apart = |pattern: Pattern| {
-        let mut day = pattern.day();
-        day.site.length_ms = LENGTH_MS;
-        let outcomes = SEEDS.map(|seed| play(&day, seed));
-        let sum = |of: fn(&Outcome) -> u64| outcomes.iter().map(of).sum::<u64>() as f64;
-        sum(|outcome| outcome.filled_apart) / sum(|outcome| outcome.filled)
-    };
-    let (calm, heavy) = (apart(Pattern::Calm), apart(Pattern::HeavyPairs));
-    assert!(heavy > 2.0 * calm, "{heavy} and {calm}");
+fn no_worker_is_emptied_on_calm_days() {
+    let with = apart(Pattern::Calm, None);
+    let without = apart(Pattern::Calm, Some(Mechanism::Spare));
+    assert_eq!(with, without);
 }
--- a/crates/stackpier-load/tests/steps.rs
+++ b/crates/stackpier-load/tests/steps.rs
@@ -18,7 +18,7 @@
 /// WORKERS is the size of the cell.
 const WORKERS: usize = 490;
 /// CALL_RATINGS bounds one call: what a slice allows for tasks of each sort, and what
-/// the last step of each adds, which is looked at whole. It is about a millisecond.
+/// the last step of each adds, which is looked at whole. At 50 ns each it is a millisecond.
 const CALL_RATINGS: u64 = 20_000;
 /// CORES is the processor of the owner's VM in that deployment, in thousandths.
 const CORES: u32 = 500;
