Transactions of a save go four at a time

Ends are noted after their save only, so reports brought 1.0 to 1.4 KB each, mostly ends that were known: 1.4 to 2.1 MB a second. Ruled out: more runs in the reports.

Change: up to four transactions of a save are on their way at a time; ends are noted after all of them, as before.

--- a/crates/stackpier-scheduler/src/saving.rs
+++ b/crates/stackpier-scheduler/src/saving.rs
@@ -18,6 +18,11 @@
 /// PUTS is how many keys go into one transaction: with a condition for each
 /// and one for the ownership they stay within 32 entries.
 const PUTS: usize = 15;
+/// AT_ONCE is how many transactions of a save are on their way at a time. Ends are noted
+/// only after their save and are listed again until then: one after the other, the eight
+/// transactions of a busy cell took a second on a VM of 0.12 cores, and each report brought
+/// a kilobyte of ends that were known.
+const AT_ONCE: usize = 4;
 /// TRIES is how often an unclear write is sent before the save fails.
 const TRIES: usize = 3;
 /// RETRY_MS is the pause between two tries.
@@ -46,8 +51,8 @@
             return false;
         };
         let puts = self.puts(&save);
-        for chunk in puts.chunks(PUTS) {
-            if !self.write(fence, revision, &revisions, chunk).await {
+        for group in puts.chunks(PUTS * AT_ONCE) {
+            if !self.write_group(fence, revision, &revisions, group).await {
                 return false;
             }
         }
@@ -90,6 +95,29 @@
         Some((owner.revision, Rc::clone(&owner.revisions)))
     }
 
+    /// write_group writes a few transactions at a time and tells whether all are done.
+    async fn write_group(
+        &self,
+        fence: u64,
+        owned: u64,
+        revisions: &Rc<RefCell<Revisions>>,
+        group: &[Put],
+    ) -> bool {
+        let write = |chunk: &[Put]| {
+            let (node, revisions, chunk) = (self.clone(), Rc::clone(revisions), chunk.to_vec());
+            tokio::task::spawn_local(
+                async move { node.write(fence, owned, &revisions, &chunk).await },
+            )
+        };
+        let writes: Vec<_> = group.chunks(PUTS).map(write).collect();
+        let mut done = true;
+        for write in writes {
+            // One that panicked may have been done; the next save learns of it.
+            done &= write.await.unwrap_or(false);
+        }
+        done
+    }
+
     async fn write(
         &self,
         fence: u64,
