Looks at workers beyond the owner's share go by way of other daemons, too

Cause: on an owner of 0.12 cores that keeps 540 workers, looks take two thirds of the processor (1,900 a second of 25 to 37 microseconds each, counts of a scratch copy), and on 2 Mbit/s their requests and reports a third of the link.

Change: holds go the same way as starts: batches of calls to one daemon for each 128 workers of a data centre, answers in messages of their own. The owner's own calls may take 0.3 of its link and processor. A worker whose passed call got no answer is called directly for 3 s. Each look is still one that the owner asked for, with its end of the lease.

--- a/crates/stackpier-cell/src/cell.rs
+++ b/crates/stackpier-cell/src/cell.rs
@@ -207,6 +207,11 @@
         self.runs.values().count()
     }
 
+    /// workers returns how many workers are not known to be over.
+    pub fn workers(&self) -> usize {
+        self.live().count()
+    }
+
     /// ready returns how many tasks wait to be placed.
     pub fn ready(&self) -> usize {
         let steps = self.queued();
--- a/crates/stackpier-cell/src/hold.rs
+++ b/crates/stackpier-cell/src/hold.rs
@@ -56,6 +56,7 @@
         };
         let hold = Hold {
             worker: key,
+            data_centre: worker.info.data_centre.clone(),
             address: worker.info.address.clone(),
             life: worker.info.id.clone(),
             fence,
--- a/crates/stackpier-cell/src/wire.rs
+++ b/crates/stackpier-cell/src/wire.rs
@@ -177,7 +177,7 @@
 }
 
 /// Held is the outcome of a hold.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Held {
     /// The worker renewed its lease and reported.
     Report(Report),
@@ -190,7 +190,7 @@
 }
 
 /// Report is a worker's word of what runs and what ended.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Report {
     /// The worker's clock, in milliseconds.
     pub clock_ms: u64,
@@ -201,7 +201,7 @@
 }
 
 /// Row is one run in a report.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Row {
     /// The task.
     pub task: TaskName,
@@ -217,7 +217,7 @@
 }
 
 /// How tells the way a run ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum How {
     /// It did its work.
     Done,
@@ -234,7 +234,7 @@
 }
 
 /// End is one run that ended.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct End {
     /// The worker's count of ends in this life, from one.
     pub number: u64,
@@ -303,6 +303,8 @@
 pub struct Hold {
     /// The worker, for the event that answers.
     pub worker: WorkerKey,
+    /// The worker's data centre.
+    pub data_centre: String,
     /// The worker's address.
     pub address: String,
     /// The life of the worker that is meant.
--- a/crates/stackpier-scheduler/src/calls.rs
+++ b/crates/stackpier-scheduler/src/calls.rs
@@ -42,7 +42,7 @@
 
     pub(crate) async fn send_hold(self, fence: u64, hold: Hold) {
         let sent = self.mono();
-        let outcome = self.platform.hold(&hold).await;
+        let outcome = self.hold_or_pass(&hold).await;
         let answered = matches!(outcome, Held::Report(_));
         self.count_worker("hold", answered);
         let event = Event::Held {
--- a/crates/stackpier-scheduler/src/daemon.rs
+++ b/crates/stackpier-scheduler/src/daemon.rs
@@ -257,7 +257,14 @@
                 None => Response::NotOwner,
             },
             Request::Write(transaction) => Response::Written(self.write_for(&transaction).await),
-            Request::Starts(batch) => Response::Started(self.send_for(batch).await),
+            Request::Calls(batch) => {
+                self.call_for(batch);
+                Response::Flag(true)
+            }
+            Request::Answers(answers) => {
+                self.relays.take_answers(answers);
+                Response::Flag(true)
+            }
             Request::Metrics => Response::Metrics(self.settings.metrics.to_string()),
             request => self.answer_as_owner(request),
         }
@@ -296,7 +303,8 @@
             | Request::Store
             | Request::Config
             | Request::Metrics
-            | Request::Starts(_)
+            | Request::Calls(_)
+            | Request::Answers(_)
             | Request::Write(_) => Response::NotOwner,
         }
     }
--- a/crates/stackpier-scheduler/src/link.rs
+++ b/crates/stackpier-scheduler/src/link.rs
@@ -25,7 +25,7 @@
 };
 
 use crate::{
-    relay::{Batch, Outcome},
+    relay::{Batch, Numbered, Outcome},
     socket,
     store::{Committed, Transaction},
 };
@@ -66,8 +66,10 @@
     Write(Transaction),
     /// Where the receiver shows its metrics.
     Metrics,
-    /// Starts that the receiver is to send to workers.
-    Starts(Batch),
+    /// Calls to workers that the receiver is to send.
+    Calls(Batch),
+    /// Answers to calls that the receiver asked for.
+    Answers(Vec<Numbered<Outcome>>),
 }
 
 impl Request {
@@ -112,8 +114,16 @@
     NotOwner,
     /// The address of the metrics.
     Metrics(String),
-    /// The outcomes of starts, in their order.
-    Started(Vec<Outcome>),
+}
+
+impl Response {
+    /// into_taken tells whether a message was taken.
+    pub(crate) fn into_taken(self) -> Result<()> {
+        match self {
+            Response::Flag(true) => Ok(()),
+            other => Err(Error::new(Kind::Unreachable, format!("answered {other:?}"))),
+        }
+    }
 }
 
 /// Alive is the owner's answer to a heartbeat.
--- a/crates/stackpier-scheduler/src/member.rs
+++ b/crates/stackpier-scheduler/src/member.rs
@@ -245,6 +245,7 @@
 
 impl<P: Platform> Monitor<P> {
     async fn turn(&mut self) {
+        self.node.size_relays();
         if let Some(own) = self.node.unloaded() {
             self.node.load(own, true).await;
             return;
--- a/crates/stackpier-scheduler/src/metrics.rs
+++ b/crates/stackpier-scheduler/src/metrics.rs
@@ -23,6 +23,9 @@
     pub store_calls: Counter<u64>,
     /// Calls to workers, by call and outcome.
     pub worker_calls: Counter<u64>,
+    /// Calls to workers that another daemon was asked to send, by call and whether an
+    /// answer came.
+    pub passed_calls: Counter<u64>,
     /// Decisions, by part.
     pub decisions: Counter<u64>,
     /// Ownerships won and lost.
@@ -47,6 +50,7 @@
             latency: instruments.seconds("stackpier_answer_seconds", &LATENCY_BOUNDS),
             store_calls: count("stackpier_store_calls"),
             worker_calls: count("stackpier_worker_calls"),
+            passed_calls: count("stackpier_passed_calls"),
             decisions: count("stackpier_decisions"),
             ownerships: count("stackpier_ownerships"),
             running: meter.u64_gauge("stackpier_running").build(),
--- a/crates/stackpier-scheduler/src/node.rs
+++ b/crates/stackpier-scheduler/src/node.rs
@@ -121,7 +121,7 @@
             limit,
             metrics: Metrics::new()?,
             links: Links::default(),
-            relays: Relays::default(),
+            relays: Relays::new(),
             config: RefCell::default(),
             plans: RefCell::default(),
             config_item: RefCell::default(),
--- a/crates/stackpier-scheduler/src/relay.rs
+++ b/crates/stackpier-scheduler/src/relay.rs
@@ -1,23 +1,26 @@
 // SPDX-License-Identifier: Apache-2.0
-//! Starts that other daemons send to workers for the owner.
+//! Calls to workers that other daemons send for the owner.
 //!
-//! A start carries its job's payload and is a call of its own, so the starts of a large
-//! cell need more than a small VM's link and processor bear. An owner sends as many itself
-//! as take a share of both; the rest goes in batches to daemons in the workers' data
-//! centres, each payload once. What a worker does with a start does not depend on who sends
-//! it: the fence, the run's number and the end of the lease are in it. One that is sent
-//! late, by a daemon that was frozen, is refused as any late order is.
+//! The starts and looks of a large cell need more than a small VM's link and processor
+//! bear: a start carries its job's payload, and each call costs some 40 microseconds of a
+//! core. An owner sends as many itself as take a share of both; the rest goes in batches to
+//! daemons in the workers' data centres, each payload once. What a worker does with a call
+//! does not depend on who sends it: the fence, the life that is meant, the run's number and
+//! the end of the lease are in it. One that is sent late, by a daemon that was frozen, is
+//! refused as any late call is. Leases are renewed by nobody but the owner: each look that
+//! another daemon sends is one that the owner asked for.
 
 mod batch;
+mod helper;
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     cmp::Reverse,
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     time::Duration,
 };
 
-use stackpier_cell::{Start, Started};
+use stackpier_cell::{Held, Hold, Start, Started};
 use stackpier_core::{Millis, key};
 use tokio::{sync::oneshot, time::timeout};
 
@@ -25,39 +28,43 @@
     Platform,
     keys::Member,
     link::{Request, Response},
+    metrics::labels,
     node::{Node, pause},
 };
 
 use batch::{Known, Payloads};
 
-pub use batch::{Batch, Outcome};
+pub use batch::{Batch, Numbered, Outcome};
 
-/// GATHER_MS is how long starts are gathered for a batch.
-const GATHER_MS: u64 = 5;
-/// START_LIMIT bounds a start that is sent for another daemon: workers answer within some
-/// milliseconds, and one that does not holds up the answer to its batch.
-const START_LIMIT: Duration = Duration::from_millis(250);
-/// BATCH_LIMIT bounds a batch: its starts, two ways between data centres, and a wait for
-/// the other daemon's processor.
+/// GATHER_STARTS_MS is how long starts are gathered for a batch.
+const GATHER_STARTS_MS: u64 = 5;
+/// GATHER_LOOKS_MS is the same for looks, of which hundreds a second go to a daemon.
+const GATHER_LOOKS_MS: u64 = 15;
+/// BATCH_LIMIT bounds the wait for the word that a batch has come.
 const BATCH_LIMIT: Duration = Duration::from_millis(400);
-/// AVOID_MS is for how long a daemon that did not answer a batch gets no other.
+/// START_LIMIT bounds the wait for the answer to a start.
+const START_LIMIT: Duration = Duration::from_millis(600);
+/// LOOK_MARGIN_MS is what the answer to a look may take beyond its wait, in milliseconds:
+/// as much as one of the owner's own, and the ways to the other daemon and back.
+const LOOK_MARGIN_MS: u64 = 750;
+/// AVOID_MS is for how long a daemon that did not answer gets no calls to send, and for
+/// how long a worker that did not answer to one is called by the owner itself.
 const AVOID_MS: u64 = 3_000;
-/// HELPERS is how many daemons of a data centre send starts. Each gets the payload of a
-/// job that has tasks on its workers, and two bear the starts of a hundred workers.
-const HELPERS: usize = 2;
+/// WORKERS_PER_HELPER is how many workers a daemon calls for the owner. Those of a busy
+/// cell take five calls a second each: with 128, a quarter of a VM of 0.12 cores.
+const WORKERS_PER_HELPER: usize = 128;
 /// TRIES is how often a start is passed: once more if the other daemon had forgotten its
 /// payload.
 const TRIES: usize = 2;
-/// DIRECT_PART is the part of its link and processor, one in so many, that an owner's own
-/// starts may take. Reports of workers take about as much again.
-const DIRECT_PART: f64 = 5.0;
+/// DIRECT_PART is the part of its link and processor that the owner's own calls may take.
+const DIRECT_PART: f64 = 0.3;
 /// SAVED_MS is for how long a share that was not used is saved up.
 const SAVED_MS: f64 = 100.0;
 
-/// Share is what the owner's own starts may take of its link and processor.
+/// Share is what the owner's own calls may take of its link and processor.
 #[derive(Debug)]
 struct Share {
-    /// The part of the time that is saved up, in milliseconds.
+    /// The time that is saved up, in milliseconds.
     saved_ms: f64,
     renewed: Millis,
 }
@@ -73,12 +80,12 @@
 }
 
 impl Share {
-    /// take tells whether there is time left for a start that keeps the link or the
+    /// take tells whether there is time left for a call that keeps the link or the
     /// processor busy for `busy_ms`, and takes it.
     fn take(&mut self, now: Millis, busy_ms: f64) -> bool {
         let passed_ms = now.since(self.renewed) as f64;
         self.renewed = now;
-        self.saved_ms = (self.saved_ms + passed_ms / DIRECT_PART).min(SAVED_MS);
+        self.saved_ms = (self.saved_ms + passed_ms * DIRECT_PART).min(SAVED_MS);
         if self.saved_ms < busy_ms {
             return false;
         }
@@ -87,30 +94,46 @@
     }
 }
 
-/// Gathered is the starts that wait to be sent to one daemon.
-#[derive(Default)]
-struct Gathered {
-    batch: Batch,
-    answers: Vec<oneshot::Sender<Outcome>>,
-}
-
-/// Relays are the daemons that send starts for this one, and what this one keeps to do so
+/// Relays are the daemons that call workers for this one, and what this one keeps to do so
 /// for others.
-#[derive(Default)]
 pub(crate) struct Relays {
     share: RefCell<Share>,
-    /// The starts that wait, by the address of the daemon that is to send them.
-    gathered: RefCell<HashMap<String, Gathered>>,
+    /// How many daemons of each data centre call workers.
+    helpers: Cell<usize>,
+    /// The calls that wait, by the address of the daemon that is to send them.
+    gathered: RefCell<HashMap<String, Batch>>,
+    /// The calls that are not answered yet.
+    waiting: RefCell<HashMap<u64, oneshot::Sender<Outcome>>>,
+    /// The number of the last call.
+    number: Cell<u64>,
     /// The payloads that daemons have, by their addresses.
     known: RefCell<HashMap<String, Known>>,
-    /// When daemons, by their addresses, last failed to answer.
+    /// When daemons and workers, by their addresses, last failed to answer.
     failed: RefCell<BTreeMap<String, Millis>>,
     /// The payloads that this daemon has.
     payloads: RefCell<Payloads>,
+    /// The answers that wait to be sent to owners.
+    answers: RefCell<HashMap<String, Vec<Numbered<Outcome>>>>,
 }
 
 impl Relays {
-    /// is_avoided tells whether a daemon lately did not answer.
+    /// new knows of no other daemon. Calls are numbered from anywhere, so that answers to
+    /// an earlier run of the daemon belong to none.
+    pub(crate) fn new() -> Relays {
+        Relays {
+            share: RefCell::default(),
+            helpers: Cell::new(1),
+            gathered: RefCell::default(),
+            waiting: RefCell::default(),
+            number: Cell::new(u64::from(rand::random::<u32>()) << u32::BITS),
+            known: RefCell::default(),
+            failed: RefCell::default(),
+            payloads: RefCell::default(),
+            answers: RefCell::default(),
+        }
+    }
+
+    /// is_avoided tells whether a daemon or worker lately did not answer.
     fn is_avoided(&self, address: &str, now: Millis) -> bool {
         let failed = self.failed.borrow();
         failed
@@ -118,22 +141,25 @@
             .is_some_and(|at| now.since(*at) < AVOID_MS)
     }
 
-    /// gather adds a start to those that a daemon is to send, and tells whether it is the
-    /// first that waits.
-    fn gather(&self, address: &str, start: &Start, answer: oneshot::Sender<Outcome>) -> bool {
-        let mut known = self.known.borrow_mut();
-        let known = known.entry(address.to_owned()).or_default();
-        let mut gathered = self.gathered.borrow_mut();
-        let gathered = gathered.entry(address.to_owned()).or_default();
-        gathered.batch.add(start, known);
-        gathered.answers.push(answer);
-        gathered.answers.len() == 1
+    /// avoid notes that a daemon or worker did not answer.
+    fn avoid(&self, address: &str, now: Millis) {
+        let mut failed = self.failed.borrow_mut();
+        failed.retain(|_, at| now.since(*at) < AVOID_MS);
+        failed.insert(address.to_owned(), now);
     }
 
     /// fail notes that a daemon did not answer: it may have been restarted.
-    fn fail(&self, address: String, now: Millis) {
-        self.known.borrow_mut().remove(&address);
-        self.failed.borrow_mut().insert(address, now);
+    fn fail(&self, address: &str, now: Millis) {
+        self.known.borrow_mut().remove(address);
+        self.avoid(address, now);
+    }
+
+    /// next returns the number of a call whose answer is waited for.
+    fn next(&self, answer: oneshot::Sender<Outcome>) -> u64 {
+        let number = self.number.get() + 1;
+        self.number.set(number);
+        self.waiting.borrow_mut().insert(number, answer);
+        number
     }
 
     /// forget notes that a daemon does not have the payload of a job.
@@ -142,109 +168,205 @@
             known.remove(job);
         }
     }
+
+    /// take_answers hands the answers of another daemon on.
+    pub(crate) fn take_answers(&self, answers: Vec<Numbered<Outcome>>) {
+        for Numbered { number, item } in answers {
+            if let Some(waiting) = self.waiting.borrow_mut().remove(&number) {
+                // Nobody waits for it if its time is over.
+                let _ = waiting.send(item);
+            }
+        }
+    }
+
+    /// size sets how many daemons call workers, by the size of the cell.
+    pub(crate) fn size(&self, workers: usize, data_centres: usize) {
+        let each = workers / data_centres.max(1);
+        self.helpers.set(each.div_ceil(WORKERS_PER_HELPER).max(1));
+    }
 }
 
 impl<P: Platform> Node<P> {
+    /// size_relays sets how many daemons call workers for this one, if it owns the cell.
+    pub(crate) fn size_relays(&self) {
+        let owner = self.owner.borrow();
+        if let Some(owner) = owner.as_ref() {
+            let members = self.members.borrow();
+            let data_centres = members.values().map(|member| &member.data_centre);
+            let data_centres: BTreeSet<&String> = data_centres.collect();
+            self.relays.size(owner.cell.workers(), data_centres.len());
+        }
+    }
+
     /// start_or_pass sends a start, by way of another daemon if this one's share of its
     /// link and processor is used up.
     pub(crate) async fn start_or_pass(&self, start: &Start) -> Started {
         let busy_ms = self.settings.costs.start_ms(start.payload.len());
-        let direct = self.relays.share.borrow_mut().take(self.mono(), busy_ms);
-        let helper = if direct { None } else { self.helper(start) };
-        match helper {
-            Some(address) => self.pass(&address, start).await,
-            None => self.platform.start(start).await,
+        let worker = &start.order.address;
+        let Some(helper) = self.helper(worker, &start.data_centre, busy_ms) else {
+            return self.platform.start(start).await;
+        };
+        let outcome = self.pass_start(&helper, start).await;
+        self.count_passed("start", outcome != Started::Silent);
+        if outcome == Started::Silent {
+            self.relays.avoid(worker, self.mono());
         }
+        outcome
     }
 
-    /// helper returns the address of the daemon that sends a worker's starts: always the
-    /// same one as long as it answers, so that the worker has few connections.
-    fn helper(&self, start: &Start) -> Option<String> {
+    /// hold_or_pass does the same for a hold.
+    pub(crate) async fn hold_or_pass(&self, hold: &Hold) -> Held {
+        let busy_ms = self.settings.costs.look_ms();
+        let Some(helper) = self.helper(&hold.address, &hold.data_centre, busy_ms) else {
+            return self.platform.hold(hold).await;
+        };
+        let limit = Duration::from_millis(hold.wait_ms + LOOK_MARGIN_MS);
+        let outcome = self.pass(&helper, limit, GATHER_LOOKS_MS, |number, batch, _| {
+            batch.add_look(number, hold);
+        });
+        let held = match outcome.await {
+            Some(Outcome::Held(held)) => held,
+            _ => Held::Silent,
+        };
+        let answered = !matches!(held, Held::Silent);
+        self.count_passed("hold", answered);
+        if !answered {
+            self.relays.avoid(&hold.address, self.mono());
+        }
+        held
+    }
+
+    fn count_passed(&self, call: &'static str, answered: bool) {
+        let outcome = if answered { "answered" } else { "silent" };
+        self.metrics.passed_calls.add(1, &labels(call, outcome));
+    }
+
+    /// helper returns the address of the daemon that calls a worker, or `None` if this
+    /// daemon does so. It is always the same one as long as it answers, so that the worker
+    /// has few connections.
+    fn helper(&self, worker: &str, data_centre: &str, busy_ms: f64) -> Option<String> {
         let now = self.mono();
+        let relays = &self.relays;
+        let direct = relays.share.borrow_mut().take(now, busy_ms);
+        if direct || relays.is_avoided(worker, now) {
+            return None;
+        }
         let members = self.members.borrow();
-        let usable = |member: &&Member| {
-            member.vm != self.settings.vm && !self.relays.is_avoided(&member.address, now)
+        let others = || {
+            members
+                .values()
+                .filter(|member| member.vm != self.settings.vm)
         };
-        let near = |member: &&Member| member.data_centre == start.data_centre;
-        let mut helpers: Vec<&Member> = members.values().filter(near).filter(usable).collect();
+        let usable = |member: &&Member| !relays.is_avoided(&member.address, now);
+        let near = |member: &&Member| member.data_centre == data_centre;
+        let mut helpers: Vec<&Member> = others().filter(near).filter(usable).collect();
         if helpers.is_empty() {
-            helpers = members.values().filter(usable).collect();
+            helpers = others().filter(usable).collect();
         }
         helpers.sort_by_key(|member| {
             let place = key::weight(member.vm.as_bytes(), 0);
             (Reverse(member.milli_cores), place)
         });
-        let worker = start.order.address.as_bytes();
-        let weight = |member: &&&Member| key::weight(worker, key::weight(member.vm.as_bytes(), 0));
-        let chosen = helpers.iter().take(HELPERS).max_by_key(weight);
-        chosen.map(|member| member.address.clone())
+        let weight = |member: &&&Member| {
+            key::weight(worker.as_bytes(), key::weight(member.vm.as_bytes(), 0))
+        };
+        let chosen = helpers.iter().take(relays.helpers.get().max(1));
+        chosen
+            .max_by_key(weight)
+            .map(|member| member.address.clone())
     }
 
-    /// pass has another daemon send a start.
-    async fn pass(&self, address: &str, start: &Start) -> Started {
+    /// pass_start has another daemon send a start.
+    async fn pass_start(&self, helper: &str, start: &Start) -> Started {
         for _ in 0..TRIES {
-            let (answer, answered) = oneshot::channel();
-            if self.relays.gather(address, start, answer) {
-                let node = self.clone();
-                let address = address.to_owned();
-                tokio::task::spawn_local(async move { node.send_gathered(address).await });
-            }
-            match answered.await {
-                Ok(Outcome::Sent(outcome)) => return outcome,
-                Ok(Outcome::NoPayload) => self.relays.forget(address, start.order.task.job),
+            let outcome = self.pass(
+                helper,
+                START_LIMIT,
+                GATHER_STARTS_MS,
+                |number, batch, known| {
+                    batch.add_start(number, start, known);
+                },
+            );
+            match outcome.await {
+                Some(Outcome::Started(outcome)) => return outcome,
+                Some(Outcome::NoPayload) => {
+                    self.relays.forget(helper, start.order.task.job);
+                }
                 // Without an answer the start may or may not have been sent.
-                Err(_) => return Started::Silent,
+                _ => return Started::Silent,
             }
         }
         // It was not sent: the task is placed again.
         Started::Unhealthy
     }
 
-    async fn send_gathered(&self, address: String) {
-        pause(GATHER_MS).await;
-        let gathered = self.relays.gathered.borrow_mut().remove(&address);
-        let Some(Gathered { batch, answers }) = gathered else {
-            return;
-        };
-        let request = Request::Starts(batch);
-        match self.links.call(&address, &request, BATCH_LIMIT).await {
-            Ok(Response::Started(outcomes)) => {
-                for (answer, outcome) in answers.into_iter().zip(outcomes) {
-                    // Nobody waits for it if the owner has given the cell up meanwhile.
-                    let _ = answer.send(outcome);
-                }
-            }
-            other => {
-                let count = answers.len();
-                let text = format!("{address} did not answer to {count} starts: {other:?}");
-                self.say("relay", &text);
-                self.relays.fail(address, self.mono());
+    /// pass has another daemon send a call, and returns the answer if it comes in time.
+    async fn pass(
+        &self,
+        helper: &str,
+        limit: Duration,
+        gather_ms: u64,
+        add: impl FnOnce(u64, &mut Batch, &mut Known),
+    ) -> Option<Outcome> {
+        let (answer, answered) = oneshot::channel();
+        let number = self.relays.next(answer);
+        if self.gather(helper, number, add) {
+            let (node, address) = (self.clone(), helper.to_owned());
+            tokio::task::spawn_local(async move {
+                pause(gather_ms).await;
+                node.send_gathered(&address).await;
+            });
+        }
+        match timeout(limit, answered).await {
+            Ok(Ok(outcome)) => Some(outcome),
+            Ok(Err(_)) => None,
+            Err(_) => {
+                self.relays.waiting.borrow_mut().remove(&number);
+                self.relays.fail(helper, self.mono());
+                None
             }
         }
     }
 
-    /// send_for sends the starts of a batch for the owner.
-    pub(crate) async fn send_for(&self, batch: Batch) -> Vec<Outcome> {
-        let starts = batch.starts(&mut self.relays.payloads.borrow_mut());
-        let send = |start: Option<Start>| {
-            let node = self.clone();
-            tokio::task::spawn_local(async move { node.send_one_for(start).await })
-        };
-        let sent: Vec<_> = starts.into_iter().map(send).collect();
-        let mut outcomes = Vec::with_capacity(sent.len());
-        for outcome in sent {
-            // A task that panicked may have sent its start.
-            let silent = Outcome::Sent(Started::Silent);
-            outcomes.push(outcome.await.unwrap_or(silent));
-        }
-        outcomes
+    /// gather adds a call to those that wait for a daemon, and tells whether it is the
+    /// first of its sort.
+    fn gather(
+        &self,
+        helper: &str,
+        number: u64,
+        add: impl FnOnce(u64, &mut Batch, &mut Known),
+    ) -> bool {
+        let mut known = self.relays.known.borrow_mut();
+        let known = known.entry(helper.to_owned()).or_default();
+        let mut gathered = self.relays.gathered.borrow_mut();
+        let batch = gathered.entry(helper.to_owned()).or_insert_with(|| {
+            let owner = self.settings.advertised.to_string();
+            Batch::new(owner)
+        });
+        let before = batch.sorts();
+        add(number, batch, known);
+        batch.sorts() > before
     }
 
-    async fn send_one_for(&self, start: Option<Start>) -> Outcome {
-        let Some(start) = start else {
-            return Outcome::NoPayload;
+    /// send_gathered sends the calls that wait for a daemon, if there still are any.
+    async fn send_gathered(&self, helper: &str) {
+        let batch = self.relays.gathered.borrow_mut().remove(helper);
+        let Some(batch) = batch else {
+            return;
         };
-        let sent = timeout(START_LIMIT, self.platform.start(&start)).await;
-        Outcome::Sent(sent.unwrap_or(Started::Silent))
+        let numbers = batch.numbers();
+        let request = Request::Calls(batch);
+        let taken = self.links.call(helper, &request, BATCH_LIMIT).await;
+        if let Err(error) = taken.and_then(Response::into_taken) {
+            let count = numbers.len();
+            let text = format!("{helper} did not take {count} calls: {error}");
+            self.say("relay", &text);
+            self.relays.fail(helper, self.mono());
+            let mut waiting = self.relays.waiting.borrow_mut();
+            // Whoever waits for an answer learns that there is none.
+            numbers.iter().for_each(|number| {
+                waiting.remove(number);
+            });
+        }
     }
 }
--- a/crates/stackpier-scheduler/src/relay/batch.rs
+++ b/crates/stackpier-scheduler/src/relay/batch.rs
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
-//! The message with the starts that another daemon is to send, and the payloads of jobs
-//! that both sides keep.
+//! The messages between an owner and the daemons that call workers for it, and the
+//! payloads of jobs that both sides keep.
 
 use std::{
     collections::{HashSet, VecDeque},
@@ -8,7 +8,7 @@
 };
 
 use serde::{Deserialize, Serialize};
-use stackpier_cell::{self as cell, Start, Started, TaskName};
+use stackpier_cell::{self as cell, Held, Hold, Start, Started, TaskName, WorkerKey};
 use stackpier_core::key;
 
 /// KEPT is how many payloads a daemon keeps. The tasks of a job start over some seconds,
@@ -16,14 +16,26 @@
 /// bytes, so this is half a megabyte at most.
 const KEPT: usize = 128;
 
-/// Batch is starts that another daemon is to send.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+/// Batch is calls to workers that another daemon is to send.
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Batch {
+    /// Where the owner takes the answers.
+    pub(super) owner: String,
     /// The owner's fence.
     fence: u64,
     /// The payloads that the other daemon is not known to have.
     payloads: Vec<Payload>,
-    orders: Vec<Order>,
+    starts: Vec<Numbered<Order>>,
+    looks: Vec<Numbered<Look>>,
+}
+
+/// Numbered is a call or an answer with the owner's number of the call.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Numbered<T> {
+    /// The number.
+    pub number: u64,
+    /// The call or the answer.
+    pub item: T,
 }
 
 /// Payload is the payload of a job.
@@ -33,7 +45,7 @@
     text: String,
 }
 
-/// Order is one start of a batch.
+/// Order is a start.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 struct Order {
     address: String,
@@ -47,18 +59,43 @@
     ticket: Option<String>,
 }
 
-/// Outcome is what became of one start of a batch.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+/// Look is a hold.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct Look {
+    address: String,
+    /// The life of the worker that is meant.
+    life: String,
+    deadline_ms: Option<u64>,
+    noted: u64,
+    wait_ms: u64,
+}
+
+/// Outcome is the answer to a call.
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Outcome {
-    /// It was sent, and this is the worker's answer.
-    Sent(Started),
-    /// It was not sent, as its job's payload is not known.
+    /// The start was sent, and this is the worker's answer.
+    Started(Started),
+    /// The start was not sent, as its job's payload is not known.
     NoPayload,
+    /// The worker's answer to a look.
+    Held(Held),
 }
 
 impl Batch {
-    /// add adds a start, with its payload if the other daemon is not known to have it.
-    pub(super) fn add(&mut self, start: &Start, known: &mut Known) {
+    /// new holds no calls. Answers go to `owner`.
+    pub(super) fn new(owner: String) -> Batch {
+        Batch {
+            owner,
+            fence: 0,
+            payloads: Vec::new(),
+            starts: Vec::new(),
+            looks: Vec::new(),
+        }
+    }
+
+    /// add_start adds a start, with its payload if the other daemon is not known to have
+    /// it.
+    pub(super) fn add_start(&mut self, number: u64, start: &Start, known: &mut Known) {
         let job = start.order.task.job;
         self.fence = start.order.fence;
         if known.insert(job) {
@@ -67,7 +104,7 @@
                 text: start.payload.to_string(),
             });
         }
-        self.orders.push(Order {
+        let item = Order {
             address: start.order.address.clone(),
             life: start.order.life.clone(),
             task: start.order.task,
@@ -75,18 +112,57 @@
             deadline_ms: start.deadline_ms,
             checkpoint: start.checkpoint.clone(),
             ticket: start.ticket.clone(),
-        });
+        };
+        self.starts.push(Numbered { number, item });
+    }
+
+    /// add_look adds a look at a worker.
+    pub(super) fn add_look(&mut self, number: u64, hold: &Hold) {
+        self.fence = hold.fence;
+        let item = Look {
+            address: hold.address.clone(),
+            life: hold.life.clone(),
+            deadline_ms: hold.deadline_ms,
+            noted: hold.noted,
+            wait_ms: hold.wait_ms,
+        };
+        self.looks.push(Numbered { number, item });
+    }
+
+    /// sorts returns of how many sorts of calls there are any.
+    pub(super) fn sorts(&self) -> u32 {
+        u32::from(!self.starts.is_empty()) + u32::from(!self.looks.is_empty())
+    }
+
+    /// numbers returns the numbers of all calls.
+    pub(super) fn numbers(&self) -> Vec<u64> {
+        let starts = self.starts.iter().map(|start| start.number);
+        starts
+            .chain(self.looks.iter().map(|look| look.number))
+            .collect()
     }
 
-    /// starts returns the starts of a batch, `None` for those without a payload.
-    pub(super) fn starts(self, payloads: &mut Payloads) -> Vec<Option<Start>> {
-        for payload in self.payloads {
+    /// take_starts returns the starts, `None` for those without a payload.
+    pub(super) fn take_starts(&mut self, payloads: &mut Payloads) -> Vec<Numbered<Option<Start>>> {
+        for payload in self.payloads.drain(..) {
             payloads.insert(payload.job, payload.text);
         }
-        let orders = self.orders.into_iter();
-        orders
-            .map(|order| order.start(self.fence, payloads))
-            .collect()
+        let fence = self.fence;
+        let start = |Numbered { number, item }: Numbered<Order>| Numbered {
+            number,
+            item: item.start(fence, payloads),
+        };
+        self.starts.drain(..).map(start).collect()
+    }
+
+    /// take_looks returns the looks.
+    pub(super) fn take_looks(&mut self) -> Vec<Numbered<Hold>> {
+        let fence = self.fence;
+        let look = |Numbered { number, item }: Numbered<Look>| Numbered {
+            number,
+            item: item.hold(fence),
+        };
+        self.looks.drain(..).map(look).collect()
     }
 }
 
@@ -112,6 +188,22 @@
     }
 }
 
+impl Look {
+    fn hold(self, fence: u64) -> Hold {
+        Hold {
+            // Only the owner's arena knows the worker.
+            worker: WorkerKey::default(),
+            data_centre: String::new(),
+            address: self.address,
+            life: self.life,
+            fence,
+            deadline_ms: self.deadline_ms,
+            noted: self.noted,
+            wait_ms: self.wait_ms,
+        }
+    }
+}
+
 /// Known is the jobs whose payloads another daemon was sent and still keeps.
 #[derive(Debug, Default)]
 pub(super) struct Known {
--- a/crates/stackpier-scheduler/src/settings.rs
+++ b/crates/stackpier-scheduler/src/settings.rs
@@ -30,6 +30,12 @@
 /// milliseconds: measured on a fleet of 540 workers, as 0.12 cores for 3,300 calls a
 /// second.
 const START_MS: f64 = 0.036;
+/// LOOK_MS is the processor time of a look at a worker, on a whole core, in milliseconds:
+/// measured together with starts.
+const LOOK_MS: f64 = 0.036;
+/// LOOK_BYTES is what a look takes of the link each way at most, in bytes: a report of
+/// eight runs.
+const LOOK_BYTES: f64 = 900.0;
 /// START_BYTES is what a start takes on the wire besides its payload, in bytes.
 const START_BYTES: f64 = 450.0;
 /// BYTES_PER_MS is how many bytes a millisecond a link of one Mbit/s carries.
@@ -112,6 +118,12 @@
 }
 
 impl Costs {
+    /// look_ms returns the same for a look at a worker.
+    pub fn look_ms(&self) -> f64 {
+        let link_ms = LOOK_BYTES / (self.link_mbps * BYTES_PER_MS);
+        link_ms.max(LOOK_MS / self.cores)
+    }
+
     /// start_ms returns for how long a start with a payload of some bytes keeps the link
     /// or the processor busy, whichever is longer, in milliseconds.
     pub fn start_ms(&self, payload: usize) -> f64 {
