Patience with an owner on a slow link, and configurations that don't pile up

When all batches went unanswered at once, all calls became the owner's own again, payloads and all. Configurations that change twelve times a second came one by one.

Change: the owner may be silent for as long as the present configuration takes on its link beyond the 0.9 s; if no daemon of a data centre answers, the nearest still get the calls; a watch that brings several configurations is followed by a listing, which holds the newest.

--- a/crates/stackpier-scheduler/src/daemon.rs
+++ b/crates/stackpier-scheduler/src/daemon.rs
@@ -239,6 +239,13 @@
         true
     }
 
+    /// skips is true: each configuration replaces the one before. Changes that come twelve
+    /// times a second are more than a link of 2 Mbit/s carries one by one, and the last of
+    /// them was in force seconds late.
+    fn skips(&self) -> bool {
+        true
+    }
+
     fn take(&mut self, feed: Feed) {
         for item in feed.into_items() {
             self.take_item(&item);
--- a/crates/stackpier-scheduler/src/keys.rs
+++ b/crates/stackpier-scheduler/src/keys.rs
@@ -53,6 +53,8 @@
     pub data_centre: String,
     /// The processor that it has, in thousandths of a core.
     pub milli_cores: u32,
+    /// Its link, in kbit/s.
+    pub link_kbps: u32,
 }
 
 /// Entry is what a key under [`JOBS`] is about.
--- a/crates/stackpier-scheduler/src/member.rs
+++ b/crates/stackpier-scheduler/src/member.rs
@@ -34,8 +34,12 @@
 /// HEARTBEAT_LIMIT bounds the wait for a heartbeat's answer.
 const HEARTBEAT_LIMIT: Duration = Duration::from_millis(400);
 /// SILENT_MS is how long the owner may be silent before a take-over: three
-/// heartbeats and a little.
+/// heartbeats and a little. A configuration that comes over a slow link takes longer, see
+/// [`Monitor::patience_ms`].
 const SILENT_MS: u64 = 900;
+/// BITS is the number of bits that a byte of the store's answers takes: four thirds of
+/// eight in base64, and a tenth for heads.
+const BITS: u64 = 12;
 /// STORELESS_MS is how long the owner may be without the store, while this
 /// daemon has it, before a take-over.
 const STORELESS_MS: u64 = 1_000;
@@ -97,6 +101,7 @@
         address: node.settings.advertised.to_string(),
         data_centre: node.settings.data_centre.clone(),
         milli_cores: node.settings.milli_cores,
+        link_kbps: node.settings.link_kbps,
     };
     let value = encode(&member).expect("a member is encoded");
     let transaction = Transaction {
@@ -308,7 +313,22 @@
     }
 
     fn is_silent(&self) -> bool {
-        self.node.mono().since(self.node.heard.get()) >= SILENT_MS
+        self.node.mono().since(self.node.heard.get()) >= self.patience_ms()
+    }
+
+    /// patience_ms returns for how long the owner may be silent. A new configuration comes
+    /// to all daemons at once and is held up by nothing, so an owner on a slow link is
+    /// silent while its own comes: for one second with 256 KB on 2 Mbit/s. A take-over
+    /// would bring another owner that waits as long, and cost all the same.
+    fn patience_ms(&self) -> u64 {
+        let config = self.node.config_item.borrow();
+        let bytes = config.as_ref().map_or(0, |item| item.value.len() as u64);
+        let owned = self.node.owned.borrow();
+        let owner = owned.as_ref().map(|owned| &owned.ownership.vm);
+        let members = self.node.members.borrow();
+        let link = owner.and_then(|vm| Some(members.get(vm)?.link_kbps));
+        let kbps = u64::from(link.unwrap_or(u32::MAX).max(1));
+        SILENT_MS + bytes * BITS / kbps
     }
 
     fn check_store(&mut self, alive: Alive, now: Millis) -> Option<Doubt> {
--- a/crates/stackpier-scheduler/src/relay.rs
+++ b/crates/stackpier-scheduler/src/relay.rs
@@ -261,7 +261,8 @@
         let near = |member: &&Member| member.data_centre == data_centre;
         let mut helpers: Vec<&Member> = others().filter(near).filter(usable).collect();
         if helpers.is_empty() {
-            helpers = others().filter(usable).collect();
+            // If none answered, the owner's own link is the likely reason.
+            helpers = others().filter(near).collect();
         }
         helpers.sort_by_key(|member| {
             let place = key::weight(member.vm.as_bytes(), 0);
--- a/crates/stackpier-scheduler/src/settings.rs
+++ b/crates/stackpier-scheduler/src/settings.rs
@@ -40,6 +40,8 @@
 const START_BYTES: f64 = 450.0;
 /// BYTES_PER_MS is how many bytes a millisecond a link of one Mbit/s carries.
 const BYTES_PER_MS: f64 = 125.0;
+/// KBPS is the number of kbit/s in one Mbit/s.
+const KBPS: f64 = 1_000.0;
 /// USUAL_MBPS is the link of a VM where the settings don't tell it.
 const USUAL_MBPS: f64 = 1_000.0;
 /// LONGEST_MS bounds every time in the settings.
@@ -103,6 +105,8 @@
     pub cell: stackpier_cell::Options,
     /// The processor that the VM has, in thousandths of a core.
     pub milli_cores: u32,
+    /// The VM's link, in kbit/s.
+    pub link_kbps: u32,
     /// What starts cost on the VM.
     pub costs: Costs,
     /// The time from a request to stop until the process is killed, in
@@ -191,6 +195,7 @@
             },
             grace_ms: (grace_s * 1_000.0) as u64,
             milli_cores: (cores * 1_000.0) as u32,
+            link_kbps: (link_mbps * KBPS) as u32,
             costs: Costs { cores, link_mbps },
             vm: named("vm", raw.vm)?,
             data_centre: named("data_centre", raw.data_centre)?,
--- a/crates/stackpier-scheduler/src/store.rs
+++ b/crates/stackpier-scheduler/src/store.rs
@@ -36,6 +36,16 @@
     Removed(String),
 }
 
+impl Change {
+    /// key returns the key that changed.
+    pub fn key(&self) -> &str {
+        match self {
+            Change::Put(item) => &item.key,
+            Change::Removed(key) => key,
+        }
+    }
+}
+
 /// Watched is the answer of a watch.
 #[derive(Clone, Debug)]
 pub enum Watched {
--- a/crates/stackpier-scheduler/src/watch.rs
+++ b/crates/stackpier-scheduler/src/watch.rs
@@ -53,6 +53,12 @@
     /// is_wanted tells whether to go on.
     fn is_wanted(&self) -> bool;
 
+    /// skips tells whether only the newest value of a key counts: if a watch brings several
+    /// values of one, the next read is a listing.
+    fn skips(&self) -> bool {
+        false
+    }
+
     /// pause_ms returns the pause between two watches, so that changes come
     /// together.
     fn pause_ms(&self) -> u64 {
@@ -106,12 +112,20 @@
             Ok(None)
         }
         Watched::Changes(changes, at) => {
+            let behind = follower.skips() && has_repeats(&changes);
             let news = !changes.is_empty();
             if news && follower.is_wanted() {
                 follower.take(Feed::Changes(changes));
                 pause(follower.pause_ms()).await;
             }
-            Ok(Some(at.max(after)))
+            Ok((!behind).then_some(at.max(after)))
         }
     }
 }
+
+/// has_repeats tells whether several changes are of one key: the watch lags behind.
+fn has_repeats(changes: &[Change]) -> bool {
+    let mut keys: Vec<&str> = changes.iter().map(Change::key).collect();
+    keys.sort_unstable();
+    keys.windows(2).any(|pair| pair[0] == pair[1])
+}
