Workers are dedicated to short tasks while these find no room

Ruled out: the order among short tasks; room free as a whole (700 cores are).

Tried first and reverted: tasks that last leave room for a short one on as many workers as short work needs.

Change: while useful short tasks wait for a whole worker, workers are dedicated to them, a tenth at most, one each 150 ms: tasks that last are stopped there as far as their steps can miss them, and start there only in room that was free for 0.45 s.

The summary in the log tells short tasks that wait from those that last.

--- a/crates/stackpier-cell/src/cell.rs
+++ b/crates/stackpier-cell/src/cell.rs
@@ -10,6 +10,7 @@
     Effect, Event, Mechanism, Note, Now, Options, Queue, TaskName,
     arena::{JobKey, RunKey, StepKey, TaskKey, WorkerKey},
     cycle::Cycle,
+    dedicated::Dedicated,
     flow::Flow,
     interference::{Images, Model},
     job::{Job, Step, Task},
@@ -76,6 +77,7 @@
     /// What short tasks ask for.
     pub(crate) short_memory: ShortMemory,
     pub(crate) spare: Spare,
+    pub(crate) dedicated: Dedicated,
     pub(crate) saver: Saver,
     /// When the store last confirmed that this daemon owns the cell.
     pub(crate) confirmed: Millis,
@@ -129,6 +131,7 @@
             orders_from: Cell::orders_from(&options, now.mono, fence),
             short_memory: ShortMemory::default(),
             spare: Spare::default(),
+            dedicated: Dedicated::default(),
             saver: Saver::default(),
             confirmed: now.mono,
             confirming: false,
@@ -371,6 +374,7 @@
             self.check_maintenance();
             self.check_copies();
             self.check_spared();
+            self.check_dedicated();
             self.forget_jobs();
         }
         self.summarise();
--- a/crates/stackpier-cell/src/lib.rs
+++ b/crates/stackpier-cell/src/lib.rs
@@ -15,6 +15,7 @@
 mod arena;
 mod cell;
 pub mod cycle;
+mod dedicated;
 mod drain;
 mod ends;
 pub mod explain;
--- a/crates/stackpier-cell/src/mechanism.rs
+++ b/crates/stackpier-cell/src/mechanism.rs
@@ -49,6 +49,8 @@
     Starving,
     /// Workers are emptied of serving tasks for what disturbs most of them.
     Spare,
+    /// Workers are dedicated to short tasks that find no room.
+    Dedicated,
     /// Pairs and own loads are learnt.
     Learning,
     /// A task's deviation from its step's load counts in what is expected.
@@ -63,7 +65,7 @@
 
 impl Mechanism {
     /// ALL lists the mechanisms.
-    pub const ALL: [Mechanism; 25] = [
+    pub const ALL: [Mechanism; 26] = [
         Mechanism::Packing,
         Mechanism::Company,
         Mechanism::Exposure,
@@ -84,6 +86,7 @@
         Mechanism::Copies,
         Mechanism::Starving,
         Mechanism::Spare,
+        Mechanism::Dedicated,
         Mechanism::Learning,
         Mechanism::Deviation,
         Mechanism::Memory,
@@ -114,6 +117,7 @@
             Mechanism::Copies => "copies",
             Mechanism::Starving => "starving",
             Mechanism::Spare => "spare",
+            Mechanism::Dedicated => "dedicated",
             Mechanism::Learning => "learning",
             Mechanism::Deviation => "deviation",
             Mechanism::Memory => "memory",
--- a/crates/stackpier-cell/src/place.rs
+++ b/crates/stackpier-cell/src/place.rs
@@ -53,7 +53,7 @@
 /// tasks left come first in it: more of them end while they are still of use. By their
 /// age, late jobs earned 0.008 of a day's worth less, the mean of fifty days.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Turn {
+pub(crate) enum Turn {
     /// Tasks that last and have waited. Room for one is rare where most is taken: it
     /// comes where another one ends, and narrow tasks would share it out.
     Lasting,
@@ -142,7 +142,7 @@
         }
     }
 
-    fn turn_of(&self, step: StepKey) -> Turn {
+    pub(crate) fn turn_of(&self, step: StepKey) -> Turn {
         let entry = self.step_of(step);
         let job = self.job(entry.job);
         let now = self.now.mono.0;
--- a/crates/stackpier-cell/src/place/offer.rs
+++ b/crates/stackpier-cell/src/place/offer.rs
@@ -27,6 +27,9 @@
 /// SPARED_SCORE is taken off for a worker that is kept free of serving tasks: it is
 /// below any other that has room.
 const SPARED_SCORE: f64 = 10_000.0;
+/// DEDICATED_SCORE prefers a worker that is dedicated to short tasks over any way of
+/// packing.
+const DEDICATED_SCORE: f64 = 2.0;
 /// EXPOSURE_WEIGHT weighs what a lasting task adds to that which disturbs a
 /// worker, in load for each core, against the number of tasks of its image.
 const EXPOSURE_WEIGHT: f64 = 400.0;
@@ -241,6 +244,9 @@
             return Err(Obstacle::Full);
         }
         self.admit(need, key)?;
+        if need.lasting && !self.lends_room(worker, need.size.milli_cores) {
+            return Err(Obstacle::Reserve);
+        }
         if free.minus(&need.size).memory_mib < need.reserve_mib {
             return Err(Obstacle::Reserve);
         }
@@ -250,7 +256,8 @@
         } else if need.lasting {
             self.serving_score(need, worker)
         } else {
-            self.pack_score(worker, need.size)
+            let dedicated = worker.dedicated.map_or(0.0, |_| DEDICATED_SCORE);
+            self.pack_score(worker, need.size) + dedicated
         };
         Ok(own + rack)
     }
--- a/crates/stackpier-cell/src/roster.rs
+++ b/crates/stackpier-cell/src/roster.rs
@@ -7,7 +7,7 @@
     Cell, RosterEntry,
     arena::WorkerKey,
     health::Health,
-    worker::{Info, Life, Worker},
+    worker::{IdleRoom, Info, Life, Worker},
 };
 
 impl Cell {
@@ -100,6 +100,8 @@
             unbounded_at: None,
             closed: false,
             spared: false,
+            dedicated: None,
+            idle_room: IdleRoom::default(),
             outlooks: Vec::new(),
             drain_seen: info.draining.then_some(self.now.mono),
             info,
--- a/crates/stackpier-cell/src/spare.rs
+++ b/crates/stackpier-cell/src/spare.rs
@@ -149,7 +149,7 @@
         pressed * 100 >= all * MOST_PERCENT
     }
 
-    fn largest_milli(&self) -> u64 {
+    pub(crate) fn largest_milli(&self) -> u64 {
         let workers = self.live().map(|key| self.worker(key));
         let largest = workers.map(|worker| worker.info.capacity.milli_cores).max();
         u64::from(largest.unwrap_or(u32::MAX))
@@ -202,7 +202,7 @@
     }
 
     /// lasting_on returns the runs on a worker that last.
-    fn lasting_on(&self, key: WorkerKey) -> Vec<RunKey> {
+    pub(crate) fn lasting_on(&self, key: WorkerKey) -> Vec<RunKey> {
         let lasts = |key: &RunKey| self.runs.get(*key).is_some_and(|run| run.lasting);
         let runs = self.worker(key).runs.iter().copied();
         runs.filter(lasts).collect()
--- a/crates/stackpier-cell/src/summary.rs
+++ b/crates/stackpier-cell/src/summary.rs
@@ -2,6 +2,7 @@
 //! A line a second on how full the cell is.
 
 use stackpier_core::Millis;
+use stackpier_state::job::Step as Shape;
 
 use crate::{Cell, run::Run};
 
@@ -56,15 +57,13 @@
             .iter()
             .map(|key| u64::from(self.worker(*key).info.capacity.milli_cores))
             .sum();
-        let ready = |fills: bool| -> usize {
-            let steps = self
-                .queued()
-                .filter(|step| self.shape(*step).fills == fills);
+        let ready = |wanted: fn(&Shape) -> bool| -> usize {
+            let steps = self.queued().filter(|step| wanted(self.shape(*step)));
             steps.map(|step| self.step_of(step).ready.len()).sum()
         };
         let text = format!(
             "{} workers of {} cores: serving {} ({} cores reserved, {} over target), \
-             filling {} ({} cores used, {} slowed), short {} ({} cores); waiting {} and {} that fill",
+             filling {} ({} cores used, {} slowed), short {} ({} cores); waiting {} short, {} that last and {} that fill",
             live.len(),
             cores / CORE,
             totals.serving,
@@ -75,8 +74,9 @@
             totals.slowed,
             totals.short,
             totals.short_cores / CORE,
-            ready(false),
-            ready(true)
+            ready(|step| !step.fills && !step.lasting),
+            ready(|step| step.lasting),
+            ready(|step| step.fills)
         );
         self.note("summary", None, text);
         self.note_idle();
