A job is trimmed only when nothing can run of it; dedicated workers lend their room

Now a job is trimmed only once a lease has passed since its end and since the take-over.

Now tasks that last and have waited for 1.5 s may take it whenever no short work waits for a whole worker.

--- a/crates/stackpier-cell/src/dedicated.rs
+++ b/crates/stackpier-cell/src/dedicated.rs
@@ -29,6 +29,9 @@
 const ADD_MS: u64 = 150;
 /// UNUSED_MS is how long a worker stays dedicated on which no short task runs.
 const UNUSED_MS: u64 = 2_500;
+/// LENT_MS is how long tasks that last wait until room on dedicated workers is theirs as
+/// long as no short work waits.
+const LENT_MS: u64 = 1_500;
 /// MOST_PART is the part of all workers, one in so many, that may be dedicated: what a
 /// customer's short tasks take on the mean is a twentieth.
 const MOST_PART: usize = 10;
@@ -168,10 +171,13 @@
         }
     }
 
-    /// lends_room tells whether a task that lasts may start on a worker as far as short
-    /// tasks are concerned: on a dedicated one only in room that they do not use, as it
-    /// would be lost otherwise.
-    pub(crate) fn lends_room(&self, worker: &Worker, milli_cores: u32) -> bool {
-        worker.dedicated.is_none() || worker.idle_room.least() >= milli_cores
+    /// lends_room tells whether tasks of a step that lasts may start on a worker as far as
+    /// short tasks are concerned: on a dedicated one only in room that these do not use, or
+    /// once they have waited while no short work does. Users count them as lost after three
+    /// seconds in which there was room, wherever it came and went.
+    pub(crate) fn lends_room(&self, worker: &Worker, step: StepKey) -> bool {
+        let milli_cores = self.shape(step).size.milli_cores;
+        let waited = self.idle_ms(step) >= LENT_MS && self.dedicated.starved_since.is_none();
+        worker.dedicated.is_none() || waited || worker.idle_room.least() >= milli_cores
     }
 }
--- a/crates/stackpier-cell/src/place/offer.rs
+++ b/crates/stackpier-cell/src/place/offer.rs
@@ -244,7 +244,7 @@
             return Err(Obstacle::Full);
         }
         self.admit(need, key)?;
-        if need.lasting && !self.lends_room(worker, need.size.milli_cores) {
+        if need.lasting && !self.lends_room(worker, need.step) {
             return Err(Obstacle::Reserve);
         }
         if free.minus(&need.size).memory_mib < need.reserve_mib {
--- a/crates/stackpier-cell/src/save.rs
+++ b/crates/stackpier-cell/src/save.rs
@@ -13,6 +13,9 @@
 
 /// FORGOTTEN_PER_SAVE bounds the jobs removed from the store in one save.
 const FORGOTTEN_PER_SAVE: usize = 20;
+/// LEASE_MARGIN_PART is the part of a lease, one in so many, that is waited for beyond it:
+/// workers' clocks may be 2% slow, and the last call of an owner takes its time.
+const LEASE_MARGIN_PART: u64 = 10;
 /// TRIMMED_PER_SAVE bounds the jobs trimmed in one save: what one transaction takes.
 const TRIMMED_PER_SAVE: usize = 30;
 
@@ -142,8 +145,16 @@
         due
     }
 
+    /// is_trimmable tells whether nothing runs of a job, also where this owner can't see
+    /// it: a successor could not stop it. Runs that only an earlier owner knew, or that are
+    /// on workers that do not answer, end with their leases.
     fn is_trimmable(&self, key: JobKey) -> bool {
         let job = self.job(key);
+        let lease_ms = self.options.max_lease_ms + self.options.max_lease_ms / LEASE_MARGIN_PART;
+        let lapsed = |at: Millis| self.owned_after(at.plus(lease_ms));
+        if !self.owned_after(self.inherited_until) || !job.ended_at.is_some_and(lapsed) {
+            return false;
+        }
         let mut tasks = (job.first_task.0..job.first_task.0 + job.tasks).map(TaskKey);
         !job.forgotten && !job.dirty && tasks.all(|task| self.task(task).runs.is_empty())
     }
