Tasks that were stopped for short work get their room back

Cause: a step that has waited may take room on dedicated workers, but that was asked while its list of waiting tasks was taken out for placing, and so never held. Now it is looked up once for a step. A task that ran before and has waited for four seconds may take the room whatever else waits, and one that lasts is not stopped within six seconds of its start. Test: a_task_that_was_stopped_for_short_work_..., red until the first of these.

--- a/crates/stackpier-cell/src/cell.rs
+++ b/crates/stackpier-cell/src/cell.rs
@@ -320,8 +320,13 @@
     pub(crate) fn drop_run(&mut self, key: RunKey) -> Option<Run> {
         let run = self.runs.remove(key)?;
         self.worker_mut(run.worker).remove(key, &run);
-        self.task_mut(run.task).runs.retain(|other| *other != key);
         let now = self.now.mono;
+        let task = self.task_mut(run.task);
+        task.runs.retain(|other| *other != key);
+        // A run that never began does not count as one.
+        if run.confirmed.is_some() {
+            task.ended = Some(now);
+        }
         let step = self.step_mut(run.step);
         step.runs -= 1;
         // A run that never began leaves the step waiting for as long as it has.
--- a/crates/stackpier-cell/src/dedicated.rs
+++ b/crates/stackpier-cell/src/dedicated.rs
@@ -15,8 +15,8 @@
 use crate::{
     Cell, Mechanism,
     arena::{RunKey, StepKey, WorkerKey},
-    place::Turn,
-    run::Phase,
+    place::{Need, Turn},
+    run::{Phase, Run},
     worker::{Life, Worker},
 };
 
@@ -32,6 +32,12 @@
 /// LENT_MS is how long tasks that last wait until room on dedicated workers is theirs as
 /// long as no short work waits.
 const LENT_MS: u64 = 1_500;
+/// OWED_MS is how long a task that ran before waits until room on dedicated workers is
+/// its own, whatever else waits.
+const OWED_MS: u64 = 4_000;
+/// STAYS_MS is how long a task that lasts has run at least before it is stopped for short
+/// ones: it was stopped before, perhaps.
+const STAYS_MS: u64 = 6_000;
 /// MOST_PART is the part of all workers, one in so many, that may be dedicated: what a
 /// customer's short tasks take on the mean is a twentieth.
 const MOST_PART: usize = 10;
@@ -157,9 +163,11 @@
     /// clear_lasting stops the tasks that last on a worker, those that their steps can miss.
     fn clear_lasting(&mut self, worker: WorkerKey) {
         for key in self.lasting_on(worker) {
+            let now = self.now.mono;
             let works = |key: RunKey| {
                 let run = self.runs.get(key);
-                run.is_some_and(|run| run.phase == Phase::Running)
+                let stayed = |run: &Run| now.since(run.since) >= STAYS_MS;
+                run.is_some_and(|run| run.phase == Phase::Running && stayed(run))
             };
             if works(key) && self.can_miss(key) {
                 let run = self.runs.get(key).expect("the run works");
@@ -171,13 +179,28 @@
         }
     }
 
-    /// lends_room tells whether tasks of a step that lasts may start on a worker as far as
-    /// short tasks are concerned: on a dedicated one only in room that these do not use, or
-    /// once they have waited while no short work does. Users count them as lost after three
-    /// seconds in which there was room, wherever it came and went.
-    pub(crate) fn lends_room(&self, worker: &Worker, step: StepKey) -> bool {
-        let milli_cores = self.shape(step).size.milli_cores;
+    /// lends_room tells whether tasks that last may start on a worker as far as short tasks
+    /// are concerned: on a dedicated one only in room that these do not use, or where the
+    /// step may borrow.
+    pub(crate) fn lends_room(&self, worker: &Worker, need: &Need) -> bool {
+        worker.dedicated.is_none()
+            || need.borrows
+            || worker.idle_room.least() >= need.size.milli_cores
+    }
+
+    /// may_borrow tells whether tasks of a step that lasts may take any room on dedicated
+    /// workers: once they have waited while no short work does, or once one that ran before
+    /// has waited for long. Users count such a task as lost from nine seconds after its last
+    /// run if there was room meanwhile, wherever it came and went.
+    pub(crate) fn may_borrow(&self, step: StepKey) -> bool {
         let waited = self.idle_ms(step) >= LENT_MS && self.dedicated.starved_since.is_none();
-        worker.dedicated.is_none() || waited || worker.idle_room.least() >= milli_cores
+        waited || self.is_owed(step)
+    }
+
+    /// is_owed tells whether a task of a step that ran before has waited for long.
+    fn is_owed(&self, step: StepKey) -> bool {
+        let now = self.now.mono;
+        let mut ready = self.step_of(step).ready.iter().map(|task| self.task(*task));
+        ready.any(|task| task.ended.is_some_and(|at| now.since(at) >= OWED_MS))
     }
 }
--- a/crates/stackpier-cell/src/job.rs
+++ b/crates/stackpier-cell/src/job.rs
@@ -94,6 +94,8 @@
     pub failed_on: Vec<WorkerKey>,
     /// Not before this time.
     pub not_before: Millis,
+    /// When its last run ended.
+    pub ended: Option<Millis>,
     /// Whether it waits in its step's list of ready tasks.
     pub ready: bool,
 }
--- a/crates/stackpier-cell/src/lifecycle.rs
+++ b/crates/stackpier-cell/src/lifecycle.rs
@@ -132,6 +132,7 @@
                 checkpoint: None,
                 failed_on: Vec::new(),
                 not_before: Millis(0),
+                ended: None,
                 ready: false,
             });
         }
--- a/crates/stackpier-cell/src/place/offer.rs
+++ b/crates/stackpier-cell/src/place/offer.rs
@@ -101,6 +101,8 @@
     pub unused_percent: i64,
     /// Whether the bounds that protect others give way.
     pub unbounded: bool,
+    /// Whether room on workers that are dedicated to short tasks may be taken.
+    pub borrows: bool,
 }
 
 impl Need {
@@ -210,6 +212,7 @@
                 false => 0,
             },
             unbounded: false,
+            borrows: shape.lasting && self.may_borrow(step),
         };
         if let Some(rack) = shape.rack.clone() {
             need.rack = Some(self.racks.number(&rack));
@@ -244,7 +247,7 @@
             return Err(Obstacle::Full);
         }
         self.admit(need, key)?;
-        if need.lasting && !self.lends_room(worker, need.step) {
+        if need.lasting && !self.lends_room(worker, need) {
             return Err(Obstacle::Reserve);
         }
         if free.minus(&need.size).memory_mib < need.reserve_mib {
--- a/crates/stackpier-cell/tests/dedicated.rs
+++ b/crates/stackpier-cell/tests/dedicated.rs
@@ -115,3 +115,27 @@
     let later = owner.places(WAITING, 0).len() + owner.places(LASTING, 0).len();
     assert_eq!(later, waiting + 2);
 }
+
+/// Found on hunted days: tasks that were stopped for short work waited for ten seconds while
+/// room came and went. The short jobs here go on throughout.
+#[rstest]
+fn a_task_that_was_stopped_for_short_work_runs_again_within_six_seconds() {
+    const LAST: u64 = 300;
+    let mut owner = full(None);
+    owner.advance(3_000);
+    press(&mut owner, 6);
+    let before = owner.starts.len();
+    let stopped = 2 * WORKERS - owner.workers.iter().map(lasting_runs).sum::<usize>();
+    assert_eq!(stopped, 2);
+    for job in LAST..LAST + 20 {
+        owner.submit(job, spec(vec![sized(3_000, 4)]));
+        owner.advance(JOBS_MS);
+    }
+    let again = |start: &&(stackpier_cell::Start, usize)| start.0.order.task.job.0 == LASTING;
+    assert!(owner.starts[before..].iter().filter(again).count() >= 2);
+}
+
+fn lasting_runs(worker: &stackpier_standin::fleet::Worker) -> usize {
+    let runs = worker.runs.iter();
+    runs.filter(|run| run.task.job.0 == LASTING).count()
+}
