--- a/crates/stackpier-cell/src/lifecycle.rs
+++ b/crates/stackpier-cell/src/lifecycle.rs
@@ -317,7 +317,7 @@
 }
 
 /// first_task names a job's first task, for log lines about the whole job.
-fn first_task(job: key::Job) -> TaskName {
+pub(crate) fn first_task(job: key::Job) -> TaskName {
     TaskName {
         job,
         round: 0,
--- a/crates/stackpier-scheduler/src/calls.rs
+++ b/crates/stackpier-scheduler/src/calls.rs
@@ -11,10 +11,15 @@
 
 impl<P: Platform> Node<P> {
     pub(crate) async fn send_start(self, fence: u64, start: Start) {
-        let outcome = self.start_or_pass(&start).await;
+        let (outcome, helper) = self.start_or_pass(&start).await;
         self.count_worker("start", outcome == Started::Yes);
         let order = &start.order;
-        let text = format!("run {} on worker {}: {outcome:?}", order.run, order.life);
+        let text = format!(
+            "run {} on worker {} under fence {fence} by {}: {outcome:?}",
+            order.run,
+            order.life,
+            helper.as_deref().unwrap_or("this daemon")
+        );
         self.say_of("place", Some(order.task.to_string()), &text);
         let run = order.key;
         self.feed(fence, Event::Started { run, outcome });
--- a/crates/stackpier-scheduler/src/daemon.rs
+++ b/crates/stackpier-scheduler/src/daemon.rs
@@ -19,6 +19,7 @@
     Platform,
     catalog::Config,
     http::{Handler, answer, listen, serve},
+    jobs::Source,
     keys::OWNER,
     link::{self, Request, Response},
     member,
@@ -286,13 +287,7 @@
         };
         match request {
             Request::Accepted(job, record) => {
-                let event = Event::Accepted {
-                    job,
-                    record,
-                    progress: None,
-                    cancelled: false,
-                };
-                self.feed(fence, event);
+                self.take_in(fence, Source::Message, job, record, None);
                 Response::Flag(true)
             }
             Request::Cancelled(job) => {
--- a/crates/stackpier-scheduler/src/following.rs
+++ b/crates/stackpier-scheduler/src/following.rs
@@ -8,6 +8,7 @@
 
 use crate::{
     Platform,
+    jobs::Source,
     keys::{self, Entry, JOBS},
     node::Node,
     store::{Change, Item},
@@ -50,13 +51,13 @@
         let progress = self.progress.remove(&job);
         let progress =
             progress.and_then(|value| self.node.readable(subject(), "the progress", &value));
-        let event = Event::Accepted {
+        self.node.take_in(
+            self.fence,
+            Source::Store,
             job,
-            record: Box::new(record),
-            progress: progress.map(Box::new),
-            cancelled: false,
-        };
-        self.node.feed(self.fence, event);
+            Box::new(record),
+            progress.map(Box::new),
+        );
     }
 }
 
--- a/crates/stackpier-scheduler/src/jobs.rs
+++ b/crates/stackpier-scheduler/src/jobs.rs
@@ -39,6 +39,17 @@
 /// or a short outage lasts about this long.
 const COME_BACK_MS: u64 = 1_000;
 
+/// Source is how the owner learns of a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Source {
+    /// A client account handed it in here, or asked for it.
+    Client,
+    /// Another daemon's message.
+    Message,
+    /// The store: the listing at a take-over, or the watch after it.
+    Store,
+}
+
 impl<P: Platform> Node<P> {
     /// submit keeps a job in the store and tells the owner. It returns `Ok`
     /// once the job is kept, now or earlier. An error of a kind that has not
@@ -164,17 +175,37 @@
     /// accepted tells the owner of a job that is in the store.
     fn accepted(&self, job: key::Job, record: Record) {
         let own = self.owner.borrow().as_ref().map(|owner| owner.fence);
-        if let Some(fence) = own {
-            let event = Event::Accepted {
-                job,
-                record: Box::new(record),
-                progress: None,
-                cancelled: false,
-            };
-            self.feed(fence, event);
-            return;
+        match own {
+            Some(fence) => self.take_in(fence, Source::Client, job, Box::new(record), None),
+            None => self.tell(Request::Accepted(job, Box::new(record))),
         }
-        self.tell(Request::Accepted(job, Box::new(record)));
+    }
+
+    /// take_in gives the cell a job that is in the store. A line tells by which way the owner
+    /// first learnt of it, and with what progress: whether a successor knew what had been done.
+    pub(crate) fn take_in(
+        &self,
+        fence: u64,
+        source: Source,
+        job: key::Job,
+        record: Box<Record>,
+        progress: Option<Box<Progress>>,
+    ) {
+        if self.is_at(fence) && self.job_state(job).is_none() {
+            let state = progress.as_ref().map(|progress| progress.state);
+            let text = format!(
+                "job taken in by {source:?}, accepted under fence {}, saved state {state:?}",
+                record.fence
+            );
+            self.say_of("job", Some(format!("{:016x}", job.0)), &text);
+        }
+        let event = Event::Accepted {
+            job,
+            record,
+            progress,
+            cancelled: false,
+        };
+        self.feed(fence, event);
     }
 
     fn tell(&self, request: Request) {
--- a/crates/stackpier-scheduler/src/relay.rs
+++ b/crates/stackpier-scheduler/src/relay.rs
@@ -201,19 +201,19 @@
     }
 
     /// start_or_pass sends a start, by way of another daemon if this one's share of its
-    /// link and processor is used up.
-    pub(crate) async fn start_or_pass(&self, start: &Start) -> Started {
+    /// link and processor is used up. It also returns the address of that daemon.
+    pub(crate) async fn start_or_pass(&self, start: &Start) -> (Started, Option<String>) {
         let busy_ms = self.settings.costs.start_ms(start.payload.len());
         let worker = &start.order.address;
         let Some(helper) = self.helper(worker, &start.data_centre, busy_ms) else {
-            return self.platform.start(start).await;
+            return (self.platform.start(start).await, None);
         };
         let outcome = self.pass_start(&helper, start).await;
         self.count_passed("start", outcome != Started::Silent);
         if outcome == Started::Silent {
             self.relays.avoid(worker, self.mono());
         }
-        outcome
+        (outcome, Some(helper))
     }
 
     /// hold_or_pass does the same for a hold.
