What the store has is logged by the daemon that wrote it, not by the decisions

The lines now come from the save itself, where the store's word is known: a job's final state, and the ids in the roster; a new owner logs for whose reports it waits.

--- a/crates/stackpier-cell/src/lifecycle.rs
+++ b/crates/stackpier-cell/src/lifecycle.rs
@@ -317,7 +317,7 @@
 }
 
 /// first_task names a job's first task, for log lines about the whole job.
-pub(crate) fn first_task(job: key::Job) -> TaskName {
+fn first_task(job: key::Job) -> TaskName {
     TaskName {
         job,
         round: 0,
--- a/crates/stackpier-cell/src/roster.rs
+++ b/crates/stackpier-cell/src/roster.rs
@@ -212,13 +212,8 @@
     fn strike_off(&mut self, key: WorkerKey) {
         let worker = self.worker(key);
         if worker.life == Life::Met && worker.rostered && self.has_left(worker) {
-            let text = format!(
-                "worker {} is struck off the roster, ends taken in {}, saved {}",
-                worker.info.id, worker.taken, worker.noted
-            );
             self.worker_mut(key).rostered = false;
             self.saver.roster_changed = true;
-            self.note("worker", None, text);
         }
     }
 
--- a/crates/stackpier-cell/src/save.rs
+++ b/crates/stackpier-cell/src/save.rs
@@ -8,7 +8,6 @@
 use crate::{
     Cell, Effect, RosterEntry, Save,
     arena::{JobKey, TaskKey, WorkerKey},
-    lifecycle::first_task,
     worker::{Life, Worker},
 };
 
@@ -227,9 +226,6 @@
         self.saver.done = self.saver.sent;
         self.saver.not_before = now.plus(self.options.save_gap_ms);
         self.confirm_at(sent.sent_at);
-        for key in sent.jobs {
-            self.note_stored(key);
-        }
         for key in sent.roster {
             let worker = self.worker_mut(key);
             if !worker.rostered && worker.life == Life::Met {
@@ -240,16 +236,6 @@
         self.note_all();
     }
 
-    /// note_stored logs that the store has the final state of a job.
-    fn note_stored(&mut self, key: JobKey) {
-        let job = self.job(key);
-        let (id, state) = (job.id, job.state);
-        if state.is_final() && !job.dirty {
-            let text = format!("job is {state:?} in the store");
-            self.note("job", Some(first_task(id)), text);
-        }
-    }
-
     /// resave keeps what a failed save held for the next one.
     fn resave(&mut self, sent: InFlight) {
         for key in sent.jobs {
--- a/crates/stackpier-scheduler/src/following.rs
+++ b/crates/stackpier-scheduler/src/following.rs
@@ -43,7 +43,7 @@
     }
 
     fn take_job(&mut self, job: key::Job, item: &Item) {
-        let subject = || Some(format!("{:016x}", job.0));
+        let subject = || Some(keys::hex(job));
         let record = self.node.readable(subject(), "the job", &item.value);
         let Some(record) = record else {
             return;
--- a/crates/stackpier-scheduler/src/jobs.rs
+++ b/crates/stackpier-scheduler/src/jobs.rs
@@ -197,7 +197,7 @@
                 "job taken in by {source:?}, accepted under fence {}, saved state {state:?}",
                 record.fence
             );
-            self.say_of("job", Some(format!("{:016x}", job.0)), &text);
+            self.say_of("job", Some(keys::hex(job)), &text);
         }
         let event = Event::Accepted {
             job,
--- a/crates/stackpier-scheduler/src/keys.rs
+++ b/crates/stackpier-scheduler/src/keys.rs
@@ -71,19 +71,24 @@
     format!("{MEMBERS}{vm}")
 }
 
+/// hex writes a job's id as client accounts do.
+pub(crate) fn hex(job: key::Job) -> String {
+    format!("{:016x}", job.0)
+}
+
 /// job returns a job's key.
 pub(crate) fn job(job: key::Job) -> String {
-    format!("{JOBS}{:016x}", job.0)
+    format!("{JOBS}{}", hex(job))
 }
 
 /// cancel returns the key of a job's cancelling.
 pub(crate) fn cancel(job: key::Job) -> String {
-    format!("{JOBS}{:016x}{CANCEL}", job.0)
+    format!("{JOBS}{}{CANCEL}", hex(job))
 }
 
 /// progress returns the key of a job's progress.
 pub(crate) fn progress(job: key::Job) -> String {
-    format!("{PROGRESS}{:016x}", job.0)
+    format!("{PROGRESS}{}", hex(job))
 }
 
 /// entry reads a key under [`JOBS`].
--- a/crates/stackpier-scheduler/src/loading.rs
+++ b/crates/stackpier-scheduler/src/loading.rs
@@ -14,7 +14,7 @@
     keys::{self, JOBS, MAINTENANCE, MEMORY, PROGRESS, ROSTER},
     node::{Node, Owned, pause},
     owner::{Owner, tick},
-    saving::Revisions,
+    saving::{Revisions, names},
     store::{Item, Listing},
     watch::{Feed, Follower, follow},
 };
@@ -154,6 +154,8 @@
             revisions.set(ROSTER, item.revision);
             let entries = self.readable::<Vec<RosterEntry>>(None, "the roster", &item.value);
             let entries = entries.unwrap_or_default();
+            let text = format!("workers to wait for, by the roster: {}", names(&entries));
+            self.say("owner", &text);
             entries.iter().for_each(|entry| cell.add_roster(entry));
         }
         if let Some(item) = &loaded.memory {
--- a/crates/stackpier-scheduler/src/saving.rs
+++ b/crates/stackpier-scheduler/src/saving.rs
@@ -5,7 +5,7 @@
 
 use std::{cell::RefCell, collections::HashMap, rc::Rc};
 
-use stackpier_cell::{Save, maintenance};
+use stackpier_cell::{RosterEntry, Save, maintenance};
 use stackpier_protocol::codec::encode;
 use stackpier_state::job::Record;
 
@@ -57,9 +57,25 @@
                 return false;
             }
         }
+        self.log_stored(&save);
         self.trim(fence, revision, &save).await && self.forget(fence, revision, &save).await
     }
 
+    /// log_stored tells what the store has now: a successor knows of these ends, and waits
+    /// for the reports of these workers.
+    fn log_stored(&self, save: &Save) {
+        for (job, progress) in &save.jobs {
+            if progress.state.is_final() {
+                let text = format!("job is {:?} in the store", progress.state);
+                self.say_of("job", Some(keys::hex(*job)), &text);
+            }
+        }
+        if let Some(roster) = &save.roster {
+            let text = format!("the roster in the store is {}", names(roster));
+            self.say("owner", &text);
+        }
+    }
+
     /// trim leaves of jobs that are over only that they were there: their state is kept
     /// apart, and a job that is handed in again is still known.
     async fn trim(&self, fence: u64, owned: u64, save: &Save) -> bool {
@@ -212,6 +228,12 @@
     }
 }
 
+/// names lists the ids of a roster's workers.
+pub(crate) fn names(roster: &[RosterEntry]) -> String {
+    let ids: Vec<&str> = roster.iter().map(|entry| entry.id.as_str()).collect();
+    ids.join(" ")
+}
+
 fn put<T: serde::Serialize>(key: String, value: &T) -> Put {
     Put {
         key,
