--- a/crates/stackpier-cell/src/wire.rs
+++ b/crates/stackpier-cell/src/wire.rs
@@ -332,7 +332,7 @@
 
 /// Save writes progress to the store, under the condition that this daemon
 /// still owns the cell.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Save {
     /// The jobs that changed.
     pub jobs: Vec<(key::Job, Progress)>,
