The end of a job is shown once the store has it

Cause: an owner answered questions for a job from its memory from the moment the last end came; the save followed, or never did. A successor that could not learn of the end in another way started tasks of a job that clients had seen completed.

Ruled out on the way: that ends are noted before they are saved (no such path; `ends_are_noted_only_after_they_are_saved` holds). Change: a job keeps the state that the store is known to have; Completed and Failed are shown only if it is that one. Cancelled is in the store before an owner learns of it.

The fuzz: an oracle that remembers each final state that any owner shows, at each tick, and breaks on a later start or on another final state; on a start between a run's good end and the note of it; workers that drain and leave; saves in several transactions of which some are lost; jobs that reach an owner that was replaced.

--- a/crates/stackpier-cell/src/cell.rs
+++ b/crates/stackpier-cell/src/cell.rs
@@ -190,10 +190,11 @@
         std::mem::take(&mut self.effects)
     }
 
-    /// state returns the state of a job, or `None` if it is not known.
+    /// state returns the state of a job that client accounts are shown, or `None` if it is
+    /// not known.
     pub fn state(&self, job: key::Job) -> Option<State> {
         let job = self.job(*self.job_keys.get(&job)?);
-        (!job.forgotten).then_some(job.state)
+        (!job.forgotten).then_some(job.shown())
     }
 
     /// waiting returns how many jobs of a queue have not begun.
--- a/crates/stackpier-cell/src/job.rs
+++ b/crates/stackpier-cell/src/job.rs
@@ -22,6 +22,8 @@
     pub spec: Rc<Spec>,
     pub payload: Rc<str>,
     pub state: State,
+    /// The state that the store is known to have.
+    pub stored: State,
     /// The first of its steps; those of a round follow each other.
     pub first_step: StepKey,
     /// The first of its tasks; those of a step follow each other.
@@ -43,6 +45,21 @@
     pub forgotten: bool,
 }
 
+impl Job {
+    /// shown returns the state that client accounts are shown. That a job is over holds for
+    /// good: a successor that does not find it in the store starts tasks again, and in the
+    /// fuzz did so for up to 17 s after clients had been told. So an end that is not saved
+    /// is not shown; that costs the time of a save, 45 ms at most while the store is well. A
+    /// cancelling is in the store before it gets here.
+    pub(crate) fn shown(&self) -> State {
+        let backed = self.stored == self.state || self.state == State::Cancelled;
+        if self.state.is_final() && !backed {
+            return State::Running;
+        }
+        self.state
+    }
+}
+
 /// Step is one step of one round.
 #[derive(Debug)]
 pub(crate) struct Step {
--- a/crates/stackpier-cell/src/lifecycle.rs
+++ b/crates/stackpier-cell/src/lifecycle.rs
@@ -61,6 +61,7 @@
             queue: record.queue.name.clone(),
             payload: Rc::from(spec.payload.as_str()),
             state: State::Pending,
+            stored: State::Pending,
             first_step: StepKey(self.steps.len() as u32),
             first_task: TaskKey(self.tasks.len() as u32),
             tasks: spec.width() * spec.rounds(),
@@ -144,6 +145,7 @@
         let now = self.now.mono;
         let job = self.job_mut(key);
         job.state = progress.state;
+        job.stored = progress.state;
         job.ended_unix_ms = progress.ended_ms;
         let (first, count, is_final) = (job.first_task.0, job.tasks, job.state.is_final());
         if is_final {
--- a/crates/stackpier-cell/src/save.rs
+++ b/crates/stackpier-cell/src/save.rs
@@ -3,7 +3,7 @@
 //! time. Ends are told to be noted only after the save that holds them.
 
 use stackpier_core::Millis;
-use stackpier_state::job::{Checkpoint, Failures, Progress, Suspect};
+use stackpier_state::job::{Checkpoint, Failures, Progress, State, Suspect};
 
 use crate::{
     Cell, Effect, RosterEntry, Save,
@@ -41,7 +41,8 @@
 
 #[derive(Debug)]
 struct InFlight {
-    jobs: Vec<JobKey>,
+    /// Jobs, with their states as they are saved.
+    jobs: Vec<(JobKey, State)>,
     trimmed: Vec<JobKey>,
     forgotten: Vec<JobKey>,
     roster: Vec<WorkerKey>,
@@ -96,6 +97,8 @@
             .iter()
             .map(|key| (self.job(*key).id, self.progress(*key)));
         let jobs = jobs.collect();
+        let states = keys.iter().map(|key| (*key, self.job(*key).state));
+        let states = states.collect();
         let forgotten = std::mem::take(&mut self.saver.forgotten);
         let trimmed = self.take_trimmed(&keys);
         let roster_sent = std::mem::take(&mut self.saver.roster_changed);
@@ -115,7 +118,7 @@
         };
         self.saver.sent += 1;
         self.saver.in_flight = Some(InFlight {
-            jobs: keys,
+            jobs: states,
             trimmed,
             forgotten,
             roster,
@@ -226,6 +229,9 @@
         self.saver.done = self.saver.sent;
         self.saver.not_before = now.plus(self.options.save_gap_ms);
         self.confirm_at(sent.sent_at);
+        for (key, state) in sent.jobs {
+            self.job_mut(key).stored = state;
+        }
         for key in sent.roster {
             let worker = self.worker_mut(key);
             if !worker.rostered && worker.life == Life::Met {
@@ -238,7 +244,7 @@
 
     /// resave keeps what a failed save held for the next one.
     fn resave(&mut self, sent: InFlight) {
-        for key in sent.jobs {
+        for (key, _) in sent.jobs {
             self.dirty(key);
         }
         self.saver.ended.extend(sent.trimmed);
--- a/crates/stackpier-cell/tests/faults.rs
+++ b/crates/stackpier-cell/tests/faults.rs
@@ -62,6 +62,13 @@
             },
         );
     }
+    assert_eq!(owner.state(1), Some(State::Running), "it is not saved");
+    // One save was sent with the first end, and one follows with the others.
+    for _ in 0..2 {
+        owner.cell.step(owner.now(), Event::Saved(true));
+        owner.now_ms += 50;
+        owner.cell.step(owner.now(), Event::Tick);
+    }
     assert_eq!(owner.state(1), Some(State::Failed));
 }
 
@@ -218,10 +225,11 @@
     owner.store = false;
     owner.submit(1, spec(vec![step(1)]));
     owner.advance(2_000);
-    assert_eq!(owner.state(1), Some(State::Completed), "it is known here");
+    assert_eq!(owner.state(1), Some(State::Running), "the end is not saved");
     assert_eq!(owner.workers[0].ends.len(), 1, "the worker still lists it");
     owner.store = true;
     owner.advance(1_000);
+    assert_eq!(owner.state(1), Some(State::Completed));
     assert_eq!(owner.workers[0].ends.len(), 0);
     let last = owner.saves.last().expect("it was saved");
     assert_eq!(last.jobs[0].1.state, State::Completed);
--- a/crates/stackpier-cell/tests/shown.rs
+++ b/crates/stackpier-cell/tests/shown.rs
@@ -12,13 +12,16 @@
 //! Cause: a promise to a client account (nothing of this job runs any more) that nothing
 //! backed but one daemon's memory.
 //!
-//! Proof: these tests, and real daemons in `platform/tests/shown.rs`.
+//! Proof: the fuzz, once it remembers what any owner has shown, fails on the code before
+//! within ten seeds of five of its mixes, and so do real daemons in
+//! `platform/tests/shown.rs`.
 
 mod common;
 
 use common::{Owner, spec, step};
 use stackpier_cell::Event;
 use stackpier_core::key;
+use stackpier_standin::fleet::Behaviour;
 use stackpier_state::job::State;
 
 /// WORK_MS is longer than the tasks of these tests work.
@@ -38,6 +41,26 @@
     assert_eq!(owner.state(1), Some(State::Completed));
 }
 
+#[test]
+fn a_job_is_shown_as_failed_once_the_store_has_that() {
+    let fails = Behaviour {
+        work_ms: 50,
+        fails: true,
+        size: step(1).size,
+        ..Behaviour::default()
+    };
+    let mut owner = Owner::new(2);
+    owner.behaviours.insert((1, 0), fails);
+    owner.store = false;
+    owner.submit(1, spec(vec![step(2)]));
+    owner.advance(4_000);
+    assert_eq!(owner.starts.len(), 6, "three runs of each task");
+    assert_eq!(owner.state(1), Some(State::Running));
+    owner.store = true;
+    owner.advance(WORK_MS);
+    assert_eq!(owner.state(1), Some(State::Failed));
+}
+
 /// The store has a job's cancelling before any owner learns of it.
 #[test]
 fn a_cancelled_job_is_shown_as_that_at_once() {
--- a/crates/stackpier-fuzz/src/cell/oracle.rs
+++ b/crates/stackpier-fuzz/src/cell/oracle.rs
@@ -79,6 +79,10 @@
     failed: BTreeMap<TaskName, BTreeMap<u32, Noted>>,
     /// Failed runs on workers that died before that was noted.
     failed_unnoted: BTreeSet<(TaskName, u32)>,
+    /// Jobs that a client account was shown in a final state, and when first.
+    ended_jobs: BTreeMap<key::Job, (State, u64)>,
+    /// Ends of runs that were done, and not noted yet, when their task was started again.
+    started_again: BTreeSet<(TaskName, u32)>,
     /// How often each task has brought down a worker.
     crashes: BTreeMap<TaskName, Crashes>,
     /// Workers that crashed under each task by no task's doing. Users accept that a task
@@ -107,12 +111,16 @@
 
     /// note takes in the ends that an owner with a fence told a worker to
     /// forget.
-    pub fn note(&mut self, worker: &mut Worker, fence: u64) {
+    pub fn note(&mut self, at_ms: u64, worker: &mut Worker, fence: u64) {
         for end in worker.noted.drain(..) {
             let lapsed = end.number <= worker.lapsed_end;
             let noted = Noted { fence, lapsed };
             match end.how {
                 stackpier_cell::How::Done => {
+                    if !lapsed && self.started_again.contains(&(end.task, end.run)) {
+                        let what = format!("{} started again before its end was noted", end.task);
+                        self.breaks(at_ms, what);
+                    }
                     let earlier = self.done.entry(end.task).or_insert(noted);
                     if earlier.lapsed && !lapsed {
                         *earlier = noted;
@@ -187,6 +195,16 @@
         if noted.is_some_and(|noted| noted.bars(start.order.fence)) {
             self.breaks(at_ms, format!("{task} starts after its noted end"));
         }
+        if let Some((State::Completed, shown_ms)) = self.ended_jobs.get(&task.job).copied() {
+            self.breaks(
+                at_ms,
+                format!("{task} starts though its job was shown as completed at {shown_ms} ms"),
+            );
+        }
+        let ends = workers.iter().flat_map(|worker| &worker.ends);
+        let done = ends.filter(|end| end.task == task && end.how == stackpier_cell::How::Done);
+        self.started_again
+            .extend(done.map(|end| (end.task, end.run)));
         let bars = |noted: &&Noted| noted.bars(start.order.fence);
         let failed = self.failed.get(&task);
         if failed.is_some_and(|runs| runs.values().filter(bars).count() >= self.attempts) {
@@ -245,6 +263,17 @@
 
     /// shown checks a final state that a client account was shown.
     pub fn shown(&mut self, at_ms: u64, job: key::Job, state: State, workers: &[Worker]) {
+        if !state.is_final() {
+            return;
+        }
+        if let Some((earlier, shown_ms)) = self.ended_jobs.get(&job).copied() {
+            if earlier != state {
+                let what = format!("job shown as {earlier:?} at {shown_ms} ms and as {state:?}");
+                self.breaks(at_ms, what);
+            }
+            return;
+        }
+        self.ended_jobs.insert(job, (state, at_ms));
         match state {
             State::Completed => self.check_completed(at_ms, job, workers),
             State::Failed => self.check_failed(at_ms, job, workers),
--- a/crates/stackpier-fuzz/src/cell/world.rs
+++ b/crates/stackpier-fuzz/src/cell/world.rs
@@ -43,6 +43,14 @@
 const DATA_CENTRES: usize = 3;
 /// ATTEMPTS is how many failed runs fail a job.
 const ATTEMPTS: u16 = 3;
+/// LATER_STREAM is the stream of the seed that draws later faults.
+const LATER_STREAM: u64 = 1;
+/// PART is how many jobs go in one transaction of a save that goes in several.
+const PART: usize = 2;
+/// PART_MS is the longest that one takes: the store is slow then.
+const PART_MS: u64 = 300;
+/// LOST_PARTS is how many of them, in a thousand, are not done.
+const LOST_PARTS: u32 = 200;
 /// QUEUE names the only queue.
 const QUEUE: &str = "queue";
 /// SERVICE names the only service.
@@ -60,6 +68,10 @@
     Tick(usize),
     /// A save that reaches the store.
     Save(usize, Box<Save>, bool),
+    /// One transaction of a save that goes in several.
+    Part(usize, Box<Save>),
+    /// An owner learns whether all transactions of a save were done.
+    Parts(usize, u64),
     /// A job is handed in.
     Submit(key::Job),
     /// A job is cancelled.
@@ -70,6 +82,8 @@
     Revive(usize),
     /// A worker dies, and its next life begins after some milliseconds.
     Crash(usize, u64),
+    /// A life of a worker ends that has drained.
+    Leave(usize, String),
     /// A worker's entry is gone.
     Unlist(String),
     /// A data centre is cut off from the others and the store, for some
@@ -107,6 +121,9 @@
 pub struct World {
     now_ms: u64,
     random: ChaCha8Rng,
+    /// What draws the faults that came later: worlds of a seed stay what they are without
+    /// these.
+    later_random: ChaCha8Rng,
     faults: Faults,
     calm_from: u64,
     messages: BinaryHeap<Reverse<(u64, u64)>>,
@@ -138,9 +155,12 @@
 impl World {
     /// new builds a world that has faults for `length_ms`.
     pub fn new(seed: u64, faults: Faults, length_ms: u64) -> World {
+        let mut later_random = ChaCha8Rng::seed_from_u64(seed);
+        later_random.set_stream(LATER_STREAM);
         let mut world = World {
             now_ms: 0,
             random: ChaCha8Rng::seed_from_u64(seed),
+            later_random,
             faults,
             calm_from: length_ms,
             messages: BinaryHeap::new(),
@@ -182,6 +202,17 @@
         self.random.random_range(low..=high)
     }
 
+    /// later_chance is the same for faults that came later.
+    fn later_chance(&mut self, thousandths: u32) -> bool {
+        self.now_ms < self.calm_from
+            && thousandths > 0
+            && self.later_random.random_range(0..1_000) < thousandths
+    }
+
+    fn later_between(&mut self, low: u64, high: u64) -> u64 {
+        self.later_random.random_range(low..=high)
+    }
+
     fn count(&mut self, what: &'static str) {
         *self.counts.entry(what).or_default() += 1;
     }
@@ -295,6 +326,8 @@
                         LIMIT_MS,
                         Message::Event(place, Box::new(Event::Saved(false))),
                     );
+                } else if self.later_chance(self.faults.splits) {
+                    self.split(place, &save);
                 } else {
                     let unanswered = self.chance(self.faults.unanswered);
                     self.send(delay, Message::Save(place, Box::new(save), unanswered));
@@ -320,9 +353,24 @@
     }
 
     fn save(&mut self, place: usize, save: Save, unanswered: bool) {
+        if !self.keep(place, save) {
+            return;
+        }
+        let delay = if unanswered {
+            LIMIT_MS
+        } else {
+            self.between(1, 5)
+        };
+        let event = Event::Saved(!unanswered);
+        self.send(delay, Message::Event(place, Box::new(event)));
+    }
+
+    /// keep does a transaction, unless another daemon owns the cell, which its owner
+    /// learns then.
+    fn keep(&mut self, place: usize, save: Save) -> bool {
         if self.owners[place].fence != self.store.fence {
             self.owners[place].over = true;
-            return;
+            return false;
         }
         self.owners[place].confirmed_ms = self.now_ms;
         for (job, progress) in save.jobs {
@@ -331,20 +379,48 @@
         if let Some(roster) = save.roster {
             self.store.roster = roster;
         }
-        let delay = if unanswered {
-            LIMIT_MS
+        true
+    }
+
+    /// split sends a save in several transactions at once, the roster in the first: some
+    /// are done, some late, and some not at all. Its owner learns last whether all were.
+    fn split(&mut self, place: usize, save: &Save) {
+        self.count("save in several transactions");
+        let mut done = true;
+        let mut slowest_ms = 0;
+        let mut parts: Vec<Save> = vec![Save {
+            jobs: Vec::new(),
+            ..save.clone()
+        }];
+        parts.extend(save.jobs.chunks(PART).map(|jobs| Save {
+            jobs: jobs.to_vec(),
+            ..Save::default()
+        }));
+        for part in parts {
+            if self.later_chance(LOST_PARTS) {
+                done = false;
+                continue;
+            }
+            let delay_ms = self.later_between(1, PART_MS);
+            slowest_ms = slowest_ms.max(delay_ms);
+            self.send(delay_ms, Message::Part(place, Box::new(part)));
+        }
+        if done {
+            let answered_ms = slowest_ms + 1;
+            self.send(answered_ms, Message::Parts(place, self.owners[place].fence));
         } else {
-            self.between(1, 5)
-        };
-        let event = Event::Saved(!unanswered);
-        self.send(delay, Message::Event(place, Box::new(event)));
+            let failed = Event::Saved(false);
+            self.send(LIMIT_MS, Message::Event(place, Box::new(failed)));
+        }
     }
 
-    /// check_shown compares the states that the owner would show.
-    fn check_shown(&mut self) {
-        let Some(owner) = self.owners.last() else {
+    /// check_shown takes in the states that an owner shows, also one that was replaced and
+    /// does not know it.
+    fn check_shown(&mut self, place: usize) {
+        let owner = &self.owners[place];
+        if owner.over || self.now_ms < owner.frozen_until {
             return;
-        };
+        }
         for job in self.store.jobs.keys() {
             if let Some(state) = owner.cell.state(*job) {
                 self.oracle.shown(self.now_ms, *job, state, &self.workers);
@@ -378,12 +454,22 @@
             Message::Event(place, event) => self.feed(place, *event),
             Message::Tick(place) => {
                 self.feed(place, Event::Tick);
+                self.check_shown(place);
                 self.count_outlived(place);
                 if !self.owners[place].over {
                     self.send(TICK_MS, Message::Tick(place));
                 }
             }
             Message::Save(place, save, unanswered) => self.save(place, *save, unanswered),
+            Message::Part(place, save) => {
+                self.keep(place, *save);
+            }
+            Message::Parts(place, fence) => {
+                if fence == self.store.fence {
+                    self.feed(place, Event::Saved(true));
+                }
+            }
+            Message::Leave(place, life) => self.leave(place, &life),
             Message::Submit(job) => self.submit(job),
             Message::Cancel(job) => self.cancel(job),
             Message::Second => self.second(),
--- a/crates/stackpier-fuzz/src/cell/world/calls.rs
+++ b/crates/stackpier-fuzz/src/cell/world/calls.rs
@@ -114,7 +114,8 @@
             },
             Effect::Hold(hold) => {
                 let outcome = self.workers[target].hold(self.now_ms, hold);
-                self.oracle.note(&mut self.workers[target], hold.fence);
+                self.oracle
+                    .note(self.now_ms, &mut self.workers[target], hold.fence);
                 Event::Held {
                     worker: hold.worker,
                     sent,
--- a/crates/stackpier-fuzz/src/cell/world/faults.rs
+++ b/crates/stackpier-fuzz/src/cell/world/faults.rs
@@ -8,6 +8,10 @@
 
 /// BEAT_MS is the time between two writes of a worker's entry.
 const BEAT_MS: u64 = 1_500;
+/// DRAIN_MS bounds the time from a worker's word that it leaves to its end.
+const DRAIN_MS: (u64, u64) = (2_500, 8_000);
+/// LEFT_MS is the time until another worker comes in the place of one that has left.
+const LEFT_MS: u64 = 1_000;
 /// LAPSE_MS is how long after its last write an entry is gone.
 const LAPSE_MS: u64 = 3 * BEAT_MS;
 
@@ -41,6 +45,12 @@
     pub poison: u32,
     /// Tasks in a thousand that crash each worker that starts them.
     pub crashing: u32,
+    /// Chances a second that a worker says that it leaves, and ends some seconds later.
+    pub drains: u32,
+    /// Saves in a thousand that go in several transactions, each of which may fail by itself.
+    pub splits: u32,
+    /// Jobs in a thousand of which an owner that was replaced learns by its watch.
+    pub stale_watches: u32,
 }
 
 impl Faults {
@@ -60,6 +70,9 @@
             cancels: 50,
             poison: 5,
             crashing: 3,
+            drains: rate,
+            splits: 300,
+            stale_watches: 300,
         }
     }
 }
@@ -90,7 +103,6 @@
             self.count("outage");
             self.store.away_until = self.now_ms + self.between(500, 8_000);
         }
-        self.check_shown();
         self.send(1_000, Message::Second);
     }
 
@@ -108,6 +120,7 @@
             }
             self.crash(place, back_ms);
         }
+        self.drain(place);
         let grey = self.chance(self.faults.grey);
         let hangs = self.random.random_bool(0.5);
         let worker = &mut self.workers[place];
@@ -116,6 +129,30 @@
         worker.grey = grey && !hangs;
     }
 
+    /// drain has a worker say now and then that it leaves.
+    fn drain(&mut self, place: usize) {
+        let drains = self.later_chance(self.faults.drains);
+        if !drains || self.down[place] || self.workers[place].info.draining {
+            return;
+        }
+        self.count("drain");
+        let leaves_ms = self.later_between(DRAIN_MS.0, DRAIN_MS.1);
+        let info = &mut self.workers[place].info;
+        info.draining = true;
+        info.remaining_ms = Some(leaves_ms);
+        let info = info.clone();
+        self.send(leaves_ms, Message::Leave(place, info.id.clone()));
+        let owner = self.owners.len() - 1;
+        self.feed(owner, Event::Listed(info));
+    }
+
+    /// leave ends the process of a worker that has drained, if it still is that life.
+    pub(super) fn leave(&mut self, place: usize, life: &str) {
+        if self.workers[place].info.id == life {
+            self.crash(place, LEFT_MS);
+        }
+    }
+
     /// crash ends a worker's process with everything on it, unless it is down.
     pub(super) fn crash(&mut self, place: usize, back_ms: u64) {
         if self.down[place] {
--- a/crates/stackpier-fuzz/src/cell/world/jobs.rs
+++ b/crates/stackpier-fuzz/src/cell/world/jobs.rs
@@ -109,16 +109,33 @@
             accepted_ms: START + self.now_ms,
         };
         self.store.jobs.insert(job, record.clone());
-        let place = self.owners.len() - 1;
         let event = Event::Accepted {
             job,
             record: Box::new(record),
             progress: None,
             cancelled: false,
         };
+        let place = self.owners.len() - 1;
+        self.watch_stale(&event);
         self.feed(place, event);
     }
 
+    /// watch_stale has owners that were replaced learn of a job by their watch, before
+    /// another watch tells them that they were.
+    fn watch_stale(&mut self, accepted: &Event) {
+        for place in 0..self.owners.len() - 1 {
+            if !self.owners[place].over
+                && self.has_store(place)
+                && self.later_chance(self.faults.stale_watches)
+            {
+                self.count("job of a later owner seen by an earlier one");
+                let delay_ms = self.later_between(1, 10);
+                let event = Box::new(accepted.clone());
+                self.send(delay_ms, Message::Event(place, event));
+            }
+        }
+    }
+
     /// cancel cancels a job, if it was handed in.
     pub(super) fn cancel(&mut self, job: key::Job) {
         if self.store.jobs.contains_key(&job) {
