Failing tests: a leaving worker's last ends are lost with a save cut off midway

A save of more than fifteen keys is several transactions. With only the first of them done, real daemons started again, at once, tasks whose ends the leaving worker still listed (`platform/tests/leaving.rs`: thirty jobs, the store takes only the transaction with the roster, the owner is killed).

--- a/crates/stackpier-cell/tests/roster.rs
+++ b/crates/stackpier-cell/tests/roster.rs
@@ -91,3 +91,35 @@
     owner.advance(2_000);
     assert_eq!(owner.places(2, 0), [0]);
 }
+
+/// Seen: tasks of a leaving worker had ended, and 0.7 s later the next owner started them
+/// again, while the worker still listed their ends. The owner had been stopped in a save of
+/// several transactions. Cause: the roster without the worker and the progress with its
+/// last ends are in one save, and only the first part of it was done. Proof: this test, and
+/// `platform/tests/leaving.rs` with real daemons.
+#[test]
+fn a_worker_that_leaves_stays_in_the_roster_until_its_ends_are_saved() {
+    let mut owner = Owner::new(2);
+    owner.submit(1, spec(vec![step(12)]));
+    owner.advance(500);
+    let leaving = Info {
+        draining: true,
+        remaining_ms: Some(6_000),
+        ..info(1)
+    };
+    owner.feed(Event::Listed(leaving));
+    owner.store = false;
+    owner.advance(2_500);
+    assert!(owner.workers[1].runs.is_empty(), "nothing is left there");
+    assert!(!owner.workers[1].ends.is_empty(), "its ends are not noted");
+    let rosters = owner.saves.iter().filter_map(|save| save.roster.as_ref());
+    for roster in rosters {
+        assert!(roster.iter().any(|entry| entry.id == "w1"), "{roster:?}");
+    }
+    owner.store = true;
+    owner.advance(1_000);
+    let mut rosters = owner.saves.iter().rev();
+    let roster = rosters.find_map(|save| save.roster.as_ref());
+    let ids = roster.map(|roster| roster.iter().map(|entry| entry.id.as_str()).collect());
+    assert_eq!(ids, Some(vec!["w0"]));
+}
