A leaving worker stays in the roster until the store has its ends

Cause: the roster without the worker and the progress with its last ends were in one save, which is several transactions from sixteen keys on. Change: a worker has left only when it lists no end that is not saved; the same for one that is given up as silent and unlisted.

--- a/crates/stackpier-cell/src/roster.rs
+++ b/crates/stackpier-cell/src/roster.rs
@@ -199,7 +199,8 @@
         let gone = worker.unlisted_since.is_some() && worker.silent_since.is_some();
         let met = worker.life == Life::Met && worker.lapsed(now);
         let unmet = worker.life == Life::New && now >= self.inherited_until;
-        if gone && worker.runs.is_empty() && (met || unmet) {
+        let settled = worker.runs.is_empty() && !worker.has_unsaved_ends();
+        if gone && settled && (met || unmet) {
             self.end_life(
                 key,
                 "it left the list, does not answer, and its lease is over",
@@ -217,11 +218,14 @@
         }
     }
 
-    /// has_left tells whether a worker gets no starts any more and runs nothing.
+    /// has_left tells whether a worker gets no starts any more, runs nothing, and lists no
+    /// end that the store does not have. The roster and the progress with its last ends may
+    /// go in several transactions: with only the first one done, a later owner would not
+    /// wait for the worker and start again what has ended there.
     pub(crate) fn has_left(&self, worker: &Worker) -> bool {
         let gone = |since: Millis| self.now.mono.since(since) >= self.options.unlisted_ms;
         let leaves = worker.info.draining || worker.unlisted_since.is_some_and(gone);
-        leaves && worker.runs.is_empty()
+        leaves && worker.runs.is_empty() && !worker.has_unsaved_ends()
     }
 
     /// end_life notes that a worker's process is gone, and everything with it.
--- a/crates/stackpier-cell/src/save.rs
+++ b/crates/stackpier-cell/src/save.rs
@@ -255,7 +255,7 @@
         // The ends it held wait for the next save.
         let next = self.saver.next();
         for worker in &mut self.workers {
-            if worker.taken > worker.noted {
+            if worker.has_unsaved_ends() {
                 worker.note_after_save = next;
             }
         }
@@ -270,7 +270,7 @@
         let done = self.saver.done;
         for key in std::mem::take(&mut self.saver.unnoted) {
             let worker = self.worker_mut(key);
-            if worker.taken == worker.noted || worker.life == Life::Over {
+            if !worker.has_unsaved_ends() || worker.life == Life::Over {
                 continue;
             }
             if idle || worker.note_after_save <= done {
--- a/crates/stackpier-cell/src/worker.rs
+++ b/crates/stackpier-cell/src/worker.rs
@@ -151,6 +151,11 @@
         Some(clock.at.plus(longest))
     }
 
+    /// has_unsaved_ends tells whether the worker lists ends that are not known to be saved.
+    pub(crate) fn has_unsaved_ends(&self) -> bool {
+        self.taken > self.noted
+    }
+
     /// lapsed tells whether everything that this owner leased has ended by now.
     pub(crate) fn lapsed(&self, now: Millis) -> bool {
         self.lease_end().is_some_and(|end| now >= end)
--- a/crates/stackpier-cell/tests/roster.rs
+++ b/crates/stackpier-cell/tests/roster.rs
@@ -109,11 +109,12 @@
     };
     owner.feed(Event::Listed(leaving));
     owner.store = false;
+    let before = owner.saves.len();
     owner.advance(2_500);
     assert!(owner.workers[1].runs.is_empty(), "nothing is left there");
     assert!(!owner.workers[1].ends.is_empty(), "its ends are not noted");
-    let rosters = owner.saves.iter().filter_map(|save| save.roster.as_ref());
-    for roster in rosters {
+    let rosters = owner.saves[before..].iter();
+    for roster in rosters.filter_map(|save| save.roster.as_ref()) {
         assert!(roster.iter().any(|entry| entry.id == "w1"), "{roster:?}");
     }
     owner.store = true;
