Failing test: an owner that was replaced takes a job of its successor

Jobs and the ownership come by two watches. With the second one silent, the earlier owner gets a job that was accepted under its successor, does not look at the record's fence, and starts it on a worker that the successor has not met: two runs of one task. Red: the earlier owner makes 1 start, none wanted.

--- a/crates/stackpier-cell/tests/superseded.rs
+++ b/crates/stackpier-cell/tests/superseded.rs
@@ -20,7 +20,7 @@
 
 mod common;
 
-use common::{Owner, QUEUE, info, queue, spec, step};
+use common::{Owner, QUEUE, info, name, queue, spec, step};
 use rstest::rstest;
 use stackpier_cell::{Cell, Event, How, Options, RosterEntry};
 use stackpier_core::Millis;
@@ -214,3 +214,22 @@
     owner.advance(1_000);
     assert_eq!(owner.places(1, 0), [place, 1 - place]);
 }
+
+/// An owner that was replaced may learn of a job of its successor before it learns of
+/// the successor: jobs and ownership come by two watches, and the connection of one may
+/// have gone silent. To it the job is new, and on a worker that its successor has not
+/// met it could start all of it a second time.
+#[test]
+fn a_job_of_a_later_owner_shows_that_there_is_one() {
+    let mut earlier = Owner::new(2);
+    earlier.advance(500);
+    let mut later = successor(&earlier, 0, step(1));
+    later.feed(Event::Listed(info(0)));
+    later.submit_to(2, QUEUE, spec(vec![step(1)]), 2, None);
+    later.advance(100);
+    earlier.submit_to(2, QUEUE, spec(vec![step(1)]), 2, None);
+    earlier.advance(100);
+    assert_eq!(later.starts_of(name(2, 0, 0)), 1);
+    assert_eq!(earlier.starts_of(name(2, 0, 0)), 0);
+    assert!(earlier.deposed);
+}
