An owner that gets a job of a later owner gives the cell up

Cause: a record names the fence under which its job was accepted; nobody compared it with the own fence. Change: a higher one shows that there is a later owner, whatever the watch of the ownership says.

--- a/crates/stackpier-cell/src/lifecycle.rs
+++ b/crates/stackpier-cell/src/lifecycle.rs
@@ -27,6 +27,12 @@
         progress: Option<&Progress>,
         cancelled: bool,
     ) {
+        if record.fence > self.fence {
+            // It was accepted under a later owner, which starts its tasks. The watch that
+            // would have told of that owner is another one, and may be seconds late.
+            self.depose();
+            return;
+        }
         let over = |progress: &Progress| progress.state.is_final();
         if self.job_keys.contains_key(&id) || record.is_trimmed() && !progress.is_some_and(over) {
             return;
