--- a/crates/stackpier-scheduler/src/relay.rs
+++ b/crates/stackpier-scheduler/src/relay.rs
@@ -34,9 +34,9 @@
     node::{Node, pause},
 };
 
-use batch::{Known, Payloads};
+use batch::Payloads;
 
-pub use batch::{Batch, Numbered, Outcome};
+pub use batch::{Batch, Known, Numbered, Outcome};
 
 /// GATHER_STARTS_MS is how long starts are gathered for a batch.
 const GATHER_STARTS_MS: u64 = 5;
--- a/crates/stackpier-scheduler/src/relay/batch.rs
+++ b/crates/stackpier-scheduler/src/relay/batch.rs
@@ -83,7 +83,7 @@
 
 impl Batch {
     /// new holds no calls. Answers go to `owner`.
-    pub(super) fn new(owner: String) -> Batch {
+    pub fn new(owner: String) -> Batch {
         Batch {
             owner,
             fence: 0,
@@ -95,7 +95,7 @@
 
     /// add_start adds a start, with its payload if the other daemon is not known to have
     /// it.
-    pub(super) fn add_start(&mut self, number: u64, start: &Start, known: &mut Known) {
+    pub fn add_start(&mut self, number: u64, start: &Start, known: &mut Known) {
         let job = start.order.task.job;
         self.fence = start.order.fence;
         if known.insert(job) {
@@ -206,7 +206,7 @@
 
 /// Known is the jobs whose payloads another daemon was sent and still keeps.
 #[derive(Debug, Default)]
-pub(super) struct Known {
+pub struct Known {
     jobs: HashSet<key::Job>,
     order: VecDeque<key::Job>,
 }
