Calls that come twice to the daemon that sends them are sent once

Cause: messages between daemons were taken to be safe to be carried out twice. A start is, but only if the first copy is not refused: the owner then starts the task elsewhere as the next run, and nothing at the worker bars the copy. Change: a daemon remembers the batches that it took lately, by the number of their first call, and carries no copy out. Orders that the owner sends itself are never sent again by the HTTP client (looked up).

--- a/crates/stackpier-scheduler/src/link.rs
+++ b/crates/stackpier-scheduler/src/link.rs
@@ -66,7 +66,7 @@
     Write(Transaction),
     /// Where the receiver shows its metrics.
     Metrics,
-    /// Calls to workers that the receiver is to send.
+    /// Calls to workers that the receiver is to send, once however often they come.
     Calls(Batch),
     /// Answers to calls that the receiver asked for.
     Answers(Vec<Numbered<Outcome>>),
--- a/crates/stackpier-scheduler/src/relay.rs
+++ b/crates/stackpier-scheduler/src/relay.rs
@@ -9,7 +9,9 @@
 //!
 //! What a worker does with a call does not depend on who sends it: the fence, the life that
 //! is meant, the run's number and the end of the lease are in it. One that is sent late, by
-//! a daemon that was frozen, is refused as any late call is. Leases are renewed by nobody
+//! a daemon that was frozen, is refused as any late call is. A batch may come twice, on two
+//! connections, and is carried out once: a start that its worker refused is made elsewhere
+//! by the owner, and a copy of it seconds later might find room. Leases are renewed by nobody
 //! but the owner: each look that another daemon sends is one that the owner asked for.
 
 mod batch;
@@ -34,7 +36,7 @@
     node::{Node, pause},
 };
 
-use batch::Payloads;
+use batch::{Payloads, Taken};
 
 pub use batch::{Batch, Known, Numbered, Outcome};
 
@@ -114,6 +116,8 @@
     failed: RefCell<BTreeMap<String, Millis>>,
     /// The payloads that this daemon has.
     payloads: RefCell<Payloads>,
+    /// The batches that this daemon took lately.
+    taken: RefCell<Taken>,
     /// The answers that wait to be sent to owners.
     answers: RefCell<HashMap<String, Vec<Numbered<Outcome>>>>,
 }
@@ -131,6 +135,7 @@
             known: RefCell::default(),
             failed: RefCell::default(),
             payloads: RefCell::default(),
+            taken: RefCell::default(),
             answers: RefCell::default(),
         }
     }
--- a/crates/stackpier-scheduler/src/relay/batch.rs
+++ b/crates/stackpier-scheduler/src/relay/batch.rs
@@ -16,6 +16,11 @@
 /// bytes, so this is half a megabyte at most.
 const KEPT: usize = 128;
 
+/// TAKEN is how many batches a daemon remembers, to take none twice. An owner sends one
+/// every 5 ms at most for starts and one every 15 ms for looks, and workers refuse what comes
+/// after the lease that it names, ten seconds at the longest: 2,700 batches.
+const TAKEN: usize = 4_096;
+
 /// Batch is calls to workers that another daemon is to send.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Batch {
@@ -142,6 +147,12 @@
             .collect()
     }
 
+    /// first returns the number of the first call: no other batch of any owner has it.
+    fn first(&self) -> Option<u64> {
+        let start = self.starts.first().map(|start| start.number);
+        start.or(self.looks.first().map(|look| look.number))
+    }
+
     /// take_starts returns the starts, `None` for those without a payload.
     pub(super) fn take_starts(&mut self, payloads: &mut Payloads) -> Vec<Numbered<Option<Start>>> {
         for payload in self.payloads.drain(..) {
@@ -204,6 +215,32 @@
     }
 }
 
+/// Taken are the batches that a daemon took lately.
+#[derive(Debug, Default)]
+pub(super) struct Taken {
+    numbers: HashSet<u64>,
+    order: VecDeque<u64>,
+}
+
+impl Taken {
+    /// insert notes a batch and tells whether it is new.
+    pub(super) fn insert(&mut self, batch: &Batch) -> bool {
+        let Some(number) = batch.first() else {
+            return true;
+        };
+        if !self.numbers.insert(number) {
+            return false;
+        }
+        self.order.push_back(number);
+        if self.order.len() > TAKEN
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.numbers.remove(&oldest);
+        }
+        true
+    }
+}
+
 /// Known is the jobs whose payloads another daemon was sent and still keeps.
 #[derive(Debug, Default)]
 pub struct Known {
--- a/crates/stackpier-scheduler/src/relay/helper.rs
+++ b/crates/stackpier-scheduler/src/relay/helper.rs
@@ -24,8 +24,13 @@
 const ANSWER_LIMIT: Duration = Duration::from_millis(300);
 
 impl<P: Platform> Node<P> {
-    /// call_for sends the calls of a batch to their workers.
+    /// call_for sends the calls of a batch to their workers, unless it is a second copy.
     pub(crate) fn call_for(&self, mut batch: Batch) {
+        if !self.relays.taken.borrow_mut().insert(&batch) {
+            let text = format!("calls of {} came twice and are sent once", batch.owner);
+            self.say("relay", &text);
+            return;
+        }
         let starts = batch.take_starts(&mut self.relays.payloads.borrow_mut());
         for Numbered { number, item } in starts {
             let (node, owner) = (self.clone(), batch.owner.clone());
