--- a/crates/stackpier-cell/src/job.rs
+++ b/crates/stackpier-cell/src/job.rs
@@ -47,10 +47,12 @@
 
 impl Job {
     /// shown returns the state that client accounts are shown. That a job is over holds for
-    /// good: a successor that does not find it in the store starts tasks again, and in the
-    /// fuzz did so for up to 17 s after clients had been told. So an end that is not saved
-    /// is not shown; that costs the time of a save, 45 ms at most while the store is well. A
-    /// cancelling is in the store before it gets here.
+    /// good, but a successor that does not find it in the store starts its tasks again: it
+    /// did so 4 s after clients had been told, on a day on which the owner lost the store,
+    /// workers crashed and the owner was killed. So an end that is not saved is not shown.
+    /// That costs the time of a save, some 25 ms while the store is well, and 0.01 of what
+    /// short jobs earn in the model. A cancelling is in the store before an owner knows of
+    /// it.
     pub(crate) fn shown(&self) -> State {
         let backed = self.stored == self.state || self.state == State::Cancelled;
         if self.state.is_final() && !backed {
--- a/crates/stackpier-cell/src/save.rs
+++ b/crates/stackpier-cell/src/save.rs
@@ -39,10 +39,16 @@
     pub unnoted: Vec<WorkerKey>,
 }
 
+/// Sent is a job in a save, with its state as it is saved.
+#[derive(Clone, Copy, Debug)]
+struct Sent {
+    job: JobKey,
+    state: State,
+}
+
 #[derive(Debug)]
 struct InFlight {
-    /// Jobs, with their states as they are saved.
-    jobs: Vec<(JobKey, State)>,
+    jobs: Vec<Sent>,
     trimmed: Vec<JobKey>,
     forgotten: Vec<JobKey>,
     roster: Vec<WorkerKey>,
@@ -97,8 +103,11 @@
             .iter()
             .map(|key| (self.job(*key).id, self.progress(*key)));
         let jobs = jobs.collect();
-        let states = keys.iter().map(|key| (*key, self.job(*key).state));
-        let states = states.collect();
+        let sent = keys.iter().map(|key| Sent {
+            job: *key,
+            state: self.job(*key).state,
+        });
+        let sent = sent.collect();
         let forgotten = std::mem::take(&mut self.saver.forgotten);
         let trimmed = self.take_trimmed(&keys);
         let roster_sent = std::mem::take(&mut self.saver.roster_changed);
@@ -118,7 +127,7 @@
         };
         self.saver.sent += 1;
         self.saver.in_flight = Some(InFlight {
-            jobs: states,
+            jobs: sent,
             trimmed,
             forgotten,
             roster,
@@ -229,8 +238,8 @@
         self.saver.done = self.saver.sent;
         self.saver.not_before = now.plus(self.options.save_gap_ms);
         self.confirm_at(sent.sent_at);
-        for (key, state) in sent.jobs {
-            self.job_mut(key).stored = state;
+        for Sent { job, state } in sent.jobs {
+            self.job_mut(job).stored = state;
         }
         for key in sent.roster {
             let worker = self.worker_mut(key);
@@ -244,8 +253,8 @@
 
     /// resave keeps what a failed save held for the next one.
     fn resave(&mut self, sent: InFlight) {
-        for (key, _) in sent.jobs {
-            self.dirty(key);
+        for Sent { job, .. } in sent.jobs {
+            self.dirty(job);
         }
         self.saver.ended.extend(sent.trimmed);
         self.saver.forgotten.extend(sent.forgotten);
@@ -270,7 +279,7 @@
         let done = self.saver.done;
         for key in std::mem::take(&mut self.saver.unnoted) {
             let worker = self.worker_mut(key);
-            if !worker.has_unsaved_ends() || worker.life == Life::Over {
+            if !worker.has_unsaved_ends() {
                 continue;
             }
             if idle || worker.note_after_save <= done {
--- a/crates/stackpier-cell/src/worker.rs
+++ b/crates/stackpier-cell/src/worker.rs
@@ -151,7 +151,8 @@
         Some(clock.at.plus(longest))
     }
 
-    /// has_unsaved_ends tells whether the worker lists ends that are not known to be saved.
+    /// has_unsaved_ends tells whether the worker lists ends that the store is not known to
+    /// have, so that it may not forget them.
     pub(crate) fn has_unsaved_ends(&self) -> bool {
         self.taken > self.noted
     }
--- a/crates/stackpier-cell/tests/roster.rs
+++ b/crates/stackpier-cell/tests/roster.rs
@@ -124,3 +124,24 @@
     let ids = roster.map(|roster| roster.iter().map(|entry| entry.id.as_str()).collect());
     assert_eq!(ids, Some(vec!["w0"]));
 }
+
+/// A worker that was taken for dead while its ends were being saved shows again: it may
+/// forget them, or it would stay in the roster for good and be asked five times a second.
+#[test]
+fn a_worker_that_shows_again_forgets_the_ends_that_were_saved_meanwhile() {
+    let mut owner = Owner::new(1);
+    owner.submit(1, spec(vec![step(2)]));
+    owner.advance(500);
+    owner.store = false;
+    owner.advance(1_500);
+    let kept = owner.workers[0].clone();
+    assert_eq!(kept.ends.len(), 2, "they are not saved");
+    owner.workers[0].info.id = "another".to_owned();
+    owner.advance(500);
+    owner.store = true;
+    owner.advance(500);
+    owner.workers[0] = kept;
+    owner.feed(Event::Listed(info(0)));
+    owner.advance(1_500);
+    assert!(owner.workers[0].ends.is_empty());
+}
--- a/crates/stackpier-fuzz/tests/cell.rs
+++ b/crates/stackpier-fuzz/tests/cell.rs
@@ -85,14 +85,18 @@
     assert_eq!(strict(86), None);
 }
 
-/// The same in 4 of 600 seeds: three more crashes are needed after it. An owner would have
+/// The same in 5 of 1,200 seeds: three more crashes are needed after it. An owner would have
 /// to write down each start before it is made.
 #[test]
 fn crashes_count_whose_owners_end_one_after_the_other() {
-    let broken: Vec<_> = [272, 317, 438, 543]
+    let mut broken: Vec<_> = [272, 317, 438, 543, 779]
         .into_iter()
         .filter_map(strict)
         .collect();
+    // Here only crashes count that their owner lived to see, and two more owners follow.
+    let mut world = World::new(184, Faults::all(5), LENGTH_MS);
+    world.run();
+    broken.extend(world.oracle.broken);
     assert!(broken.is_empty(), "{broken:?}");
 }
 
--- a/crates/stackpier-scheduler/src/calls.rs
+++ b/crates/stackpier-scheduler/src/calls.rs
@@ -7,11 +7,11 @@
     maintenance::{TakeDown, TakenDown},
 };
 
-use crate::{Platform, metrics, node::Node};
+use crate::{Platform, metrics, node::Node, relay::Delivery};
 
 impl<P: Platform> Node<P> {
     pub(crate) async fn send_start(self, fence: u64, start: Start) {
-        let (outcome, helper) = self.start_or_pass(&start).await;
+        let Delivery { outcome, helper } = self.start_or_pass(&start).await;
         self.count_worker("start", outcome == Started::Yes);
         let order = &start.order;
         let text = format!(
--- a/crates/stackpier-scheduler/src/relay.rs
+++ b/crates/stackpier-scheduler/src/relay.rs
@@ -193,6 +193,14 @@
     }
 }
 
+/// Delivery is how a start was sent, and what became of it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Delivery {
+    pub outcome: Started,
+    /// The address of the daemon that sent it for this one.
+    pub helper: Option<String>,
+}
+
 impl<P: Platform> Node<P> {
     /// size_relays sets how many daemons call workers for this one, if it owns the cell.
     pub(crate) fn size_relays(&self) {
@@ -206,19 +214,25 @@
     }
 
     /// start_or_pass sends a start, by way of another daemon if this one's share of its
-    /// link and processor is used up. It also returns the address of that daemon.
-    pub(crate) async fn start_or_pass(&self, start: &Start) -> (Started, Option<String>) {
+    /// link and processor is used up.
+    pub(crate) async fn start_or_pass(&self, start: &Start) -> Delivery {
         let busy_ms = self.settings.costs.start_ms(start.payload.len());
         let worker = &start.order.address;
         let Some(helper) = self.helper(worker, &start.data_centre, busy_ms) else {
-            return (self.platform.start(start).await, None);
+            return Delivery {
+                outcome: self.platform.start(start).await,
+                helper: None,
+            };
         };
         let outcome = self.pass_start(&helper, start).await;
         self.count_passed("start", outcome != Started::Silent);
         if outcome == Started::Silent {
             self.relays.avoid(worker, self.mono());
         }
-        (outcome, Some(helper))
+        Delivery {
+            outcome,
+            helper: Some(helper),
+        }
     }
 
     /// hold_or_pass does the same for a hold.
--- a/crates/stackpier-scheduler/src/relay/batch.rs
+++ b/crates/stackpier-scheduler/src/relay/batch.rs
@@ -16,9 +16,10 @@
 /// bytes, so this is half a megabyte at most.
 const KEPT: usize = 128;
 
-/// TAKEN is how many batches a daemon remembers, to take none twice. An owner sends one
-/// every 5 ms at most for starts and one every 15 ms for looks, and workers refuse what comes
-/// after the lease that it names, ten seconds at the longest: 2,700 batches.
+/// TAKEN is how many batches a daemon remembers, so that it takes none twice. An owner sends
+/// it one every 5 ms at most for starts and one every 15 ms for looks, and workers refuse a
+/// start that comes after the end of its lease, ten seconds at the longest: 2,700 batches, of
+/// some 100 KB in all.
 const TAKEN: usize = 4_096;
 
 /// Batch is calls to workers that another daemon is to send.
@@ -147,7 +148,8 @@
             .collect()
     }
 
-    /// first returns the number of the first call: no other batch of any owner has it.
+    /// first returns the number of the first call, which no other batch has: each process
+    /// numbers its calls from a random start.
     fn first(&self) -> Option<u64> {
         let start = self.starts.first().map(|start| start.number);
         start.or(self.looks.first().map(|look| look.number))
--- a/crates/stackpier-scheduler/src/saving.rs
+++ b/crates/stackpier-scheduler/src/saving.rs
@@ -29,6 +29,10 @@
 /// RETRY_MS is the pause between two tries.
 const RETRY_MS: u64 = 60;
 
+/// NAMED is how many workers a log line names: all of a cell of today's smaller users, in a
+/// kilobyte.
+const NAMED: usize = 64;
+
 /// Revisions are the last known revisions of the owner's keys.
 #[derive(Debug, Default)]
 pub(crate) struct Revisions {
@@ -71,7 +75,7 @@
             }
         }
         if let Some(roster) = &save.roster {
-            let text = format!("the roster in the store is {}", names(roster));
+            let text = format!("the roster in the store has {}", names(roster));
             self.say("owner", &text);
         }
     }
@@ -228,10 +232,11 @@
     }
 }
 
-/// names lists the ids of a roster's workers.
+/// names lists the ids of a roster's workers for the log, of a large one the first.
 pub(crate) fn names(roster: &[RosterEntry]) -> String {
-    let ids: Vec<&str> = roster.iter().map(|entry| entry.id.as_str()).collect();
-    ids.join(" ")
+    let ids = roster.iter().map(|entry| entry.id.as_str());
+    let first: Vec<&str> = ids.take(NAMED).collect();
+    format!("{} workers: {}", roster.len(), first.join(" "))
 }
 
 fn put<T: serde::Serialize>(key: String, value: &T) -> Put {
