--- a/crates/stackpier-cell/src/explain.rs
+++ b/crates/stackpier-cell/src/explain.rs
@@ -25,10 +25,11 @@
 
 impl Cell {
     /// explain tells of a job's tasks that are not done, up to a bound, where
-    /// they run or what keeps them from starting.
+    /// they run or what keeps them from starting. A job that is running with nothing open
+    /// waits for the store.
     pub fn explain(&mut self, job: key::Job) -> Option<Job> {
         let job = self.job(*self.job_keys.get(&job)?);
-        let state = job.state;
+        let state = job.shown();
         let keys = (job.first_task.0..job.first_task.0 + job.tasks).map(TaskKey);
         let mut causes = Causes::new();
         let mut tasks = Vec::new();
--- a/crates/stackpier-cell/tests/shown.rs
+++ b/crates/stackpier-cell/tests/shown.rs
@@ -36,6 +36,8 @@
     owner.advance(WORK_MS);
     assert!(owner.workers.iter().all(|worker| worker.runs.is_empty()));
     assert_eq!(owner.state(1), Some(State::Running));
+    let explained = owner.cell.explain(key::Job(1)).expect("it is known");
+    assert_eq!((explained.state, explained.open), (State::Running, 0));
     owner.store = true;
     owner.advance(WORK_MS);
     assert_eq!(owner.state(1), Some(State::Completed));
