Failing test: an owner that was replaced starts a copy of a task that is done

The earlier owner does not reach the first run's worker any more and takes the run for one that lags; the later one reached it, noted its end and has not met the worker of the copy. Red: one start too many, 1.6 s after the end was noted.

--- a/crates/stackpier-cell/tests/superseded.rs
+++ b/crates/stackpier-cell/tests/superseded.rs
@@ -233,3 +233,31 @@
     assert_eq!(earlier.starts_of(name(2, 0, 0)), 0);
     assert!(earlier.deposed);
 }
+
+/// Found by the fuzz once it had copies (all kinds of faults, rate 5, seed 6): an earlier
+/// owner without the store took a run on a worker that it no longer reached for one that
+/// lags, and started a copy elsewhere, 1.6 s after the later owner had noted its end.
+#[test]
+fn a_copy_starts_only_while_no_later_owner_can_have_noted_the_end() {
+    let shape = Step {
+        speculative: true,
+        estimate_ms: 2_000,
+        ..step(1)
+    };
+    let mut earlier = Owner::new(2);
+    earlier.submit(1, spec(vec![shape.clone()]));
+    earlier.advance(500);
+    let place = earlier.starts[0].1;
+    earlier.cut[place] = true;
+    earlier.store = false;
+    let mut later = successor(&earlier, place, shape);
+    later.advance(2_500);
+    let noted = &later.workers[place].noted;
+    assert!(noted.iter().any(|end| end.how == How::Done), "{noted:?}");
+    earlier.advance(4_500);
+    assert_eq!(earlier.starts.len(), 1, "{:?}", earlier.starts[1..].first());
+    // Nobody took over: with the store's word a copy may start.
+    earlier.store = true;
+    earlier.advance(1_500);
+    assert_eq!(earlier.starts.len(), 2);
+}
