Copies start only on a fresh sign that no later owner has noted the run's end

Cause: a run that an owner does not hear of makes no progress for it, so it seems to lag. Change: the run's worker must have answered, or the store confirmed the ownership, within the last 0.8 s.

The fuzz has steps that allow copies, and the users' rule for them: starts up to a second after an end was noted or shown are allowed, two runs at once too.

--- a/crates/stackpier-cell/src/speculate.rs
+++ b/crates/stackpier-cell/src/speculate.rs
@@ -5,11 +5,15 @@
 use crate::{
     Cell, Mechanism,
     arena::{RunKey, TaskKey},
-    run::Phase,
+    run::{Phase, Run},
 };
 
 /// LEAST_LAG_MS is the least time by which a run lags before a copy starts.
 const LEAST_LAG_MS: u64 = 400;
+/// CURRENT_MS is how old the last sign may be that no later owner has noted the end of a run
+/// that lags. Users bear a copy that starts within a second after that, and starts take up
+/// to 0.2 s on their way.
+const CURRENT_MS: u64 = 800;
 /// START_MS is how long a lasting task may take to be at work.
 const START_MS: u64 = 4_000;
 
@@ -94,7 +98,16 @@
         let late = self.now.mono.since(run.since) > limit.max(estimate + LEAST_LAG_MS);
         let expected = self.now.mono.since(run.since) * 100 / estimate.max(1);
         let lags = u64::from(run.percent) * 2 < expected;
-        (late && lags).then_some(run.task)
+        (late && lags && self.is_current(run)).then_some(run.task)
+    }
+
+    /// is_current tells whether no later owner can have noted the end of a run some time ago:
+    /// its worker has just answered this owner, so that it had met no later one, or the store
+    /// has just confirmed the ownership. What is not heard of would seem to lag.
+    fn is_current(&self, run: &Run) -> bool {
+        let answered = self.worker(run.worker).clock.map(|clock| clock.at);
+        let sign = answered.map_or(self.confirmed, |at| at.max(self.confirmed));
+        self.now.mono.since(sign) < CURRENT_MS
     }
 
     fn copy(&mut self, task: TaskKey) {
--- a/crates/stackpier-fuzz/src/cell/world/faults.rs
+++ b/crates/stackpier-fuzz/src/cell/world/faults.rs
@@ -45,6 +45,8 @@
     pub poison: u32,
     /// Tasks in a thousand that crash each worker that starts them.
     pub crashing: u32,
+    /// Steps in a thousand whose tasks may run as copies.
+    pub copies: u32,
     /// Chances a second that a worker says that it leaves, and ends some seconds later.
     pub drains: u32,
     /// Saves in a thousand that go in several transactions, each of which may fail by itself.
@@ -70,6 +72,7 @@
             cancels: 50,
             poison: 5,
             crashing: 3,
+            copies: 200,
             drains: rate,
             splits: 300,
             stale_watches: 300,
--- a/crates/stackpier-fuzz/src/cell/world/jobs.rs
+++ b/crates/stackpier-fuzz/src/cell/world/jobs.rs
@@ -45,6 +45,7 @@
 
     fn new_step(&mut self, number: u16) -> Step {
         let fills = self.random.random_bool(0.5);
+        let speculative = self.later_random.random_range(0..1_000) < self.faults.copies;
         Step {
             count: self.between(1, 5) as u32,
             size: Size {
@@ -62,6 +63,7 @@
             fills,
             most_per_worker: self.random.random_bool(0.3).then_some(2),
             image: format!("image-{}", self.between(0, 3)),
+            speculative,
             ..Step::default()
         }
     }
--- a/crates/stackpier-fuzz/tests/cell.rs
+++ b/crates/stackpier-fuzz/tests/cell.rs
@@ -59,6 +59,8 @@
 #[case::drains_and_split_saves(Faults { drains: 60, splits: 500, takeovers: 150, ..Faults::default() })]
 #[case::stale_watches(Faults { stale_watches: 1_000, takeovers: 200, freezes: 60, ..Faults::default() })]
 #[case::outages_and_crashes(Faults { outages: 120, crashes: 60, takeovers: 120, ..Faults::default() })]
+#[case::copies(Faults { copies: 700, grey: 60, cuts: 60, takeovers: 100, ..Faults::default() })]
+#[case::late_copies(Faults { copies: 700, grey: 60, late: 30, crashes: 30, takeovers: 60, ..Faults::default() })]
 fn one_kind_of_fault(#[case] faults: Faults) {
     check(faults, seeds(6));
 }
