--- a/crates/stackpier-fuzz/src/cell/world.rs
+++ b/crates/stackpier-fuzz/src/cell/world.rs
@@ -4,6 +4,7 @@
 mod calls;
 mod faults;
 mod jobs;
+mod saves;
 mod series;
 
 use std::{
@@ -43,14 +44,8 @@
 const DATA_CENTRES: usize = 3;
 /// ATTEMPTS is how many failed runs fail a job.
 const ATTEMPTS: u16 = 3;
-/// LATER_STREAM is the stream of the seed that draws later faults.
-const LATER_STREAM: u64 = 1;
-/// PART is how many jobs go in one transaction of a save that goes in several.
-const PART: usize = 2;
-/// PART_MS is the longest that one takes: the store is slow then.
-const PART_MS: u64 = 300;
-/// LOST_PARTS is how many of them, in a thousand, are not done.
-const LOST_PARTS: u32 = 200;
+/// EXTRA_STREAM is the second stream of the seed.
+const EXTRA_STREAM: u64 = 1;
 /// QUEUE names the only queue.
 const QUEUE: &str = "queue";
 /// SERVICE names the only service.
@@ -121,9 +116,8 @@
 pub struct World {
     now_ms: u64,
     random: ChaCha8Rng,
-    /// What draws the faults that came later: worlds of a seed stay what they are without
-    /// these.
-    later_random: ChaCha8Rng,
+    /// A second stream of the seed: faults that it draws leave all others where they are.
+    extra_random: ChaCha8Rng,
     faults: Faults,
     calm_from: u64,
     messages: BinaryHeap<Reverse<(u64, u64)>>,
@@ -155,12 +149,12 @@
 impl World {
     /// new builds a world that has faults for `length_ms`.
     pub fn new(seed: u64, faults: Faults, length_ms: u64) -> World {
-        let mut later_random = ChaCha8Rng::seed_from_u64(seed);
-        later_random.set_stream(LATER_STREAM);
+        let mut extra_random = ChaCha8Rng::seed_from_u64(seed);
+        extra_random.set_stream(EXTRA_STREAM);
         let mut world = World {
             now_ms: 0,
             random: ChaCha8Rng::seed_from_u64(seed),
-            later_random,
+            extra_random,
             faults,
             calm_from: length_ms,
             messages: BinaryHeap::new(),
@@ -202,15 +196,15 @@
         self.random.random_range(low..=high)
     }
 
-    /// later_chance is the same for faults that came later.
-    fn later_chance(&mut self, thousandths: u32) -> bool {
+    /// extra_chance draws from the second stream.
+    fn extra_chance(&mut self, thousandths: u32) -> bool {
         self.now_ms < self.calm_from
             && thousandths > 0
-            && self.later_random.random_range(0..1_000) < thousandths
+            && self.extra_random.random_range(0..1_000) < thousandths
     }
 
-    fn later_between(&mut self, low: u64, high: u64) -> u64 {
-        self.later_random.random_range(low..=high)
+    fn extra_between(&mut self, low: u64, high: u64) -> u64 {
+        self.extra_random.random_range(low..=high)
     }
 
     fn count(&mut self, what: &'static str) {
@@ -319,20 +313,7 @@
             Effect::Note(_) | Effect::Ask(_) | Effect::TakeDown(_) => {}
             Effect::Deposed => self.owners[place].over = true,
             Effect::Confirm => self.confirm(place, delay),
-            Effect::Save(save) => {
-                let (lost, away) = (self.chance(self.faults.lost), !self.has_store(place));
-                if lost || away {
-                    self.send(
-                        LIMIT_MS,
-                        Message::Event(place, Box::new(Event::Saved(false))),
-                    );
-                } else if self.later_chance(self.faults.splits) {
-                    self.split(place, &save);
-                } else {
-                    let unanswered = self.chance(self.faults.unanswered);
-                    self.send(delay, Message::Save(place, Box::new(save), unanswered));
-                }
-            }
+            Effect::Save(save) => self.send_save(place, save, delay),
             order => self.order(place, order, delay),
         }
     }
@@ -352,68 +333,6 @@
         }
     }
 
-    fn save(&mut self, place: usize, save: Save, unanswered: bool) {
-        if !self.keep(place, save) {
-            return;
-        }
-        let delay = if unanswered {
-            LIMIT_MS
-        } else {
-            self.between(1, 5)
-        };
-        let event = Event::Saved(!unanswered);
-        self.send(delay, Message::Event(place, Box::new(event)));
-    }
-
-    /// keep does a transaction, unless another daemon owns the cell, which its owner
-    /// learns then.
-    fn keep(&mut self, place: usize, save: Save) -> bool {
-        if self.owners[place].fence != self.store.fence {
-            self.owners[place].over = true;
-            return false;
-        }
-        self.owners[place].confirmed_ms = self.now_ms;
-        for (job, progress) in save.jobs {
-            self.store.progress.insert(job, progress);
-        }
-        if let Some(roster) = save.roster {
-            self.store.roster = roster;
-        }
-        true
-    }
-
-    /// split sends a save in several transactions at once, the roster in the first: some
-    /// are done, some late, and some not at all. Its owner learns last whether all were.
-    fn split(&mut self, place: usize, save: &Save) {
-        self.count("save in several transactions");
-        let mut done = true;
-        let mut slowest_ms = 0;
-        let mut parts: Vec<Save> = vec![Save {
-            jobs: Vec::new(),
-            ..save.clone()
-        }];
-        parts.extend(save.jobs.chunks(PART).map(|jobs| Save {
-            jobs: jobs.to_vec(),
-            ..Save::default()
-        }));
-        for part in parts {
-            if self.later_chance(LOST_PARTS) {
-                done = false;
-                continue;
-            }
-            let delay_ms = self.later_between(1, PART_MS);
-            slowest_ms = slowest_ms.max(delay_ms);
-            self.send(delay_ms, Message::Part(place, Box::new(part)));
-        }
-        if done {
-            let answered_ms = slowest_ms + 1;
-            self.send(answered_ms, Message::Parts(place, self.owners[place].fence));
-        } else {
-            let failed = Event::Saved(false);
-            self.send(LIMIT_MS, Message::Event(place, Box::new(failed)));
-        }
-    }
-
     /// check_shown takes in the states that an owner shows, also one that was replaced and
     /// does not know it.
     fn check_shown(&mut self, place: usize) {
--- a/crates/stackpier-fuzz/src/cell/world/faults.rs
+++ b/crates/stackpier-fuzz/src/cell/world/faults.rs
@@ -134,12 +134,12 @@
 
     /// drain has a worker say now and then that it leaves.
     fn drain(&mut self, place: usize) {
-        let drains = self.later_chance(self.faults.drains);
+        let drains = self.extra_chance(self.faults.drains);
         if !drains || self.down[place] || self.workers[place].info.draining {
             return;
         }
         self.count("drain");
-        let leaves_ms = self.later_between(DRAIN_MS.0, DRAIN_MS.1);
+        let leaves_ms = self.extra_between(DRAIN_MS.0, DRAIN_MS.1);
         let info = &mut self.workers[place].info;
         info.draining = true;
         info.remaining_ms = Some(leaves_ms);
--- a/crates/stackpier-fuzz/src/cell/world/jobs.rs
+++ b/crates/stackpier-fuzz/src/cell/world/jobs.rs
@@ -45,7 +45,7 @@
 
     fn new_step(&mut self, number: u16) -> Step {
         let fills = self.random.random_bool(0.5);
-        let speculative = self.later_random.random_range(0..1_000) < self.faults.copies;
+        let speculative = self.extra_random.random_range(0..1_000) < self.faults.copies;
         Step {
             count: self.between(1, 5) as u32,
             size: Size {
@@ -128,10 +128,10 @@
         for place in 0..self.owners.len() - 1 {
             if !self.owners[place].over
                 && self.has_store(place)
-                && self.later_chance(self.faults.stale_watches)
+                && self.extra_chance(self.faults.stale_watches)
             {
                 self.count("job of a later owner seen by an earlier one");
-                let delay_ms = self.later_between(1, 10);
+                let delay_ms = self.extra_between(1, 10);
                 let event = Box::new(accepted.clone());
                 self.send(delay_ms, Message::Event(place, event));
             }
