--- a/crates/stackpier-scheduler/src/relay.rs
+++ b/crates/stackpier-scheduler/src/relay.rs
@@ -16,6 +16,7 @@
 
 mod batch;
 mod helper;
+mod recent;
 
 use std::{
     cell::{Cell, RefCell},
@@ -36,9 +37,10 @@
     node::{Node, pause},
 };
 
-use batch::{Payloads, Taken};
+use batch::{KEPT, Payloads};
 
-pub use batch::{Batch, Known, Numbered, Outcome};
+pub use batch::{Batch, Numbered, Outcome};
+pub use recent::Recent;
 
 /// GATHER_STARTS_MS is how long starts are gathered for a batch.
 const GATHER_STARTS_MS: u64 = 5;
@@ -60,6 +62,12 @@
 /// TRIES is how often a start is passed: once more if the other daemon had forgotten its
 /// payload.
 const TRIES: usize = 2;
+/// TAKEN is how many batches a daemon remembers, so that it takes none twice. An owner sends
+/// it one every 5 ms at most for starts and one every 15 ms for looks, and workers refuse a
+/// start that comes after the end of its lease, ten seconds at the longest: 2,700 batches, of
+/// some 100 KB in all.
+const TAKEN: usize = 4_096;
+
 /// DIRECT_PART is the part of its link and processor that the owner's own calls may take.
 const DIRECT_PART: f64 = 0.3;
 /// SAVED_MS is for how long a share that was not used is saved up.
@@ -111,13 +119,13 @@
     /// The number of the last call.
     number: Cell<u64>,
     /// The payloads that daemons have, by their addresses.
-    known: RefCell<HashMap<String, Known>>,
+    known: RefCell<HashMap<String, Recent<key::Job>>>,
     /// When daemons and workers, by their addresses, last failed to answer.
     failed: RefCell<BTreeMap<String, Millis>>,
     /// The payloads that this daemon has.
     payloads: RefCell<Payloads>,
-    /// The batches that this daemon took lately.
-    taken: RefCell<Taken>,
+    /// The batches that this daemon took lately, by the numbers of their first calls.
+    taken: RefCell<Recent<u64>>,
     /// The answers that wait to be sent to owners.
     answers: RefCell<HashMap<String, Vec<Numbered<Outcome>>>>,
 }
@@ -135,7 +143,7 @@
             known: RefCell::default(),
             failed: RefCell::default(),
             payloads: RefCell::default(),
-            taken: RefCell::default(),
+            taken: RefCell::new(Recent::new(TAKEN)),
             answers: RefCell::default(),
         }
     }
@@ -328,7 +336,7 @@
         helper: &str,
         limit: Duration,
         gather_ms: u64,
-        add: impl FnOnce(u64, &mut Batch, &mut Known),
+        add: impl FnOnce(u64, &mut Batch, &mut Recent<key::Job>),
     ) -> Option<Outcome> {
         let (answer, answered) = oneshot::channel();
         let number = self.relays.next(answer);
@@ -356,10 +364,11 @@
         &self,
         helper: &str,
         number: u64,
-        add: impl FnOnce(u64, &mut Batch, &mut Known),
+        add: impl FnOnce(u64, &mut Batch, &mut Recent<key::Job>),
     ) -> bool {
         let mut known = self.relays.known.borrow_mut();
-        let known = known.entry(helper.to_owned()).or_default();
+        let known = known.entry(helper.to_owned());
+        let known = known.or_insert_with(|| Recent::new(KEPT));
         let mut gathered = self.relays.gathered.borrow_mut();
         let batch = gathered.entry(helper.to_owned()).or_insert_with(|| {
             let owner = self.settings.advertised.to_string();
--- a/crates/stackpier-scheduler/src/relay/batch.rs
+++ b/crates/stackpier-scheduler/src/relay/batch.rs
@@ -2,25 +2,18 @@
 //! The messages between an owner and the daemons that call workers for it, and the
 //! payloads of jobs that both sides keep.
 
-use std::{
-    collections::{HashSet, VecDeque},
-    rc::Rc,
-};
+use std::{collections::VecDeque, rc::Rc};
 
 use serde::{Deserialize, Serialize};
 use stackpier_cell::{self as cell, Held, Hold, Start, Started, TaskName, WorkerKey};
 use stackpier_core::key;
 
+use super::recent::Recent;
+
 /// KEPT is how many payloads a daemon keeps. The tasks of a job start over some seconds,
 /// in which a large cell of today's users takes 60 jobs; the largest payload has 4,000
 /// bytes, so this is half a megabyte at most.
-const KEPT: usize = 128;
-
-/// TAKEN is how many batches a daemon remembers, so that it takes none twice. An owner sends
-/// it one every 5 ms at most for starts and one every 15 ms for looks, and workers refuse a
-/// start that comes after the end of its lease, ten seconds at the longest: 2,700 batches, of
-/// some 100 KB in all.
-const TAKEN: usize = 4_096;
+pub(super) const KEPT: usize = 128;
 
 /// Batch is calls to workers that another daemon is to send.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -101,7 +94,7 @@
 
     /// add_start adds a start, with its payload if the other daemon is not known to have
     /// it.
-    pub fn add_start(&mut self, number: u64, start: &Start, known: &mut Known) {
+    pub fn add_start(&mut self, number: u64, start: &Start, known: &mut Recent<key::Job>) {
         let job = start.order.task.job;
         self.fence = start.order.fence;
         if known.insert(job) {
@@ -150,7 +143,7 @@
 
     /// first returns the number of the first call, which no other batch has: each process
     /// numbers its calls from a random start.
-    fn first(&self) -> Option<u64> {
+    pub(super) fn first(&self) -> Option<u64> {
         let start = self.starts.first().map(|start| start.number);
         start.or(self.looks.first().map(|look| look.number))
     }
@@ -217,61 +210,6 @@
     }
 }
 
-/// Taken are the batches that a daemon took lately.
-#[derive(Debug, Default)]
-pub(super) struct Taken {
-    numbers: HashSet<u64>,
-    order: VecDeque<u64>,
-}
-
-impl Taken {
-    /// insert notes a batch and tells whether it is new.
-    pub(super) fn insert(&mut self, batch: &Batch) -> bool {
-        let Some(number) = batch.first() else {
-            return true;
-        };
-        if !self.numbers.insert(number) {
-            return false;
-        }
-        self.order.push_back(number);
-        if self.order.len() > TAKEN
-            && let Some(oldest) = self.order.pop_front()
-        {
-            self.numbers.remove(&oldest);
-        }
-        true
-    }
-}
-
-/// Known is the jobs whose payloads another daemon was sent and still keeps.
-#[derive(Debug, Default)]
-pub struct Known {
-    jobs: HashSet<key::Job>,
-    order: VecDeque<key::Job>,
-}
-
-impl Known {
-    /// insert notes a job and tells whether it is new.
-    fn insert(&mut self, job: key::Job) -> bool {
-        if !self.jobs.insert(job) {
-            return false;
-        }
-        self.order.push_back(job);
-        if self.order.len() > KEPT
-            && let Some(oldest) = self.order.pop_front()
-        {
-            self.jobs.remove(&oldest);
-        }
-        true
-    }
-
-    /// remove notes that the other daemon does not have a payload after all.
-    pub(super) fn remove(&mut self, job: key::Job) {
-        self.jobs.remove(&job);
-        self.order.retain(|other| *other != job);
-    }
-}
-
 /// Payloads are the latest payloads that a daemon was sent.
 #[derive(Debug, Default)]
 pub(super) struct Payloads {
--- a/crates/stackpier-scheduler/src/relay/helper.rs
+++ b/crates/stackpier-scheduler/src/relay/helper.rs
@@ -26,7 +26,8 @@
 impl<P: Platform> Node<P> {
     /// call_for sends the calls of a batch to their workers, unless it is a second copy.
     pub(crate) fn call_for(&self, mut batch: Batch) {
-        if !self.relays.taken.borrow_mut().insert(&batch) {
+        let first = batch.first();
+        if first.is_some_and(|first| !self.relays.taken.borrow_mut().insert(first)) {
             let text = format!("calls of {} came twice and are sent once", batch.owner);
             self.say("relay", &text);
             return;
