A daemon that stops answers all that it reads: tries to write end before it does

Cause: a write without an answer is tried for 1.6 s (1.7 s measured), wherever in a planned stop it begins.

--- a/crates/stackpier-scheduler/src/daemon.rs
+++ b/crates/stackpier-scheduler/src/daemon.rs
@@ -95,10 +95,11 @@
 
 async fn stop<P: Platform>(node: &Node<P>, close: &watch::Sender<bool>, open: &Cell<usize>) {
     let start = node.mono();
+    let last = node.settings.grace_ms.saturating_sub(LAST_MS);
     node.stopping.set(true);
+    node.ends_at.set(Some(start.plus(last)));
     node.say("daemon", "stopping");
     node.release().await;
-    let last = node.settings.grace_ms.saturating_sub(LAST_MS);
     let drain = DRAIN_MS.min(last);
     while node.mono().since(start) < drain {
         pause(STOP_POLL_MS).await;
--- a/crates/stackpier-scheduler/src/jobs.rs
+++ b/crates/stackpier-scheduler/src/jobs.rs
@@ -21,6 +21,9 @@
 /// TAKE_LIMIT is how long a daemon tries to get a job into the store. Clients
 /// wait three seconds, and need time for another daemon.
 const TAKE_LIMIT: Duration = Duration::from_millis(1_600);
+/// LAST_TRY_MS is how long before the end of a planned stop the last try to write begins: it
+/// takes 0.65 s at most, by way of a peer, and its answer has to reach the client.
+const LAST_TRY_MS: u64 = 800;
 /// PASS_LIMIT bounds passing a write on to a peer.
 const PASS_LIMIT: Duration = Duration::from_millis(500);
 /// STORE_LIMIT bounds asking a peer whether it has the store: some round trips
@@ -55,7 +58,10 @@
     /// once the job is kept, now or earlier. An error of a kind that has not
     /// run means that the job was not taken and never runs.
     pub async fn submit(&self, job: key::Job, queue: &Queue, spec: Spec) -> Result<()> {
-        let end = Instant::now() + TAKE_LIMIT;
+        let end = self.last_try();
+        if Instant::now() >= end {
+            return Err(refusal("this daemon is about to end", false));
+        }
         // Whether an earlier try may have been done.
         let mut unclear = false;
         while Instant::now() < end {
@@ -90,6 +96,19 @@
         Err(refusal("the store did not answer in time", unclear))
     }
 
+    /// last_try returns until when a daemon begins to write. One that stops answers before its
+    /// end: connections that were opened before it closed its port may bring requests until
+    /// then, and tries for as long as usual were cut off in the soak. What comes too late to
+    /// be tried is refused at once.
+    fn last_try(&self) -> Instant {
+        let now = Instant::now();
+        let Some(ends_at) = self.ends_at.get() else {
+            return now + TAKE_LIMIT;
+        };
+        let left_ms = ends_at.0.saturating_sub(self.mono().0 + LAST_TRY_MS);
+        now + TAKE_LIMIT.min(Duration::from_millis(left_ms))
+    }
+
     /// settle takes in what a conflict shows, and tells whether the job is in
     /// the store already.
     fn settle(&self, job: key::Job, items: &[Item]) -> Result<bool> {
@@ -271,7 +290,7 @@
     /// cancel keeps the cancelling of a job in the store and tells the owner.
     /// It returns whether there is such a job.
     pub async fn cancel(&self, job: key::Job) -> Result<bool> {
-        let end = Instant::now() + TAKE_LIMIT;
+        let end = self.last_try();
         match self.state(job).await? {
             None => return Ok(false),
             Some(state) if state.is_final() => return Ok(true),
--- a/crates/stackpier-scheduler/src/node.rs
+++ b/crates/stackpier-scheduler/src/node.rs
@@ -81,6 +81,8 @@
     /// When the owner was last heard.
     pub(crate) heard: Slot<Millis>,
     pub(crate) stopping: Slot<bool>,
+    /// When this daemon ends, once it was told to stop.
+    pub(crate) ends_at: Slot<Option<Millis>>,
     pub(crate) busy: Slot<usize>,
     clock: Steady,
 }
@@ -135,6 +137,7 @@
             store: StoreHealth::default(),
             heard: Slot::default(),
             stopping: Slot::default(),
+            ends_at: Slot::default(),
             busy: Slot::default(),
             clock: Steady::new(Uptime),
         };
