--- a/crates/stackpier-cell/src/job.rs
+++ b/crates/stackpier-cell/src/job.rs
@@ -50,7 +50,8 @@
     /// good, but a successor that does not find it in the store starts its tasks again: it
     /// did so 4 s after clients had been told, on a day on which the owner lost the store,
     /// workers crashed and the owner was killed. So an end that is not saved is not shown.
-    /// That costs the time of a save, some 25 ms while the store is well, and 0.01 of what
+    /// That costs the time of a save, half of the pause between two and a call to the store by
+    /// what is worked out (some 25 ms), and 0.01 of what
     /// short jobs earn in the model. A cancelling is in the store before an owner knows of
     /// it.
     pub(crate) fn shown(&self) -> State {
