Log lines and a count that tell of a task done twice, and of ends out of order

Sight only; no decision changes. It counts as a decision of part `repeat`, so that a metric shows it.

The new lines come only where a report is out of order or a task is done twice, so the fuzz's worlds, which draw a delay for each line, stay where they were. Run: the tests of stackpier-cell build; no test looks for the lines yet.

--- a/crates/stackpier-cell/src/ends.rs
+++ b/crates/stackpier-cell/src/ends.rs
@@ -15,6 +15,7 @@
 impl Cell {
     /// take_ends takes in the ends that are new.
     pub(crate) fn take_ends(&mut self, worker: WorkerKey, ends: Vec<End>) {
+        self.note_order(worker, &ends);
         let mut news = false;
         for end in ends {
             if end.number <= self.worker(worker).taken {
@@ -33,6 +34,22 @@
         }
     }
 
+    /// note_order tells of a list that is not in the order of its numbers.
+    fn note_order(&mut self, worker: WorkerKey, ends: &[End]) {
+        let falls = |pair: &[End]| (pair[0].number > pair[1].number).then_some(pair[1].number);
+        let fallen = ends.windows(2).find_map(falls);
+        if let Some(number) = fallen {
+            let worker = self.worker(worker);
+            let text = format!(
+                "worker {} lists end {number} behind a later one, {} ends in all; {} are known",
+                worker.info.id,
+                ends.len(),
+                worker.taken
+            );
+            self.note("report", None, text);
+        }
+    }
+
     fn take_end(&mut self, worker: WorkerKey, end: &End) {
         let Some(task) = self.find(end.task) else {
             let text = "end of a run whose job is not known".to_owned();
@@ -45,13 +62,13 @@
             self.drop_run(run);
         }
         match end.how {
-            How::Done => self.end_done(task, worker),
+            How::Done => self.end_done(task, worker, end.run),
             How::Failed => self.end_failed(task, worker, end.run),
             How::Stopped | How::Lapsed | How::Broken | How::Alone => self.end_early(task, end),
         }
     }
 
-    fn end_done(&mut self, task: TaskKey, worker: WorkerKey) {
+    fn end_done(&mut self, task: TaskKey, worker: WorkerKey, run: u32) {
         let now = self.now.mono;
         self.worker_mut(worker).health.work(now);
         let step = self.task(task).step;
@@ -60,6 +77,7 @@
             self.make_ready(task);
             return;
         }
+        self.note_repeat(task, worker, run);
         for member in self.members(task) {
             self.finish(member);
         }
@@ -72,6 +90,21 @@
         }
     }
 
+    /// note_repeat tells of a task that two runs have done. Members of a gang all end so, and
+    /// copies may.
+    fn note_repeat(&mut self, task: TaskKey, worker: WorkerKey, run: u32) {
+        let shape = self.shape(self.task(task).step);
+        let allowed = shape.gang || shape.speculative;
+        let first = *self.task_mut(task).done_by.get_or_insert(run);
+        if allowed || first == run {
+            return;
+        }
+        let life = &self.worker(worker).info.id;
+        let text = format!("run {run} on worker {life} did work that run {first} had done");
+        let name = self.name(task);
+        self.note("repeat", Some(name), text);
+    }
+
     /// members returns the tasks that a run of a task stands for: all of its
     /// step if that is a gang, else the task alone.
     pub(crate) fn members(&self, task: TaskKey) -> impl Iterator<Item = TaskKey> + use<> {
--- a/crates/stackpier-cell/src/hold.rs
+++ b/crates/stackpier-cell/src/hold.rs
@@ -263,7 +263,12 @@
             match entry.phase {
                 Phase::Unsure(since) if sent > since => self.stop(run),
                 Phase::Running if entry.confirmed.is_some_and(|at| sent > at) => {
-                    self.note("end", Some(name), "run is gone without an end".to_owned());
+                    let (number, worker) = (entry.number, self.worker(key));
+                    let text = format!(
+                        "run {number} is gone from worker {} without an end; ends up to {} are known",
+                        worker.info.id, worker.taken
+                    );
+                    self.note("end", Some(name), text);
                     self.requeue(run);
                 }
                 Phase::Stopping if self.is_stopped(entry, sent) => {
--- a/crates/stackpier-cell/src/job.rs
+++ b/crates/stackpier-cell/src/job.rs
@@ -102,6 +102,8 @@
     pub step: StepKey,
     pub index: u32,
     pub done: bool,
+    /// The number of the run that did its work, if this owner saw its end.
+    pub done_by: Option<u32>,
     /// The numbers of its failed runs.
     pub failed_runs: Vec<u32>,
     /// When the last one ended.
--- a/crates/stackpier-cell/src/lifecycle.rs
+++ b/crates/stackpier-cell/src/lifecycle.rs
@@ -132,6 +132,7 @@
                 step: key,
                 index,
                 done: false,
+                done_by: None,
                 failed_runs: Vec::new(),
                 failed_at: Millis(0),
                 next_run: first_run,
