Failing test: ends that a worker does not list by number are lost, and their tasks start again

The stand-in worker can list its ends in another order, at most so many at a time, or one report late; it lists by number and 500 at most where a test does not say. One owner, one worker, six tasks that end at the same moment: with the newest first, or in a drawn order, tasks start up to four times within 4 s.

The platform's page gives ends rising numbers and promises no order of the list.

--- a/crates/stackpier-standin/src/fleet.rs
+++ b/crates/stackpier-standin/src/fleet.rs
@@ -3,6 +3,8 @@
 //! passed in: it refuses lower fences and what does not fit, ends what its
 //! lease no longer covers, and lists each end until it is noted.
 
+pub mod listing;
+
 use std::collections::BTreeMap;
 
 use stackpier_cell::{
@@ -10,6 +12,8 @@
 };
 use stackpier_core::Size;
 
+use listing::Listing;
+
 /// STOP_MS is how long a stop takes.
 const STOP_MS: u64 = 300;
 /// SAVE_MS is the work after which progress is saved.
@@ -125,6 +129,8 @@
     pub speed_percent: u64,
     /// The runs that are there.
     pub runs: Vec<Run>,
+    /// How it lists its ends.
+    pub listing: Listing,
     /// Ends that were not noted.
     pub ends: Vec<End>,
     /// Ends that were noted.
@@ -149,6 +155,7 @@
             grey: false,
             speed_percent: FULL,
             runs: Vec::new(),
+            listing: Listing::default(),
             ends: Vec::new(),
             noted: Vec::new(),
             lapsed_end: 0,
@@ -351,7 +358,7 @@
         Held::Report(Report {
             clock_ms: self.clock(now_ms),
             running: self.runs.iter().map(row).collect(),
-            ended: self.ends.clone(),
+            ended: self.listing.list(&self.ends),
         })
     }
 }
