--- a/crates/stackpier-load/src/cell/outcome.rs
+++ b/crates/stackpier-load/src/cell/outcome.rs
@@ -85,6 +85,8 @@
     pub kinds: BTreeMap<&'static str, ByKind>,
     /// Starts that workers took.
     pub starts: u64,
+    /// Starts of tasks that a run had ended as done.
+    pub repeats: u64,
     /// Runs that were told to stop.
     pub stops: u64,
     /// Starts of filling tasks on workers that serve nothing.
--- a/crates/stackpier-load/src/cell/pattern.rs
+++ b/crates/stackpier-load/src/cell/pattern.rs
@@ -5,6 +5,7 @@
 
 use stackpier_cell::Options;
 use stackpier_core::Size;
+use stackpier_standin::fleet::listing::Listing;
 
 use super::{
     fault::{Fault, Trouble},
@@ -173,6 +174,7 @@
             troubles: self.troubles(),
             options: Options::default(),
             known_pairs: false,
+            listing: Listing::default(),
         }
     }
 
--- a/crates/stackpier-load/src/cell/timing.rs
+++ b/crates/stackpier-load/src/cell/timing.rs
@@ -63,6 +63,7 @@
         troubles: Vec::new(),
         options: stackpier_cell::Options::default(),
         known_pairs: false,
+        listing: Default::default(),
     }
 }
 
--- a/crates/stackpier-load/src/cell/world.rs
+++ b/crates/stackpier-load/src/cell/world.rs
@@ -16,7 +16,7 @@
 use rand_chacha::ChaCha8Rng;
 use stackpier_cell::{Cell, Effect, Event, Info, Memory, Now, Options, Serving, Term};
 use stackpier_core::{Millis, Unix};
-use stackpier_standin::fleet::Worker;
+use stackpier_standin::fleet::{Worker, listing::Listing};
 
 use super::{
     fault::{Fault, Trouble, part},
@@ -48,6 +48,8 @@
     pub options: Options,
     /// Whether the owner knows the pairs from the beginning.
     pub known_pairs: bool,
+    /// How workers list their ends.
+    pub listing: Listing,
 }
 
 /// Happening is something that will happen.
@@ -119,8 +121,11 @@
             mono: Millis(1),
             unix: Unix(START),
         };
-        let workers =
-            (0..day.site.workers).map(|place| Worker::new(info(&day.site, place), 5_000, 1));
+        let workers = (0..day.site.workers).map(|place| {
+            let mut worker = Worker::new(info(&day.site, place), 5_000, 1);
+            worker.listing = day.listing;
+            worker
+        });
         let mut world = World {
             now_ms: 1,
             random,
--- a/crates/stackpier-load/src/cell/world/calls.rs
+++ b/crates/stackpier-load/src/cell/world/calls.rs
@@ -2,9 +2,9 @@
 //! The owner's calls to workers and to the store, and their answers.
 
 use rand::RngExt;
-use stackpier_cell::{Effect, Event, Held, Hold, Start, Started, Stopped};
+use stackpier_cell::{Effect, Event, Held, Hold, How, Start, Started, Stopped, TaskName};
 use stackpier_core::Millis;
-use stackpier_standin::fleet::Run;
+use stackpier_standin::fleet::{Run, Worker};
 
 use super::{
     super::{fault::Fault, site::Role},
@@ -121,6 +121,7 @@
         let apart = !self.workers[place].runs.iter().any(serves);
         let outcome = self.workers[place].start(self.now_ms, start, behaviour);
         if outcome == Started::Yes {
+            self.outcome.repeats += u64::from(self.is_done(task));
             self.outcome.starts += 1;
             self.outcome.filled += u64::from(fills);
             self.outcome.filled_apart += u64::from(fills && apart);
@@ -129,6 +130,15 @@
         outcome
     }
 
+    /// is_done tells whether a run of a task has ended as done.
+    fn is_done(&self, task: TaskName) -> bool {
+        let ends = |worker: &Worker| {
+            let mut all = worker.ends.iter().chain(&worker.noted);
+            all.any(|end| end.task == task && end.how == How::Done)
+        };
+        self.workers.iter().any(ends)
+    }
+
     /// deliver_hold answers a hold at once, or when an end is due, or when its wait is
     /// over.
     fn deliver_hold(&mut self, hold: Hold) {
