Each end counts by its own number; a worker forgets up to a number below which none is missing

Cause: an end was taken as known if its number was not above the highest one seen of its worker, and the worker was told to forget all up to that one. A list in another order than that of its numbers lost ends: they were passed over, noted all the same, and their runs, which the next report showed nowhere, were started again.

Change: an owner keeps the set of the ends that it took in. A worker is told to forget up to a number below which none is missing; a gap that one report shows is taken as closed only by a second one, asked for after the first, that has it still (an earlier owner may have had the worker forget those below).

Why it holds: no end is forgotten before it was taken in, in whatever order and in whatever report it shows; lists by number are noted as soon as before.

Two tests of the numbers alone landed with it: an end that shows after a later one, and ends that an earlier owner had forgotten.

--- a/crates/stackpier-cell/src/ends.rs
+++ b/crates/stackpier-cell/src/ends.rs
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 //! Runs that ended, and what follows for their tasks and jobs.
 
+use stackpier_core::Millis;
 use stackpier_state::job::State;
 
 use crate::{
@@ -13,24 +14,27 @@
 pub(crate) const SICK_FAILURES: u16 = 1;
 
 impl Cell {
-    /// take_ends takes in the ends that are new.
-    pub(crate) fn take_ends(&mut self, worker: WorkerKey, ends: Vec<End>) {
+    /// take_ends takes in the ends that are new, of a report that was asked for at `sent`.
+    pub(crate) fn take_ends(&mut self, worker: WorkerKey, sent: Millis, ends: Vec<End>) {
         self.note_order(worker, &ends);
+        let now = self.now.mono;
         let mut news = false;
         for end in ends {
-            if end.number <= self.worker(worker).taken {
-                continue;
+            if self.worker_mut(worker).taken.insert(end.number) {
+                news = true;
+                self.take_end(worker, &end);
             }
-            self.worker_mut(worker).taken = end.number;
-            news = true;
-            self.take_end(worker, &end);
         }
+        let after = self.saver.next();
+        let entry = self.worker_mut(worker);
+        let before = entry.taken.complete();
+        entry.taken.close(sent, now);
+        let more = entry.taken.complete() > before;
         if news {
-            let after = self.saver.next();
-            self.worker_mut(worker).note_after_save = after;
-            if !self.saver.unnoted.contains(&worker) {
-                self.saver.unnoted.push(worker);
-            }
+            entry.note_after_save = after;
+        }
+        if (news || more) && !self.saver.unnoted.contains(&worker) {
+            self.saver.unnoted.push(worker);
         }
     }
 
@@ -44,7 +48,7 @@
                 "worker {} lists end {number} behind a later one, {} ends in all; {} are known",
                 worker.info.id,
                 ends.len(),
-                worker.taken
+                worker.taken.complete()
             );
             self.note("report", None, text);
         }
--- a/crates/stackpier-cell/src/hold.rs
+++ b/crates/stackpier-cell/src/hold.rs
@@ -121,7 +121,7 @@
         worker.inherited = false;
         // Its report tells better what runs there.
         worker.ended_unseen = None;
-        self.take_ends(key, report.ended);
+        self.take_ends(key, sent, report.ended);
         for row in &report.running {
             self.take_row(key, sent, row);
         }
@@ -266,7 +266,8 @@
                     let (number, worker) = (entry.number, self.worker(key));
                     let text = format!(
                         "run {number} is gone from worker {} without an end; ends up to {} are known",
-                        worker.info.id, worker.taken
+                        worker.info.id,
+                        worker.taken.complete()
                     );
                     self.note("end", Some(name), text);
                     self.requeue(run);
--- a/crates/stackpier-cell/src/lib.rs
+++ b/crates/stackpier-cell/src/lib.rs
@@ -45,6 +45,7 @@
 mod spare;
 mod speculate;
 mod summary;
+mod taken;
 mod takeover;
 mod wire;
 mod worker;
--- a/crates/stackpier-cell/src/roster.rs
+++ b/crates/stackpier-cell/src/roster.rs
@@ -7,6 +7,7 @@
     Cell, RosterEntry,
     arena::WorkerKey,
     health::Health,
+    taken::Taken,
     worker::{IdleRoom, Info, Life, Worker},
 };
 
@@ -95,7 +96,7 @@
             holding: false,
             hold_after: Millis(0),
             silent_since: None,
-            taken: 0,
+            taken: Taken::default(),
             noted: 0,
             note_after_save: 0,
             health: Health::default(),
--- a/crates/stackpier-cell/src/save.rs
+++ b/crates/stackpier-cell/src/save.rs
@@ -283,7 +283,7 @@
                 continue;
             }
             if idle || worker.note_after_save <= done {
-                worker.noted = worker.taken;
+                worker.noted = worker.taken.complete();
                 self.hold_soon(key);
             } else {
                 self.saver.unnoted.push(key);
--- /dev/null
+++ b/crates/stackpier-cell/src/taken.rs
@@ -0,0 +1,74 @@
+// SPDX-License-Identifier: Apache-2.0
+//! Which ends of a worker an owner has taken in.
+//!
+//! A worker numbers its ends and forgets them up to the number that it is told. Its list may
+//! come in any order, and an end may show in a later report than one with a higher number. So
+//! each end counts by itself, and the worker is told to forget only up to a number below which
+//! none can be missing. An owner that went by the highest number it had seen lost a tenth of
+//! all ends of workers that list in another order, and started their tasks again.
+
+use std::collections::BTreeSet;
+
+use stackpier_core::Millis;
+
+/// Taken is the set of a worker's ends that are taken in.
+#[derive(Debug, Default)]
+pub(crate) struct Taken {
+    /// No end up to this number is missing.
+    complete: u64,
+    /// The ends above it that are taken in.
+    above: BTreeSet<u64>,
+    /// The gap below these, if there is one.
+    gap: Option<Gap>,
+}
+
+/// Gap is numbers that no report has listed, though it listed higher ones. An earlier owner
+/// may have had the worker forget them.
+#[derive(Clone, Copy, Debug)]
+struct Gap {
+    /// When it was first seen.
+    seen: Millis,
+    /// The lowest number above it.
+    end: u64,
+}
+
+impl Taken {
+    /// insert takes an end in and tells whether it is new.
+    pub(crate) fn insert(&mut self, number: u64) -> bool {
+        number > self.complete && self.above.insert(number)
+    }
+
+    /// close follows the ends of a report that was asked for at `sent` and came at `now`. It
+    /// raises the number below which none is missing: past ends that are there, and past a gap
+    /// that a report still has which was asked for after the gap had been seen.
+    pub(crate) fn close(&mut self, sent: Millis, now: Millis) {
+        self.advance();
+        let confirmed = |gap: &Gap| sent > gap.seen && self.above.first() == Some(&gap.end);
+        if let Some(gap) = self.gap.filter(confirmed) {
+            self.complete = gap.end - 1;
+            self.advance();
+        }
+        let known = |gap: &Gap| self.above.first() == Some(&gap.end);
+        self.gap = self.gap.filter(known).or_else(|| {
+            let end = *self.above.first()?;
+            Some(Gap { seen: now, end })
+        });
+    }
+
+    /// advance goes past the ends that follow each other.
+    fn advance(&mut self) {
+        while self.above.remove(&(self.complete + 1)) {
+            self.complete += 1;
+        }
+    }
+
+    /// complete returns the number up to which no end is missing.
+    pub(crate) fn complete(&self) -> u64 {
+        self.complete
+    }
+
+    /// is_above tells whether an end above a number is taken in.
+    pub(crate) fn is_above(&self, number: u64) -> bool {
+        self.complete > number || !self.above.is_empty()
+    }
+}
--- a/crates/stackpier-cell/src/worker.rs
+++ b/crates/stackpier-cell/src/worker.rs
@@ -3,7 +3,9 @@
 
 use stackpier_core::{Millis, Size};
 
-use crate::{arena::RunKey, crash::Isolation, health::Health, outlook::Outlook, run::Run};
+use crate::{
+    arena::RunKey, crash::Isolation, health::Health, outlook::Outlook, run::Run, taken::Taken,
+};
 
 /// CLOCK_ERROR_MILLI is how much slower than true time a worker's clock may
 /// run, in thousandths, with a margin: the platform allows 2%.
@@ -116,8 +118,8 @@
     /// Since when it has not answered.
     pub silent_since: Option<Millis>,
     /// Ends that were taken in.
-    pub taken: u64,
-    /// Ends that may be forgotten.
+    pub taken: Taken,
+    /// The number up to which the worker may forget ends.
     pub noted: u64,
     /// The save after which the ends taken in may be forgotten.
     pub note_after_save: u64,
@@ -154,7 +156,7 @@
     /// has_unsaved_ends tells whether the worker lists ends that the store is not known to
     /// have, so that it may not forget them.
     pub(crate) fn has_unsaved_ends(&self) -> bool {
-        self.taken > self.noted
+        self.taken.is_above(self.noted)
     }
 
     /// lapsed tells whether everything that this owner leased has ended by now.
--- a/crates/stackpier-cell/tests/listing.rs
+++ b/crates/stackpier-cell/tests/listing.rs
@@ -19,7 +19,9 @@
 
 mod common;
 
-use common::{Owner, name, spec, step};
+use common::{Owner, QUEUE, info, name, spec, step};
+use stackpier_cell::{Effect, End, Event, Held, How, Report, WorkerKey};
+use stackpier_core::Millis;
 use stackpier_standin::fleet::listing::{Listing, Order};
 use stackpier_state::job::State;
 
@@ -55,3 +57,70 @@
     let played = orders.map(|order| play(Listing::in_order(order)));
     assert_eq!(played, orders.map(|_| once()));
 }
+
+/// report feeds an owner the report of its only worker that lists the ends of some of the
+/// tasks, by number, and returns up to which number it then has the worker forget them.
+fn report(owner: &mut Owner, worker: WorkerKey, numbers: &[u64]) -> Option<u64> {
+    let end = |number: &u64| End {
+        number: *number,
+        task: name(1, 0, *number as u32 % TASKS),
+        run: 1,
+        how: How::Done,
+        checkpoint: String::new(),
+    };
+    let sent = Millis(owner.now_ms);
+    owner.now_ms += 1;
+    let outcome = Held::Report(Report {
+        clock_ms: owner.now_ms,
+        running: Vec::new(),
+        ended: numbers.iter().map(end).collect(),
+    });
+    let held = Event::Held {
+        worker,
+        sent,
+        outcome,
+    };
+    let mut effects = owner.cell.step(owner.now(), held);
+    while effects
+        .iter()
+        .any(|effect| matches!(effect, Effect::Save(_)))
+    {
+        owner.now_ms += 1;
+        effects = owner.cell.step(owner.now(), Event::Saved(true));
+    }
+    let noted = effects.iter().find_map(|effect| match effect {
+        Effect::Hold(hold) => Some(hold.noted),
+        _ => None,
+    });
+    owner.now_ms += 1_000;
+    noted
+}
+
+/// listed returns an owner that reads the job of these tests, with its only worker.
+fn listed() -> (Owner, WorkerKey) {
+    let mut owner = Owner::with(0, 2, false);
+    owner.submit_to(1, QUEUE, spec(vec![step(TASKS)]), 1, None);
+    let effects = owner.cell.step(owner.now(), Event::Listed(info(0)));
+    let worker = effects.iter().find_map(|effect| match effect {
+        Effect::Hold(hold) => Some(hold.worker),
+        _ => None,
+    });
+    (owner, worker.expect("it is asked for a report"))
+}
+
+#[test]
+fn an_end_that_shows_after_a_later_one_is_not_forgotten_before_it_is_known() {
+    let (mut owner, worker) = listed();
+    assert_eq!(report(&mut owner, worker, &[1]), Some(1));
+    assert_eq!(report(&mut owner, worker, &[3]), Some(1));
+    assert_eq!(report(&mut owner, worker, &[2, 3]), Some(3));
+}
+
+/// An earlier owner may have had the worker forget the ends below those that are listed.
+#[test]
+fn ends_that_no_report_lists_hold_up_the_others_for_one_report() {
+    let (mut owner, worker) = listed();
+    assert_eq!(report(&mut owner, worker, &[57, 58]), Some(0));
+    assert_eq!(report(&mut owner, worker, &[57, 58]), Some(58));
+    assert_eq!(report(&mut owner, worker, &[59]), Some(59));
+}
