A run that a report does not show is told to stop, and its end is waited for

What callers saw: tasks done twice, the second run stopped or done, where a worker's two lists are not of one moment.

Cause: absence was taken for an end. A confirmed run that a later report did not show was put back and started again at once, whatever its end would say.

Change: such a run is told to stop, as one without an answer is: that bars its number on the worker. Its task is placed again only if its end is not listed by the time that a stop takes (0.9 s) after the worker took the order.

Why it holds: an end that shows in any report of that time is taken in first.

Before and after: six tasks on a worker that lists ends one report late, two starts each, now one. A task whose run is gone for good starts again after a second instead of at once (a new test).

--- a/crates/stackpier-cell/src/hold.rs
+++ b/crates/stackpier-cell/src/hold.rs
@@ -246,10 +246,14 @@
         self.begin(task);
     }
 
-    /// miss_runs ends the runs that a report does not show though it was
-    /// asked for after they were known to be there, or known to be refused.
-    /// Times are whole milliseconds, so the report must have been asked for in
-    /// a later one.
+    /// miss_runs looks at the runs that a report does not show though it was asked for after
+    /// they were known to be there, or known to be refused. Times are whole milliseconds, so
+    /// the report must have been asked for in a later one.
+    ///
+    /// That a run is not shown does not tell how it ended: its end may be listed later, and
+    /// may be that it is done. So it is told to stop, which bars its number, and its task is
+    /// placed again only if no end is listed within the time that a stop takes. Tasks that
+    /// were placed at once were done twice.
     fn miss_runs(&mut self, key: WorkerKey, sent: Millis, rows: &[Row]) {
         for run in self.worker(key).runs.clone() {
             let Some(entry) = self.runs.get(run) else {
@@ -270,7 +274,7 @@
                         worker.taken.complete()
                     );
                     self.note("end", Some(name), text);
-                    self.requeue(run);
+                    self.stop(run);
                 }
                 Phase::Stopping if self.is_stopped(entry, sent) => {
                     self.note("end", Some(name), "stopped run is not there".to_owned());
--- a/crates/stackpier-cell/tests/listing.rs
+++ b/crates/stackpier-cell/tests/listing.rs
@@ -64,6 +64,20 @@
     assert_eq!(play(Listing::late()), once());
 }
 
+/// A run whose end no report lists is given up, so that its task does not wait for ever.
+#[test]
+fn a_task_whose_run_is_gone_for_good_starts_again() {
+    let mut owner = Owner::new(1);
+    owner.submit(1, spec(vec![step(1)]));
+    owner.advance(300);
+    owner.workers[0].runs.clear();
+    owner.advance(800);
+    assert_eq!(owner.starts_of(name(1, 0, 0)), 1);
+    owner.advance(WORK_MS);
+    assert_eq!(owner.starts_of(name(1, 0, 0)), 2);
+    assert_eq!(owner.state(1), Some(State::Completed));
+}
+
 /// report feeds an owner the report of its only worker that lists the ends of some of the
 /// tasks, by number, and returns up to which number it then has the worker forget them.
 fn report(owner: &mut Owner, worker: WorkerKey, numbers: &[u64]) -> Option<u64> {
