Failing test: ends beyond a list that is cut are taken as missing

The platform lists 500 ends at a time. One worker that lists two, six tasks that end while the store is away for 4 s: four tasks start three times each, as nothing is noted and the list shows the same two ends.

--- a/crates/stackpier-cell/tests/listing.rs
+++ b/crates/stackpier-cell/tests/listing.rs
@@ -64,6 +64,22 @@
     assert_eq!(play(Listing::late()), once());
 }
 
+/// The platform lists 500 ends at a time. The others are listed once those are noted, which
+/// takes a store that answers.
+#[test]
+fn ends_beyond_a_list_that_is_cut_are_waited_for() {
+    let mut owner = Owner::new(1);
+    owner.workers[0].listing.most = 2;
+    owner.submit(1, spec(vec![step(TASKS)]));
+    owner.advance(500);
+    owner.store = false;
+    owner.advance(WORK_MS);
+    owner.store = true;
+    owner.advance(WORK_MS);
+    let starts = (0..TASKS).map(|index| owner.starts_of(name(1, 0, index)));
+    assert_eq!((starts.collect(), owner.state(1)), once());
+}
+
 /// A run whose end no report lists is given up, so that its task does not wait for ever.
 #[test]
 fn a_task_whose_run_is_gone_for_good_starts_again() {
