A report that lists only some of the ends shows no run to be missing, and no worker as met

What callers saw: nothing of this yet; a worker of today's users ends some 300 runs a minute at most, and the list holds 500.

Cause: a worker lists 500 ends at a time, and a run beyond them is in neither list. The owner took it for gone; a successor took the worker as met, and started what it did not find.

Change: a report tells whether its list is whole (fewer ends than a list can hold, decided where the platform's answer is decoded). Only a whole one shows that a run is missing, that a worker of an earlier owner is met, and that a worker that leaves has nothing left to tell.

--- a/crates/stackpier-cell/src/hold.rs
+++ b/crates/stackpier-cell/src/hold.rs
@@ -118,14 +118,17 @@
         let first = self.worker(key).life == Life::New;
         let worker = self.worker_mut(key);
         worker.life = Life::Met;
-        worker.inherited = false;
+        // Ends that it lists later may be of runs that an earlier owner started.
+        worker.inherited &= !report.whole;
         // Its report tells better what runs there.
         worker.ended_unseen = None;
         self.take_ends(key, sent, report.ended);
         for row in &report.running {
             self.take_row(key, sent, row);
         }
-        self.miss_runs(key, sent, &report.running);
+        if report.whole {
+            self.miss_runs(key, sent, &report.running);
+        }
         if first {
             self.meet(key);
         }
@@ -253,7 +256,8 @@
     /// That a run is not shown does not tell how it ended: its end may be listed later, and
     /// may be that it is done. So it is told to stop, which bars its number, and its task is
     /// placed again only if no end is listed within the time that a stop takes. Tasks that
-    /// were placed at once were done twice.
+    /// were placed at once were done twice. A report that lists only some of the ends shows
+    /// nothing of the kind.
     fn miss_runs(&mut self, key: WorkerKey, sent: Millis, rows: &[Row]) {
         for run in self.worker(key).runs.clone() {
             let Some(entry) = self.runs.get(run) else {
--- a/crates/stackpier-cell/src/roster.rs
+++ b/crates/stackpier-cell/src/roster.rs
@@ -226,7 +226,8 @@
     pub(crate) fn has_left(&self, worker: &Worker) -> bool {
         let gone = |since: Millis| self.now.mono.since(since) >= self.options.unlisted_ms;
         let leaves = worker.info.draining || worker.unlisted_since.is_some_and(gone);
-        leaves && worker.runs.is_empty() && !worker.has_unsaved_ends()
+        let listed_all = !worker.inherited && !worker.has_unsaved_ends();
+        leaves && worker.runs.is_empty() && listed_all
     }
 
     /// end_life notes that a worker's process is gone, and everything with it.
--- a/crates/stackpier-cell/src/wire.rs
+++ b/crates/stackpier-cell/src/wire.rs
@@ -198,8 +198,10 @@
     pub clock_ms: u64,
     /// What runs.
     pub running: Vec<Row>,
-    /// What ended and was not yet noted.
+    /// What ended and was not yet noted, in no certain order.
     pub ended: Vec<End>,
+    /// Whether these are all such ends: a worker lists a number of them at a time.
+    pub whole: bool,
 }
 
 /// Row is one run in a report.
--- a/crates/stackpier-cell/tests/faults.rs
+++ b/crates/stackpier-cell/tests/faults.rs
@@ -26,6 +26,7 @@
         clock_ms: 5_000,
         running,
         ended,
+        whole: true,
     })
 }
 
--- a/crates/stackpier-cell/tests/listing.rs
+++ b/crates/stackpier-cell/tests/listing.rs
@@ -20,7 +20,7 @@
 mod common;
 
 use common::{Owner, QUEUE, info, name, spec, step};
-use stackpier_cell::{Effect, End, Event, Held, How, Report, WorkerKey};
+use stackpier_cell::{Effect, End, Event, Held, How, Report, RosterEntry, WorkerKey};
 use stackpier_core::Millis;
 use stackpier_standin::fleet::listing::{Listing, Order};
 use stackpier_state::job::State;
@@ -69,7 +69,7 @@
 #[test]
 fn ends_beyond_a_list_that_is_cut_are_waited_for() {
     let mut owner = Owner::new(1);
-    owner.workers[0].listing.most = 2;
+    owner.workers[0].listing = Listing::cut(2);
     owner.submit(1, spec(vec![step(TASKS)]));
     owner.advance(500);
     owner.store = false;
@@ -80,6 +80,36 @@
     assert_eq!((starts.collect(), owner.state(1)), once());
 }
 
+/// succeed has an owner that can't save run the job on one worker, and another one take over
+/// once all its tasks have ended. It returns what the second owner came to in some seconds.
+fn succeed(listing: Listing) -> Owner {
+    let mut first = Owner::new(1);
+    first.submit(1, spec(vec![step(TASKS)]));
+    first.advance(500);
+    first.store = false;
+    first.advance(1_500);
+    let mut second = Owner::with(1, 2, true);
+    second.now_ms = first.now_ms;
+    second.workers = first.workers;
+    second.workers[0].listing = listing;
+    let address = info(0).address;
+    let id = info(0).id;
+    second.cell.add_roster(&RosterEntry { id, address });
+    second.feed(Event::Listed(info(0)));
+    second.submit_to(1, QUEUE, spec(vec![step(TASKS)]), 1, None);
+    second.advance(WORK_MS);
+    second
+}
+
+/// A later owner has met a worker once it has all of its ends: until then the first of them,
+/// which are all that a list that is cut has, tell nothing of the other tasks.
+#[test]
+fn a_successor_waits_for_the_ends_beyond_a_list_that_is_cut() {
+    let successor = succeed(Listing::cut(2));
+    assert_eq!(successor.starts.len(), 0);
+    assert_eq!(successor.state(1), Some(State::Completed));
+}
+
 /// A run whose end no report lists is given up, so that its task does not wait for ever.
 #[test]
 fn a_task_whose_run_is_gone_for_good_starts_again() {
@@ -110,6 +140,7 @@
         clock_ms: owner.now_ms,
         running: Vec::new(),
         ended: numbers.iter().map(end).collect(),
+        whole: true,
     });
     let held = Event::Held {
         worker,
--- a/crates/stackpier-standin/src/fleet.rs
+++ b/crates/stackpier-standin/src/fleet.rs
@@ -355,10 +355,12 @@
         let (noted, ends) = self.ends.drain(..).partition(is_noted);
         self.ends = ends;
         self.noted.extend::<Vec<End>>(noted);
+        let ended = self.listing.list(&self.ends);
         Held::Report(Report {
             clock_ms: self.clock(now_ms),
             running: self.runs.iter().map(row).collect(),
-            ended: self.listing.list(&self.ends),
+            whole: ended.len() < self.listing.most,
+            ended,
         })
     }
 }
--- a/crates/stackpier-standin/src/fleet/listing.rs
+++ b/crates/stackpier-standin/src/fleet/listing.rs
@@ -52,6 +52,14 @@
         }
     }
 
+    /// cut lists only so many ends at a time.
+    pub fn cut(most: usize) -> Listing {
+        Listing {
+            most,
+            ..Listing::default()
+        }
+    }
+
     /// late lists ends one report after their runs have gone.
     pub fn late() -> Listing {
         Listing {
