Failing test: a successor goes by one report of a worker whose lists are not of one moment

Six tasks ended under an owner that could not save; the worker shows ends one report after their runs have gone. The successor starts all six, one report after it took over.

--- a/crates/stackpier-cell/tests/listing.rs
+++ b/crates/stackpier-cell/tests/listing.rs
@@ -110,6 +110,14 @@
     assert_eq!(successor.state(1), Some(State::Completed));
 }
 
+/// Nor does one report tell it of the ends that show in the next one.
+#[test]
+fn a_successor_waits_for_ends_that_show_one_report_late() {
+    let successor = succeed(Listing::late());
+    assert_eq!(successor.starts.len(), 0);
+    assert_eq!(successor.state(1), Some(State::Completed));
+}
+
 /// A run whose end no report lists is given up, so that its task does not wait for ever.
 #[test]
 fn a_task_whose_run_is_gone_for_good_starts_again() {
