A successor has met a worker once a second report of it has come

What callers saw: nothing of this yet; found by asking where else an owner goes by what one report does not show.

Cause: a successor starts what it finds neither running, nor ended, nor saved, as soon as each worker of the roster has answered once. With two lists that are not of one moment, a run that ended in between is in neither.

Change: a worker that an earlier owner may have used counts as met with the second report, asked for after the first came, at once and without a wait. A run that the first one does not show is listed as ended by the second; one that it shows is adopted.

--- a/crates/stackpier-cell/src/hold.rs
+++ b/crates/stackpier-cell/src/hold.rs
@@ -79,7 +79,7 @@
     /// runs tasks: whoever is at its address is not called.
     fn is_foreign(&self, worker: &Worker) -> bool {
         let serves = |queue: &Queue| queue.service == worker.info.service;
-        worker.life == Life::New && !worker.inherited && !self.queues.values().any(serves)
+        worker.life == Life::New && !worker.is_inherited() && !self.queues.values().any(serves)
     }
 
     pub(crate) fn held(&mut self, key: WorkerKey, sent: Millis, outcome: Held) {
@@ -118,10 +118,11 @@
         let first = self.worker(key).life == Life::New;
         let worker = self.worker_mut(key);
         worker.life = Life::Met;
-        // Ends that it lists later may be of runs that an earlier owner started.
-        worker.inherited &= !report.whole;
         // Its report tells better what runs there.
         worker.ended_unseen = None;
+        let inherited = worker.is_inherited();
+        let again = worker.inherit(sent, now, report.whole);
+        self.place_wanted |= inherited && !self.worker(key).is_inherited();
         self.take_ends(key, sent, report.ended);
         for row in &report.running {
             self.take_row(key, sent, row);
@@ -134,7 +135,11 @@
         }
         self.learn(key);
         self.set_paces(key);
-        self.next_hold(key);
+        if again {
+            self.hold_now(key);
+        } else {
+            self.next_hold(key);
+        }
     }
 
     fn meet(&mut self, key: WorkerKey) {
--- a/crates/stackpier-cell/src/roster.rs
+++ b/crates/stackpier-cell/src/roster.rs
@@ -8,7 +8,7 @@
     arena::WorkerKey,
     health::Health,
     taken::Taken,
-    worker::{IdleRoom, Info, Life, Worker},
+    worker::{IdleRoom, Info, Inheritance, Life, Worker},
 };
 
 impl Cell {
@@ -32,7 +32,7 @@
         let key = self.add_worker(info);
         let now = self.now.mono;
         let worker = self.worker_mut(key);
-        worker.inherited = true;
+        worker.inheritance = Inheritance::Unseen;
         worker.rostered = true;
         worker.unlisted_since = Some(now);
         self.hold_now(key);
@@ -85,7 +85,7 @@
             unlisted_since: None,
             unreadable: false,
             rostered: false,
-            inherited: false,
+            inheritance: Inheritance::None,
             ended_unseen: None,
             runs: Vec::new(),
             reserved: Size::default(),
@@ -226,7 +226,7 @@
     pub(crate) fn has_left(&self, worker: &Worker) -> bool {
         let gone = |since: Millis| self.now.mono.since(since) >= self.options.unlisted_ms;
         let leaves = worker.info.draining || worker.unlisted_since.is_some_and(gone);
-        let listed_all = !worker.inherited && !worker.has_unsaved_ends();
+        let listed_all = !worker.is_inherited() && !worker.has_unsaved_ends();
         leaves && worker.runs.is_empty() && listed_all
     }
 
--- a/crates/stackpier-cell/src/save.rs
+++ b/crates/stackpier-cell/src/save.rs
@@ -174,7 +174,7 @@
     fn roster(&self) -> Vec<WorkerKey> {
         let used = |worker: &Worker| match worker.life {
             Life::Met => !self.has_left(worker),
-            Life::New => worker.inherited,
+            Life::New => worker.is_inherited(),
             Life::Over => false,
         };
         let known = |key: &WorkerKey| used(self.worker(*key));
--- a/crates/stackpier-cell/src/takeover.rs
+++ b/crates/stackpier-cell/src/takeover.rs
@@ -53,7 +53,7 @@
     pub(crate) fn has_met_all(&self) -> bool {
         let unmet = |worker: &Worker| {
             let over = worker.life == Life::Over && worker.ended_unseen.is_none();
-            worker.inherited && !over
+            worker.is_inherited() && !over
         };
         !self.workers.iter().any(unmet)
     }
--- a/crates/stackpier-cell/src/worker.rs
+++ b/crates/stackpier-cell/src/worker.rs
@@ -50,6 +50,18 @@
     Over,
 }
 
+/// Inheritance is what an earlier owner may have left on a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Inheritance {
+    /// Nothing that this owner does not know.
+    None,
+    /// Runs and ends that no report has shown.
+    Unseen,
+    /// Ends that show only in a report asked for after the first one, which came at this time:
+    /// the two lists of a report need not be of one moment.
+    Seen(Millis),
+}
+
 /// Clock is one reading of a worker's clock.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Clock {
@@ -96,8 +108,8 @@
     pub unreadable: bool,
     /// Whether the store knows that it may run something.
     pub rostered: bool,
-    /// Whether an earlier owner may have runs there that this one doesn't know.
-    pub inherited: bool,
+    /// What an earlier owner may have there that this one doesn't know.
+    pub inheritance: Inheritance,
     /// When what ran there had ended, if nothing but silence told so and the
     /// store has not confirmed the ownership since.
     pub ended_unseen: Option<Millis>,
@@ -159,6 +171,25 @@
         self.taken.is_above(self.noted)
     }
 
+    /// is_inherited tells whether an earlier owner may have runs there, or ends, that this one
+    /// doesn't know.
+    pub(crate) fn is_inherited(&self) -> bool {
+        self.inheritance != Inheritance::None
+    }
+
+    /// inherit takes in what a report shows of an earlier owner's runs. It tells whether
+    /// another report is wanted at once: tasks wait for it.
+    pub(crate) fn inherit(&mut self, sent: Millis, now: Millis, whole: bool) -> bool {
+        match self.inheritance {
+            Inheritance::Unseen => self.inheritance = Inheritance::Seen(now),
+            Inheritance::Seen(first) if whole && sent > first => {
+                self.inheritance = Inheritance::None;
+            }
+            Inheritance::None | Inheritance::Seen(_) => {}
+        }
+        whole && self.is_inherited()
+    }
+
     /// lapsed tells whether everything that this owner leased has ended by now.
     pub(crate) fn lapsed(&self, now: Millis) -> bool {
         self.lease_end().is_some_and(|end| now >= end)
