Failing test: a daemon on a slow link does not get a configuration that takes longer than a call

Three real daemons whose ways to the store carry 150 KB a second together: half a megabyte of configuration is not in force after a minute.

--- a/crates/stackpier-standin/src/proxy.rs
+++ b/crates/stackpier-standin/src/proxy.rs
@@ -38,6 +38,8 @@
     HalfOpenRequest,
     /// Waits this many milliseconds before each chunk.
     Delay(u64),
+    /// Moves so many bytes a second to the client, over all connections together.
+    Rate(u32),
     /// Ends the connection after this many bytes from the server.
     TruncateAnswer(usize),
     /// Ends the connection after this many bytes from the client.
@@ -54,6 +56,8 @@
 #[derive(Debug, Default)]
 struct Switch {
     mode: Mutex<Mode>,
+    /// Held by the connection whose bytes are on the link, where the rate is bounded.
+    link: Mutex<()>,
     /// How often the connections of the time went silent.
     silences: AtomicU64,
 }
@@ -67,6 +71,13 @@
         *self.mode.lock().unwrap_or_else(PoisonError::into_inner) = mode;
     }
 
+    /// occupy keeps the link busy for as long as some bytes take at a rate.
+    fn occupy(&self, count: usize, bytes_per_s: u32) {
+        let busy = Duration::from_secs_f64(count as f64 / f64::from(bytes_per_s.max(1)));
+        let _link = self.link.lock().unwrap_or_else(PoisonError::into_inner);
+        thread::sleep(busy);
+    }
+
     fn silences(&self) -> u64 {
         self.silences.load(Ordering::SeqCst)
     }
@@ -235,6 +246,10 @@
                 thread::sleep(Duration::from_millis(ms));
                 return Some(count);
             }
+            Mode::Rate(bytes_per_s) if way == Way::Answer => {
+                gate.switch.occupy(count, bytes_per_s);
+                return Some(count);
+            }
             Mode::TruncateAnswer(at) if way == Way::Answer => {
                 return Some(count.min(at.saturating_sub(moved)));
             }
