A long answer of the store may take as long as its parts come; what waits behind it is not lost

Cause: the answer to a watch or a listing had to be there whole by a fixed time after it was asked for, whatever its length and the link. Half a megabyte took longer. Other calls wait behind it on the link, so they failed, too; the next answer then counted as the store's return, upon which the watch was sent anew and began from the beginning.

Change: of a watch and of a page of a listing the limit bounds the time until the answer begins; after that each part has to come within 0.8 s. A call that is late while a long answer comes is not taken as a sign that the store is away.

Why it holds: a connection that goes silent shows by its next part, sooner than before; what is left is bounded by the bytes alone.

Ruled out: the pause between watches, and that a peer would bring the version: heartbeats fetch it over the same link, within 0.8 s.

--- a/crates/stackpier-scheduler/src/http.rs
+++ b/crates/stackpier-scheduler/src/http.rs
@@ -10,7 +10,7 @@
     time::Duration,
 };
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{body::Incoming, client::conn::http1::SendRequest, service::service_fn};
@@ -35,6 +35,12 @@
 /// wait beyond the time at which an answer is due, 450 ms at least: an answer
 /// from before a silence is older.
 const TRUST: Duration = Duration::from_millis(300);
+/// STALL is how long a long answer may bring nothing: longer than the packets of an open
+/// connection wait on a full link of 2 Mbit/s, half a second.
+const STALL: Duration = Duration::from_millis(800);
+/// COMING is how long after a part of a long answer its program counts as answering: other
+/// calls wait behind it on the link.
+const COMING: Duration = Duration::from_millis(500);
 /// LINGER is how long a connection is kept at a planned stop after it was told
 /// to end, and again, while no request is answered on it: what remains is a
 /// request of which only a part has come.
@@ -60,7 +66,7 @@
     pub headers: Vec<(&'static str, String)>,
     /// The body, empty for none.
     pub body: Vec<u8>,
-    /// The time until the answer must be there.
+    /// The time until the answer must be there, or must begin if it is long.
     pub limit: Duration,
 }
 
@@ -92,6 +98,8 @@
     idle: Rc<RefCell<HashMap<String, Vec<Kept>>>>,
     opened: Rc<Cell<u64>>,
     calls: Rc<Cell<u64>>,
+    /// When the last part of a long answer came, by address.
+    parts: Rc<RefCell<HashMap<String, Instant>>>,
 }
 
 impl Client {
@@ -99,14 +107,38 @@
     /// carried out; its connection is not used again.
     pub async fn call(&self, address: &str, call: Call) -> Result<Answer> {
         let end = Instant::now() + call.limit;
-        self.calls.set(self.calls.get() + 1);
-        let late = |_| {
-            self.distrust(address);
-            Error::new(Kind::Unreachable, format!("{address}: no answer in time"))
+        let exchange = async {
+            let (sender, response) = self.ask(address, call).await?;
+            let status = response.status().as_u16();
+            let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
+            let body = body.collect().await;
+            let body = body.map_err(|error| unreachable(address, &*error))?;
+            self.give_back(address, sender);
+            let body = body.to_bytes();
+            Ok(Answer { status, body })
         };
-        timeout_at(end, self.exchange(address, call))
-            .await
-            .map_err(late)?
+        let answer = timeout_at(end, exchange).await;
+        answer.map_err(|_| self.late(address))?
+    }
+
+    /// call_long sends one call whose answer may take longer than its limit on a slow link:
+    /// the limit bounds the time until the answer begins, and it goes on for as long as parts
+    /// of it come. A bound on the whole of it would be one on the link and on the length.
+    pub async fn call_long(&self, address: &str, call: Call) -> Result<Answer> {
+        let end = Instant::now() + call.limit;
+        let asked = timeout_at(end, self.ask(address, call)).await;
+        let (sender, response) = asked.map_err(|_| self.late(address))??;
+        let status = response.status().as_u16();
+        let body = self.parts(address, response.into_body()).await?;
+        self.give_back(address, sender);
+        Ok(Answer { status, body })
+    }
+
+    /// is_coming tells whether a long answer of a program comes just now.
+    pub fn is_coming(&self, address: &str) -> bool {
+        let parts = self.parts.borrow();
+        let last = parts.get(address);
+        last.is_some_and(|last| last.elapsed() < COMING)
     }
 
     /// opened returns how many connections were opened.
@@ -127,23 +159,42 @@
         }
     }
 
-    async fn exchange(&self, address: &str, call: Call) -> Result<Answer> {
+    /// late closes connections that may be silent, and returns the error of a call that got
+    /// no answer in time.
+    fn late(&self, address: &str) -> Error {
+        self.distrust(address);
+        Error::new(Kind::Unreachable, format!("{address}: no answer in time"))
+    }
+
+    /// ask sends a call and waits until its answer begins.
+    async fn ask(&self, address: &str, call: Call) -> Result<(Sender, Response<Incoming>)> {
+        self.calls.set(self.calls.get() + 1);
         let mut sender = match self.take(address) {
             Some(sender) => sender,
             None => self.connect(address).await?,
         };
         let broken = |error: hyper::Error| unreachable(address, &error);
         sender.ready().await.map_err(broken)?;
-        let response = sender
-            .send_request(request(address, call)?)
-            .await
-            .map_err(broken)?;
-        let status = response.status().as_u16();
-        let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
-        let cut = |error| Error::new(Kind::Unreachable, format!("{address}: {error}"));
-        let body = body.collect().await.map_err(cut)?.to_bytes();
-        self.give_back(address, sender);
-        Ok(Answer { status, body })
+        let response = sender.send_request(request(address, call)?).await;
+        Ok((sender, response.map_err(broken)?))
+    }
+
+    /// parts collects a long answer, of which each part has to come in time.
+    async fn parts(&self, address: &str, body: Incoming) -> Result<Bytes> {
+        let mut body = Limited::new(body, MAX_ANSWER_BYTES);
+        let mut whole = BytesMut::new();
+        loop {
+            let frame = timeout(STALL, body.frame()).await;
+            let Some(frame) = frame.map_err(|_| self.late(address))? else {
+                return Ok(whole.freeze());
+            };
+            let frame = frame.map_err(|error| unreachable(address, &*error))?;
+            if let Some(data) = frame.data_ref() {
+                whole.extend_from_slice(data);
+                let mut parts = self.parts.borrow_mut();
+                parts.insert(address.to_owned(), Instant::now());
+            }
+        }
     }
 
     fn take(&self, address: &str) -> Option<Sender> {
--- a/crates/stackpier-scheduler/src/node.rs
+++ b/crates/stackpier-scheduler/src/node.rs
@@ -12,7 +12,7 @@
 
 use slog::{Logger, info, warn};
 use stackpier_cell::{Now, maintenance::Plan};
-use stackpier_core::{Millis, Result, key::Boot};
+use stackpier_core::{Kind, Millis, Result, key::Boot};
 use stackpier_transport::clock::{self, Steady, Uptime};
 use tokio::sync::Notify;
 
@@ -223,6 +223,7 @@
         self.metrics.store_calls.add(1, &labels(call, outcome));
         match &result {
             Ok(_) => self.store_answered(),
+            Err(error) if error.kind == Kind::Unreachable => self.store_late(call, &error.message),
             Err(error) => self.store_failed(call, &error.message),
         }
         result
@@ -236,6 +237,17 @@
         }
     }
 
+    /// store_late takes in that a call was not answered in time. One that waited behind a long
+    /// answer on the link does not show that the store is away: what is sent anew then begins
+    /// from the beginning, and a large configuration never comes over a slow link.
+    fn store_late(&self, call: &'static str, why: &str) {
+        if self.platform.is_coming() {
+            self.store.answered.set(self.mono());
+        } else {
+            self.store_failed(call, why);
+        }
+    }
+
     fn store_failed(&self, call: &'static str, why: &str) {
         self.store.failed.set(self.mono());
         if !self.store.lost.replace(true) {
@@ -286,7 +298,8 @@
         self.metrics.store_calls.add(1, &labels("commit", outcome));
         match committed {
             Committed::Done(_) | Committed::Conflict(_) => self.store_answered(),
-            Committed::Refused | Committed::Unknown => self.store_failed("commit", outcome),
+            Committed::Refused => self.store_failed("commit", outcome),
+            Committed::Unknown => self.store_late("commit", outcome),
         }
         committed
     }
--- a/crates/stackpier-scheduler/src/store.rs
+++ b/crates/stackpier-scheduler/src/store.rs
@@ -133,6 +133,10 @@
         wait_ms: u64,
     ) -> impl Future<Output = Result<Watched>>;
 
+    /// is_coming tells whether a long answer comes just now, so that other calls wait behind
+    /// it on the link.
+    fn is_coming(&self) -> bool;
+
     /// commit does a transaction.
     fn commit(&self, transaction: &Transaction) -> impl Future<Output = Committed>;
 }
