--- a/crates/stackpier-scheduler/src/store.rs
+++ b/crates/stackpier-scheduler/src/store.rs
@@ -49,7 +49,7 @@
 /// Watched is the answer of a watch.
 #[derive(Clone, Debug)]
 pub enum Watched {
-    /// What changed, possibly nothing, and the revision to go on from.
+    /// What changed, possibly nothing, by revision, and the revision to go on from.
     Changes(Vec<Change>, u64),
     /// The history since the revision is gone: list again.
     Compacted,
