A job whose progress can't be read is left alone

What callers saw: in trials, all tasks of a job began again under the next owner, those that had been done as well, and the job was shown as pending and running.

Cause: progress that can't be decoded was passed on as none, which stands for a job that has not begun.

Change: the owner leaves such a job alone, with a log line; its progress stays with what was read of the cell. Whoever asks for its state gets 503 in place of 400 or of a state that it may not have, and 504 where a record can't be read that a request of its kind may have written.

Not done by this: a repeat of the request still begins the job, by another way.

--- a/crates/stackpier-scheduler/src/following.rs
+++ b/crates/stackpier-scheduler/src/following.rs
@@ -4,7 +4,9 @@
 use std::collections::HashMap;
 
 use stackpier_cell::Event;
-use stackpier_core::key;
+use stackpier_core::{Result, key};
+use stackpier_protocol::codec::decode;
+use stackpier_state::job::Progress;
 
 use crate::{
     Platform,
@@ -27,7 +29,7 @@
 pub(crate) struct Jobs<P> {
     pub node: Node<P>,
     pub fence: u64,
-    /// Progress under earlier owners, until the job is met.
+    /// Progress under earlier owners, until the cell has it.
     pub progress: HashMap<key::Job, Vec<u8>>,
 }
 
@@ -42,22 +44,31 @@
         }
     }
 
+    /// take_job gives the cell a job. One whose progress can't be read is left alone: it may
+    /// have begun, and tasks of it may be done.
     fn take_job(&mut self, job: key::Job, item: &Item) {
         let subject = || Some(keys::hex(job));
         let record = self.node.readable(subject(), "the job", &item.value);
         let Some(record) = record else {
             return;
         };
-        let progress = self.progress.remove(&job);
-        let progress =
-            progress.and_then(|value| self.node.readable(subject(), "the progress", &value));
-        self.node.take_in(
-            self.fence,
-            Source::Store,
-            job,
-            Box::new(record),
-            progress.map(Box::new),
-        );
+        let progress = match self.saved(job) {
+            Ok(progress) => progress.map(Box::new),
+            Err(error) => {
+                let text = format!("left alone, its progress is not readable: {error}");
+                self.node.say_of("job", subject(), &text);
+                return;
+            }
+        };
+        self.progress.remove(&job);
+        self.node
+            .take_in(self.fence, Source::Store, job, Box::new(record), progress);
+    }
+
+    /// saved returns what earlier owners saved of a job, if anything.
+    fn saved(&self, job: key::Job) -> Result<Option<Progress>> {
+        let value = self.progress.get(&job);
+        value.map(|value| decode(value)).transpose()
     }
 }
 
--- a/crates/stackpier-scheduler/src/jobs.rs
+++ b/crates/stackpier-scheduler/src/jobs.rs
@@ -120,7 +120,9 @@
             .iter()
             .find(|item| item.key == key && item.revision > 0);
         if let Some(item) = kept {
-            self.accepted(job, decode(&item.value)?);
+            let record =
+                decode(&item.value).map_err(|error| unreadable(Kind::WriteUnknown, &error))?;
+            self.accepted(job, record);
         }
         Ok(kept.is_some())
     }
@@ -269,8 +271,9 @@
 
     /// stored_state returns the state of a job by the store's word.
     async fn stored_state(&self, job: key::Job) -> Result<Option<State>> {
+        let unknown = |error| unreadable(Kind::StoreUnavailable, &error);
         if let Some(item) = self.store_get(&keys::progress(job)).await? {
-            let progress: Progress = decode(&item.value)?;
+            let progress: Progress = decode(&item.value).map_err(unknown)?;
             if progress.state != State::Pending {
                 return Ok(Some(progress.state));
             }
@@ -278,7 +281,7 @@
         let Some(item) = self.store_get(&keys::job(job)).await? else {
             return Ok(None);
         };
-        self.accepted(job, decode(&item.value)?);
+        self.accepted(job, decode(&item.value).map_err(unknown)?);
         let cancelled = self.store_get(&keys::cancel(job)).await?.is_some();
         Ok(Some(if cancelled {
             State::Cancelled
@@ -370,3 +373,10 @@
     };
     Error::new(kind, why).after(COME_BACK_MS)
 }
+
+/// unreadable builds the error for what the store has of a job and can't be decoded. The fault
+/// is not the client account's.
+fn unreadable(kind: Kind, error: &Error) -> Error {
+    let why = format!("what is kept of the job is not readable: {}", error.message);
+    Error::new(kind, why).after(COME_BACK_MS)
+}
