Only the reading of the cell brings jobs of earlier owners

Cause: a job that comes by a client account, by a message of another daemon or by the watch comes without progress, and the owner took that for a job that has not begun. This holds of jobs that were accepted under its own fence: no earlier owner knew them.

Change: a job of an earlier fence is taken in from the reading of the cell at the take-over alone, which brings the progress of all jobs; by any other way it is left alone, with a log line. All such jobs are in that reading: they were accepted on condition of an ownership that the take-over ended, and the store's answers are linearizable. What it lacks could not be read, or is forgotten.

--- a/crates/stackpier-scheduler/src/following.rs
+++ b/crates/stackpier-scheduler/src/following.rs
@@ -31,6 +31,8 @@
     pub fence: u64,
     /// Progress under earlier owners, until the cell has it.
     pub progress: HashMap<key::Job, Vec<u8>>,
+    /// By which way the jobs come now.
+    pub source: Source,
 }
 
 impl<P: Platform> Jobs<P> {
@@ -55,14 +57,14 @@
         let progress = match self.saved(job) {
             Ok(progress) => progress.map(Box::new),
             Err(error) => {
-                let text = format!("left alone, its progress is not readable: {error}");
+                let text = format!("job left alone, its progress is not readable: {error}");
                 self.node.say_of("job", subject(), &text);
                 return;
             }
         };
         self.progress.remove(&job);
         self.node
-            .take_in(self.fence, Source::Store, job, Box::new(record), progress);
+            .take_in(self.fence, self.source, job, Box::new(record), progress);
     }
 
     /// saved returns what earlier owners saved of a job, if anything.
--- a/crates/stackpier-scheduler/src/jobs.rs
+++ b/crates/stackpier-scheduler/src/jobs.rs
@@ -49,7 +49,9 @@
     Client,
     /// Another daemon's message.
     Message,
-    /// The store: the listing at a take-over, or the watch after it.
+    /// The watch of the store, or a later listing.
+    Watch,
+    /// The reading of the cell at a take-over, with the progress of all jobs.
     Store,
 }
 
@@ -204,6 +206,10 @@
 
     /// take_in gives the cell a job that is in the store. A line tells by which way the owner
     /// first learnt of it, and with what progress: whether a successor knew what had been done.
+    ///
+    /// A job that was accepted under an earlier owner may have begun, and only the reading of
+    /// the cell tells how far it is. If it did not bring the job, as that or its progress could
+    /// not be read or is forgotten, then no other way begins it.
     pub(crate) fn take_in(
         &self,
         fence: u64,
@@ -213,12 +219,17 @@
         progress: Option<Box<Progress>>,
     ) {
         if self.is_at(fence) && self.job_state(job).is_none() {
+            let begins = source == Source::Store || record.fence >= fence;
             let state = progress.as_ref().map(|progress| progress.state);
             let text = format!(
-                "job taken in by {source:?}, accepted under fence {}, saved state {state:?}",
+                "job {} by {source:?}, accepted under fence {}, saved state {state:?}",
+                if begins { "taken in" } else { "left alone" },
                 record.fence
             );
             self.say_of("job", Some(keys::hex(job)), &text);
+            if !begins {
+                return;
+            }
         }
         let event = Event::Accepted {
             job,
--- a/crates/stackpier-scheduler/src/loading.rs
+++ b/crates/stackpier-scheduler/src/loading.rs
@@ -11,6 +11,7 @@
 use crate::{
     Platform,
     following::{Jobs, Workers},
+    jobs::Source,
     keys::{self, JOBS, MAINTENANCE, MEMORY, PROGRESS, ROSTER},
     node::{Node, Owned, pause},
     owner::{Owner, tick},
@@ -137,6 +138,7 @@
             node: self.clone(),
             fence,
             progress,
+            source: Source::Store,
         };
         let workers = Workers {
             node: self.clone(),
@@ -203,6 +205,7 @@
         listed: Listing,
     ) {
         jobs.take(Feed::All(kept.items));
+        jobs.source = Source::Watch;
         workers.take(Feed::All(listed.items));
         tokio::task::spawn_local(follow(self.clone(), jobs, Some(kept.at)));
         tokio::task::spawn_local(follow(self.clone(), workers, Some(listed.at)));
