An owner is over only if its daemon registered again after it had come to own the cell

What callers saw: in trials, a daemon that was restarted owned the cell again, and another one took it over half a second later, though it answered: two changes of owner in place of one, each with its pause, and the second one did not count with an owner that still acts.

Cause: a daemon's list of the others and its view of the ownership come by different ways: the watch, and writes that are turned down or reads that confirm. An owner whose run differed from the one in the list was taken as restarted since, also where the list was the older of the two.

Change: entries of daemons are kept with their revisions. An owner is over if an entry that is newer than its ownership shows another run. Else it is asked as any other, and its silence is waited for.

--- a/crates/stackpier-scheduler/src/jobs.rs
+++ b/crates/stackpier-scheduler/src/jobs.rs
@@ -178,7 +178,8 @@
         let owned = self.owned.borrow();
         let owner = owned.as_ref().map(|owned| owned.ownership.vm.as_str());
         let members = self.members.borrow();
-        let others = members.values().filter(|member| member.vm != *own);
+        let others = members.values().map(|entry| &entry.member);
+        let others = others.filter(|member| member.vm != *own);
         let mut others: Vec<_> = others.collect();
         // Another start for each daemon, so that they don't all ask the same.
         let place = |vm: &str| key::weight(vm.as_bytes(), self.boot.0);
--- a/crates/stackpier-scheduler/src/member.rs
+++ b/crates/stackpier-scheduler/src/member.rs
@@ -16,7 +16,7 @@
     Platform,
     keys::{self, CLUSTER, MEMBERS, Member, OWNER, Ownership},
     link::{Alive, Heartbeat, Request, Response},
-    node::{Node, Owned, pause},
+    node::{Node, Owned, Registered, pause},
     store::{Change, Committed, Item, Put, Transaction},
     watch::{Feed, Follower, follow},
 };
@@ -171,7 +171,10 @@
         }
         match decode::<Member>(&item.value) {
             Ok(member) => {
-                self.members.borrow_mut().insert(member.vm.clone(), member);
+                let vm = member.vm.clone();
+                let revision = item.revision;
+                let entry = Registered { member, revision };
+                self.members.borrow_mut().insert(vm, entry);
             }
             Err(error) => self.say("member", &format!("{} is not readable: {error}", item.key)),
         }
@@ -288,14 +291,7 @@
         if ownership.boot == self.node.boot {
             return ownership.released.then_some(Doubt::Vacant);
         }
-        let restarted = |member: &Member| member.boot != ownership.boot;
-        let dead = self
-            .node
-            .members
-            .borrow()
-            .get(&ownership.vm)
-            .is_some_and(restarted);
-        if ownership.released || dead {
+        if ownership.released || self.is_over(owned) {
             return Some(Doubt::Vacant);
         }
         if !self.is_due(owned) {
@@ -313,6 +309,16 @@
         }
     }
 
+    /// is_over tells whether the owner's process has ended: another one has registered on its
+    /// VM since. An entry that is older than the ownership tells nothing, as news of the two
+    /// come by different ways.
+    fn is_over(&self, owned: &Owned) -> bool {
+        let members = self.node.members.borrow();
+        let entry = members.get(&owned.ownership.vm);
+        let restarted = |entry: &Registered| entry.member.boot != owned.ownership.boot;
+        entry.is_some_and(|entry| entry.revision > owned.revision && restarted(entry))
+    }
+
     /// is_due tells whether to send a heartbeat now.
     fn is_due(&self, owned: &Owned) -> bool {
         let waited_ms = self.node.mono().since(self.sent);
@@ -333,7 +339,7 @@
         let owned = self.node.owned.borrow();
         let owner = owned.as_ref().map(|owned| &owned.ownership.vm);
         let members = self.node.members.borrow();
-        let link = owner.and_then(|vm| Some(members.get(vm)?.link_kbps));
+        let link = owner.and_then(|vm| Some(members.get(vm)?.member.link_kbps));
         let kbps = u64::from(link.unwrap_or(u32::MAX).max(1));
         let new = owned
             .as_ref()
@@ -400,7 +406,8 @@
             let other = (member.milli_cores, weight(&member.vm));
             owner.is_none_or(|owner| owner.vm != member.vm) && other > own
         };
-        members.values().filter(before).count() as u64
+        let members = members.values().map(|entry| &entry.member);
+        members.filter(before).count() as u64
     }
 
     /// take_over tries to own the cell, unless others still hear its owner.
@@ -428,9 +435,10 @@
     async fn is_heard(&self, owned: &Option<Owned>, fence: u64) -> bool {
         let own = &self.node.settings.vm;
         let owner = owned.as_ref().map(|owned| owned.ownership.vm.clone());
-        let members: Vec<Member> = self.node.members.borrow().values().cloned().collect();
+        let members = self.node.members.borrow().clone();
         let others = members
-            .into_iter()
+            .into_values()
+            .map(|entry| entry.member)
             .filter(|member| member.vm != *own && Some(&member.vm) != owner.as_ref());
         let asked: Vec<_> = others
             .map(|member| {
--- a/crates/stackpier-scheduler/src/node.rs
+++ b/crates/stackpier-scheduler/src/node.rs
@@ -44,6 +44,13 @@
     pub revision: u64,
 }
 
+/// Registered is a daemon's entry as last read, with its revision.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Registered {
+    pub member: Member,
+    pub revision: u64,
+}
+
 /// Swap is the write by which this daemon took the cell over, or tried to.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Swap {
@@ -67,7 +74,7 @@
     pub(crate) plans: RefCell<Vec<Plan>>,
     /// The configuration's item, to pass it on to peers.
     pub(crate) config_item: RefCell<Option<Item>>,
-    pub(crate) members: RefCell<BTreeMap<String, Member>>,
+    pub(crate) members: RefCell<BTreeMap<String, Registered>>,
     pub(crate) owned: RefCell<Option<Owned>>,
     pub(crate) owner: RefCell<Option<Owner>>,
     /// The last swap of the ownership.
--- a/crates/stackpier-scheduler/src/relay.rs
+++ b/crates/stackpier-scheduler/src/relay.rs
@@ -215,7 +215,7 @@
         let owner = self.owner.borrow();
         if let Some(owner) = owner.as_ref() {
             let members = self.members.borrow();
-            let data_centres = members.values().map(|member| &member.data_centre);
+            let data_centres = members.values().map(|entry| &entry.member.data_centre);
             let data_centres: BTreeSet<&String> = data_centres.collect();
             self.relays.size(owner.cell.workers(), data_centres.len());
         }
@@ -282,9 +282,8 @@
         }
         let members = self.members.borrow();
         let others = || {
-            members
-                .values()
-                .filter(|member| member.vm != self.settings.vm)
+            let members = members.values().map(|entry| &entry.member);
+            members.filter(|member| member.vm != self.settings.vm)
         };
         let usable = |member: &&Member| !relays.is_avoided(&member.address, now);
         let near = |member: &&Member| member.data_centre == data_centre;
