A cancelling that reaches the owner before its job is kept for it

What callers saw: in trials, tasks of a job started after its cancelling had been answered, and ran until the watch of the store brought the cancelling again: 0.7 s later, or once the store answers again if it is away.

Cause: the owner is told of a job and of its cancelling by two messages, of two daemons if a client account asked two. That of an unknown job was left aside, and the other one began it.

Change: the cell keeps a cancelling until it meets the job. Daemons tell of one only once the store holds it, so there are no more of them than jobs.

--- a/crates/stackpier-cell/src/cell.rs
+++ b/crates/stackpier-cell/src/cell.rs
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 //! The cell: its arenas, the dispatch of events, and look-ups.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use stackpier_core::{Millis, arena::Arena, key};
 use stackpier_state::job::State;
@@ -44,6 +44,8 @@
     pub(crate) images: Images,
     pub(crate) jobs: Vec<Job>,
     pub(crate) job_keys: HashMap<key::Job, JobKey>,
+    /// Jobs that are cancelled and not known yet.
+    pub(crate) cancelled: HashSet<key::Job>,
     pub(crate) steps: Vec<Step>,
     pub(crate) tasks: Vec<Task>,
     pub(crate) runs: Arena<Run>,
@@ -111,6 +113,7 @@
             images: Images::default(),
             jobs: Vec::new(),
             job_keys: HashMap::new(),
+            cancelled: HashSet::new(),
             steps: Vec::new(),
             tasks: Vec::new(),
             runs: Arena::default(),
--- a/crates/stackpier-cell/src/lifecycle.rs
+++ b/crates/stackpier-cell/src/lifecycle.rs
@@ -49,7 +49,7 @@
         if !self.job(key).state.is_final() {
             self.unblock(key);
         }
-        if cancelled {
+        if self.cancelled.remove(&id) || cancelled {
             self.cancel(id);
         }
         self.place_wanted = true;
@@ -312,9 +312,11 @@
         self.trim_later(key);
     }
 
-    /// cancel ends a job that is not over yet.
+    /// cancel ends a job that is not over yet. A cancelling may come before its job: it is
+    /// kept, as the store holds both, and messages of two daemons keep no order.
     pub(crate) fn cancel(&mut self, id: key::Job) {
         let Some(key) = self.job_keys.get(&id).copied() else {
+            self.cancelled.insert(id);
             return;
         };
         if !self.job(key).state.is_final() {
