Failing test: a task whose run ended unheard starts again seconds after the store's last word

17000 the worker is cut off, its task at 18%, and ends it there 20069 the owner counts its lease as over; the store confirms the ownership after that; the task is to start again and finds no room 21064 the owner's data centre is cut off from the others and the store 21410 a successor takes over, reaches the worker, hears the end (23313), saves it (23360) and shows the job as completed (23410) 24358 a report of a worker beside it gives the earlier owner room: it starts the task there, 3.3 s after the store's last word; the worker had met no higher fence

Each of these starts is by an owner that is cut off, and each end is of a worker whose lease had lapsed before it was noted, so that the users' rules bear them. The task is done twice all the same, after a client account was told that nothing of its job runs any more.

--- a/crates/stackpier-cell/tests/superseded.rs
+++ b/crates/stackpier-cell/tests/superseded.rs
@@ -25,10 +25,16 @@
 use stackpier_cell::{Cell, Event, How, Options, RosterEntry};
 use stackpier_core::Millis;
 use stackpier_standin::fleet::Worker;
-use stackpier_state::job::Step;
+use stackpier_state::job::{Spec, State, Step};
 
 /// LEASE_MS is a lease with all that an owner adds until it counts as over.
 const LEASE_MS: u64 = 6_400;
+/// INHERITED_MS is how long an owner waits for workers that its predecessor leased.
+const INHERITED_MS: u64 = 11_800;
+/// CROWD_AT_MS is when such an owner is handed in a job that still works then.
+const CROWD_AT_MS: u64 = 5_500;
+/// CROWD_MS is how long a job works that takes all room.
+const CROWD_MS: u32 = 8_000;
 /// TICK_MS is the time between two ticks, after which a question to the store
 /// has its answer.
 const TICK_MS: u64 = 55;
@@ -43,7 +49,7 @@
 /// successor makes an owner with a higher fence that sees the workers as they
 /// are, and reaches only one.
 fn successor(earlier: &Owner, reached: usize, shape: Step) -> Owner {
-    let mut later = Owner::with(0, 2, true);
+    let mut later = Owner::with(0, earlier.cell.fence() + 1, true);
     later.now_ms = earlier.now_ms;
     later.workers = earlier.workers.clone();
     later.cut = vec![true; later.workers.len()];
@@ -261,3 +267,75 @@
     earlier.advance(1_500);
     assert_eq!(earlier.starts.len(), 2);
 }
+
+/// crowd returns a job that takes all room of one worker for longer than a lease.
+fn crowd() -> Spec {
+    let shape = Step {
+        estimate_ms: CROWD_MS,
+        ..step(8)
+    };
+    spec(vec![shape])
+}
+
+/// Found by the fuzz (all kinds of faults: rate 15, seeds 80171 and 80980; rate 5, seed
+/// 80811): a task's worker was cut off until its lease was over, and the store confirmed
+/// the ownership after that. The task waited for room. Then its owner was cut off, too. Its
+/// successor heard the worker, and showed the job as completed; when the earlier owner had
+/// room, it started the task, 3 to 4 s after the store's last word. That word tells that
+/// nobody had heard the worker by then. It does not tell that nobody has heard it since.
+#[test]
+fn a_task_that_ended_unseen_starts_only_on_a_fresh_word_of_the_store() {
+    let mut earlier = Owner::new(2);
+    earlier.submit(1, spec(vec![step(1)]));
+    earlier.advance(300);
+    let place = earlier.starts[0].1;
+    earlier.cut[place] = true;
+    earlier.advance(1_000);
+    end_unheard(&mut earlier, place);
+    earlier.submit(2, crowd());
+    earlier.advance(LEASE_MS);
+    check_fresh_word(earlier, place);
+}
+
+/// The same of an owner that waited until all leases of the one before it were over.
+#[test]
+fn an_inherited_task_starts_only_on_a_fresh_word_of_the_store() {
+    let mut first = Owner::new(2);
+    first.submit(1, spec(vec![step(1)]));
+    first.advance(300);
+    let place = first.starts[0].1;
+    let mut earlier = successor(&first, 1 - place, step(1));
+    earlier.feed(Event::Listed(info(1 - place)));
+    earlier.advance(1_000);
+    end_unheard(&mut earlier, place);
+    earlier.advance(CROWD_AT_MS);
+    earlier.submit_to(2, QUEUE, crowd(), 2, None);
+    earlier.advance(INHERITED_MS - CROWD_AT_MS);
+    check_fresh_word(earlier, place);
+}
+
+/// end_unheard lets the only run on a worker that its owner does not reach end well.
+fn end_unheard(owner: &mut Owner, place: usize) {
+    let worker = &mut owner.workers[place];
+    worker.advance(owner.now_ms);
+    let ends = &worker.ends;
+    assert!(ends.iter().any(|end| end.how == How::Done), "{ends:?}");
+}
+
+/// check_fresh_word has a successor hear the end of a task on a worker, and then gives the
+/// earlier owner room for it, first without the store.
+fn check_fresh_word(mut earlier: Owner, place: usize) {
+    let before = earlier.starts_of(name(1, 0, 0));
+    earlier.store = false;
+    let mut later = successor(&earlier, place, step(1));
+    later.advance(500);
+    assert_eq!(later.state(1), Some(State::Completed));
+    earlier.advance(4_000);
+    let free = &earlier.workers[1 - place];
+    assert!(free.runs.is_empty(), "there is room: {:?}", free.runs);
+    assert_eq!(earlier.starts_of(name(1, 0, 0)), before);
+    // Nobody took over: with the store's word it may start.
+    earlier.store = true;
+    earlier.advance(500);
+    assert_eq!(earlier.starts_of(name(1, 0, 0)), before + 1);
+}
--- a/crates/stackpier-fuzz/tests/cell.rs
+++ b/crates/stackpier-fuzz/tests/cell.rs
@@ -110,6 +110,23 @@
     check(Faults::all(rate), seeds(12));
 }
 
+/// An owner that was cut off, and replaced, started tasks whose runs it had taken for over
+/// when leases of silent workers were: its successor had heard these workers by then, and
+/// had shown the jobs as completed.
+#[test]
+fn tasks_that_ended_unseen_start_only_on_a_fresh_word_of_the_store() {
+    let broken = |(rate, seed)| {
+        let mut world = World::new(seed, Faults::all(rate), LENGTH_MS);
+        world.run();
+        world.oracle.broken
+    };
+    let broken: Vec<_> = [(15, 80_171), (5, 80_811), (15, 80_980)]
+        .into_iter()
+        .filter_map(broken)
+        .collect();
+    assert!(broken.is_empty(), "{broken:?}");
+}
+
 /// SERIES_REACHES names what a series of cuts must lead to, or it proves nothing.
 const SERIES_REACHES: [&str; 3] = [
     "series",
