Tasks that ended unheard start again only on a fresh word of the store

Cause: once the store had confirmed the ownership after the end of a silent worker's lease, the task counted as free to start, for good. It may wait for room, though, and its owner may act for 5 s after the store's last word. In that time a successor can hear the worker and show the job's end, and nothing tells the earlier owner. The same holds for tasks of an earlier owner whose leases were waited for, and for a worker that was given up as it had left the list and did not answer: it is not dead.

Ruled out: leases that outlive the end that is counted (the runs were over), orders carried out late (the starts took 2 to 4 ms), ends that were not saved (the successor had them). Allowed by the users' rules, as each of these owners was cut off, but a task that is done twice all the same.

Change: a task whose end a silence told starts only while the store's last word is at most 0.8 s old, as copies do; while one waits to be placed, the store is asked again. Inherited jobs need the same as long as a worker of an earlier owner has neither answered nor been replaced by another life. Tasks that last are left out of the first: they start again however they ended, and their lease is over.

Cost: while such a task waits, a question each 0.8 s instead of each second, unless a save tells the same; an owner that has lost the store starts no such task 0.8 to 5 s after it.

--- a/crates/stackpier-cell/src/cell.rs
+++ b/crates/stackpier-cell/src/cell.rs
@@ -92,6 +92,8 @@
     /// Until when runs of an earlier owner may exist on workers that have not
     /// answered yet.
     pub(crate) inherited_until: Millis,
+    /// Tasks of which a run was taken as ended by a silent worker's lease.
+    pub(crate) unseen: Vec<TaskKey>,
     /// The starts that are on their way.
     pub(crate) flow: Flow,
     pub(crate) effects: Vec<Effect>,
@@ -146,6 +148,7 @@
             confirming: false,
             deposed: false,
             inherited_until: Cell::inherited_until(&options, now.mono, acting),
+            unseen: Vec::new(),
             flow: Flow::new(&options),
             effects: Vec::new(),
         }
@@ -393,6 +396,7 @@
             self.check_spared();
             self.check_dedicated();
             self.forget_jobs();
+            self.drop_done();
         }
         self.summarise();
         let waits = self.queued().next().is_some();
--- a/crates/stackpier-cell/src/job.rs
+++ b/crates/stackpier-cell/src/job.rs
@@ -115,6 +115,9 @@
     pub checkpoint: Option<String>,
     /// What speaks for it as the cause of workers' crashes.
     pub suspect: Option<Box<Suspect>>,
+    /// Whether a run of it was taken as ended by a silent worker's lease, so that a later
+    /// owner may hear from the worker that it was done.
+    pub ended_unseen: bool,
     /// Where it failed last, so that the next run goes elsewhere.
     pub failed_on: Vec<WorkerKey>,
     /// Not before this time.
--- a/crates/stackpier-cell/src/lifecycle.rs
+++ b/crates/stackpier-cell/src/lifecycle.rs
@@ -139,6 +139,7 @@
                 runs: Vec::new(),
                 checkpoint: None,
                 suspect: None,
+                ended_unseen: false,
                 failed_on: Vec::new(),
                 not_before: Millis(0),
                 ended: None,
--- a/crates/stackpier-cell/src/place.rs
+++ b/crates/stackpier-cell/src/place.rs
@@ -246,7 +246,7 @@
         choices: &mut BinaryHeap<Choice>,
     ) -> Option<WorkerKey> {
         let entry = self.task(task);
-        let differs = !entry.failed_on.is_empty() || entry.suspect.is_some();
+        let differs = !entry.failed_on.is_empty() || entry.suspect.is_some() || entry.ended_unseen;
         if differs || entry.not_before > self.now.mono {
             return self.find_room(task, need);
         }
@@ -267,7 +267,7 @@
 
     /// find_room returns the best worker for one task.
     pub(crate) fn find_room(&self, task: TaskKey, need: &Need) -> Option<WorkerKey> {
-        if self.now.mono < self.task(task).not_before || self.is_held_back(task) {
+        if self.now.mono < self.task(task).not_before || self.must_wait(task) {
             return None;
         }
         let mut choices = self.choices(need).into_vec();
@@ -287,6 +287,11 @@
         best.map(|best| best.worker)
     }
 
+    /// must_wait tells whether a task may not start now, whatever room there is.
+    fn must_wait(&self, task: TaskKey) -> bool {
+        self.is_held_back(task) || self.may_have_ended(task)
+    }
+
     fn runs_on(&self, task: TaskKey, key: WorkerKey) -> bool {
         let runs = self.task(task).runs.iter();
         let mut runs = runs.filter_map(|run| self.runs.get(*run));
--- a/crates/stackpier-cell/src/place/gang.rs
+++ b/crates/stackpier-cell/src/place/gang.rs
@@ -18,7 +18,7 @@
         if (tasks.len() as u32) < entry.left {
             return false;
         }
-        if tasks.iter().any(|task| self.is_held_back(*task)) {
+        if tasks.iter().any(|task| self.must_wait(*task)) {
             return false;
         }
         let Some(chosen) = self.room_for_gang(need, tasks.len()) else {
--- a/crates/stackpier-cell/src/place/starvation.rs
+++ b/crates/stackpier-cell/src/place/starvation.rs
@@ -154,7 +154,7 @@
         let mut ready = self.step_of(need.step).ready.iter().copied();
         let may = |key: &TaskKey| {
             let task = self.task(*key);
-            task.ready && !task.done && task.not_before <= now && !self.is_held_back(*key)
+            task.ready && !task.done && task.not_before <= now && !self.must_wait(*key)
         };
         let Some(task) = ready.find(may) else {
             return Look::Barred;
--- a/crates/stackpier-cell/src/roster.rs
+++ b/crates/stackpier-cell/src/roster.rs
@@ -202,7 +202,7 @@
         let unmet = worker.life == Life::New && now >= self.inherited_until;
         let settled = worker.runs.is_empty() && !worker.has_unsaved_ends();
         if gone && settled && (met || unmet) {
-            self.end_life(
+            self.give_up_worker(
                 key,
                 "it left the list, does not answer, and its lease is over",
             );
@@ -240,8 +240,15 @@
         if worker.silent_since.is_none() && !worker.closed {
             self.suspect_runs(key);
         }
+        self.give_up_worker(key, why);
+        self.end_unseen(key, self.now.mono);
+    }
+
+    /// give_up_worker notes that nothing is expected of a worker any more.
+    fn give_up_worker(&mut self, key: WorkerKey, why: &str) {
         let worker = self.worker_mut(key);
         worker.life = Life::Over;
+        worker.ended_unseen = None;
         // If it shows again, it is in the roster before it gets starts.
         worker.rostered = false;
         let text = format!(
@@ -252,7 +259,6 @@
         self.note("worker", None, text);
         self.saver.roster_changed = true;
         self.place_wanted = true;
-        self.end_unseen(key, self.now.mono);
     }
 
     /// live returns the workers that are not known to be over.
--- a/crates/stackpier-cell/src/speculate.rs
+++ b/crates/stackpier-cell/src/speculate.rs
@@ -6,14 +6,11 @@
     Cell, Mechanism,
     arena::{RunKey, TaskKey},
     run::{Phase, Run},
+    takeover::CURRENT_MS,
 };
 
 /// LEAST_LAG_MS is the least time by which a run lags before a copy starts.
 const LEAST_LAG_MS: u64 = 400;
-/// CURRENT_MS is how old the last sign may be that no later owner has noted the end of a run
-/// that lags. Users bear a copy that starts within a second after that, and starts take up
-/// to 0.2 s on their way.
-const CURRENT_MS: u64 = 800;
 /// START_MS is how long a lasting task may take to be at work.
 const START_MS: u64 = 4_000;
 
--- a/crates/stackpier-cell/src/takeover.rs
+++ b/crates/stackpier-cell/src/takeover.rs
@@ -8,14 +8,15 @@
 //! A later owner may renew what this one takes for over, and note ends that
 //! this one never sees. A worker that answers this owner has met no later one.
 //! What is read from a silence counts only once the store has confirmed the
-//! ownership after it.
+//! ownership after it, and only for a while: a later owner may hear the worker at
+//! any time. A task may wait for room that long, so its start needs a fresh word.
 
 use stackpier_core::Millis;
 
 use crate::{
     Cell, Effect, Options,
-    arena::{JobKey, WorkerKey},
-    worker::{CLOCK_ERROR_MILLI, Life, Worker},
+    arena::{JobKey, RunKey, TaskKey, WorkerKey},
+    worker::{CLOCK_ERROR_MILLI, Inheritance, Life, Worker},
 };
 
 /// MARGIN_MS is added to the end of an earlier owner's leases, for the flight
@@ -24,6 +25,10 @@
 /// GAP_MS is the time between two confirmations from which the store counts as having been
 /// away: an idle owner asks each second, and an answer takes 0.6 s at most.
 const GAP_MS: u64 = 2_500;
+/// CURRENT_MS is how old the last sign may be that no later owner has noted the end of a
+/// run, for a start that relies on it. Users bear one within a second after that, and starts
+/// take up to 0.2 s on their way.
+pub(crate) const CURRENT_MS: u64 = 800;
 /// RUNS_PER_OWNER spaces the run numbers of successive owners, so that a new
 /// owner's numbers are above those it can't know.
 const RUNS_PER_OWNER: u64 = 200;
@@ -45,17 +50,27 @@
     /// may_start tells whether a job's tasks have no run that this owner
     /// can't know of.
     pub(crate) fn may_start(&self, job: JobKey) -> bool {
-        !self.job(job).inherited || self.owned_after(self.inherited_until) || self.has_met_all()
+        let over = self.owned_after(self.inherited_until) && self.is_confirmed_lately();
+        !self.job(job).inherited || over || self.has_met_all()
+    }
+
+    /// may_have_ended tells whether a later owner may know by now that a task is done, of
+    /// which this one heard no end.
+    pub(crate) fn may_have_ended(&self, task: TaskKey) -> bool {
+        self.task(task).ended_unseen && !self.is_confirmed_lately()
+    }
+
+    /// is_confirmed_lately tells whether no later owner can have heard a worker some time
+    /// ago that did not answer this one.
+    fn is_confirmed_lately(&self) -> bool {
+        self.now.mono.since(self.confirmed) < CURRENT_MS
     }
 
     /// has_met_all tells whether all workers that an earlier owner may have
-    /// used have answered or are over.
+    /// used have answered or are dead. One that was given up may still answer a
+    /// later owner.
     pub(crate) fn has_met_all(&self) -> bool {
-        let unmet = |worker: &Worker| {
-            let over = worker.life == Life::Over && worker.ended_unseen.is_none();
-            worker.is_inherited() && !over
-        };
-        !self.workers.iter().any(unmet)
+        !self.workers.iter().any(Worker::is_inherited)
     }
 
     /// owned_after tells whether the store confirmed the ownership after a
@@ -87,16 +102,34 @@
             // owner can know better is that a task was done before, and one
             // that lasts starts again in any case.
             let lasting = self.runs.get(run).is_some_and(|run| run.lasting);
+            if owned && !dead && !lasting {
+                self.end_task_unseen(run);
+            }
             if owned || dead && lasting {
                 self.requeue(run);
             }
         }
         if owned {
-            self.worker_mut(key).ended_unseen = None;
+            let worker = self.worker_mut(key);
+            worker.ended_unseen = None;
+            if dead {
+                worker.inheritance = Inheritance::None;
+            }
             self.place_wanted = true;
         }
     }
 
+    /// end_task_unseen notes of a run's task that its worker may still tell of its end.
+    fn end_task_unseen(&mut self, run: RunKey) {
+        let Some(task) = self.runs.get(run).map(|run| run.task) else {
+            return;
+        };
+        if !self.task(task).ended_unseen {
+            self.task_mut(task).ended_unseen = true;
+            self.unseen.push(task);
+        }
+    }
+
     /// settle_all does so for all workers.
     pub(crate) fn settle_all(&mut self) {
         for key in (0..self.workers.len() as u32).map(WorkerKey) {
@@ -126,6 +159,7 @@
         if sent.since(self.confirmed) >= GAP_MS {
             self.store_since = self.now.mono;
         }
+        self.place_wanted |= self.waits_for_store();
         self.confirmed = self.confirmed.max(sent);
         self.settle_all();
     }
@@ -143,14 +177,29 @@
     /// word.
     fn waits_for_store(&self) -> bool {
         let now = self.now.mono;
-        let leases = now >= self.inherited_until && !self.owned_after(self.inherited_until);
+        let over = now >= self.inherited_until;
+        let leases = over && !self.owned_after(self.inherited_until);
+        let unheard = self.waits_unseen() || over && !self.has_met_all();
         leases
+            || unheard && !self.is_confirmed_lately()
             || self
                 .workers
                 .iter()
                 .any(|worker| worker.ended_unseen.is_some())
     }
 
+    /// waits_unseen tells whether a task whose end was not seen waits to be placed.
+    fn waits_unseen(&self) -> bool {
+        self.unseen.iter().any(|task| self.task(*task).ready)
+    }
+
+    /// drop_done forgets the tasks whose end was not seen once they are over.
+    pub(crate) fn drop_done(&mut self) {
+        let mut unseen = std::mem::take(&mut self.unseen);
+        unseen.retain(|task| !self.task(*task).done && !self.job_of(*task).state.is_final());
+        self.unseen = unseen;
+    }
+
     /// confirm_failed notes that the question to the store got no answer.
     pub fn confirm_failed(&mut self) {
         self.confirming = false;
