Failing test: of workers that fall silent together, the first one counts as a crash that came alone

17375 the third start of a sound task, isolated, under which two workers had crashed by themselves 18000 the data centre of its worker is cut off 18701 the worker is found silent, 1.3 s after the start; nothing else is silent: "alone" 18703 so is the other worker of that data centre 24414 both die before they have answered again; the next life answers for the first one: the third crash, alone, so that the task is given up at 25802

A task is given up after three crashes if nothing else can have caused the last one. Other workers that fall silent within 1.1 s are to show that something else did; only those are looked for that had done so before. The test has one owner and four workers.

--- a/crates/stackpier-cell/tests/crashes.rs
+++ b/crates/stackpier-cell/tests/crashes.rs
@@ -195,6 +195,49 @@
     }
 }
 
+/// Seen in the fuzz (cuts in series, seed 82882, before ends counted by their numbers): a
+/// data centre was cut off, and its workers died before they had answered again. The first
+/// one that was found silent had just begun a sound task under which two had crashed; it
+/// counted as the crash of one worker alone, as the next one was found silent 2 ms later.
+#[test]
+fn a_worker_that_falls_silent_just_before_another_did_not_crash_alone() {
+    let mut owner = Owner::new(4);
+    let everywhere = Step {
+        lasting: true,
+        most_per_worker: Some(1),
+        ..step(4)
+    };
+    owner.submit(OTHER, spec(vec![everywhere]));
+    owner.advance(2_000);
+    let sound = Step {
+        estimate_ms: 3_000,
+        ..step(1)
+    };
+    owner.submit(CRASHING, spec(vec![sound]));
+    for crashes in 1..=3 {
+        let place = crash_under_sound_task(&mut owner, crashes);
+        if crashes == 3 {
+            owner.advance(100);
+            owner.crash((place + 1) % 4);
+        }
+    }
+    owner.advance(30_000);
+    assert_eq!(owner.state(CRASHING), Some(State::Completed));
+}
+
+/// crash_under_sound_task waits for a start of the task and crashes its worker soon after
+/// it, by no doing of the task. It returns the worker's place.
+fn crash_under_sound_task(owner: &mut Owner, starts: usize) -> usize {
+    let task = name(CRASHING, 0, 0);
+    while owner.starts_of(task) < starts {
+        owner.advance(50);
+    }
+    owner.advance(300);
+    let place = owner.places(CRASHING, 0)[starts - 1];
+    owner.crash(place);
+    place
+}
+
 /// A start that another life answers was never taken by the one that crashed.
 #[test]
 fn a_start_that_comes_after_the_crash_does_not_count() {
