Workers that fall silent together doubt each other, whichever is found silent first

Cause: whether a worker that falls silent may have been brought down by the one suspect that had begun there was decided as it was found silent, by the others that were silent already. Of a data centre that is cut off, one worker is found first; for that one nothing else was.

Ruled out: a crash that was counted twice (three lives), suspects of an earlier owner (saved and read as they were).

Change: each worker that falls silent takes "alone" from what was suspected just before on other workers. The task then needs four crashes, as one whose last crash was not alone.

Before and after: the test's task is given up after three, and completes.

--- a/crates/stackpier-cell/src/crash.rs
+++ b/crates/stackpier-cell/src/crash.rs
@@ -96,8 +96,12 @@
         if !self.has(Mechanism::Suspects) {
             return;
         }
+        let others = self.fell_silent_before(key);
+        for other in &others {
+            self.doubt_causes(*other);
+        }
         let unproved = self.unproved_runs(key);
-        let alone = unproved.len() == 1 && !self.others_fell_silent(key);
+        let alone = unproved.len() == 1 && others.is_empty();
         for run in self.likely_causes(unproved) {
             self.suspect(key, run, alone);
         }
@@ -135,6 +139,21 @@
         self.dirty(self.step_of(self.task(task).step).job);
     }
 
+    /// doubt_causes takes in that a silent worker was not the only one: its suspects may not
+    /// have brought it down.
+    fn doubt_causes(&mut self, key: WorkerKey) {
+        let life = self.worker(key).info.id.clone();
+        for task in self.suspects.clone() {
+            let Some(suspect) = self.task_mut(task).suspect.as_mut() else {
+                continue;
+            };
+            if suspect.alone && suspect.lives.last() == Some(&life) {
+                suspect.alone = false;
+                self.dirty(self.step_of(self.task(task).step).job);
+            }
+        }
+    }
+
     /// restore_suspect takes over what an earlier owner held against a task.
     pub(crate) fn restore_suspect(&mut self, task: TaskKey, saved: &job::Suspect) {
         let suspect = Suspect {
--- a/crates/stackpier-cell/src/crash/cause.rs
+++ b/crates/stackpier-cell/src/crash/cause.rs
@@ -29,12 +29,13 @@
         worker.runs.iter().filter(unproved).copied().collect()
     }
 
-    /// others_fell_silent tells whether other workers did so just before: a rack or a data
+    /// fell_silent_before returns the other workers that did so just before: a rack or a data
     /// centre that goes down, rather than a task.
-    pub(super) fn others_fell_silent(&self, key: WorkerKey) -> bool {
+    pub(super) fn fell_silent_before(&self, key: WorkerKey) -> Vec<WorkerKey> {
         let lately = |since: Millis| self.now.mono.since(since) < TOGETHER_MS;
-        let mut others = self.live().filter(|other| *other != key);
-        others.any(|other| self.worker(other).silent_since.is_some_and(lately))
+        let others = self.live().filter(|other| *other != key);
+        let silent = |other: &WorkerKey| self.worker(*other).silent_since.is_some_and(lately);
+        others.filter(silent).collect()
     }
 
     /// likely_causes returns those of a silent worker's unproved runs that are most likely
