Suspects start only on workers that have just answered

Cause: a worker that is gone without a reset of its connections gets starts until a call to it is given up, 0.7 s later, or until an idle one is asked again, 5 s later. A start without an answer counts against its task, as it may have brought the worker down.

Ruled out: counting unanswered starts less. A task that brings down each worker before it answers would go past the five starts that users bear.

Change: the start of a suspect goes to a worker that answered within the last 0.2 s. While one waits, the worker that it would go to is asked at once, each 50 ms at most, and an answer places it. Gangs are left as they are.

Cost: one call for each start of a suspect on an idle worker, and up to the wait of the hold that is on its way (0.5 s) on others; worked out, not measured.

--- a/crates/stackpier-cell/src/crash.rs
+++ b/crates/stackpier-cell/src/crash.rs
@@ -10,9 +10,10 @@
 //! The first crash can't tell which of the recent starts caused it, so all of them become
 //! *suspects*. From then on each start of a suspect is *isolated*: on a worker where nothing
 //! else began just before, on which nothing else starts for a while, and never two
-//! suspects on one worker. A crash after an isolated start counts against the suspect alone,
-//! and one that the worker survives clears it. So a neighbour is counted once, for the first
-//! crash, and a rack that crashes makes suspects that their next starts clear.
+//! suspects on one worker. It goes only to a worker that has just answered: one that is down
+//! already would seem to crash under it. A crash after an isolated start counts against the
+//! suspect alone, and one that the worker survives clears it. So a neighbour is counted once,
+//! for the first crash, and a rack that crashes makes suspects that their next starts clear.
 //!
 //! A task is given up, and its job has failed, after [`LEAST_CRASHES`] crashes if nothing
 //! else can have caused the last one. What counts against a task is in its job's progress as
@@ -59,6 +60,8 @@
     pub alone: bool,
     /// Whether one of them did not confirm the start: it may have been down already.
     pub unclear: bool,
+    /// When a worker was last asked whether it is there, for the next start.
+    pub asked: Millis,
 }
 
 impl Suspect {
@@ -161,6 +164,7 @@
             span_ms: saved.span_ms,
             alone: saved.alone,
             unclear: saved.unclear,
+            asked: Millis(0),
         };
         self.task_mut(task).suspect = Some(Box::new(suspect));
         self.watch_suspect(task);
--- a/crates/stackpier-cell/src/crash/isolation.rs
+++ b/crates/stackpier-cell/src/crash/isolation.rs
@@ -14,6 +14,15 @@
 /// which every run is proved, before it takes one that was quiet for [`QUIET_MS`].
 const PATIENCE_MS: u64 = 2_000;
 
+/// ANSWERED_MS is how long ago a worker must have answered to take the start of a suspect. One
+/// that is gone is known to be silent only after up to 0.7 s, and a start that it does not
+/// answer would count against the suspect.
+const ANSWERED_MS: u64 = 200;
+
+/// ASK_MS is the least time between two questions for one suspect: an answer takes a few
+/// milliseconds.
+const ASK_MS: u64 = 50;
+
 /// Isolation is a start of a suspect on a worker.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Isolation {
@@ -62,4 +71,42 @@
         let worker = self.worker(key);
         worker.isolation.is_none() && self.unproved_runs(key).iter().all(began_before)
     }
+
+    /// has_just_answered tells whether a worker was there a moment ago.
+    pub(crate) fn has_just_answered(&self, key: WorkerKey) -> bool {
+        let clock = self.worker(key).clock;
+        clock.is_some_and(|clock| self.now.mono.since(clock.at) < ANSWERED_MS)
+    }
+
+    /// suspects_wait tells whether suspects wait to be placed.
+    pub(crate) fn suspects_wait(&self) -> bool {
+        self.suspects.iter().any(|task| self.task(*task).ready)
+    }
+
+    /// ask_for_suspects asks the workers that suspects would go to: idle ones answer only now
+    /// and then.
+    pub(crate) fn ask_for_suspects(&mut self) {
+        let waits = |task: &TaskKey| self.task(*task).ready;
+        let waiting: Vec<TaskKey> = self.suspects.iter().copied().filter(waits).collect();
+        for task in waiting {
+            self.ask_for(task);
+        }
+    }
+
+    fn ask_for(&mut self, task: TaskKey) {
+        let (now, step) = (self.now.mono, self.task(task).step);
+        let may_start = self.may_start(self.step_of(step).job);
+        let Some(suspect) = self.task_mut(task).suspect.as_mut() else {
+            return;
+        };
+        if !may_start || now.since(suspect.asked) < ASK_MS {
+            return;
+        }
+        suspect.asked = now;
+        let need = self.need(step);
+        let worker = need.and_then(|need| self.find_room_unasked(task, &need));
+        if let Some(worker) = worker.filter(|key| !self.has_just_answered(*key)) {
+            self.hold_now(worker);
+        }
+    }
 }
--- a/crates/stackpier-cell/src/hold.rs
+++ b/crates/stackpier-cell/src/hold.rs
@@ -133,6 +133,8 @@
         if first {
             self.meet(key);
         }
+        // They start where an answer has just come from.
+        self.place_wanted |= self.suspects_wait();
         self.learn(key);
         self.set_paces(key);
         if again {
--- a/crates/stackpier-cell/src/place.rs
+++ b/crates/stackpier-cell/src/place.rs
@@ -83,7 +83,8 @@
         if !self.has_authority() {
             return;
         }
-        if std::mem::take(&mut self.place_wanted) {
+        let wanted = std::mem::take(&mut self.place_wanted);
+        if wanted {
             self.counted.due = true;
             self.fills.due = true;
         }
@@ -94,6 +95,9 @@
         }
         self.place_counted();
         self.place_filling();
+        if wanted {
+            self.ask_for_suspects();
+        }
     }
 
     fn place_counted(&mut self) {
@@ -265,10 +269,27 @@
         None
     }
 
-    /// find_room returns the best worker for one task.
+    /// find_room returns the best worker for one task. A suspect goes only to one that has
+    /// just answered.
     pub(crate) fn find_room(&self, task: TaskKey, need: &Need) -> Option<WorkerKey> {
+        let mut choices = self.choices_of(task, need);
+        if self.task(task).suspect.is_some() {
+            choices.retain(|choice| self.has_just_answered(choice.worker));
+        }
+        let best = choices.into_iter().max();
+        best.map(|best| best.worker)
+    }
+
+    /// find_room_unasked returns the best worker for one task, when ever it answered.
+    pub(crate) fn find_room_unasked(&self, task: TaskKey, need: &Need) -> Option<WorkerKey> {
+        let best = self.choices_of(task, need).into_iter().max();
+        best.map(|best| best.worker)
+    }
+
+    /// choices_of returns the workers that one task may start on.
+    fn choices_of(&self, task: TaskKey, need: &Need) -> Vec<Choice> {
         if self.now.mono < self.task(task).not_before || self.must_wait(task) {
-            return None;
+            return Vec::new();
         }
         let mut choices = self.choices(need).into_vec();
         // A copy goes to another worker than the first run.
@@ -283,8 +304,7 @@
                 && self.trusts(task, choice.worker)
                 && self.suits_isolation(task, choice.worker)
         };
-        let best = choices.into_iter().filter(suits).max();
-        best.map(|best| best.worker)
+        choices.into_iter().filter(suits).collect()
     }
 
     /// must_wait tells whether a task may not start now, whatever room there is.
