Failing test: an owner that stood still takes a crashed worker for one that lives

20202 the worker crashes, 2 ms after it took the start; found silent at 20903 22000 the owner stands still until 30555 30555 its first tick: the list still shows the worker, 9.7 s after it fell silent, so it counts as alive and the crash is dropped; that its entry is gone comes after that

Entries of crashed workers lapse within six seconds, and are not judged while the store is away. That the owner itself reads nothing meanwhile was not thought of.

--- a/crates/stackpier-cell/tests/crashes.rs
+++ b/crates/stackpier-cell/tests/crashes.rs
@@ -24,6 +24,10 @@
 /// OTHER is a job of sound tasks.
 const OTHER: u64 = 2;
 
+/// STILL_MS is how long an owner stands still: longer than an entry of a worker that is gone
+/// may be shown.
+const STILL_MS: u64 = 8_500;
+
 /// crashing_owner returns an owner of some workers with sound tasks on them and a job
 /// whose first task crashes each.
 fn crashing_owner(workers: usize, shape: Step) -> Owner {
@@ -261,6 +265,24 @@
     assert_eq!(owner.places(CRASHING, 0), [place, 1 - place]);
 }
 
+/// Seen in the fuzz (all kinds of faults, rate 15, seed 90164): an owner stood still for 8.5 s,
+/// and on waking took a worker that had crashed for one that lives, as the list that it had
+/// read before still showed it. The crash counted no more, and six workers crashed.
+#[test]
+fn an_owner_that_stood_still_does_not_go_by_the_list_of_before() {
+    let mut owner = Owner::new(2);
+    owner.submit(CRASHING, spec(vec![step(1)]));
+    owner.advance(300);
+    let place = owner.starts[0].1;
+    owner.crash(place);
+    owner.advance(1_000);
+    let suspects = |owner: &Owner| owner.saved(CRASHING).map(|saved| saved.suspects.len());
+    assert_eq!(suspects(&owner), Some(1));
+    owner.now_ms += STILL_MS;
+    owner.feed(Event::Tick);
+    assert_eq!(suspects(&owner), Some(1));
+}
+
 /// A start that another life answers was never taken by the one that crashed.
 #[test]
 fn a_start_that_comes_after_the_crash_does_not_count() {
