An owner that stood still does not take the list of before for today's

Cause: a silent worker counts as alive if its entry is still listed six seconds later, by when that of a crashed one is gone; the time counts from when the store came back. An owner that wakes judges by the list it had, before it has read anything or asked the store.

Change: the entry proves nothing unless the store's last word is at most 2.5 s old, the gap by which it counts as having been away. The first word after that sets that time anew, as after an outage.

Before and after: the test's owner drops the crash in its first tick after 8.5 s, and keeps it.

--- a/crates/stackpier-cell/src/crash.rs
+++ b/crates/stackpier-cell/src/crash.rs
@@ -274,10 +274,11 @@
     }
 
     /// outlives tells whether an entry that is there now would have lapsed if its worker
-    /// had crashed at a time: entries stay while the store is away.
+    /// had crashed at a time: entries stay while the store is away, and an owner that stood
+    /// still has the list of before.
     fn outlives(&self, silent_since: Millis) -> bool {
         let since = silent_since.max(self.store_since);
-        self.now.mono.since(since) >= self.options.entry_ms
+        self.has_store() && self.now.mono.since(since) >= self.options.entry_ms
     }
 
     fn give_up(&mut self, task: TaskKey, suspect: &Suspect) {
--- a/crates/stackpier-cell/src/takeover.rs
+++ b/crates/stackpier-cell/src/takeover.rs
@@ -156,7 +156,7 @@
 
     /// confirm_at takes in that the store confirmed the ownership when asked at a time.
     pub(crate) fn confirm_at(&mut self, sent: Millis) {
-        if sent.since(self.confirmed) >= GAP_MS {
+        if !self.had_store_at(sent) {
             self.store_since = self.now.mono;
         }
         self.place_wanted |= self.waits_for_store();
@@ -164,6 +164,15 @@
         self.settle_all();
     }
 
+    /// has_store tells whether the store has confirmed the ownership without a gap until now.
+    pub(crate) fn has_store(&self) -> bool {
+        self.had_store_at(self.now.mono)
+    }
+
+    fn had_store_at(&self, time: Millis) -> bool {
+        time.since(self.confirmed) < GAP_MS
+    }
+
     pub(crate) fn check_confirmed(&mut self) {
         let idle = self.now.mono.since(self.confirmed) >= self.options.confirm_ms;
         let due = idle || self.waits_for_store();
