The fuzz's workers may list their ends in a drawn order, a few at a time, or one report late

Drawn for each life of a worker from the second stream of the seed, and only where the rate is not 0, so all other mixes keep their worlds. Each mix must reach what it is for: reports with ends out of order, lists that are cut, ends that are listed late.

--- a/crates/stackpier-fuzz/src/cell/world.rs
+++ b/crates/stackpier-fuzz/src/cell/world.rs
@@ -4,6 +4,7 @@
 mod calls;
 mod faults;
 mod jobs;
+mod listing;
 mod saves;
 mod series;
 
@@ -237,7 +238,9 @@
             remaining_ms: None,
         };
         let offset = self.between(1_000, 1_000_000);
-        Worker::new(info, offset, self.now_ms)
+        let mut worker = Worker::new(info, offset, self.now_ms);
+        worker.listing = self.new_listing();
+        worker
     }
 
     fn now(&self) -> Now {
--- a/crates/stackpier-fuzz/src/cell/world/calls.rs
+++ b/crates/stackpier-fuzz/src/cell/world/calls.rs
@@ -114,6 +114,7 @@
             },
             Effect::Hold(hold) => {
                 let outcome = self.workers[target].hold(self.now_ms, hold);
+                self.count_listing(target, &outcome);
                 self.oracle
                     .note(self.now_ms, &mut self.workers[target], hold.fence);
                 Event::Held {
--- a/crates/stackpier-fuzz/src/cell/world/faults.rs
+++ b/crates/stackpier-fuzz/src/cell/world/faults.rs
@@ -53,10 +53,17 @@
     pub splits: u32,
     /// Jobs in a thousand of which an owner that was replaced learns by its watch.
     pub stale_watches: u32,
+    /// Lives of workers in a thousand that list their ends in a drawn order.
+    pub unordered: u32,
+    /// Lives of workers in a thousand that list few ends at a time.
+    pub short_lists: u32,
+    /// Lives of workers in a thousand that list each end one report late.
+    pub late_ends: u32,
 }
 
 impl Faults {
-    /// all returns faults of every kind at a rate.
+    /// all returns faults of every kind at a rate. Workers list their ends by number: draws for
+    /// that would move all later ones of the second stream.
     pub fn all(rate: u32) -> Faults {
         Faults {
             lost: rate,
@@ -76,6 +83,9 @@
             drains: rate,
             splits: 300,
             stale_watches: 300,
+            unordered: 0,
+            short_lists: 0,
+            late_ends: 0,
         }
     }
 }
--- a/crates/stackpier-fuzz/tests/cell.rs
+++ b/crates/stackpier-fuzz/tests/cell.rs
@@ -140,6 +140,53 @@
     assert_eq!(world.oracle.broken, None);
 }
 
+/// reach checks that a mix led to each of some things, or it proves nothing of them.
+fn reach(counts: &Counts, what: &[&str]) {
+    for what in what {
+        assert!(counts.contains_key(what), "never reached: {what}");
+    }
+}
+
+/// beside returns the faults beside which ends are listed in some way: take-overs, workers
+/// that die, and ways that are cut.
+fn beside() -> Faults {
+    Faults {
+        takeovers: 100,
+        crashes: 30,
+        cuts: 60,
+        ..Faults::default()
+    }
+}
+
+#[rstest]
+#[case::alone(Faults { unordered: 1_000, ..Faults::default() })]
+#[case::beside_others(Faults { unordered: 700, ..beside() })]
+#[case::outages(Faults { unordered: 700, outages: 120, unanswered: 30, ..beside() })]
+#[case::drains_and_split_saves(Faults { unordered: 700, drains: 60, splits: 500, takeovers: 150, ..Faults::default() })]
+#[case::all(Faults { unordered: 500, ..Faults::all(15) })]
+fn ends_listed_in_any_order(#[case] faults: Faults) {
+    let counts = check(faults, seeds(12));
+    reach(&counts, &["report with ends out of order"]);
+}
+
+#[rstest]
+#[case::alone(Faults { short_lists: 1_000, ..Faults::default() })]
+#[case::beside_others(Faults { short_lists: 700, ..beside() })]
+#[case::out_of_order(Faults { short_lists: 700, unordered: 700, ..beside() })]
+fn ends_listed_a_few_at_a_time(#[case] faults: Faults) {
+    let counts = check(faults, seeds(12));
+    reach(&counts, &["report with a list that is cut"]);
+}
+
+#[rstest]
+#[case::alone(Faults { late_ends: 1_000, ..Faults::default() })]
+#[case::beside_others(Faults { late_ends: 700, ..beside() })]
+#[case::out_of_order(Faults { late_ends: 700, unordered: 700, ..beside() })]
+fn ends_listed_one_report_late(#[case] faults: Faults) {
+    let counts = check(faults, seeds(12));
+    reach(&counts, &["report with an end that is listed late"]);
+}
+
 /// SERIES_REACHES names what a series of cuts must lead to, or it proves nothing.
 const SERIES_REACHES: [&str; 3] = [
     "series",
@@ -157,7 +204,5 @@
         ..Faults::default()
     };
     let counts = check(faults, seeds(30));
-    for what in SERIES_REACHES {
-        assert!(counts.contains_key(what), "never reached: {what}");
-    }
+    reach(&counts, &SERIES_REACHES);
 }
