--- a/crates/stackpier-cell/src/lib.rs
+++ b/crates/stackpier-cell/src/lib.rs
@@ -38,6 +38,7 @@
 mod outlook;
 mod pace;
 mod place;
+mod report;
 mod roster;
 mod run;
 mod save;
