--- a/crates/stackpier-cell/tests/crashes.rs
+++ b/crates/stackpier-cell/tests/crashes.rs
@@ -13,7 +13,7 @@
 mod common;
 
 use common::{Owner, info, name, spec, step};
-use stackpier_cell::{Event, Info};
+use stackpier_cell::{Event, Info, Options};
 use stackpier_state::job::{State, Step};
 
 /// MOST_STARTS is how often a task may start that crashes each worker: three crashes show
@@ -24,6 +24,8 @@
 /// OTHER is a job of sound tasks.
 const OTHER: u64 = 2;
 
+/// SMALL_VM is how many ratings a millisecond a daemon with 0.12 cores may do.
+const SMALL_VM: u32 = 960;
 /// STILL_MS is how long an owner stands still: longer than an entry of a worker that is gone
 /// may be shown.
 const STILL_MS: u64 = 8_500;
@@ -327,3 +329,34 @@
     assert_eq!(owner.state(CRASHING), Some(State::Failed));
     assert_eq!(owner.state(OTHER), Some(State::Completed));
 }
+
+/// Seen by a reviewer: with hundreds of suspects on a large cell whose owner has a small VM,
+/// the questions for them used up all that placing may do, and nothing else was placed.
+#[test]
+fn waiting_suspects_leave_room_for_other_jobs_to_be_placed() {
+    let workers = 240;
+    let options = Options {
+        max_lease_ms: 6_000,
+        ratings_per_ms: SMALL_VM,
+        ..Options::default()
+    };
+    let mut owner = Owner::with_options(workers, 1, false, options);
+    (0..workers).for_each(|place| owner.feed(Event::Listed(info(place))));
+    owner.advance(500);
+    let long = Step {
+        estimate_ms: 20_000,
+        ..step(960)
+    };
+    owner.submit(1, spec(vec![long]));
+    owner.advance(700);
+    for place in (0..workers).step_by(3) {
+        owner.cut[place] = true;
+        owner.feed(Event::Unlisted(format!("w{place}")));
+    }
+    owner.advance(7_000);
+    let saved = owner.saved(1).expect("it is saved");
+    assert!(saved.suspects.len() > 200, "{}", saved.suspects.len());
+    owner.submit(2, spec(vec![step(6)]));
+    owner.advance(2_000);
+    assert_eq!(owner.starts_of(name(2, 0, 5)), 1);
+}
