Questions for waiting suspects have a bound, so that other tasks are placed

What callers would see: on a large cell that a small VM owns, nothing new starts for as long as hundreds of suspects wait, as after the loss of a third of all workers.

Cause: each waiting suspect had all workers rated for it every 50 ms. That was charged to what placing may do, and not bounded by it.

Change: a round of questions each 50 ms asks for eight suspects, those not asked for longest first, and only while placing has time left.

--- a/crates/stackpier-cell/src/cell.rs
+++ b/crates/stackpier-cell/src/cell.rs
@@ -81,6 +81,8 @@
     pub(crate) spare: Spare,
     /// Tasks that may crash the workers that start them.
     pub(crate) suspects: Vec<TaskKey>,
+    /// When workers were last asked for the next starts of suspects.
+    pub(crate) asked_for_suspects: Millis,
     pub(crate) dedicated: Dedicated,
     pub(crate) saver: Saver,
     /// When the store last confirmed that this daemon owns the cell.
@@ -141,6 +143,7 @@
             short_memory: ShortMemory::default(),
             spare: Spare::default(),
             suspects: Vec::new(),
+            asked_for_suspects: Millis(0),
             dedicated: Dedicated::default(),
             saver: Saver::default(),
             confirmed: now.mono,
--- a/crates/stackpier-cell/src/crash/isolation.rs
+++ b/crates/stackpier-cell/src/crash/isolation.rs
@@ -19,10 +19,15 @@
 /// answer would count against the suspect.
 const ANSWERED_MS: u64 = 200;
 
-/// ASK_MS is the least time between two questions for one suspect: an answer takes a few
+/// ASK_MS is the time between two rounds of questions for suspects: an answer takes a few
 /// milliseconds.
 const ASK_MS: u64 = 50;
 
+/// ASKED is for how many suspects a round asks: each question rates all workers, and without
+/// a bound those for 300 suspects on 240 workers left a VM of 0.12 cores no time to place
+/// anything else. On 540 workers a round takes a tenth of what such a VM may do meanwhile.
+const ASKED: usize = 8;
+
 /// Isolation is a start of a suspect on a worker.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Isolation {
@@ -83,11 +88,23 @@
         self.suspects.iter().any(|task| self.task(*task).ready)
     }
 
-    /// ask_for_suspects asks the workers that suspects would go to: idle ones answer only now
-    /// and then.
+    /// ask_for_suspects asks the workers that suspects would go to, first for those for which
+    /// that is longest ago: idle workers answer only now and then.
     pub(crate) fn ask_for_suspects(&mut self) {
-        let waits = |task: &TaskKey| self.task(*task).ready;
-        let waiting: Vec<TaskKey> = self.suspects.iter().copied().filter(waits).collect();
+        let now = self.now.mono;
+        if now.since(self.asked_for_suspects) < ASK_MS || self.counted.budget.is_spent() {
+            return;
+        }
+        self.asked_for_suspects = now;
+        let mut waiting: Vec<TaskKey> = self.suspects.clone();
+        waiting.retain(|task| self.task(*task).ready);
+        waiting.sort_by_key(|task| {
+            self.task(*task)
+                .suspect
+                .as_ref()
+                .map(|suspect| suspect.asked)
+        });
+        waiting.truncate(ASKED);
         for task in waiting {
             self.ask_for(task);
         }
@@ -95,14 +112,12 @@
 
     fn ask_for(&mut self, task: TaskKey) {
         let (now, step) = (self.now.mono, self.task(task).step);
-        let may_start = self.may_start(self.step_of(step).job);
-        let Some(suspect) = self.task_mut(task).suspect.as_mut() else {
-            return;
-        };
-        if !may_start || now.since(suspect.asked) < ASK_MS {
+        if let Some(suspect) = self.task_mut(task).suspect.as_mut() {
+            suspect.asked = now;
+        }
+        if !self.may_start(self.step_of(step).job) {
             return;
         }
-        suspect.asked = now;
         let need = self.need(step);
         let worker = need.and_then(|need| self.find_room_unasked(task, &need));
         if let Some(worker) = worker.filter(|key| !self.has_just_answered(*key)) {
