Tasks that ended unheard are placed with the others once the store has spoken

Now only while the store's last word is too old, when it finds none anyway. No decision changes; not measured.

--- a/crates/stackpier-cell/src/place.rs
+++ b/crates/stackpier-cell/src/place.rs
@@ -250,7 +250,8 @@
         choices: &mut BinaryHeap<Choice>,
     ) -> Option<WorkerKey> {
         let entry = self.task(task);
-        let differs = !entry.failed_on.is_empty() || entry.suspect.is_some() || entry.ended_unseen;
+        let special = !entry.failed_on.is_empty() || entry.suspect.is_some();
+        let differs = special || self.may_have_ended(task);
         if differs || entry.not_before > self.now.mono {
             return self.find_room(task, need);
         }
