Failing test: a worker that dies with a gap in its ends is never given up

A successor sees a worker's first end, with a number above one; before the report that would show that the numbers below are noted the worker is lost. It stays in the roster, is called four times a second, and a later owner waits for its lease.

--- a/crates/stackpier-cell/tests/listing.rs
+++ b/crates/stackpier-cell/tests/listing.rs
@@ -22,7 +22,10 @@
 use common::{Owner, QUEUE, info, name, spec, step};
 use stackpier_cell::{Effect, End, Event, Held, How, Report, RosterEntry, WorkerKey};
 use stackpier_core::Millis;
-use stackpier_standin::fleet::listing::{Listing, Order};
+use stackpier_standin::fleet::{
+    Worker,
+    listing::{Listing, Order},
+};
 use stackpier_state::job::State;
 
 /// TASKS is how many tasks run on one worker, and end at the same moment.
@@ -199,3 +202,28 @@
     assert_eq!(report(&mut owner, worker, &[57, 58]), Some(58));
     assert_eq!(report(&mut owner, worker, &[59]), Some(59));
 }
+
+/// A worker may be lost while ends below those it listed are still waited for. The store has
+/// all that it listed, so a later owner need not wait for it.
+#[test]
+fn a_worker_that_is_lost_with_a_gap_in_its_ends_is_given_up() {
+    let (mut owner, worker) = listed();
+    owner.workers = vec![Worker::new(info(0), 5_000, owner.now_ms)];
+    owner.cut = vec![true];
+    assert_eq!(report(&mut owner, worker, &[57]), Some(0));
+    let sent = Millis(owner.now_ms);
+    let outcome = Held::Silent;
+    owner.feed(Event::Held {
+        worker,
+        sent,
+        outcome,
+    });
+    owner.feed(Event::Unlisted(info(0).id));
+    owner.advance(20_000);
+    let roster = owner
+        .saves
+        .iter()
+        .rev()
+        .find_map(|save| save.roster.clone());
+    assert_eq!(roster, Some(Vec::new()));
+}
