A worker that is lost is given up once the store has its ends, whether or not it may forget them

What callers would see: after a planned restart, tasks that wait 10 s and more for the lease of a worker that has left long before; and calls to its address four times a second.

Cause: "may be given up" asked whether the worker lists ends that it may not forget yet. With a gap below them, which only another report closes, that stays so when no report comes.

Change: giving up asks whether the store has what the worker listed. Striking a living worker off the roster asks as before: what is missing may still show.

--- a/crates/stackpier-cell/src/roster.rs
+++ b/crates/stackpier-cell/src/roster.rs
@@ -200,7 +200,7 @@
         let gone = worker.unlisted_since.is_some() && worker.silent_since.is_some();
         let met = worker.life == Life::Met && worker.lapsed(now);
         let unmet = worker.life == Life::New && now >= self.inherited_until;
-        let settled = worker.runs.is_empty() && !worker.has_unsaved_ends();
+        let settled = worker.runs.is_empty() && self.has_stored_ends(worker);
         if gone && settled && (met || unmet) {
             self.give_up_worker(
                 key,
--- a/crates/stackpier-cell/src/save.rs
+++ b/crates/stackpier-cell/src/save.rs
@@ -68,6 +68,11 @@
         self.in_flight.is_some()
     }
 
+    /// is_idle tells whether there is nothing to save, nor on its way.
+    fn is_idle(&self) -> bool {
+        self.is_empty() && !self.is_busy()
+    }
+
     fn is_empty(&self) -> bool {
         self.dirty.is_empty()
             && self.forgotten.is_empty()
@@ -270,19 +275,24 @@
         }
     }
 
+    /// has_stored_ends tells whether the store has all ends that a worker has listed. It may
+    /// have to keep them still, where others are missing below them.
+    pub(crate) fn has_stored_ends(&self, worker: &Worker) -> bool {
+        self.saver.is_idle() || worker.note_after_save <= self.saver.done
+    }
+
     /// note_all lets workers forget the ends that are saved.
     fn note_all(&mut self) {
         if self.saver.unnoted.is_empty() {
             return;
         }
-        let idle = self.saver.is_empty() && !self.saver.is_busy();
-        let done = self.saver.done;
         for key in std::mem::take(&mut self.saver.unnoted) {
+            let stored = self.has_stored_ends(self.worker(key));
             let worker = self.worker_mut(key);
             if !worker.has_unsaved_ends() {
                 continue;
             }
-            if idle || worker.note_after_save <= done {
+            if stored {
                 worker.noted = worker.taken.complete();
                 self.hold_soon(key);
             } else {
