Failing tests: two reports in a row, milliseconds apart, count as knowledge of a gap in the ends

Reports [1], [3], [3] within 10 ms: the worker is told to forget up to 3, and end 2 is lost. A successor that hears [], [61], [60, 61] has met the worker at the second one and starts the task of end 60.

--- a/crates/stackpier-cell/tests/listing.rs
+++ b/crates/stackpier-cell/tests/listing.rs
@@ -194,6 +194,40 @@
     assert_eq!(report(&mut owner, worker, &[2, 3]), Some(3));
 }
 
+/// Two reports that follow each other at once may both lack it.
+#[test]
+fn a_gap_is_waited_for_as_long_as_a_run_that_is_not_shown() {
+    let (mut owner, worker) = listed();
+    assert_eq!(report(&mut owner, worker, &[1]), Some(1));
+    for _ in 0..10 {
+        report(&mut owner, worker, &[3]);
+        owner.now_ms -= 990;
+        let told = owner.cell.step(owner.now(), Event::Tick);
+        let noted = told.iter().find_map(|effect| match effect {
+            Effect::Hold(hold) => Some(hold.noted),
+            _ => None,
+        });
+        assert!(noted.is_none_or(|noted| noted == 1), "{noted:?}");
+    }
+}
+
+/// A later owner has not met a worker while ends below those that it lists may be missing.
+#[test]
+fn a_successor_waits_for_ends_below_those_that_are_listed() {
+    let mut owner = Owner::with(1, 2, true);
+    let address = info(0).address;
+    let id = info(0).id;
+    owner.cell.add_roster(&RosterEntry { id, address });
+    owner.submit_to(1, QUEUE, spec(vec![step(2)]), 1, None);
+    owner.feed(Event::Listed(info(0)));
+    for numbers in [&[][..], &[61], &[60, 61]] {
+        report(&mut owner, WorkerKey::default(), numbers);
+        owner.now_ms -= 990;
+        owner.feed(Event::Tick);
+    }
+    assert_eq!(owner.cell.running(), 0);
+}
+
 /// An earlier owner may have had the worker forget the ends below those that are listed.
 #[test]
 fn ends_that_no_report_lists_hold_up_the_others_for_one_report() {
