A gap in the ends is waited for as long as a run that is not shown, and no worker is met with one

Cause: two reports milliseconds apart say the same once. They were taken as knowledge that the numbers between will never show, and that a successor has seen all there is.

Only the numbers below the first that an inherited worker lists are passed with the next report: an earlier owner had them noted, and waiting for them would slow each take-over. A successor has met a worker once no gap is open.

--- a/crates/stackpier-cell/src/ends.rs
+++ b/crates/stackpier-cell/src/ends.rs
@@ -7,6 +7,7 @@
 use crate::{
     Cell, End, How,
     arena::{JobKey, TaskKey, WorkerKey},
+    worker::Worker,
 };
 
 /// SICK_FAILURES is how many failures a job's task may have left to spend
@@ -26,9 +27,10 @@
             }
         }
         let after = self.saver.next();
+        let wait_ms = self.gap_ms(self.worker(worker));
         let entry = self.worker_mut(worker);
         let before = entry.taken.complete();
-        entry.taken.close(sent, now);
+        entry.taken.close(sent, now, wait_ms);
         let more = entry.taken.complete() > before;
         if news {
             entry.note_after_save = after;
@@ -38,6 +40,18 @@
         }
     }
 
+    /// gap_ms returns for how long ends are waited for that are missing below others: as long
+    /// as for a run that is not shown. Numbers below the first that an earlier owner's worker
+    /// lists have most likely been noted: one more report without them has to do, or its work
+    /// would be looked at less often for as long.
+    fn gap_ms(&self, worker: &Worker) -> u64 {
+        if worker.is_inherited() && worker.taken.complete() == 0 {
+            0
+        } else {
+            self.options.stop_ms
+        }
+    }
+
     /// note_order tells of a list that is not in the order of its numbers.
     fn note_order(&mut self, worker: WorkerKey, ends: &[End]) {
         let falls = |pair: &[End]| (pair[0].number > pair[1].number).then_some(pair[1].number);
--- a/crates/stackpier-cell/src/report.rs
+++ b/crates/stackpier-cell/src/report.rs
@@ -16,8 +16,8 @@
 impl Cell {
     pub(crate) fn take_report(&mut self, key: WorkerKey, sent: Millis, report: Report) {
         self.hear(key, report.clock_ms);
-        let again = self.inherit(key, sent, report.whole);
         self.take_ends(key, sent, report.ended);
+        let again = self.inherit(key, sent, report.whole);
         for row in &report.running {
             self.take_row(key, sent, row);
         }
--- a/crates/stackpier-cell/src/taken.rs
+++ b/crates/stackpier-cell/src/taken.rs
@@ -40,10 +40,14 @@
 
     /// close follows the ends of a report that was asked for at `sent` and came at `now`. It
     /// raises the number below which none is missing: past ends that are there, and past a gap
-    /// that a report still has which was asked for after the gap had been seen.
-    pub(crate) fn close(&mut self, sent: Millis, now: Millis) {
+    /// that a report still has which was asked for later than `wait_ms` after it was seen.
+    ///
+    /// That holds for a list that is cut, too: what it lacks may be below, but nothing more of
+    /// it would ever show unless some of it is forgotten.
+    pub(crate) fn close(&mut self, sent: Millis, now: Millis, wait_ms: u64) {
         self.advance();
-        let confirmed = |gap: &Gap| sent > gap.seen && self.above.first() == Some(&gap.end);
+        let waited = |gap: &Gap| sent > gap.seen.plus(wait_ms);
+        let confirmed = |gap: &Gap| waited(gap) && self.above.first() == Some(&gap.end);
         if let Some(gap) = self.gap.filter(confirmed) {
             self.complete = gap.end - 1;
             self.advance();
@@ -62,6 +66,11 @@
         }
     }
 
+    /// has_gap tells whether ends are missing below others.
+    pub(crate) fn has_gap(&self) -> bool {
+        !self.above.is_empty()
+    }
+
     /// complete returns the number up to which no end is missing.
     pub(crate) fn complete(&self) -> u64 {
         self.complete
--- a/crates/stackpier-cell/src/worker.rs
+++ b/crates/stackpier-cell/src/worker.rs
@@ -182,12 +182,15 @@
     pub(crate) fn inherit(&mut self, sent: Millis, now: Millis, whole: bool) -> bool {
         match self.inheritance {
             Inheritance::Unseen => self.inheritance = Inheritance::Seen(now),
-            Inheritance::Seen(first) if whole && sent > first => {
+            // Times are whole milliseconds: it was asked for with the first one, or after it.
+            Inheritance::Seen(first) if sent <= first => {}
+            Inheritance::Seen(_) if whole && !self.taken.has_gap() => {
                 self.inheritance = Inheritance::None;
+                return false;
             }
-            Inheritance::None | Inheritance::Seen(_) => {}
+            Inheritance::None | Inheritance::Seen(_) => return false,
         }
-        whole && self.is_inherited()
+        whole
     }
 
     /// lapsed tells whether everything that this owner leased has ended by now.
