A run stands still only as far as a report of its worker shows it

What callers saw: nothing of this that was traced. After a store was away for longer than an owner acts without it, tasks that had got on were stopped and done again from the start, or from their last checkpoint.

Cause: the time for which a run's progress stood still was counted up to now. An owner without authority asks for no reports, so nothing could show that it moved; the run was marked to be stopped, and was as soon as the owner could act.

Change: the time is counted up to the last report of the worker. Reports of a worker that runs something come at least twice a second, so a run that does stand still is found that much later at most (worked out, not measured).

--- a/crates/stackpier-cell/src/speculate.rs
+++ b/crates/stackpier-cell/src/speculate.rs
@@ -35,7 +35,9 @@
         workers.flat_map(|worker| worker.runs.clone()).collect()
     }
 
-    /// check_stall moves a run whose progress stands still.
+    /// check_stall moves a run whose progress stands still, by the last report of its worker.
+    /// The time since then counts for nothing: without authority no reports are asked for, and
+    /// runs that got on all the while were stopped.
     fn check_stall(&mut self, key: RunKey) {
         let now = self.now.mono;
         let Some(run) = self.runs.get(key) else {
@@ -47,17 +49,13 @@
         let limit = self.options.stall_ms + estimate / 10;
         let limit = if run.lasting { START_MS } else { limit };
         let heard = worker.is_heard();
+        let reported = worker.clock.map_or(run.moved, |clock| clock.at);
+        let still_ms = reported.since(run.moved);
         let at_work = run.lasting && run.percent >= 100;
-        if !self.has(Mechanism::Stall)
-            || !heard
-            || at_work
-            || run.pace < 100
-            || now.since(run.moved) < limit
-        {
+        if !self.has(Mechanism::Stall) || !heard || at_work || run.pace < 100 || still_ms < limit {
             return;
         }
         let (worker, task) = (run.worker, run.task);
-        let still_ms = now.since(run.moved);
         let text = format!("stopped: no progress at {}% for {still_ms} ms", run.percent);
         self.note("stall", Some(self.name(task)), text);
         self.worker_mut(worker).health.stall(now);
