Only the ownership that an owner wrote confirms it

Cause: the answer to "who owns the cell" was handed on if it could be decoded, and counted as a yes in any case. Change: it counts only if it has the revision that this daemon wrote; with another one the cell is given up. Before and after: the test's owner goes on for more than 5 s, and gives up within one. Process tests of faults, roster and leaving pass.

--- a/crates/stackpier-scheduler/src/owner.rs
+++ b/crates/stackpier-scheduler/src/owner.rs
@@ -6,7 +6,7 @@
 
 use opentelemetry::KeyValue;
 use stackpier_cell::{Cell, Effect, Event, Note};
-use stackpier_core::key;
+use stackpier_core::{Millis, key};
 use stackpier_state::job::State;
 
 use crate::{
@@ -114,7 +114,7 @@
         match self.store_get(OWNER).await {
             Ok(Some(item)) => {
                 self.take_ownership(&item);
-                self.feed(fence, Event::Confirmed(sent));
+                self.confirm_by(fence, item.revision, sent);
             }
             Ok(None) => self.depose(fence + 1, "the store has no owner"),
             Err(_) => {
@@ -125,6 +125,24 @@
         }
     }
 
+    /// confirm_by takes in the revision of the ownership that the store showed when asked at
+    /// `sent`. One that this daemon did not write is another owner's, also if it can't be read.
+    fn confirm_by(&self, fence: u64, revision: u64, sent: Millis) {
+        let owner = self.owner.borrow();
+        let own = owner
+            .as_ref()
+            .is_some_and(|owner| owner.revision == revision);
+        drop(owner);
+        if own {
+            self.feed(fence, Event::Confirmed(sent));
+        } else {
+            self.depose(
+                fence + 1,
+                "the store has an ownership that it did not write",
+            );
+        }
+    }
+
     /// depose gives the cell up if it is owned with a lower fence.
     pub(crate) fn depose(&self, fence: u64, why: &str) {
         let own = self.owner.borrow().as_ref().map(|owner| owner.fence);
