Failing test: a task that begins as the quiet after a suspect's start ends is not suspected

The neighbour, a suspect, had its isolated start 200 ms before, and the task began in the millisecond in which the quiet was over. The same with one worker and two tasks here.

--- a/crates/stackpier-cell/tests/crashes.rs
+++ b/crates/stackpier-cell/tests/crashes.rs
@@ -19,6 +19,8 @@
 /// MOST_STARTS is how often a task may start that crashes each worker: three crashes show
 /// it, and users accept two starts more.
 const MOST_STARTS: usize = 5;
+/// QUIET_MS is for how long nothing else begins on a worker after the second start of a suspect.
+const QUIET_MS: u64 = 200;
 /// CRASHING is the job whose first task crashes workers.
 const CRASHING: u64 = 1;
 /// OTHER is a job of sound tasks.
@@ -360,3 +362,27 @@
     owner.advance(2_000);
     assert_eq!(owner.starts_of(name(2, 0, 5)), 1);
 }
+
+/// Seen in the fuzz: a suspect had its isolated start, another task began on the worker in the
+/// very millisecond in which the quiet after it was over, and brought it down. The suspect was
+/// blamed alone: what begins within the quiet is no cause, and its last millisecond was taken
+/// to belong to it.
+#[test]
+fn what_begins_as_the_quiet_ends_is_a_suspect() {
+    let mut owner = Owner::new(1);
+    owner.submit(OTHER, spec(vec![step(1)]));
+    owner.advance(100);
+    owner.crash(0);
+    while owner.starts_of(name(OTHER, 0, 0)) < 2 {
+        owner.advance(1);
+    }
+    owner.crashing.insert(name(CRASHING, 0, 0));
+    owner.submit(CRASHING, spec(vec![step(1)]));
+    owner.advance(QUIET_MS);
+    assert_eq!(owner.starts_of(name(CRASHING, 0, 0)), 0);
+    owner.feed(Event::Tick);
+    assert_eq!(owner.starts_of(name(CRASHING, 0, 0)), 1);
+    owner.advance(500);
+    let saved = owner.saved(CRASHING).expect("it was saved");
+    assert_eq!(saved.suspects.len(), 1);
+}
