What begins as the quiet after a suspect's start ends may have brought the worker down

What was seen: a task brought a worker down and was not suspected; its sound neighbour, a suspect that had started there 200 ms before, was blamed alone.

Cause: other starts wait for 200 ms after an isolated one, and the first may come in the very millisecond in which that is over. Of what began later than the suspect, only that counted as a possible cause which began after this millisecond.

Ruled out: that the start was not known; it was confirmed, and unproved.

Change: the comparison includes that millisecond.

--- a/crates/stackpier-cell/src/crash/cause.rs
+++ b/crates/stackpier-cell/src/crash/cause.rs
@@ -54,7 +54,7 @@
         causes.retain(may_have);
         let isolated = |run: &&RunKey| self.is_of_suspect(**run) && confirmed(run);
         if let Some(last) = causes.iter().filter(isolated).map(began).max() {
-            causes.retain(|run| self.is_of_suspect(*run) || began(run) > last.plus(QUIET_MS));
+            causes.retain(|run| self.is_of_suspect(*run) || began(run) >= last.plus(QUIET_MS));
         }
         causes
     }
