The store has a start that may crash its worker before it is sent

What was seen: a task that crashes the workers that start it crashed six instead of five, under owners that end one after the other, each less than a second after such a crash.

Cause: an owner counts a crash once it finds the worker silent, up to a second after it. The start itself left nothing in the store, so an owner that ended before that left nothing, too.

Change: the starts of suspects, and of inherited tasks as long as a worker of the earlier owner was not heard, are saved as if their worker had crashed, until the run is proved, and sent once the save was made. A successor drops what it hears to live on. With the store away starts do not wait. Such a life counts as unclear, so that four are needed: with the first crash, which nobody can know, five.

--- a/crates/stackpier-cell/src/cell.rs
+++ b/crates/stackpier-cell/src/cell.rs
@@ -354,6 +354,9 @@
             step.idle_since = now;
         }
         self.place_wanted = true;
+        if run.is_recorded() {
+            self.dirty(self.step_of(run.step).job);
+        }
         Some(run)
     }
 
--- a/crates/stackpier-cell/src/crash.rs
+++ b/crates/stackpier-cell/src/crash.rs
@@ -17,10 +17,13 @@
 //!
 //! A task is given up, and its job has failed, after [`LEAST_CRASHES`] crashes if nothing
 //! else can have caused the last one. What counts against a task is in its job's progress as
-//! soon as the worker is found silent, so a successor counts on from there.
+//! soon as the worker is found silent, and each start of a suspect before it is sent, so a
+//! successor counts on from there.
 
 mod cause;
+mod held;
 mod isolation;
+mod record;
 
 use stackpier_core::Millis;
 use stackpier_state::job::{self, State};
@@ -103,7 +106,8 @@
         for other in &others {
             self.doubt_causes(*other);
         }
-        let unproved = self.unproved_runs(key);
+        let mut unproved = self.unproved_runs(key);
+        unproved.retain(|run| self.is_sent(*run));
         let alone = unproved.len() == 1 && others.is_empty();
         for run in self.likely_causes(unproved) {
             self.suspect(key, run, alone);
@@ -189,10 +193,14 @@
         if age_ms < proof_ms {
             return;
         }
+        let recorded = run.is_recorded();
         if let Some(run) = self.runs.get_mut(key) {
             run.proved = true;
         }
         self.worker_mut(worker).end_isolation(key);
+        if recorded {
+            self.dirty(self.step_of(self.task(task).step).job);
+        }
         if self.task_mut(task).suspect.take().is_some() {
             let name = self.name(task);
             let text = "cleared of crashes: its worker lives on".to_owned();
--- /dev/null
+++ b/crates/stackpier-cell/src/crash/held.rs
@@ -0,0 +1,72 @@
+// SPDX-License-Identifier: Apache-2.0
+//! Starts that are held back until the store has them.
+//!
+//! They wait for one save, mostly less than 50 ms. If it fails they are sent all the same, and
+//! later ones do not wait until a save was done again: tasks start while the store is away.
+
+use crate::{
+    Cell,
+    arena::{RunKey, WorkerKey},
+    run::Phase,
+};
+
+impl Cell {
+    /// is_sent tells whether the start of a run waits for no save.
+    pub(crate) fn is_sent(&self, key: RunKey) -> bool {
+        let run = self.runs.get(key);
+        run.is_some_and(|run| run.after_save.is_none())
+    }
+
+    /// send_held sends the starts whose save was made.
+    pub(crate) fn send_held(&mut self) {
+        for key in std::mem::take(&mut self.saver.held) {
+            let save = self.runs.get(key).and_then(|run| run.after_save);
+            match save {
+                Some(save) if !self.saver.has_tried(save) => self.saver.held.push(key),
+                Some(_) => self.send_or_requeue(key),
+                None => self.flow.answered(key),
+            }
+        }
+    }
+
+    /// send_or_requeue sends a start that was held back, unless its worker may not take it
+    /// any more.
+    fn send_or_requeue(&mut self, key: RunKey) {
+        let now = self.now.mono;
+        let Some(run) = self.runs.get_mut(key) else {
+            return;
+        };
+        if run.phase != Phase::Starting {
+            // It is being stopped, and its worker never had it.
+            self.flow.answered(key);
+            return;
+        }
+        run.after_save = None;
+        run.since = now;
+        run.moved = now;
+        let (task, worker) = (run.task, run.worker);
+        let lease_ms = self.options.lease_ms;
+        if self.may_still_take(worker, key)
+            && let Some(deadline_ms) = self.worker_mut(worker).lease(now, lease_ms)
+        {
+            self.begin_isolation(key, task, worker);
+            self.send_start(key, deadline_ms);
+            self.hold_soon(worker);
+        } else {
+            self.flow.answered(key);
+            self.requeue(key);
+        }
+    }
+
+    /// may_still_take tells whether a worker may take the run that it was chosen for: it
+    /// answers and stays, and nothing of another step was started there in isolation.
+    fn may_still_take(&self, key: WorkerKey, run: RunKey) -> bool {
+        let worker = self.worker(key);
+        let step = |run: RunKey| self.runs.get(run).map(|run| run.step);
+        // Members of a gang are isolated together.
+        let isolated = worker.isolation.map(|isolation| isolation.run);
+        let own = isolated.is_some_and(|isolated| step(isolated) == step(run));
+        let quiet = own || worker.is_quiet(self.now.mono);
+        quiet && self.is_open(worker) && self.has_authority()
+    }
+}
--- a/crates/stackpier-cell/src/order.rs
+++ b/crates/stackpier-cell/src/order.rs
@@ -29,9 +29,26 @@
         let number = run.number;
         let key = self.insert_run(run);
         self.begin_isolation(key, task, worker);
+        self.record_start(key, task);
         let entry = self.task_mut(task);
         entry.runs.push(key);
         entry.next_run = number + 1;
+        self.flow.send(key, self.job_of(task).payload.len());
+        if self.is_sent(key) {
+            self.send_start(key, deadline_ms);
+        } else {
+            self.saver.held.push(key);
+        }
+        if self.worker(worker).lasting_milli > 0 {
+            self.look_ahead_on(worker);
+        }
+        self.hold_soon(worker);
+    }
+
+    /// send_start tells a worker to start a run.
+    pub(crate) fn send_start(&mut self, key: RunKey, deadline_ms: u64) {
+        let run = self.runs.get(key).expect("the run is there");
+        let (task, worker) = (run.task, run.worker);
         let start = Start {
             order: self.order(key),
             data_centre: self.worker(worker).info.data_centre.clone(),
@@ -40,12 +57,7 @@
             checkpoint: self.task(task).checkpoint.clone(),
             ticket: self.ticket(self.task(task).step, worker),
         };
-        self.flow.send(key, start.payload.len());
         self.effects.push(Effect::Start(start));
-        if self.worker(worker).lasting_milli > 0 {
-            self.look_ahead_on(worker);
-        }
-        self.hold_soon(worker);
     }
 
     fn insert_run(&mut self, run: Run) -> RunKey {
@@ -74,6 +86,8 @@
             since: self.now.mono,
             confirmed: None,
             proved: false,
+            recorded: false,
+            after_save: None,
             stop_taken: None,
             stop_sent: false,
             stop_after: Millis(0),
--- a/crates/stackpier-cell/src/run.rs
+++ b/crates/stackpier-cell/src/run.rs
@@ -64,6 +64,10 @@
     pub(crate) confirmed: Option<Millis>,
     /// Whether it is known not to crash its worker.
     pub(crate) proved: bool,
+    /// Whether its start goes to the store, until it is proved.
+    pub(crate) recorded: bool,
+    /// The save that must be done before the start is sent.
+    pub(crate) after_save: Option<u64>,
     /// When the worker took the order to stop it.
     pub(crate) stop_taken: Option<Millis>,
     /// Whether an order to stop it is on its way.
@@ -149,6 +153,12 @@
         stops || matches!(self.phase, Phase::Unsure(_))
     }
 
+    /// is_recorded tells whether a successor is to know of the start: it may yet crash the
+    /// worker.
+    pub(crate) fn is_recorded(&self) -> bool {
+        self.recorded && !self.proved
+    }
+
     /// counted returns what the run takes of a worker's room: the processors
     /// of a filling run are not counted.
     pub(crate) fn counted(&self) -> Size {
--- a/crates/stackpier-cell/src/save.rs
+++ b/crates/stackpier-cell/src/save.rs
@@ -3,11 +3,11 @@
 //! time. Ends are told to be noted only after the save that holds them.
 
 use stackpier_core::Millis;
-use stackpier_state::job::{Checkpoint, Failures, Progress, State, Suspect};
+use stackpier_state::job::{Checkpoint, Failures, Progress, State};
 
 use crate::{
     Cell, Effect, RosterEntry, Save,
-    arena::{JobKey, TaskKey, WorkerKey},
+    arena::{JobKey, RunKey, TaskKey, WorkerKey},
     worker::{Life, Worker},
 };
 
@@ -35,6 +35,10 @@
     done: u64,
     in_flight: Option<InFlight>,
     not_before: Millis,
+    /// Whether the last save failed.
+    failed: bool,
+    /// Runs whose start waits for a save.
+    pub held: Vec<RunKey>,
     /// Workers with ends that are not noted.
     pub unnoted: Vec<WorkerKey>,
 }
@@ -63,6 +67,17 @@
         self.sent + 1
     }
 
+    /// awaited returns the number of the save that a start made now has to wait for: none if
+    /// the store did not take the last one, as it may be away for long.
+    pub(crate) fn awaited(&self) -> Option<u64> {
+        (!self.failed).then_some(self.next())
+    }
+
+    /// has_tried tells whether a save was made, successfully or not.
+    pub(crate) fn has_tried(&self, number: u64) -> bool {
+        self.sent >= number && !self.is_busy()
+    }
+
     /// is_busy tells whether a save is on its way.
     pub(crate) fn is_busy(&self) -> bool {
         self.in_flight.is_some()
@@ -211,7 +226,8 @@
             ..Progress::default()
         };
         for place in 0..job.tasks {
-            let task = self.task(TaskKey(job.first_task.0 + place));
+            let key = TaskKey(job.first_task.0 + place);
+            let task = self.task(key);
             if task.done {
                 progress.set_done(place);
                 continue;
@@ -223,14 +239,8 @@
                 });
             }
             let wanted = !job.state.is_final();
-            if let Some(suspect) = task.suspect.as_ref().filter(|_| wanted) {
-                progress.suspects.push(Suspect {
-                    task: place,
-                    lives: suspect.lives.clone(),
-                    span_ms: suspect.span_ms,
-                    alone: suspect.alone,
-                    unclear: suspect.unclear,
-                });
+            if wanted {
+                progress.suspects.extend(self.saved_suspect(key, place));
             }
             if let Some(text) = task.checkpoint.clone().filter(|_| wanted) {
                 progress.checkpoints.push(Checkpoint { task: place, text });
@@ -244,8 +254,10 @@
         let Some(sent) = self.saver.in_flight.take() else {
             return;
         };
+        self.saver.failed = !done;
         if !done {
             self.resave(sent);
+            self.send_held();
             return;
         }
         self.saver.done = self.saver.sent;
@@ -262,6 +274,7 @@
             }
         }
         self.note_all();
+        self.send_held();
     }
 
     /// resave keeps what a failed save held for the next one.
--- a/crates/stackpier-state/src/job.rs
+++ b/crates/stackpier-state/src/job.rs
@@ -209,7 +209,8 @@
 pub struct Suspect {
     /// The task's place among all tasks of the job.
     pub task: u32,
-    /// The ids of workers' lives that fell silent soon after they started it.
+    /// The ids of workers' lives that fell silent soon after they started it, or may yet: of
+    /// the last start it is not known then what came of it.
     pub lives: Vec<String>,
     /// The longest time from a start until the worker was found silent, in milliseconds.
     pub span_ms: u64,
