--- a/crates/stackpier-cell/tests/listing.rs
+++ b/crates/stackpier-cell/tests/listing.rs
@@ -4,7 +4,7 @@
 //! Seen: on one run of each of two deployments some 450 tasks, a tenth of all, were started
 //! again after they had ended as done. Both ends were noted. One owner made both starts.
 //!
-//! How it came about: the owner took an end as known if its number was not above the highest
+//! How it may have come about: the owner took an end as known if its number was not above the highest
 //! one that it had seen of the worker. A list that was not in the order of its numbers lost
 //! ends in this way: they were passed over, and the worker was told to forget them. The next
 //! report showed their runs neither as running nor as ended, so their tasks were started again.
@@ -15,7 +15,8 @@
 //! Proof: with workers that list the newest end first, or in a drawn order, the model of a
 //! calm day has as many such tasks as the record, and most second runs end as done; with ends
 //! that show late, or lists that are cut, second runs are stopped. With real daemons: see
-//! `platform/tests/listing.rs`. That the users' workers listed like this is not proved.
+//! `platform/tests/listing.rs`. That the users' workers listed like this is not proved; the
+//! incident's page has what speaks against it.
 
 mod common;
 
--- a/crates/stackpier-scheduler/src/http.rs
+++ b/crates/stackpier-scheduler/src/http.rs
@@ -99,7 +99,7 @@
     opened: Rc<Cell<u64>>,
     calls: Rc<Cell<u64>>,
     /// When the last part of a long answer came, by address.
-    parts: Rc<RefCell<HashMap<String, Instant>>>,
+    coming: Rc<RefCell<HashMap<String, Instant>>>,
 }
 
 impl Client {
@@ -136,8 +136,8 @@
 
     /// is_coming tells whether a long answer of a program comes just now.
     pub fn is_coming(&self, address: &str) -> bool {
-        let parts = self.parts.borrow();
-        let last = parts.get(address);
+        let coming = self.coming.borrow();
+        let last = coming.get(address);
         last.is_some_and(|last| last.elapsed() < COMING)
     }
 
@@ -191,8 +191,8 @@
             let frame = frame.map_err(|error| unreachable(address, &*error))?;
             if let Some(data) = frame.data_ref() {
                 whole.extend_from_slice(data);
-                let mut parts = self.parts.borrow_mut();
-                parts.insert(address.to_owned(), Instant::now());
+                let mut coming = self.coming.borrow_mut();
+                coming.insert(address.to_owned(), Instant::now());
             }
         }
     }
