--- a/crates/stackpier-cell/src/report.rs
+++ b/crates/stackpier-cell/src/report.rs
@@ -16,6 +16,7 @@
 impl Cell {
     /// take_report takes in a report that was asked for at `sent`.
     pub(crate) fn take_report(&mut self, key: WorkerKey, sent: Millis, report: Report) {
+        self.see_start(key, report.started_at, "its report");
         self.hear(key, report.clock_ms);
         self.take_ends(key, sent, report.ended);
         let again = self.inherit(key, sent, report.whole);
--- a/crates/stackpier-cell/src/roster.rs
+++ b/crates/stackpier-cell/src/roster.rs
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 //! The roster: workers that come, leave, and are given up.
 
-use stackpier_core::{Millis, Size};
+use stackpier_core::{Millis, Size, Unix};
 
 use crate::{
     Cell, RosterEntry,
@@ -19,6 +19,7 @@
         }
         let info = Info {
             id: entry.id.clone(),
+            started_at: None,
             service: String::new(),
             address: entry.address.clone(),
             data_centre: String::new(),
@@ -55,6 +56,7 @@
             self.racks.number(&info.rack),
         );
         let now = self.now.mono;
+        self.see_start(key, info.started_at, "its entry");
         let worker = self.worker_mut(key);
         if worker.life == Life::Over {
             // It was given up while it could not be reached, and shows again.
@@ -81,6 +83,25 @@
         self.place_wanted = true;
     }
 
+    /// see_start notes when the life of a worker was started that is heard of.
+    pub(crate) fn see_start(&mut self, key: WorkerKey, started_at: Option<Unix>, source: &str) {
+        let worker = self.worker_mut(key);
+        let known = worker.info.started_at;
+        if started_at.is_none() || started_at == known {
+            return;
+        }
+        worker.info.started_at = started_at;
+        let text = format!(
+            "worker {} was started at {started_at:?} by {source}, at {known:?} as known before; \
+             {} runs there, ends up to {} are known and up to {} noted",
+            worker.info.id,
+            worker.runs.len(),
+            worker.taken.complete(),
+            worker.noted
+        );
+        self.note("worker", None, text);
+    }
+
     /// add_worker adds a worker that was not known and asks it for a report.
     fn add_worker(&mut self, info: Info) -> WorkerKey {
         let key = WorkerKey(self.workers.len() as u32);
@@ -118,8 +139,8 @@
             info,
         };
         let text = format!(
-            "worker {} at {} is known",
-            worker.info.id, worker.info.address
+            "worker {} at {}, started at {:?}, is known",
+            worker.info.id, worker.info.address, worker.info.started_at
         );
         self.worker_keys.insert(worker.info.id.clone(), key);
         self.workers.push(worker);
--- a/crates/stackpier-cell/src/wire.rs
+++ b/crates/stackpier-cell/src/wire.rs
@@ -194,6 +194,8 @@
 /// Report is a worker's word of what runs and what ended.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Report {
+    /// When the life that reports was started, by its wall clock.
+    pub started_at: Option<Unix>,
     /// The worker's clock, in milliseconds.
     pub clock_ms: u64,
     /// What runs.
--- a/crates/stackpier-cell/src/worker.rs
+++ b/crates/stackpier-cell/src/worker.rs
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 //! Workers as the owner keeps them, with their leases.
 
-use stackpier_core::{Millis, Size};
+use stackpier_core::{Millis, Size, Unix};
 
 use crate::{
     arena::RunKey, crash::Isolation, health::Health, outlook::Outlook, run::Run, taken::Taken,
@@ -17,8 +17,10 @@
 /// Info is what the list of workers shows of one.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Info {
-    /// The id of this life of the worker.
+    /// The id of the worker.
     pub id: String,
+    /// When this life of it was started, by its wall clock: that tells lives of one id apart.
+    pub started_at: Option<Unix>,
     /// The service that it belongs to.
     pub service: String,
     /// Where it takes orders.
--- a/crates/stackpier-cell/tests/common/mod.rs
+++ b/crates/stackpier-cell/tests/common/mod.rs
@@ -85,6 +85,7 @@
 pub fn info(place: usize) -> Info {
     Info {
         id: format!("w{place}"),
+        started_at: None,
         service: "service".to_owned(),
         address: format!("address-{place}"),
         data_centre: "dc".to_owned(),
--- a/crates/stackpier-cell/tests/faults.rs
+++ b/crates/stackpier-cell/tests/faults.rs
@@ -23,6 +23,7 @@
 
 fn report(running: Vec<Row>, ended: Vec<End>) -> Held {
     Held::Report(Report {
+        started_at: None,
         clock_ms: 5_000,
         running,
         ended,
--- a/crates/stackpier-cell/tests/listing.rs
+++ b/crates/stackpier-cell/tests/listing.rs
@@ -149,6 +149,7 @@
     let sent = Millis(owner.now_ms);
     owner.now_ms += 1;
     let outcome = Held::Report(Report {
+        started_at: None,
         clock_ms: owner.now_ms,
         running: Vec::new(),
         ended: numbers.iter().map(end).collect(),
--- a/crates/stackpier-fuzz/src/cell/world.rs
+++ b/crates/stackpier-fuzz/src/cell/world.rs
@@ -223,6 +223,7 @@
         self.lives += 1;
         let info = Info {
             id: format!("w{place}-{}", self.lives),
+            started_at: None,
             service: SERVICE.to_owned(),
             address: format!("address-{place}"),
             data_centre: format!("dc-{}", series::data_centre_of(place)),
--- a/crates/stackpier-load/src/cell/world.rs
+++ b/crates/stackpier-load/src/cell/world.rs
@@ -305,6 +305,7 @@
     let rack = format!("r{}", place / site.per_rack);
     Info {
         id: format!("w{place}"),
+        started_at: None,
         service: SERVICE.to_owned(),
         address: place.to_string(),
         data_centre: "dc".to_owned(),
--- a/crates/stackpier-standin/src/fleet.rs
+++ b/crates/stackpier-standin/src/fleet.rs
@@ -357,6 +357,7 @@
         self.noted.extend::<Vec<End>>(noted);
         let ended = self.listing.list(&self.ends);
         Held::Report(Report {
+            started_at: self.info.started_at,
             clock_ms: self.clock(now_ms),
             running: self.runs.iter().map(row).collect(),
             whole: ended.len() < self.listing.most,
