--- a/crates/stackpier-standin/src/fleet.rs
+++ b/crates/stackpier-standin/src/fleet.rs
@@ -119,8 +119,10 @@
 pub struct Worker {
     /// What the list of workers shows of it.
     pub info: Info,
-    /// Its clock's reading when the world began.
-    pub clock_offset_ms: u64,
+    /// Its clock's reading when it began.
+    clock_start_ms: u64,
+    /// When it began.
+    begun_ms: u64,
     /// Whether its tasks stand still.
     pub hangs: bool,
     /// Whether it fails everything.
@@ -147,10 +149,11 @@
 
 impl Worker {
     /// new starts a worker that runs nothing.
-    pub fn new(info: Info, clock_offset_ms: u64, now_ms: u64) -> Worker {
+    pub fn new(info: Info, clock_start_ms: u64, now_ms: u64) -> Worker {
         Worker {
             info,
-            clock_offset_ms,
+            clock_start_ms,
+            begun_ms: now_ms,
             hangs: false,
             grey: false,
             speed_percent: FULL,
@@ -167,8 +170,9 @@
         }
     }
 
-    fn clock(&self, now_ms: u64) -> u64 {
-        self.clock_offset_ms + now_ms
+    /// clock returns what its clock shows at a time.
+    pub fn clock(&self, now_ms: u64) -> u64 {
+        self.clock_start_ms + now_ms - self.begun_ms
     }
 
     /// set_tail changes the tail latency of all tasks that serve.
