A worker is told once to forget ends, and only the life that listed them

Callers saw a task done twice where a worker was back so soon (30 ms, while idle) that nobody missed it. Cause: each hold repeated up to which number ends are noted. The next hold was meant for the earlier life, as orders name a worker by its id, waited in the later one, and had it forget the ends of its first tasks unheard.

Now a number is told in one hold, until a report answers it; never to a worker that is silent; and while a start is out that this life is not known to have taken (no report shows it, nor was one asked for after its answer), only to one that answered less than 100 ms ago: only such a start can have ended in a later life.

Why it holds: a later life has ends only of starts that were sent to it. What is left is a crash, a restart, a start and its whole run within 100 ms.

Tried and reverted: nothing forgotten while such a start is out at all.

The stand-in worker no longer answers, in its next life, holds that waited in the one before: a process takes its calls along.

--- a/crates/stackpier-cell/src/hold.rs
+++ b/crates/stackpier-cell/src/hold.rs
@@ -6,7 +6,8 @@
 use crate::{
     Cell, Effect, Held, Hold, Queue,
     arena::WorkerKey,
-    worker::{Life, Worker},
+    run::Run,
+    worker::{Clock, Life, Worker},
 };
 
 /// IDLE_MS is the pause between two holds on a worker that runs nothing. It
@@ -19,6 +20,10 @@
 /// there: reports clear it, and other starts wait for that.
 const ISOLATED_MS: u64 = 100;
 
+/// SHORTEST_MS is how long a run takes at least that begins, does its work and ends, in a
+/// worker that has started again just before.
+const SHORTEST_MS: u64 = 100;
+
 impl Cell {
     /// hold_now sends a hold that does not wait, unless one is on its way.
     pub(crate) fn hold_now(&mut self, key: WorkerKey) {
@@ -46,12 +51,14 @@
         let (now, lease_ms) = (self.now.mono, self.options.lease_ms);
         let (fence, authority) = (self.fence, self.has_authority());
         let foreign = self.is_foreign(self.worker(key));
+        let telling = self.forgettable(key);
         let worker = self.worker_mut(key);
         if worker.holding || worker.life == Life::Over || foreign || !authority {
             return;
         }
-        let unnoted = worker.has_unnoted_ends();
+        let listed = worker.has_unnoted_ends() || worker.noted > telling.max(worker.forgotten);
         worker.holding = true;
+        worker.telling = telling;
         // A hold without an answer may arrive late. One to a silent worker
         // renews nothing, or its lease would never be known to be over.
         let deadline_ms = match worker.silent_since {
@@ -65,13 +72,31 @@
             life: worker.info.id.clone(),
             fence,
             deadline_ms,
-            noted: worker.noted,
-            // Ends that are not noted are listed again at once.
-            wait_ms: if unnoted { 0 } else { wait_ms },
+            noted: telling,
+            // Ends that it is not told to forget are listed again at once.
+            wait_ms: if listed { 0 } else { wait_ms },
         };
         self.effects.push(Effect::Hold(hold));
     }
 
+    /// forgettable returns the number of the last end that a worker is told to forget, zero
+    /// for none. It is told so once: another life that has taken its place would forget ends
+    /// of its own, which nobody has seen. That life can have some only of starts that this one
+    /// is not known to have taken. So while there are such starts, it must just have answered.
+    fn forgettable(&self, key: WorkerKey) -> u64 {
+        let worker = self.worker(key);
+        let now = self.now.mono;
+        let is_recent = |clock: Clock| now.since(clock.at) < SHORTEST_MS;
+        let taken = |run: &Run| run.shown || run.confirmed.is_some_and(|at| at < worker.reported);
+        let mut runs = worker.runs.iter().filter_map(|key| self.runs.get(*key));
+        let is_certain = worker.clock.is_some_and(is_recent) || runs.all(taken);
+        if worker.noted > worker.forgotten && worker.is_heard() && is_certain {
+            worker.noted
+        } else {
+            0
+        }
+    }
+
     /// is_foreign tells whether a worker that this owner has not met is of no service that
     /// runs tasks: whoever is at its address is not called.
     fn is_foreign(&self, worker: &Worker) -> bool {
@@ -112,6 +137,10 @@
             worker.hold_after = now.plus(retry_ms);
             return;
         }
+        if worker.noted > worker.forgotten {
+            self.hold_now(key);
+            return;
+        }
         if worker.runs.is_empty() {
             worker.hold_after = now.plus(IDLE_MS);
             return;
--- a/crates/stackpier-cell/src/report.rs
+++ b/crates/stackpier-cell/src/report.rs
@@ -19,7 +19,7 @@
         let Some(key) = self.take_restart(key, sent, &report) else {
             return;
         };
-        self.hear(key, report.clock_ms);
+        self.hear(key, sent, report.clock_ms);
         self.take_ends(key, sent, report.ended);
         let again = self.inherit(key, sent, report.whole);
         for row in &report.running {
@@ -41,12 +41,14 @@
     }
 
     /// hear takes in that a worker answers, and what its clock shows.
-    fn hear(&mut self, key: WorkerKey, clock_ms: u64) {
+    fn hear(&mut self, key: WorkerKey, sent: Millis, clock_ms: u64) {
         let at = self.now.mono;
         let worker = self.worker_mut(key);
         worker.clock = Some(Clock { at, ms: clock_ms });
         // Its report tells better what runs there.
         worker.ended_unseen = None;
+        worker.reported = sent;
+        worker.forgotten = worker.forgotten.max(worker.telling);
         if worker.silent_since.take().is_some() {
             let text = format!("worker {} answers again", worker.info.id);
             self.note("worker", None, text);
--- a/crates/stackpier-cell/src/worker.rs
+++ b/crates/stackpier-cell/src/worker.rs
@@ -141,6 +141,12 @@
     pub taken: Taken,
     /// The number up to which the worker may forget ends.
     pub noted: u64,
+    /// When the last report of this life was asked for.
+    pub reported: Millis,
+    /// The number up to which it has answered to have forgotten them.
+    pub forgotten: u64,
+    /// The number that the hold on its way tells it, zero for none.
+    pub telling: u64,
     /// The save after which the ends taken in may be forgotten.
     pub note_after_save: u64,
     pub health: Health,
--- a/crates/stackpier-cell/tests/common/mod.rs
+++ b/crates/stackpier-cell/tests/common/mod.rs
@@ -5,6 +5,7 @@
 #![allow(dead_code)]
 
 mod crash;
+mod waiting;
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -18,6 +19,7 @@
 use stackpier_state::job::{Progress, Record, Spec, State, Step};
 
 use crash::Revival;
+use waiting::Waiting;
 
 /// UNIX is the wall clock when a test begins.
 pub const UNIX: u64 = 1_000_000;
@@ -43,6 +45,9 @@
     pub starts: Vec<(Start, usize)>,
     /// How many calls asked for a report.
     pub holds: usize,
+    /// Whether holds wait at the worker for an end, as long as they say.
+    pub holds_wait: bool,
+    waiting: Vec<Waiting>,
     /// Every save, in order.
     pub saves: Vec<Save>,
     /// Whether saves are acknowledged.
@@ -176,6 +181,8 @@
             revivals: Vec::new(),
             starts: Vec::new(),
             holds: 0,
+            holds_wait: false,
+            waiting: Vec::new(),
             saves: Vec::new(),
             store: true,
             deposed: false,
@@ -258,6 +265,7 @@
                 self.feed(event);
             }
             self.revive();
+            self.answer_waiting();
             if self.now_ms.is_multiple_of(50) {
                 self.feed(Event::Tick);
             }
@@ -389,6 +397,10 @@
 
     fn carry_hold(&mut self, hold: &Hold) {
         self.holds += 1;
+        if self.holds_wait {
+            self.wait(hold);
+            return;
+        }
         let place = self.place(&hold.address);
         let outcome = if self.cut[place] {
             Held::Silent
--- a/crates/stackpier-cell/tests/reborn.rs
+++ b/crates/stackpier-cell/tests/reborn.rs
@@ -232,3 +232,26 @@
     owner.advance(2_000);
     assert_eq!(starts(&owner, LATER), [1; WIDTH as usize]);
 }
+
+/// Seen with real daemons: an idle worker started again within 30 ms, so that nobody missed
+/// it. The next hold was meant for the earlier life, waited in the later one, and had it
+/// forget ends of its own up to the number of the earlier one.
+#[test]
+fn a_hold_that_was_meant_for_the_earlier_life_makes_the_later_one_forget_nothing() {
+    let mut owner = owner(1);
+    owner.holds_wait = true;
+    work(&mut owner);
+    owner.advance(IDLE_MS);
+    restart(&mut owner, 0, 1);
+    // They end while the hold waits.
+    let short = Step {
+        estimate_ms: 300,
+        ..step(WIDTH)
+    };
+    owner.submit(LATER, spec(vec![short]));
+    owner.advance(HEARTBEAT_MS);
+    show(&mut owner, 0, 1);
+    owner.advance(2_000);
+    assert_eq!(starts(&owner, LATER), [1; WIDTH as usize]);
+    assert_eq!(owner.state(LATER), Some(State::Completed));
+}
