--- a/crates/stackpier-cell/tests/common/crash.rs
+++ b/crates/stackpier-cell/tests/common/crash.rs
@@ -2,9 +2,10 @@
 //! Workers that crash and come back.
 
 use stackpier_cell::Event;
+use stackpier_core::Unix;
 use stackpier_standin::fleet::Worker;
 
-use super::Owner;
+use super::{Owner, UNIX};
 
 /// UNLISTED_MS is how long after its crash a worker's entry is gone.
 const UNLISTED_MS: u64 = 4_500;
@@ -19,14 +20,16 @@
 }
 
 impl Owner {
-    /// crash ends a worker's process: nothing answers until another life is back, and
-    /// its entry lapses.
+    /// crash ends a worker's process: nothing answers until another life is back. The entry
+    /// lapses, unless that life has the same id.
     pub fn crash(&mut self, place: usize) {
         self.cut[place] = true;
-        let id = self.workers[place].info.id.clone();
-        self.answer(UNLISTED_MS, Event::Unlisted(id));
+        if self.restart_ms.is_none() {
+            let id = self.workers[place].info.id.clone();
+            self.answer(UNLISTED_MS, Event::Unlisted(id));
+        }
         self.revivals.push(Revival {
-            at_ms: self.now_ms + BACK_MS,
+            at_ms: self.now_ms + self.restart_ms.unwrap_or(BACK_MS),
             place,
         });
     }
@@ -38,7 +41,10 @@
         self.revivals = later;
         for revival in due {
             let mut info = self.workers[revival.place].info.clone();
-            info.id = format!("{}-at-{now_ms}", info.host);
+            match self.restart_ms {
+                Some(_) => info.started_at = Some(Unix(UNIX + now_ms)),
+                None => info.id = format!("{}-at-{now_ms}", info.host),
+            }
             self.workers[revival.place] = Worker::new(info.clone(), 9_000, now_ms);
             self.cut[revival.place] = false;
             self.feed(Event::Listed(info));
--- a/crates/stackpier-cell/tests/common/mod.rs
+++ b/crates/stackpier-cell/tests/common/mod.rs
@@ -40,6 +40,9 @@
     pub crashing: BTreeSet<TaskName>,
     /// Whether the worker is gone before it has answered such a start.
     pub crashes_unanswered: bool,
+    /// How long after a crash a worker is back under the id that it had, in milliseconds. If
+    /// there is no such time, it is back later and with another id.
+    pub restart_ms: Option<u64>,
     revivals: Vec<Revival>,
     /// Every start that a worker took, with the worker's place.
     pub starts: Vec<(Start, usize)>,
@@ -178,6 +181,7 @@
             specs: BTreeMap::new(),
             crashing: BTreeSet::new(),
             crashes_unanswered: false,
+            restart_ms: None,
             revivals: Vec::new(),
             starts: Vec::new(),
             holds: 0,
--- a/crates/stackpier-cell/tests/reborn.rs
+++ b/crates/stackpier-cell/tests/reborn.rs
@@ -18,7 +18,7 @@
 
 mod common;
 
-use common::{Owner, info, name, spec, step};
+use common::{Owner, QUEUE, info, name, spec, step};
 use rstest::rstest;
 use stackpier_cell::{Event, Info};
 use stackpier_core::Unix;
@@ -255,3 +255,53 @@
     assert_eq!(starts(&owner, LATER), [1; WIDTH as usize]);
     assert_eq!(owner.state(LATER), Some(State::Completed));
 }
+
+/// Users let a task that crashes its workers start five times. Such a worker answers again
+/// under its id soon after.
+#[test]
+fn a_task_that_crashes_workers_which_start_again_is_given_up() {
+    for workers in [1, 4] {
+        for restart_ms in [30, 300, 1_500] {
+            let mut owner = owner(workers);
+            owner.restart_ms = Some(restart_ms);
+            owner.crashing.insert(name(LATER, 0, 0));
+            owner.submit(LATER, spec(vec![step(1)]));
+            owner.advance(40_000);
+            let starts = owner.starts_of(name(LATER, 0, 0));
+            assert_eq!(owner.state(LATER), Some(State::Failed), "{starts} starts");
+            assert!(starts <= 5, "{starts} starts, back after {restart_ms} ms");
+        }
+    }
+}
+
+/// Its owner has not lived to see what came of the last start: the worker that took it is back
+/// under its id.
+#[test]
+fn a_successor_counts_crashes_of_workers_that_started_again() {
+    let mut owner = owner(4);
+    owner.restart_ms = Some(300);
+    owner.crashing.insert(name(LATER, 0, 0));
+    owner.submit(LATER, spec(vec![step(1)]));
+    while owner.starts_of(name(LATER, 0, 0)) < 2 {
+        owner.advance(1);
+    }
+    owner.advance(2_000);
+    let saved = owner.saved(LATER).expect("what counts against it is saved");
+    let counted = saved.suspects[0].lives.len();
+    let mut successor = Owner::with(4, 2, true);
+    successor.submit_to(LATER, QUEUE, spec(vec![step(1)]), 1, Some(saved));
+    for place in 0..4 {
+        let info = owner.workers[place].info.clone();
+        successor.workers[place].info = info.clone();
+        successor.feed(Event::Listed(info));
+    }
+    successor.restart_ms = Some(300);
+    successor.crashing.insert(name(LATER, 0, 0));
+    successor.advance(40_000);
+    let starts = successor.starts_of(name(LATER, 0, 0));
+    assert_eq!(successor.state(LATER), Some(State::Failed));
+    assert!(
+        counted + starts <= 5,
+        "{counted} counted, {starts} starts after that"
+    );
+}
