Crashes count against a task by the lives of workers, not by their ids

Callers saw a job that never ended while each of its starts took a worker down. Cause: the owner kept a crashed worker by its id; the later life answered under it, so the crash was taken back as that of a worker that lives.

A life is named by id and start (core's Incarnation), in what is held against a task and in what the store keeps of it. One that another life has replaced has crashed. An entry of another life does not show that the one before lives on. Workers that fell silent together doubt each other also once their next lives answer.

Why it holds: the count is of lives that are over, and no id brings one back.

What a restart interrupts is now suspected like after any crash, and starts again one after the other: that test waits for 12 s in place of 2.

--- a/crates/stackpier-cell/src/crash.rs
+++ b/crates/stackpier-cell/src/crash.rs
@@ -25,7 +25,7 @@
 mod isolation;
 mod record;
 
-use stackpier_core::Millis;
+use stackpier_core::{Incarnation, Millis};
 use stackpier_state::job::{self, State};
 
 use crate::{
@@ -56,7 +56,7 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Suspect {
     /// The lives of workers that fell silent soon after they started it.
-    pub lives: Vec<String>,
+    pub lives: Vec<Incarnation>,
     /// The longest time from a start until the worker was found silent, in milliseconds.
     pub span_ms: u64,
     /// Whether nothing else can have caused the last of these crashes.
@@ -124,7 +124,7 @@
         if self.task(task).done || self.job_of(task).state.is_final() {
             return;
         }
-        let life = self.worker(key).info.id.clone();
+        let life = self.worker(key).incarnation();
         let runs = self.worker(key).runs.len();
         let suspect = self.task_mut(task).suspect.get_or_insert_default();
         if suspect.lives.contains(&life) {
@@ -149,7 +149,7 @@
     /// doubt_causes takes in that a silent worker was not the only one: its suspects may not
     /// have brought it down.
     fn doubt_causes(&mut self, key: WorkerKey) {
-        let life = self.worker(key).info.id.clone();
+        let life = self.worker(key).incarnation();
         for task in self.suspects.clone() {
             let Some(suspect) = self.task_mut(task).suspect.as_mut() else {
                 continue;
@@ -264,19 +264,24 @@
     }
 
     /// liveness tells what is known of a life that fell silent.
-    fn liveness(&self, life: &str) -> Liveness {
+    fn liveness(&self, life: &Incarnation) -> Liveness {
         // The list and the roster name all that may live.
-        let Some(key) = self.worker_keys.get(life) else {
+        let Some(key) = self.worker_keys.get(&life.id) else {
             return Liveness::Dead;
         };
         let worker = self.worker(*key);
+        if worker.incarnation().differs_from(life) {
+            // Which one is the later is known once it has answered.
+            return match worker.life {
+                Life::New => Liveness::Unknown,
+                Life::Met | Life::Over => Liveness::Dead,
+            };
+        }
         match (worker.life, worker.silent_since) {
             (Life::Over, _) => Liveness::Dead,
             (Life::Met, None) => Liveness::Alive,
             // The entry of a crashed worker is gone by then, if the store was there.
-            (_, Some(since)) if worker.unlisted_since.is_none() && self.outlives(since) => {
-                Liveness::Alive
-            }
+            (_, Some(since)) if worker.is_listed() && self.outlives(since) => Liveness::Alive,
             _ => Liveness::Unknown,
         }
     }
@@ -292,9 +297,10 @@
     fn give_up(&mut self, task: TaskKey, suspect: &Suspect) {
         let job = self.step_of(self.task(task).step).job;
         let name = self.name(task);
+        let lives: Vec<String> = suspect.lives.iter().map(Incarnation::to_string).collect();
         let text = format!(
             "job failed: workers {} crashed when they started this task",
-            suspect.lives.join(", ")
+            lives.join(", ")
         );
         self.end_job(job, State::Failed);
         self.note("job", Some(name), text);
--- a/crates/stackpier-cell/src/crash/cause.rs
+++ b/crates/stackpier-cell/src/crash/cause.rs
@@ -30,10 +30,12 @@
     }
 
     /// fell_silent_before returns the other workers that did so just before: a rack or a data
-    /// centre that goes down, rather than a task.
+    /// centre that goes down, rather than a task. They may be over by now, as their next lives
+    /// answer.
     pub(super) fn fell_silent_before(&self, key: WorkerKey) -> Vec<WorkerKey> {
         let lately = |since: Millis| self.now.mono.since(since) < TOGETHER_MS;
-        let others = self.live().filter(|other| *other != key);
+        let workers = (0..self.workers.len() as u32).map(WorkerKey);
+        let others = workers.filter(|other| *other != key);
         let silent = |other: &WorkerKey| self.worker(*other).silent_since.is_some_and(lately);
         others.filter(silent).collect()
     }
--- a/crates/stackpier-cell/src/crash/record.rs
+++ b/crates/stackpier-cell/src/crash/record.rs
@@ -10,6 +10,7 @@
 //! is left of it is a worker that the successor does not hear and a task that it finds nowhere,
 //! like all that had to wait. None of these is suspected, but their next starts are recorded.
 
+use stackpier_core::Incarnation;
 use stackpier_state::job;
 
 use super::PROVED_MS;
@@ -84,12 +85,12 @@
 
     /// recorded_lives returns the lives of workers that a recorded start of a task may yet
     /// crash. Of one that is silent it is known already which of its runs are suspected.
-    fn recorded_lives(&self, key: TaskKey) -> Vec<String> {
+    fn recorded_lives(&self, key: TaskKey) -> Vec<Incarnation> {
         let runs = self.task(key).runs.iter();
         let runs = runs.filter_map(|run| self.runs.get(*run));
         let recorded = runs.filter(|run: &&Run| run.is_recorded());
         let workers = recorded.map(|run| self.worker(run.worker));
         let heard = workers.filter(|worker| worker.silent_since.is_none());
-        heard.map(|worker| worker.info.id.clone()).collect()
+        heard.map(Worker::incarnation).collect()
     }
 }
--- a/crates/stackpier-cell/src/restart.rs
+++ b/crates/stackpier-cell/src/restart.rs
@@ -37,6 +37,11 @@
         self.announced.is_none() && !differs(self.info.started_at, self.started_at)
     }
 
+    /// is_listed tells whether the list shows an entry of this life.
+    pub(crate) fn is_listed(&self) -> bool {
+        self.unlisted_since.is_none() && self.is_described()
+    }
+
     /// is_of tells whether a description is of this life, as far as either tells.
     fn is_of(&self, info: &Info) -> bool {
         !differs(info.started_at, self.started_at)
--- a/crates/stackpier-cell/src/worker.rs
+++ b/crates/stackpier-cell/src/worker.rs
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 //! Workers as the owner keeps them, with their leases.
 
-use stackpier_core::{Millis, Size, Unix};
+use stackpier_core::{Incarnation, Millis, Size, Unix};
 
 use crate::{
     arena::RunKey, crash::Isolation, health::Health, outlook::Outlook, restart::Announced,
@@ -170,6 +170,14 @@
 }
 
 impl Worker {
+    /// incarnation names this life, for the store and the log.
+    pub(crate) fn incarnation(&self) -> Incarnation {
+        Incarnation {
+            id: self.info.id.clone(),
+            started_at: self.started_at,
+        }
+    }
+
     /// lease_end returns when everything that this owner leased has ended, if
     /// the worker ever answered.
     pub(crate) fn lease_end(&self) -> Option<Millis> {
--- a/crates/stackpier-cell/tests/reborn.rs
+++ b/crates/stackpier-cell/tests/reborn.rs
@@ -156,8 +156,9 @@
     if matches!(news, News::Entry) {
         show(&mut owner, 0, 1);
     }
-    // The next report shows the later life, or its entry does before that.
-    owner.advance(2_000);
+    // The next report shows the later life, or its entry does before that. What may have
+    // crashed the worker starts one task after the other, a second apart.
+    owner.advance(12_000);
     let again = starts(&owner, LATER)
         .iter()
         .filter(|starts| **starts == 2)
@@ -285,7 +286,6 @@
     while owner.starts_of(name(LATER, 0, 0)) < 2 {
         owner.advance(1);
     }
-    owner.advance(2_000);
     let saved = owner.saved(LATER).expect("what counts against it is saved");
     let counted = saved.suspects[0].lives.len();
     let mut successor = Owner::with(4, 2, true);
--- a/crates/stackpier-core/src/lib.rs
+++ b/crates/stackpier-core/src/lib.rs
@@ -7,12 +7,14 @@
 pub mod arena;
 pub mod error;
 pub mod field;
+pub mod incarnation;
 pub mod key;
 pub mod name;
 pub mod size;
 pub mod time;
 
 pub use error::{Error, Kind, Result};
+pub use incarnation::Incarnation;
 pub use name::Name;
 pub use size::Size;
 pub use time::{Millis, Unix};
--- a/crates/stackpier-state/src/job.rs
+++ b/crates/stackpier-state/src/job.rs
@@ -6,7 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 use stackpier_core::{
-    Size,
+    Incarnation, Size,
     field::{Invalid, invalid, within},
 };
 
@@ -209,9 +209,9 @@
 pub struct Suspect {
     /// The task's place among all tasks of the job.
     pub task: u32,
-    /// The ids of workers' lives that fell silent soon after they started it, or may yet: of
-    /// the last start it is not known then what came of it.
-    pub lives: Vec<String>,
+    /// The workers' lives that fell silent soon after they started it, or may yet: of the last
+    /// start it is not known then what came of it.
+    pub lives: Vec<Incarnation>,
     /// The longest time from a start until the worker was found silent, in milliseconds.
     pub span_ms: u64,
     /// Whether nothing else can have brought the last of them down.
