A host is back from maintenance with its worker's next life, whatever its id

Operators saw a plan that took 15 s longer for each host whose worker kept its id, and was late. Cause: the worker that ended with the host was kept by its id, so its next life was not taken for a new one. It is kept by its key now, which is that of one life. Two hosts in turn: one ordered down in 8 s before, both and the plan completed after.

--- a/crates/stackpier-cell/src/maintenance.rs
+++ b/crates/stackpier-cell/src/maintenance.rs
@@ -185,7 +185,7 @@
                 }
             }
             Stage::Down { life, since } => {
-                let back = worker.is_some_and(|worker| self.is_new(worker, life.as_deref()));
+                let back = worker.is_some_and(|worker| self.is_new(worker, life));
                 if back || now.since(since) >= GIVE_UP_MS {
                     self.host_mut(key).stage = Stage::Done;
                 }
@@ -195,9 +195,8 @@
     }
 
     /// is_new tells whether a worker was met and is not the life that ended.
-    fn is_new(&self, key: WorkerKey, ended: Option<&str>) -> bool {
-        let worker = self.worker(key);
-        worker.life == Life::Met && Some(worker.info.id.as_str()) != ended
+    fn is_new(&self, key: WorkerKey, ended: Option<WorkerKey>) -> bool {
+        self.worker(key).life == Life::Met && Some(key) != ended
     }
 
     /// check_absent goes on without a host that has had no worker for long.
--- a/crates/stackpier-cell/src/maintenance/order.rs
+++ b/crates/stackpier-cell/src/maintenance/order.rs
@@ -99,8 +99,10 @@
     fn went_down(&mut self, key: HostKey) {
         let since = self.now.mono;
         let worker = self.worker_of(&self.host(key).name);
-        let life = worker.map(|worker| self.worker(worker).info.id.clone());
-        self.host_mut(key).stage = Stage::Down { life, since };
+        self.host_mut(key).stage = Stage::Down {
+            life: worker,
+            since,
+        };
         self.saver.maintenance_changed = true;
         if let Some(worker) = worker {
             self.end_life(worker, "its host is down for maintenance");
--- a/crates/stackpier-cell/src/maintenance/work.rs
+++ b/crates/stackpier-cell/src/maintenance/work.rs
@@ -5,6 +5,7 @@
 use stackpier_core::Millis;
 
 use super::{Plan, Record};
+use crate::arena::WorkerKey;
 
 /// TURN_MS is how long a host takes from the first stop until its new worker
 /// works: one to two seconds of emptying, two down, and the start.
@@ -40,7 +41,7 @@
     /// It went down.
     Down {
         /// The life that ended with it, if one was known.
-        life: Option<String>,
+        life: Option<WorkerKey>,
         since: Millis,
     },
     Done,
--- a/crates/stackpier-cell/tests/reborn.rs
+++ b/crates/stackpier-cell/tests/reborn.rs
@@ -321,11 +321,9 @@
     // Each is down for two seconds.
     owner.advance(8_000);
     assert_eq!(owner.downs.len(), 2);
-    let records = owner
-        .saves
-        .iter()
-        .filter_map(|save| save.maintenance.clone());
-    let last = records.last().expect("the plan was saved");
+    let mut saves = owner.saves.iter().rev();
+    let last = saves.find_map(|save| save.maintenance.clone());
+    let last = last.expect("the plan was saved");
     assert!(last[0].completed, "{last:?}");
 }
 
