A start that an earlier life may have taken waits for the store's word

Callers could see a task done twice: an owner without the store found that a later life of a worker does not show a start that was meant for the earlier one, and made it again within a second. A later owner may have heard the earlier life, and have noted that the run was done. Cause: the later life's word was taken for that of the earlier one. The task now counts as one whose end was not seen, which starts again only with a word of the store of the last 0.8 s, like those of lapsed leases.

--- a/crates/stackpier-cell/src/restart.rs
+++ b/crates/stackpier-cell/src/restart.rs
@@ -156,11 +156,13 @@
 
     /// move_unseen_runs has the later life looked at for runs that no report of the earlier
     /// one has shown. Orders name a worker by its id, so one that was meant for the earlier
-    /// life may have reached the later one.
+    /// life may have reached the later one. If it has not, a later owner may have heard of the
+    /// run's end from the earlier one.
     fn move_unseen_runs(&mut self, earlier: WorkerKey, later: WorkerKey) {
         for key in self.worker(earlier).runs.clone() {
             if self.is_sent(key) && !self.is_shown(key) {
                 self.move_run(key, later);
+                self.end_task_unseen(key);
             }
         }
     }
--- a/crates/stackpier-cell/src/takeover.rs
+++ b/crates/stackpier-cell/src/takeover.rs
@@ -167,7 +167,7 @@
     }
 
     /// end_task_unseen notes of a run's task that its worker may still tell of its end.
-    fn end_task_unseen(&mut self, run: RunKey) {
+    pub(crate) fn end_task_unseen(&mut self, run: RunKey) {
         let Some(task) = self.runs.get(run).map(|run| run.task) else {
             return;
         };
