A ticket counts for the life of a worker that the adviser was asked about

Starts on a worker that had started again were rejected for want of a ticket: the adviser's answer names ids, and one for the earlier life was kept for the later one. Only lives that were asked about take tickets now. One worker, restarted while the adviser answered: the first start brought the earlier life's ticket before, the later one's after.

--- a/crates/stackpier-cell/src/advice.rs
+++ b/crates/stackpier-cell/src/advice.rs
@@ -118,7 +118,9 @@
         };
         let until = now.plus(answer.valid_ms);
         for (id, text) in answer.good {
-            if let Some(worker) = keys.get(&id) {
+            // A life that began since is not the one that was asked about.
+            let asked = |worker: &&WorkerKey| advice.asked.contains_key(worker);
+            if let Some(worker) = keys.get(&id).filter(asked) {
                 advice.tickets.insert(*worker, Ticket { text, until });
             }
         }
