The fuzz has workers that start again under their ids

A share of the crashes is followed by a life with the same id, 30 ms to 6 s later, whose entry shows up to 1.5 s after that and whose wall clock may run behind.

--- a/crates/stackpier-fuzz/src/cell/world.rs
+++ b/crates/stackpier-fuzz/src/cell/world.rs
@@ -37,6 +37,8 @@
 /// CRASHING_MS is how much longer it goes on if tasks crash workers: three crashes take some 15
 /// seconds until they are known, and what ran beside such a task begins anew each time.
 const CRASHING_MS: u64 = 30_000;
+/// BEHIND_MS bounds how far a worker's wall clock runs behind as it starts.
+const BEHIND_MS: u64 = 60_000;
 /// START is the wall clock at the beginning.
 const START: u64 = 1_000_000_000;
 /// WORKERS is the number of workers.
@@ -76,6 +78,10 @@
     Second,
     /// A worker is replaced by its next life.
     Revive(usize),
+    /// A worker starts again under the id that it had.
+    Restart(usize),
+    /// The entry of a worker that started again shows.
+    Show(Box<Info>),
     /// A worker dies, and its next life begins after some milliseconds.
     Crash(usize, u64),
     /// A life of a worker ends that has drained.
@@ -180,7 +186,8 @@
             counts: BTreeMap::new(),
         };
         for place in 0..WORKERS {
-            let worker = world.new_worker(place);
+            let id = world.next_id(place);
+            let worker = world.new_worker(place, id);
             world.workers.push(worker);
         }
         world.take_over(0);
@@ -219,11 +226,26 @@
         self.waiting.insert(self.sequence, message);
     }
 
-    fn new_worker(&mut self, place: usize) -> Worker {
+    /// next_id returns an id that no worker had.
+    fn next_id(&mut self, place: usize) -> String {
         self.lives += 1;
+        format!("w{place}-{}", self.lives)
+    }
+
+    /// new_start draws when a life was started, by its wall clock: it may run behind that of
+    /// the life before.
+    fn new_start(&mut self) -> Option<Unix> {
+        if self.faults.restarts == 0 {
+            return None;
+        }
+        let behind_ms = self.extra_between(0, BEHIND_MS);
+        Some(Unix(START + self.now_ms - behind_ms))
+    }
+
+    fn new_worker(&mut self, place: usize, id: String) -> Worker {
         let info = Info {
-            id: format!("w{place}-{}", self.lives),
-            started_at: None,
+            id,
+            started_at: self.new_start(),
             service: SERVICE.to_owned(),
             address: format!("address-{place}"),
             data_centre: format!("dc-{}", series::data_centre_of(place)),
@@ -397,6 +419,8 @@
             Message::Cancel(job) => self.cancel(job),
             Message::Second => self.second(),
             Message::Revive(place) => self.revive(place),
+            Message::Restart(place) => self.restart(place),
+            Message::Show(info) => self.show(*info),
             Message::Crash(place, back_ms) => self.crash(place, back_ms),
             Message::Unlist(id) => self.unlist(id),
             Message::Apart(data_centre, ms) => self.set_apart(data_centre, ms),
--- a/crates/stackpier-fuzz/src/cell/world/faults.rs
+++ b/crates/stackpier-fuzz/src/cell/world/faults.rs
@@ -2,7 +2,7 @@
 //! What goes wrong, how often, and how it begins.
 
 use rand::RngExt;
-use stackpier_cell::{Event, Start};
+use stackpier_cell::{Event, Info, Start};
 
 use super::{DATA_CENTRES, Message, WORKERS, World};
 
@@ -12,6 +12,10 @@
 const DRAIN_MS: (u64, u64) = (2_500, 8_000);
 /// LEFT_MS is the time until another worker comes in the place of one that has left.
 const LEFT_MS: u64 = 1_000;
+/// RESTART_MS bounds the time until a worker is back under the id that it had.
+const RESTART_MS: (u64, u64) = (30, 6_000);
+/// SHOWN_MS bounds the time until the entry of a worker that started again shows.
+const SHOWN_MS: (u64, u64) = (0, 1_500);
 /// LAPSE_MS is how long after its last write an entry is gone.
 const LAPSE_MS: u64 = 3 * BEAT_MS;
 
@@ -59,6 +63,9 @@
     pub short_lists: u32,
     /// Lives of workers in a thousand that list each end one report late.
     pub late_ends: u32,
+    /// Crashes in a thousand after which a worker starts again under the id that it had. If
+    /// there are such, workers tell when they were started.
+    pub restarts: u32,
 }
 
 impl Faults {
@@ -86,6 +93,7 @@
             unordered: 0,
             short_lists: 0,
             late_ends: 0,
+            restarts: 0,
         }
     }
 }
@@ -177,14 +185,23 @@
         self.oracle.lose(&self.workers[place]);
         self.workers[place].runs.clear();
         self.workers[place].ends.clear();
-        self.send(back_ms, Message::Revive(place));
+        if self.extra_chance(self.faults.restarts) {
+            let back_ms = self.extra_between(RESTART_MS.0, RESTART_MS.1);
+            self.send(back_ms, Message::Restart(place));
+        } else {
+            self.send(back_ms, Message::Revive(place));
+        }
         let id = self.workers[place].info.id.clone();
         let lapses_ms = self.between(LAPSE_MS - BEAT_MS, LAPSE_MS);
         self.send(lapses_ms, Message::Unlist(id));
     }
 
-    /// unlist takes a worker's entry away.
+    /// unlist takes a worker's entry away, unless a later life keeps it.
     pub(super) fn unlist(&mut self, id: String) {
+        let is_kept = |place: usize| !self.down[place] && self.workers[place].info.id == id;
+        if (0..WORKERS).any(is_kept) {
+            return;
+        }
         let owner = self.owners.len() - 1;
         self.feed(owner, Event::Unlisted(id));
     }
@@ -201,9 +218,28 @@
         self.send(after_ms, Message::Crash(place, back_ms));
     }
 
-    /// revive replaces a worker by its next life.
+    /// restart begins the next life of a worker under the id that it had. Its entry shows
+    /// some time later.
+    pub(super) fn restart(&mut self, place: usize) {
+        self.count("restart");
+        let id = self.workers[place].info.id.clone();
+        self.workers[place] = self.new_worker(place, id);
+        self.down[place] = false;
+        let shown_ms = self.extra_between(SHOWN_MS.0, SHOWN_MS.1);
+        let info = self.workers[place].info.clone();
+        self.send(shown_ms, Message::Show(Box::new(info)));
+    }
+
+    /// show has the newest owner learn of a worker's entry.
+    pub(super) fn show(&mut self, info: Info) {
+        let owner = self.owners.len() - 1;
+        self.feed(owner, Event::Listed(info));
+    }
+
+    /// revive replaces a worker by its next life, which has another id.
     pub(super) fn revive(&mut self, place: usize) {
-        self.workers[place] = self.new_worker(place);
+        let id = self.next_id(place);
+        self.workers[place] = self.new_worker(place, id);
         self.down[place] = false;
         let info = self.workers[place].info.clone();
         let owner = self.owners.len() - 1;
--- a/crates/stackpier-fuzz/tests/cell.rs
+++ b/crates/stackpier-fuzz/tests/cell.rs
@@ -190,6 +190,19 @@
     reach(&counts, &["report with an end that is listed late"]);
 }
 
+#[rstest]
+#[case::alone(Faults { restarts: 1_000, crashes: 60, ..Faults::default() })]
+#[case::beside_others(Faults { restarts: 700, ..beside() })]
+#[case::crashing(Faults { restarts: 700, crashing: 10, takeovers: 60, ..Faults::default() })]
+#[case::unanswered(Faults { restarts: 700, lost: 30, unanswered: 30, crashes: 60, ..Faults::default() })]
+#[case::outages(Faults { restarts: 700, outages: 120, unanswered: 30, ..beside() })]
+#[case::listed_in_any_way(Faults { restarts: 700, unordered: 500, short_lists: 300, late_ends: 300, ..beside() })]
+#[case::all(Faults { restarts: 700, ..Faults::all(15) })]
+fn workers_that_start_again_under_their_ids(#[case] faults: Faults) {
+    let counts = check(faults, seeds(12));
+    reach(&counts, &["restart"]);
+}
+
 /// SERIES_REACHES names what a series of cuts must lead to, or it proves nothing.
 const SERIES_REACHES: [&str; 3] = [
     "series",
