--- a/crates/stackpier-cell/tests/reborn.rs
+++ b/crates/stackpier-cell/tests/reborn.rs
@@ -20,9 +20,9 @@
 
 use common::{Owner, QUEUE, info, name, spec, step};
 use rstest::rstest;
-use stackpier_cell::{Event, Info, maintenance::Plan};
+use stackpier_cell::{Event, Info, Started, maintenance::Plan};
 use stackpier_core::Unix;
-use stackpier_standin::fleet::Worker;
+use stackpier_standin::fleet::{Behaviour, Worker};
 use stackpier_state::job::{Spec, State, Step};
 
 /// EARLIER is a job that the first life of a worker does.
@@ -366,3 +366,23 @@
         assert_eq!(start.ticket.as_ref(), Some(&ticket));
     }
 }
+
+/// A start that got no answer may be carried out seconds later. Its worker was told to stop it,
+/// but the later life knows nothing of that.
+#[test]
+fn a_start_that_comes_late_is_refused_by_a_later_life_too() {
+    let mut owner = owner(1);
+    owner.lose_starts = 1;
+    owner.submit(LATER, spec(vec![step(1)]));
+    // The worker has not begun it: the order is still on its way.
+    let (late, _) = owner.starts[0].clone();
+    owner.workers[0].runs.clear();
+    owner.advance(4_000);
+    assert_eq!(owner.state(LATER), Some(State::Completed));
+    restart(&mut owner, 0, 1);
+    show(&mut owner, 0, 1);
+    owner.advance(100);
+    let now_ms = owner.now_ms;
+    let taken = owner.workers[0].start(now_ms, &late, Behaviour::default());
+    assert_eq!(taken, Started::Old);
+}
