A later life of a worker refuses the late starts of the earlier one

Callers could see a task start again after its end had been noted. Cause: a start without an answer may be carried out seconds later; its worker is told to stop that run, which bars its number, but a life that began since bars nothing and takes the order, as that names only the id. The owner keeps such starts for 15 s and has each later life told to stop those that are over. What is left: a start that comes between the restart and that order.

--- a/crates/stackpier-cell/src/order.rs
+++ b/crates/stackpier-cell/src/order.rs
@@ -176,6 +176,7 @@
                 if run.phase == Phase::Starting {
                     run.phase = Phase::Unsure(now);
                 }
+                self.note_unanswered(key);
                 self.hold_now(worker);
             }
             Started::Fenced => self.depose(),
--- a/crates/stackpier-cell/src/restart.rs
+++ b/crates/stackpier-cell/src/restart.rs
@@ -12,12 +12,23 @@
 use stackpier_core::{Millis, Unix};
 
 use crate::{
-    Cell, Report,
+    Cell, Effect, Order, Report, Stop,
     arena::{RunKey, WorkerKey},
     run::Phase,
     worker::{Clock, Info, Inheritance, Life, Worker},
 };
 
+/// LATE_MS is how much later than it was sent a start may be carried out that got no answer.
+const LATE_MS: u64 = 15_000;
+
+/// Unanswered is a start that got no answer. It may be carried out by a life that began since.
+#[derive(Debug)]
+pub(crate) struct Unanswered {
+    run: RunKey,
+    order: Order,
+    until: Millis,
+}
+
 /// Announced is the entry of a life that is not known to be the present one.
 #[derive(Debug)]
 pub(crate) struct Announced {
@@ -147,6 +158,7 @@
         }
         let later = self.add_worker(info);
         self.move_unseen_runs(key, later);
+        self.bar_unanswered(key, later);
         self.end_life(key, "it started again");
         if inherited {
             self.worker_mut(later).inheritance = Inheritance::Unseen;
@@ -167,6 +179,41 @@
         }
     }
 
+    /// note_unanswered keeps a start that got no answer.
+    pub(crate) fn note_unanswered(&mut self, key: RunKey) {
+        let Some(run) = self.runs.get(key) else {
+            return;
+        };
+        let (worker, now) = (run.worker, self.now.mono);
+        let unanswered = Unanswered {
+            run: key,
+            order: self.order(key),
+            until: now.plus(LATE_MS),
+        };
+        let kept = &mut self.worker_mut(worker).unanswered;
+        kept.retain(|unanswered| now < unanswered.until);
+        kept.push(unanswered);
+    }
+
+    /// bar_unanswered has a later life refuse the starts that got no answer of the earlier one
+    /// and are over by now: it knows nothing of the orders to stop them.
+    fn bar_unanswered(&mut self, earlier: WorkerKey, later: WorkerKey) {
+        let now = self.now.mono;
+        let mut unanswered = std::mem::take(&mut self.worker_mut(earlier).unanswered);
+        unanswered.retain(|unanswered| now < unanswered.until);
+        if self.has_authority() {
+            let over = unanswered
+                .iter()
+                .filter(|start| self.runs.get(start.run).is_none());
+            let stop = |start: &Unanswered| {
+                let order = start.order.clone();
+                Effect::Stop(Stop { order })
+            };
+            self.effects.extend(over.map(stop));
+        }
+        self.worker_mut(later).unanswered = unanswered;
+    }
+
     fn is_shown(&self, key: RunKey) -> bool {
         self.runs.get(key).is_some_and(|run| run.shown)
     }
--- a/crates/stackpier-cell/src/roster.rs
+++ b/crates/stackpier-cell/src/roster.rs
@@ -101,6 +101,7 @@
             inheritance: Inheritance::None,
             ended_unseen: None,
             runs: Vec::new(),
+            unanswered: Vec::new(),
             reserved: Size::default(),
             lasting_milli: 0,
             other_milli: 0,
--- a/crates/stackpier-cell/src/worker.rs
+++ b/crates/stackpier-cell/src/worker.rs
@@ -4,8 +4,13 @@
 use stackpier_core::{Incarnation, Millis, Size, Unix};
 
 use crate::{
-    arena::RunKey, crash::Isolation, health::Health, outlook::Outlook, restart::Announced,
-    run::Run, taken::Taken,
+    arena::RunKey,
+    crash::Isolation,
+    health::Health,
+    outlook::Outlook,
+    restart::{Announced, Unanswered},
+    run::Run,
+    taken::Taken,
 };
 
 /// CLOCK_ERROR_MILLI is how much slower than true time a worker's clock may
@@ -122,6 +127,8 @@
     /// store has not confirmed the ownership since.
     pub ended_unseen: Option<Millis>,
     pub runs: Vec<RunKey>,
+    /// Starts without an answer, which may still be on their way.
+    pub unanswered: Vec<Unanswered>,
     /// Memory and accelerators of all runs, and the processors of those that
     /// are counted.
     pub reserved: Size,
