--- a/crates/stackpier-cell/src/crash.rs
+++ b/crates/stackpier-cell/src/crash.rs
@@ -25,7 +25,7 @@
 mod isolation;
 mod record;
 
-use stackpier_core::{Incarnation, Millis};
+use stackpier_core::{Incarnation, Millis, incarnation};
 use stackpier_state::job::{self, State};
 
 use crate::{
@@ -270,7 +270,7 @@
             return Liveness::Dead;
         };
         let worker = self.worker(*key);
-        if worker.incarnation().differs_from(life) {
+        if incarnation::differ(worker.started_at, life.started_at) {
             // Which one is the later is known once it has answered.
             return match worker.life {
                 Life::New => Liveness::Unknown,
--- a/crates/stackpier-cell/src/crash/cause.rs
+++ b/crates/stackpier-cell/src/crash/cause.rs
@@ -34,8 +34,7 @@
     /// answer.
     pub(super) fn fell_silent_before(&self, key: WorkerKey) -> Vec<WorkerKey> {
         let lately = |since: Millis| self.now.mono.since(since) < TOGETHER_MS;
-        let workers = (0..self.workers.len() as u32).map(WorkerKey);
-        let others = workers.filter(|other| *other != key);
+        let others = self.lives().filter(|other| *other != key);
         let silent = |other: &WorkerKey| self.worker(*other).silent_since.is_some_and(lately);
         others.filter(silent).collect()
     }
--- /dev/null
+++ b/crates/stackpier-cell/src/late.rs
@@ -0,0 +1,61 @@
+// SPDX-License-Identifier: Apache-2.0
+//! Starts that got no answer, and may be carried out seconds later.
+//!
+//! The worker is told to stop such a run, and refuses it from then on. A life that began since
+//! knows nothing of that, and takes the order, as it names only the worker's id.
+
+use stackpier_core::Millis;
+
+use crate::{
+    Cell, Effect, Order, Stop,
+    arena::{RunKey, WorkerKey},
+};
+
+/// LATE_MS is how long after it was given up a start may still be carried out: workers do so up
+/// to twelve seconds late.
+const LATE_MS: u64 = 15_000;
+
+/// Unanswered is a start that got no answer.
+#[derive(Debug)]
+pub(crate) struct Unanswered {
+    run: RunKey,
+    order: Order,
+    until: Millis,
+}
+
+impl Cell {
+    /// note_unanswered keeps a start that got no answer.
+    pub(crate) fn note_unanswered(&mut self, key: RunKey) {
+        let Some(run) = self.runs.get(key) else {
+            return;
+        };
+        let (worker, now) = (run.worker, self.now.mono);
+        let unanswered = Unanswered {
+            run: key,
+            order: self.order(key),
+            until: now.plus(LATE_MS),
+        };
+        let kept = &mut self.worker_mut(worker).unanswered;
+        kept.retain(|unanswered| now < unanswered.until);
+        kept.push(unanswered);
+    }
+
+    /// bar_unanswered has a later life refuse the starts that got no answer of the earlier one
+    /// and are over by now: it knows nothing of the orders to stop them.
+    pub(crate) fn bar_unanswered(&mut self, earlier: WorkerKey, later: WorkerKey) {
+        let now = self.now.mono;
+        let mut unanswered = std::mem::take(&mut self.worker_mut(earlier).unanswered);
+        unanswered.retain(|unanswered| now < unanswered.until);
+        if self.has_authority() {
+            let over = unanswered
+                .iter()
+                .filter(|start| self.runs.get(start.run).is_none());
+            let stop = |start: &Unanswered| {
+                let order = start.order.clone();
+                Effect::Stop(Stop { order })
+            };
+            self.effects.extend(over.map(stop));
+        }
+        self.worker_mut(later).unanswered = unanswered;
+    }
+}
--- a/crates/stackpier-cell/src/lib.rs
+++ b/crates/stackpier-cell/src/lib.rs
@@ -25,6 +25,7 @@
 mod hold;
 pub mod interference;
 mod job;
+mod late;
 mod learn;
 mod lifecycle;
 mod logistic;
--- a/crates/stackpier-cell/src/report.rs
+++ b/crates/stackpier-cell/src/report.rs
@@ -16,9 +16,9 @@
 impl Cell {
     /// take_report takes in a report that was asked for at `sent`.
     pub(crate) fn take_report(&mut self, key: WorkerKey, sent: Millis, report: Report) {
-        let Some(key) = self.take_restart(key, sent, &report) else {
+        if !self.take_life(key, sent, &report) {
             return;
-        };
+        }
         self.hear(key, sent, report.clock_ms);
         self.take_ends(key, sent, report.ended);
         let again = self.inherit(key, sent, report.whole);
--- a/crates/stackpier-cell/src/restart.rs
+++ b/crates/stackpier-cell/src/restart.rs
@@ -9,26 +9,15 @@
 //! another one, not an earlier life. Which life is the present one is what its reports say:
 //! an entry in the store may be older than the last report.
 
-use stackpier_core::{Millis, Unix};
+use stackpier_core::{Millis, Unix, incarnation::differ};
 
 use crate::{
-    Cell, Effect, Order, Report, Stop,
+    Cell, Report,
     arena::{RunKey, WorkerKey},
     run::Phase,
     worker::{Clock, Info, Inheritance, Life, Worker},
 };
 
-/// LATE_MS is how much later than it was sent a start may be carried out that got no answer.
-const LATE_MS: u64 = 15_000;
-
-/// Unanswered is a start that got no answer. It may be carried out by a life that began since.
-#[derive(Debug)]
-pub(crate) struct Unanswered {
-    run: RunKey,
-    order: Order,
-    until: Millis,
-}
-
 /// Announced is the entry of a life that is not known to be the present one.
 #[derive(Debug)]
 pub(crate) struct Announced {
@@ -37,15 +26,10 @@
     at: Millis,
 }
 
-/// differs tells whether two starts are known and are not the same.
-fn differs(one: Option<Unix>, other: Option<Unix>) -> bool {
-    one.is_some() && other.is_some() && one != other
-}
-
 impl Worker {
     /// is_described tells whether its entry is of this life: another one may be of another kind.
     pub(crate) fn is_described(&self) -> bool {
-        self.announced.is_none() && !differs(self.info.started_at, self.started_at)
+        self.announced.is_none() && !differ(self.info.started_at, self.started_at)
     }
 
     /// is_listed tells whether the list shows an entry of this life.
@@ -55,36 +39,32 @@
 
     /// is_of tells whether a description is of this life, as far as either tells.
     fn is_of(&self, info: &Info) -> bool {
-        !differs(info.started_at, self.started_at)
+        !differ(info.started_at, self.started_at)
     }
 }
 
 impl Cell {
-    /// take_restart takes in which life a report is of, and returns the worker that it is of,
-    /// unless it is of none that is known. It was asked for at `sent`, of the life `key`.
-    pub(crate) fn take_restart(
-        &mut self,
-        key: WorkerKey,
-        sent: Millis,
-        report: &Report,
-    ) -> Option<WorkerKey> {
+    /// take_life takes in which life a report is of, asked for at `sent`, and tells whether it
+    /// is the known one. A report of another one only begins that: it was asked for with what
+    /// was known of the earlier one.
+    pub(crate) fn take_life(&mut self, key: WorkerKey, sent: Millis, report: &Report) -> bool {
         if !self.is_latest(key) {
-            return None;
+            return false;
         }
         let worker = self.worker_mut(key);
-        if differs(report.started_at, worker.started_at) {
+        if differ(report.started_at, worker.started_at) {
             self.begin_life(key, report.started_at, report.clock_ms);
-            return None;
+            return false;
         }
         worker.started_at = worker.started_at.or(report.started_at);
         let answered = worker.announced.take_if(|announced| sent > announced.at);
         match answered {
             Some(announced) if report.started_at.is_none() => {
                 // Its reports do not tell which life it is, so the entry does.
-                self.replace_life(key, announced.info);
-                None
+                self.replace_life(key, announced.info.started_at, announced.info);
+                false
             }
-            _ => Some(key),
+            _ => true,
         }
     }
 
@@ -102,7 +82,7 @@
         let worker = self.worker_mut(key);
         let unused = worker.life == Life::New && !worker.is_inherited() && worker.runs.is_empty();
         if unused || worker.life == Life::Over {
-            self.replace_life(key, info.clone());
+            self.replace_life(key, info.started_at, info.clone());
         } else {
             worker.announced = Some(Announced {
                 info: info.clone(),
@@ -127,6 +107,7 @@
 
     /// begin_life has a later life take the place of one whose address answers for it.
     fn begin_life(&mut self, key: WorkerKey, started_at: Option<Unix>, clock_ms: u64) {
+        self.note_told(key);
         let worker = self.worker_mut(key);
         let (unlisted_since, unreadable) = (worker.unlisted_since, worker.unreadable);
         let announced = worker.announced.take().map(|announced| announced.info);
@@ -134,9 +115,8 @@
         let is_listed = entry.is_some();
         let info = entry.unwrap_or_else(|| worker.info.clone());
         let (at, max_lease_ms) = (self.now.mono, self.options.max_lease_ms);
-        let later = self.replace_life(key, info);
+        let later = self.replace_life(key, started_at, info);
         let worker = self.worker_mut(later);
-        worker.started_at = started_at;
         if !is_listed {
             worker.unlisted_since = unlisted_since;
             worker.unreadable = unreadable;
@@ -146,8 +126,22 @@
         worker.deadline_ms = clock_ms + max_lease_ms;
     }
 
+    /// note_told tells of a later life that was told to forget ends of the earlier one: it may
+    /// have forgotten some of its own.
+    fn note_told(&mut self, key: WorkerKey) {
+        let worker = self.worker(key);
+        if worker.telling > 0 {
+            let text = format!(
+                "another life of worker {} was told to forget ends up to {}",
+                worker.incarnation(),
+                worker.telling
+            );
+            self.note("report", None, text);
+        }
+    }
+
     /// replace_life ends a life and begins the next one of the same id.
-    fn replace_life(&mut self, key: WorkerKey, info: Info) -> WorkerKey {
+    fn replace_life(&mut self, key: WorkerKey, started_at: Option<Unix>, info: Info) -> WorkerKey {
         let now = self.now.mono;
         let worker = self.worker(key);
         let inherited = worker.is_inherited();
@@ -156,7 +150,7 @@
             self.suspect_runs(key);
             self.worker_mut(key).silent_since = Some(now);
         }
-        let later = self.add_worker(info);
+        let later = self.add_life(started_at, info);
         self.move_unseen_runs(key, later);
         self.bar_unanswered(key, later);
         self.end_life(key, "it started again");
@@ -179,41 +173,6 @@
         }
     }
 
-    /// note_unanswered keeps a start that got no answer.
-    pub(crate) fn note_unanswered(&mut self, key: RunKey) {
-        let Some(run) = self.runs.get(key) else {
-            return;
-        };
-        let (worker, now) = (run.worker, self.now.mono);
-        let unanswered = Unanswered {
-            run: key,
-            order: self.order(key),
-            until: now.plus(LATE_MS),
-        };
-        let kept = &mut self.worker_mut(worker).unanswered;
-        kept.retain(|unanswered| now < unanswered.until);
-        kept.push(unanswered);
-    }
-
-    /// bar_unanswered has a later life refuse the starts that got no answer of the earlier one
-    /// and are over by now: it knows nothing of the orders to stop them.
-    fn bar_unanswered(&mut self, earlier: WorkerKey, later: WorkerKey) {
-        let now = self.now.mono;
-        let mut unanswered = std::mem::take(&mut self.worker_mut(earlier).unanswered);
-        unanswered.retain(|unanswered| now < unanswered.until);
-        if self.has_authority() {
-            let over = unanswered
-                .iter()
-                .filter(|start| self.runs.get(start.run).is_none());
-            let stop = |start: &Unanswered| {
-                let order = start.order.clone();
-                Effect::Stop(Stop { order })
-            };
-            self.effects.extend(over.map(stop));
-        }
-        self.worker_mut(later).unanswered = unanswered;
-    }
-
     fn is_shown(&self, key: RunKey) -> bool {
         self.runs.get(key).is_some_and(|run| run.shown)
     }
--- a/crates/stackpier-cell/src/roster.rs
+++ b/crates/stackpier-cell/src/roster.rs
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 //! The roster: workers that come, leave, and are given up.
 
-use stackpier_core::{Millis, Size};
+use stackpier_core::{Millis, Size, Unix};
 
 use crate::{
     Cell, RosterEntry,
@@ -87,13 +87,19 @@
     }
 
     /// add_worker adds a worker that was not known and asks it for a report.
-    pub(crate) fn add_worker(&mut self, info: Info) -> WorkerKey {
+    fn add_worker(&mut self, info: Info) -> WorkerKey {
+        self.add_life(info.started_at, info)
+    }
+
+    /// add_life adds a life of a worker, started at a time, and asks it for a report. What is
+    /// known of the worker may be the entry of an earlier life.
+    pub(crate) fn add_life(&mut self, started_at: Option<Unix>, info: Info) -> WorkerKey {
         let key = WorkerKey(self.workers.len() as u32);
         let worker = Worker {
             service: self.services.number(&info.service),
             rack: self.racks.number(&info.rack),
             life: Life::New,
-            started_at: info.started_at,
+            started_at,
             announced: None,
             unlisted_since: None,
             unreadable: false,
@@ -129,8 +135,9 @@
             info,
         };
         let text = format!(
-            "worker {} at {}, started at {:?}, is known",
-            worker.info.id, worker.info.address, worker.info.started_at
+            "worker {} at {} is known",
+            worker.incarnation(),
+            worker.info.address
         );
         self.worker_keys.insert(worker.info.id.clone(), key);
         self.workers.push(worker);
@@ -270,7 +277,7 @@
         worker.rostered = false;
         let text = format!(
             "worker {} is over: {why}; {} runs ended with it",
-            worker.info.id,
+            worker.incarnation(),
             worker.runs.len()
         );
         self.note("worker", None, text);
@@ -278,11 +285,15 @@
         self.place_wanted = true;
     }
 
+    /// lives returns all lives of workers, also those that are over.
+    pub(crate) fn lives(&self) -> impl Iterator<Item = WorkerKey> + use<> {
+        (0..self.workers.len() as u32).map(WorkerKey)
+    }
+
     /// live returns the workers that are not known to be over.
     pub(crate) fn live(&self) -> impl Iterator<Item = WorkerKey> + '_ {
-        let alive = |(_, worker): &(usize, &Worker)| worker.life != Life::Over;
-        let workers = self.workers.iter().enumerate().filter(alive);
-        workers.map(|(place, _)| WorkerKey(place as u32))
+        let alive = |key: &WorkerKey| self.worker(*key).life != Life::Over;
+        self.lives().filter(alive)
     }
 
     /// live_now returns the same as a list, for loops that change workers.
--- a/crates/stackpier-cell/src/takeover.rs
+++ b/crates/stackpier-cell/src/takeover.rs
@@ -179,7 +179,7 @@
 
     /// settle_all does so for all workers.
     pub(crate) fn settle_all(&mut self) {
-        for key in (0..self.workers.len() as u32).map(WorkerKey) {
+        for key in self.lives() {
             self.settle(key);
         }
     }
--- a/crates/stackpier-cell/src/wire.rs
+++ b/crates/stackpier-cell/src/wire.rs
@@ -159,7 +159,7 @@
     NoTicket,
     /// The worker refused it for good.
     Invalid,
-    /// The worker has another life.
+    /// Another worker has the address.
     OtherLife,
     /// There was no answer: the run may be there, or may come later.
     Silent,
@@ -172,7 +172,7 @@
     Yes,
     /// The worker has seen a higher fence.
     Fenced,
-    /// The worker has another life.
+    /// Another worker has the address.
     OtherLife,
     /// There was no answer, or a refusal.
     Silent,
@@ -185,7 +185,7 @@
     Report(Report),
     /// The worker has seen a higher fence.
     Fenced,
-    /// The worker has another life.
+    /// Another worker has the address.
     OtherLife,
     /// There was no answer, or a refusal.
     Silent,
@@ -261,7 +261,7 @@
     pub key: Index<Run>,
     /// The worker's address.
     pub address: String,
-    /// The life of the worker that is meant.
+    /// The id of the worker that is meant: all its lives have it.
     pub life: String,
     /// The task.
     pub task: TaskName,
@@ -313,7 +313,7 @@
     pub data_centre: String,
     /// The worker's address.
     pub address: String,
-    /// The life of the worker that is meant.
+    /// The id of the worker that is meant: all its lives have it.
     pub life: String,
     /// The owner's fence.
     pub fence: u64,
@@ -328,7 +328,7 @@
 /// RosterEntry is a worker that may run something for this cell.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RosterEntry {
-    /// The life's id.
+    /// The worker's id.
     pub id: String,
     /// The worker's address.
     pub address: String,
--- a/crates/stackpier-cell/src/worker.rs
+++ b/crates/stackpier-cell/src/worker.rs
@@ -4,13 +4,8 @@
 use stackpier_core::{Incarnation, Millis, Size, Unix};
 
 use crate::{
-    arena::RunKey,
-    crash::Isolation,
-    health::Health,
-    outlook::Outlook,
-    restart::{Announced, Unanswered},
-    run::Run,
-    taken::Taken,
+    arena::RunKey, crash::Isolation, health::Health, late::Unanswered, outlook::Outlook,
+    restart::Announced, run::Run, taken::Taken,
 };
 
 /// CLOCK_ERROR_MILLI is how much slower than true time a worker's clock may
--- a/crates/stackpier-core/src/incarnation.rs
+++ b/crates/stackpier-core/src/incarnation.rs
@@ -16,12 +16,9 @@
     pub started_at: Option<Unix>,
 }
 
-impl Incarnation {
-    /// differs_from tells whether another life of the same id is certainly not this one.
-    pub fn differs_from(&self, other: &Incarnation) -> bool {
-        let known = self.started_at.is_some() && other.started_at.is_some();
-        known && self.started_at != other.started_at
-    }
+/// differ tells whether two starts are known and are not the same: they are of two lives.
+pub fn differ(one: Option<Unix>, other: Option<Unix>) -> bool {
+    one.is_some() && other.is_some() && one != other
 }
 
 impl fmt::Display for Incarnation {
