--- a/crates/stackpier-cell/tests/common/mod.rs
+++ b/crates/stackpier-cell/tests/common/mod.rs
@@ -55,6 +55,8 @@
     pub saves: Vec<Save>,
     /// Whether saves are acknowledged.
     pub store: bool,
+    /// How long the answer to a save takes.
+    pub save_ms: u64,
     pub deposed: bool,
     /// How many workers each question to the adviser named.
     pub asked: Vec<usize>,
@@ -189,6 +191,7 @@
             waiting: Vec::new(),
             saves: Vec::new(),
             store: true,
+            save_ms: 2,
             deposed: false,
             asked: Vec::new(),
             lose_starts: 0,
@@ -344,7 +347,7 @@
             Effect::Save(save) => {
                 self.saves.push(save);
                 let saved = self.store;
-                self.answer(2, Event::Saved(saved));
+                self.answer(self.save_ms, Event::Saved(saved));
             }
         }
     }
--- a/crates/stackpier-cell/tests/superseded.rs
+++ b/crates/stackpier-cell/tests/superseded.rs
@@ -339,3 +339,35 @@
     earlier.advance(500);
     assert_eq!(earlier.starts_of(name(1, 0, 0)), before + 1);
 }
+
+/// Seen in the fuzz, for a copy: a start that may crash its worker waits for a save. That took
+/// a second, and the start was sent after it, though a later owner might have noted its task's
+/// end meanwhile.
+#[test]
+fn a_start_that_waited_long_for_a_save_is_not_sent_without_the_stores_word() {
+    let mut owner = Owner::new(2);
+    owner.submit(1, spec(vec![step(1)]));
+    owner.advance(500);
+    let first = owner.starts[0].1;
+    // Its worker falls silent soon after the start, so the task is suspected of a crash.
+    owner.cut = vec![true, true];
+    owner.advance(9_000);
+    assert_eq!(owner.starts_of(name(1, 0, 0)), 1);
+    // The answer to the next save takes long.
+    owner.save_ms = 1_500;
+    owner.cut[1 - first] = false;
+    while owner.cell.running() == 0 {
+        owner.advance(1);
+    }
+    owner.store = false;
+    owner.advance(3_000);
+    assert_eq!(
+        owner.starts_of(name(1, 0, 0)),
+        1,
+        "a later owner may know its end"
+    );
+    owner.store = true;
+    owner.save_ms = 2;
+    owner.advance(2_000);
+    assert_eq!(owner.starts_of(name(1, 0, 0)), 2);
+}
