A start that waited for a save is sent only on a fresh word

Callers could see a task start again after its end had been noted. Cause: a start that may crash its worker is held until its save was made. What was fresh as it was decided on (a word of the store of the last 0.8 s, an answer of the worker of a run that lags) may be a second older by then, and a later owner may have noted the end. It is asked for again before the start is sent; else the task goes back to wait.

Why it holds: the bound of 0.8 s is on the sending of the start now, not on the decision.

--- a/crates/stackpier-cell/src/crash/held.rs
+++ b/crates/stackpier-cell/src/crash/held.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     Cell,
-    arena::{RunKey, WorkerKey},
+    arena::{RunKey, TaskKey, WorkerKey},
     run::Phase,
 };
 
@@ -47,6 +47,7 @@
         let (task, worker) = (run.task, run.worker);
         let lease_ms = self.options.lease_ms;
         if self.may_still_take(worker, key)
+            && self.may_still_start(key, task)
             && let Some(deadline_ms) = self.worker_mut(worker).lease(now, lease_ms)
         {
             self.begin_isolation(key, task, worker);
@@ -58,6 +59,16 @@
         }
     }
 
+    /// may_still_start tells whether no later owner can have noted the end of a task some time
+    /// ago: the save may have taken longer than the signs of that hold for which the start was
+    /// decided on.
+    fn may_still_start(&self, key: RunKey, task: TaskKey) -> bool {
+        let others = self.task(task).runs.iter().filter(|other| **other != key);
+        let mut others = others.filter_map(|other| self.runs.get(*other));
+        let job = self.step_of(self.task(task).step).job;
+        !self.may_have_ended(task) && self.may_start(job) && others.all(|run| self.is_current(run))
+    }
+
     /// may_still_take tells whether a worker may take the run that it was chosen for: it
     /// answers and stays, and nothing of another step was started there in isolation.
     fn may_still_take(&self, key: WorkerKey, run: RunKey) -> bool {
--- a/crates/stackpier-cell/src/speculate.rs
+++ b/crates/stackpier-cell/src/speculate.rs
@@ -99,7 +99,7 @@
     /// is_current tells whether no later owner can have noted the end of a run some time ago:
     /// its worker has just answered this owner, so that it had met no later one, or the store
     /// has just confirmed the ownership. What is not heard of would seem to lag.
-    fn is_current(&self, run: &Run) -> bool {
+    pub(crate) fn is_current(&self, run: &Run) -> bool {
         let answered = self.worker(run.worker).clock.map(|clock| clock.at);
         let sign = answered.map_or(self.tenure.confirmed, |at| at.max(self.tenure.confirmed));
         self.now.mono.since(sign) < CURRENT_MS
--- a/crates/stackpier-cell/tests/superseded.rs
+++ b/crates/stackpier-cell/tests/superseded.rs
@@ -351,7 +351,9 @@
     let first = owner.starts[0].1;
     // Its worker falls silent soon after the start, so the task is suspected of a crash.
     owner.cut = vec![true, true];
-    owner.advance(9_000);
+    owner.advance(4_500);
+    owner.feed(Event::Unlisted(info(first).id));
+    owner.advance(4_500);
     assert_eq!(owner.starts_of(name(1, 0, 0)), 1);
     // The answer to the next save takes long.
     owner.save_ms = 1_500;
@@ -359,6 +361,7 @@
     while owner.cell.running() == 0 {
         owner.advance(1);
     }
+    assert_eq!(owner.starts_of(name(1, 0, 0)), 1, "it waits for the save");
     owner.store = false;
     owner.advance(3_000);
     assert_eq!(
