What workers may forget, what an owner could not save, and in what pieces room is, in the log

Four lines are added, each rare: the first two only where a gap is passed over or the store has been silent for 0.7 s, the third once for each ownership, the fourth once a second beside the summary. No decision changes.

--- a/crates/stackpier-cell/src/cell.rs
+++ b/crates/stackpier-cell/src/cell.rs
@@ -214,6 +214,16 @@
         self.runs.values().count()
     }
 
+    /// unsaved tells what the store does not have of this owner's knowledge, for the log.
+    pub fn unsaved(&self) -> String {
+        let workers = self.live().map(|key| self.worker(key));
+        let unnoted = workers.filter(|worker| worker.has_unnoted_ends()).count();
+        format!(
+            "{}; {unnoted} workers list ends that are not noted",
+            self.saver.describe()
+        )
+    }
+
     /// workers returns how many workers are not known to be over.
     pub fn workers(&self) -> usize {
         self.live().count()
--- a/crates/stackpier-cell/src/ends.rs
+++ b/crates/stackpier-cell/src/ends.rs
@@ -7,6 +7,7 @@
 use crate::{
     Cell, End, How,
     arena::{JobKey, TaskKey, WorkerKey},
+    taken::Skipped,
     worker::Worker,
 };
 
@@ -30,7 +31,7 @@
         let wait_ms = self.gap_ms(self.worker(worker));
         let entry = self.worker_mut(worker);
         let before = entry.taken.complete();
-        entry.taken.close(sent, now, wait_ms);
+        let skipped = entry.taken.close(sent, now, wait_ms);
         let more = entry.taken.complete() > before;
         if news {
             entry.note_after_save = after;
@@ -38,6 +39,17 @@
         if (news || more) && !self.saver.unnoted.contains(&worker) {
             self.saver.unnoted.push(worker);
         }
+        if let Some(skipped) = skipped {
+            self.note_skipped(worker, skipped);
+        }
+    }
+
+    /// note_skipped tells of ends that count as taken in though no report listed them.
+    fn note_skipped(&mut self, worker: WorkerKey, skipped: Skipped) {
+        let Skipped { first, last } = skipped;
+        let id = &self.worker(worker).info.id;
+        let text = format!("worker {id} lists ends above {last}, but none from {first} to {last}");
+        self.note("report", None, text);
     }
 
     /// gap_ms returns for how long ends are waited for that are missing below others: as long
--- a/crates/stackpier-cell/src/hold.rs
+++ b/crates/stackpier-cell/src/hold.rs
@@ -24,6 +24,10 @@
 /// worker that has started again just before.
 const SHORTEST_MS: u64 = 100;
 
+/// STORE_SILENT_MS is how long the store must have been silent for the log to tell what workers
+/// may forget: in two out of three of the owner's questions to it.
+const STORE_SILENT_MS: u64 = 700;
+
 impl Cell {
     /// hold_now sends a hold that does not wait, unless one is on its way.
     pub(crate) fn hold_now(&mut self, key: WorkerKey) {
@@ -77,6 +81,22 @@
             wait_ms: if listed { 0 } else { wait_ms },
         };
         self.effects.push(Effect::Hold(hold));
+        self.note_forgotten(key, telling);
+    }
+
+    /// note_forgotten tells up to which end a worker may forget, if the store has not answered
+    /// lately: it must have the ends by then.
+    fn note_forgotten(&mut self, key: WorkerKey, number: u64) {
+        let silent_ms = self.store_silent_ms();
+        if number == 0 || silent_ms < STORE_SILENT_MS {
+            return;
+        }
+        let id = &self.worker(key).info.id;
+        let text = format!(
+            "worker {id} may forget ends up to {number}, {silent_ms} ms after the last word of the store; {}",
+            self.saver.describe()
+        );
+        self.note("report", None, text);
     }
 
     /// forgettable returns the number of the last end that a worker is told to forget, zero
--- a/crates/stackpier-cell/src/save.rs
+++ b/crates/stackpier-cell/src/save.rs
@@ -88,6 +88,17 @@
         self.is_empty() && !self.is_busy()
     }
 
+    /// describe tells how far the saves are, for the log.
+    pub(crate) fn describe(&self) -> String {
+        let under_way = self.in_flight.as_ref().map_or(0, |sent| sent.jobs.len());
+        format!(
+            "save {} of {} is done, {} jobs wait for the next one and {under_way} are on their way",
+            self.done,
+            self.sent,
+            self.dirty.len()
+        )
+    }
+
     fn is_empty(&self) -> bool {
         !self.roster_changed && self.is_empty_beside_roster()
     }
--- a/crates/stackpier-cell/src/summary.rs
+++ b/crates/stackpier-cell/src/summary.rs
@@ -4,7 +4,7 @@
 use stackpier_core::Millis;
 use stackpier_state::job::Step as Shape;
 
-use crate::{Cell, run::Run};
+use crate::{Cell, arena::StepKey, place::Turn, run::Run};
 
 /// SUMMARY_MS is the time between two summaries.
 const SUMMARY_MS: u64 = 1_000;
@@ -79,11 +79,48 @@
             ready(|step| step.fills)
         );
         self.note("summary", None, text);
+        self.note_short();
         self.note_idle();
         self.note_stranded();
         self.describe_model();
     }
 
+    /// note_short tells how large the short jobs are that wait, and in what pieces the room is
+    /// that they may take.
+    fn note_short(&mut self) {
+        let is_short = |step: &StepKey| {
+            let shape = self.shape(*step);
+            !shape.fills && !shape.lasting
+        };
+        let waiting: Vec<StepKey> = self.queued().filter(is_short).collect();
+        if waiting.is_empty() {
+            return;
+        }
+        let mut cores: Vec<u64> = waiting.iter().map(|step| self.cores_left(*step)).collect();
+        cores.sort_unstable();
+        let hopeless = |step: &&StepKey| matches!(self.turn_of(**step), Turn::Hopeless(_));
+        let hopeless = waiting.iter().filter(hopeless).count();
+        let workers = self.live().map(|key| self.worker(key));
+        let free = workers.filter(|worker| self.is_open(worker));
+        let free: Vec<u32> = free.map(|worker| worker.free().milli_cores).collect();
+        let total: u64 = free.iter().copied().map(u64::from).sum();
+        let text = format!(
+            "{} short steps wait, {hopeless} too late to be of use; their tasks ask for {} cores in the              median and {} at most; {} cores are free in all, {} at most on one worker",
+            cores.len(),
+            cores[cores.len() / 2],
+            cores[cores.len() - 1],
+            total / CORE,
+            u64::from(free.iter().copied().max().unwrap_or(0)) / CORE
+        );
+        self.note("summary", None, text);
+    }
+
+    /// cores_left returns the cores that the tasks of a step ask for which wait.
+    fn cores_left(&self, step: StepKey) -> u64 {
+        let tasks = self.step_of(step).ready.len() as u64;
+        tasks * u64::from(self.shape(step).size.milli_cores) / CORE
+    }
+
     /// describe_model writes what is believed of each serving image.
     fn describe_model(&mut self) {
         let period = self.cycle.period_s();
--- a/crates/stackpier-cell/src/taken.rs
+++ b/crates/stackpier-cell/src/taken.rs
@@ -22,6 +22,15 @@
     gap: Option<Gap>,
 }
 
+/// Skipped is a range of numbers that count as taken in though no report listed them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Skipped {
+    /// The first of them.
+    pub first: u64,
+    /// The last of them.
+    pub last: u64,
+}
+
 /// Gap is numbers that no report has listed, though it listed higher ones. An earlier owner
 /// may have had the worker forget them.
 #[derive(Clone, Copy, Debug)]
@@ -43,12 +52,14 @@
     /// that a report still has which was asked for later than `wait_ms` after it was seen.
     ///
     /// That holds for a list that is cut, too: what it lacks may be below, but nothing more of
-    /// it would ever show unless some of it is forgotten.
-    pub(crate) fn close(&mut self, sent: Millis, now: Millis, wait_ms: u64) {
+    /// it would ever show unless some of it is forgotten. It returns the gap that it went past.
+    pub(crate) fn close(&mut self, sent: Millis, now: Millis, wait_ms: u64) -> Option<Skipped> {
         self.advance();
+        let first = self.complete + 1;
         let waited = |gap: &Gap| sent > gap.seen.plus(wait_ms);
         let confirmed = |gap: &Gap| waited(gap) && self.above.first() == Some(&gap.end);
-        if let Some(gap) = self.gap.filter(confirmed) {
+        let closed = self.gap.filter(confirmed);
+        if let Some(gap) = closed {
             self.complete = gap.end - 1;
             self.advance();
         }
@@ -57,6 +68,10 @@
             let end = *self.above.first()?;
             Some(Gap { seen: now, end })
         });
+        closed.map(|gap| Skipped {
+            first,
+            last: gap.end - 1,
+        })
     }
 
     /// advance goes past the ends that follow each other.
--- a/crates/stackpier-cell/src/takeover.rs
+++ b/crates/stackpier-cell/src/takeover.rs
@@ -216,6 +216,11 @@
         self.tenure.had_store_at(self.now.mono)
     }
 
+    /// store_silent_ms returns how long ago the store was asked that last confirmed the ownership.
+    pub(crate) fn store_silent_ms(&self) -> u64 {
+        self.now.mono.since(self.tenure.confirmed)
+    }
+
     /// check_confirmed asks the store who owns the cell, if that is due.
     pub(crate) fn check_confirmed(&mut self) {
         let idle = self.now.mono.since(self.tenure.confirmed) >= self.options.confirm_ms;
--- a/crates/stackpier-scheduler/src/owner.rs
+++ b/crates/stackpier-scheduler/src/owner.rs
@@ -147,9 +147,10 @@
     pub(crate) fn depose(&self, fence: u64, why: &str) {
         let own = self.owner.borrow().as_ref().map(|owner| owner.fence);
         if let Some(own) = own.filter(|own| *own < fence) {
-            self.owner.replace(None);
+            let owner = self.owner.replace(None);
+            let unsaved = owner.map_or(String::new(), |owner| owner.cell.unsaved());
             self.outdated.set(self.outdated.get().max(own));
-            self.say("owner", &format!("gave up the cell: {why}"));
+            self.say("owner", &format!("gave up the cell: {why}; {unsaved}"));
         }
     }
 
