An owner that is replaced tells its successor what it could not save

What callers saw: tasks that had ended as done ran again ten seconds after the cell had changed its owner; work of up to 180 tasks was thrown away and their jobs were late.

Cause: while the store is away, an owner goes on to take ends in, and only it knows of them. A worker that leaves or crashes meanwhile takes its list along. As it was replaced, the owner dropped all that it knew. The class: knowledge that one process holds alone is dropped with a role that it loses.

Fix: that a run has ended stays true whoever owns the cell. The successor asks its predecessor for the progress that is not saved, and inherited tasks wait for the answer, 0.35 s at most; a predecessor that could not be asked sends it once it learns of its successor, for 16 s. Both may happen, in any order and twice. A planned stop does the same. Nothing new is kept in the store, and no daemon keeps anything for another one.

Ruled out: waiting longer for leases (the worker is gone, nothing would tell), saving by way of peers (the store is away for all), copies of ends at other daemons while the store is away: that would be a replicated store of ours.

Left: an owner that is killed while the store is away, with workers that leave, still takes its knowledge along; so does one that is cut off until leases are over.

--- a/crates/stackpier-cell/src/cell.rs
+++ b/crates/stackpier-cell/src/cell.rs
@@ -175,6 +175,7 @@
             Event::Plan(plan) => self.plan(plan),
             Event::TakenDown(order, outcome) => self.taken_down(&order, outcome),
             Event::Saved(done) => self.saved(done),
+            Event::HandedOver(unsaved) => self.take_handover(&unsaved),
             Event::Confirmed(sent) => self.confirm(sent),
             Event::Tick => self.tick(),
         }
@@ -214,16 +215,6 @@
         self.runs.values().count()
     }
 
-    /// unsaved tells what the store does not have of this owner's knowledge, for the log.
-    pub fn unsaved(&self) -> String {
-        let workers = self.live().map(|key| self.worker(key));
-        let unnoted = workers.filter(|worker| worker.has_unnoted_ends()).count();
-        format!(
-            "{}; {unnoted} workers list ends that are not noted",
-            self.saver.describe()
-        )
-    }
-
     /// workers returns how many workers are not known to be over.
     pub fn workers(&self) -> usize {
         self.live().count()
--- a/crates/stackpier-cell/src/ends.rs
+++ b/crates/stackpier-cell/src/ends.rs
@@ -111,8 +111,13 @@
         for member in self.members(task) {
             self.finish(member);
         }
-        let job = self.step_of(step).job;
-        self.dirty(job);
+        self.dirty(self.step_of(step).job);
+        self.complete_job(task);
+    }
+
+    /// complete_job ends the job of a task that is done if it was the last one.
+    pub(crate) fn complete_job(&mut self, task: TaskKey) {
+        let job = self.step_of(self.task(task).step).job;
         if self.job(job).left == 0 && !self.job(job).state.is_final() {
             self.end_job(job, State::Completed);
             let name = self.name(task);
@@ -149,7 +154,7 @@
     }
 
     /// finish notes that a task is done and stops copies of it.
-    fn finish(&mut self, task: TaskKey) {
+    pub(crate) fn finish(&mut self, task: TaskKey) {
         if self.finish_task(task) {
             for copy in self.task(task).runs.clone() {
                 self.stop(copy);
@@ -182,19 +187,26 @@
             return;
         }
         self.dirty(job);
-        if failures >= usize::from(self.attempts(job))
-            && !self.task(task).done
-            && !self.job(job).state.is_final()
-        {
-            self.end_job(job, State::Failed);
-            self.note(
-                "job",
-                Some(name),
-                format!("job failed after {failures} failed runs of this task"),
-            );
-            return;
+        if !self.fail_job(task) {
+            self.make_ready(task);
         }
-        self.make_ready(task);
+    }
+
+    /// fail_job ends the job of a task that has failed as often as its queue allows, and tells
+    /// whether it did.
+    pub(crate) fn fail_job(&mut self, task: TaskKey) -> bool {
+        let step = self.task(task).step;
+        let job = self.step_of(step).job;
+        let failures = self.task(task).failed_runs.len();
+        let spent = failures >= usize::from(self.attempts(job)) && !self.shape(step).lasting;
+        if !spent || self.task(task).done || self.job(job).state.is_final() {
+            return false;
+        }
+        self.end_job(job, State::Failed);
+        let name = self.name(task);
+        let text = format!("job failed after {failures} failed runs of this task");
+        self.note("job", Some(name), text);
+        true
     }
 
     /// attempts returns how many failed runs of a task fail its job.
--- /dev/null
+++ b/crates/stackpier-cell/src/handover.rs
@@ -0,0 +1,120 @@
+// SPDX-License-Identifier: Apache-2.0
+//! What an earlier owner knew that the store does not have.
+//!
+//! An owner goes on to take ends in while the store is away. A worker that leaves or crashes
+//! meanwhile takes its list of them along: then nobody but that owner can tell a successor
+//! which tasks are done. That a run has ended stays true whoever owns the cell, so a successor
+//! takes it in at any time and in any order.
+
+use stackpier_state::job::{Checkpoint, Failures, Progress};
+
+use crate::{
+    Cell, Unsaved,
+    arena::{JobKey, TaskKey},
+};
+
+impl Cell {
+    /// unsaved returns the progress that the store is not known to have.
+    pub fn unsaved(&self) -> Vec<Unsaved> {
+        let unsaved = |key: JobKey| Unsaved {
+            job: self.job(key).id,
+            progress: self.progress(key),
+        };
+        self.saver.unsaved().into_iter().map(unsaved).collect()
+    }
+
+    /// await_handover has inherited tasks wait until the earlier owner has been asked for what
+    /// it could not save.
+    pub fn await_handover(&mut self) {
+        self.tenure.awaits_handover = true;
+    }
+
+    /// take_handover takes in what an earlier owner could not save: nothing, if it did not
+    /// answer.
+    pub(crate) fn take_handover(&mut self, unsaved: &[Unsaved]) {
+        self.tenure.awaits_handover = false;
+        self.place_wanted = true;
+        let mut done = 0;
+        for Unsaved { job, progress } in unsaved {
+            let known = self.job_keys.get(job).copied();
+            let Some(key) = known.filter(|key| !self.job(*key).state.is_final()) else {
+                continue;
+            };
+            done += self.merge_progress(key, progress);
+        }
+        if !unsaved.is_empty() {
+            let text = format!(
+                "an earlier owner had not saved {} jobs, {done} tasks are done by its word",
+                unsaved.len()
+            );
+            self.note("takeover", None, text);
+        }
+    }
+
+    /// merge_progress adds what an earlier owner knew of a job, and returns how many tasks are
+    /// done by that.
+    fn merge_progress(&mut self, key: JobKey, progress: &Progress) -> usize {
+        let job = self.job(key);
+        let tasks = (job.first_task.0..job.first_task.0 + job.tasks).map(TaskKey);
+        let places = tasks.enumerate();
+        let news: Vec<TaskKey> = places
+            .filter(|(place, task)| progress.is_done(*place as u32) && !self.task(*task).done)
+            .map(|(_, task)| task)
+            .collect();
+        self.dirty(key);
+        for task in &news {
+            self.finish(*task);
+        }
+        for checkpoint in &progress.checkpoints {
+            self.merge_checkpoint(key, checkpoint);
+        }
+        for suspect in &progress.suspects {
+            if let Some(task) = self.open_task(key, suspect.task)
+                && self.task(task).suspect.is_none()
+            {
+                self.restore_suspect(task, suspect);
+            }
+        }
+        for failures in &progress.failures {
+            self.merge_failures(key, failures);
+        }
+        if let Some(task) = news.first() {
+            self.complete_job(*task);
+        }
+        news.len()
+    }
+
+    /// open_task returns the task at a place of a job that is not over, unless it is done.
+    fn open_task(&self, key: JobKey, place: u32) -> Option<TaskKey> {
+        let job = self.job(key);
+        let within = place < job.tasks && !job.state.is_final();
+        let task = within.then_some(TaskKey(job.first_task.0 + place))?;
+        (!self.task(task).done).then_some(task)
+    }
+
+    /// merge_checkpoint takes a checkpoint over, unless a run has begun since.
+    fn merge_checkpoint(&mut self, key: JobKey, checkpoint: &Checkpoint) {
+        let first_run = self.first_run();
+        if let Some(task) = self.open_task(key, checkpoint.task)
+            && self.task(task).runs.is_empty()
+            && self.task(task).next_run == first_run
+        {
+            self.task_mut(task).checkpoint = Some(checkpoint.text.clone());
+        }
+    }
+
+    fn merge_failures(&mut self, key: JobKey, failures: &Failures) {
+        let Some(task) = self.open_task(key, failures.task) else {
+            return;
+        };
+        let now = self.now.mono;
+        let entry = self.task_mut(task);
+        for run in &failures.runs {
+            if !entry.failed_runs.contains(run) {
+                entry.failed_runs.push(*run);
+                entry.failed_at = now;
+            }
+        }
+        self.fail_job(task);
+    }
+}
--- a/crates/stackpier-cell/src/lib.rs
+++ b/crates/stackpier-cell/src/lib.rs
@@ -21,6 +21,7 @@
 mod ends;
 pub mod explain;
 mod flow;
+mod handover;
 mod health;
 mod hold;
 pub mod interference;
@@ -61,6 +62,6 @@
 pub use stackpier_state::job::Queue;
 pub use wire::{
     Advised, Ask, Effect, End, Event, Held, Hold, How, Note, Now, Order, Pace, Report, RosterEntry,
-    Row, Save, Start, Started, Stop, Stopped, TaskName,
+    Row, Save, Start, Started, Stop, Stopped, TaskName, Unsaved,
 };
 pub use worker::Info;
--- a/crates/stackpier-cell/src/save.rs
+++ b/crates/stackpier-cell/src/save.rs
@@ -88,6 +88,16 @@
         self.is_empty() && !self.is_busy()
     }
 
+    /// unsaved returns the jobs whose progress the store is not known to have.
+    pub(crate) fn unsaved(&self) -> Vec<JobKey> {
+        let under_way = self.in_flight.iter().flat_map(|sent| &sent.jobs);
+        let mut jobs: Vec<JobKey> = under_way.map(|sent| sent.job).collect();
+        jobs.extend(&self.dirty);
+        jobs.sort_unstable();
+        jobs.dedup();
+        jobs
+    }
+
     /// describe tells how far the saves are, for the log.
     pub(crate) fn describe(&self) -> String {
         let under_way = self.in_flight.as_ref().map_or(0, |sent| sent.jobs.len());
@@ -229,7 +239,7 @@
     }
 
     /// progress returns what the store is to keep of a job.
-    fn progress(&self, key: JobKey) -> Progress {
+    pub(crate) fn progress(&self, key: JobKey) -> Progress {
         let job = self.job(key);
         let mut progress = Progress {
             state: job.state,
--- a/crates/stackpier-cell/src/takeover.rs
+++ b/crates/stackpier-cell/src/takeover.rs
@@ -49,6 +49,8 @@
     pub inherited_until: Millis,
     /// Whether it can't be told which workers earlier owners used.
     pub roster_unknown: bool,
+    /// Whether the earlier owner is being asked for what it could not save.
+    pub awaits_handover: bool,
     /// Tasks of which a run was taken as ended by a silent worker's lease.
     pub unseen: Vec<TaskKey>,
 }
@@ -63,6 +65,7 @@
             deposed: false,
             inherited_until,
             roster_unknown: false,
+            awaits_handover: false,
             unseen: Vec::new(),
         }
     }
@@ -92,7 +95,8 @@
     /// can't know of.
     pub(crate) fn may_start(&self, job: JobKey) -> bool {
         let over = self.owned_after(self.tenure.inherited_until) && self.is_confirmed_lately();
-        !self.job(job).inherited || over || self.has_met_all()
+        let heard = !self.tenure.awaits_handover && (over || self.has_met_all());
+        !self.job(job).inherited || heard
     }
 
     /// may_have_ended tells whether a later owner may know by now that a task is done, of
--- a/crates/stackpier-cell/src/wire.rs
+++ b/crates/stackpier-cell/src/wire.rs
@@ -116,6 +116,8 @@
     /// The store confirmed, by a read sent at this time, that this daemon
     /// still owns the cell.
     Confirmed(Millis),
+    /// An earlier owner told what it could not save, or did not answer in time.
+    HandedOver(Vec<Unsaved>),
     /// Time has passed.
     Tick,
 }
@@ -352,6 +354,15 @@
     pub forgotten: Vec<key::Job>,
 }
 
+/// Unsaved is the progress of a job that an owner could not save.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Unsaved {
+    /// The job.
+    pub job: key::Job,
+    /// How far it is.
+    pub progress: Progress,
+}
+
 /// Note is a decision worth a log line.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Note {
--- /dev/null
+++ b/crates/stackpier-cell/tests/handover.rs
@@ -0,0 +1,175 @@
+// SPDX-License-Identifier: Apache-2.0
+//! What an earlier owner could not save, as its successor takes it in.
+
+mod common;
+
+use common::{Owner, QUEUE, info, name, queue, spec, step};
+use rstest::rstest;
+use stackpier_cell::{Event, Options, Unsaved};
+use stackpier_core::key;
+use stackpier_state::job::{Progress, State, Step};
+
+const JOB: u64 = 7;
+/// TASKS fit on the two workers at once.
+const TASKS: u32 = 4;
+
+/// earlier runs a job whose first step ends while the store is away.
+fn earlier(steps: Vec<Step>) -> Owner {
+    let mut owner = Owner::new(2);
+    owner.submit(JOB, spec(steps));
+    owner.advance(200);
+    owner.store = false;
+    owner.advance(1_200);
+    owner
+}
+
+/// successor owns the cell next, on workers that have started anew, with what the store has.
+fn successor(steps: Vec<Step>, saved: Option<Progress>) -> Owner {
+    let mut owner = Owner::with_options(2, 2, false, Options::default());
+    owner.cell.await_handover();
+    owner.feed(Event::Queues(vec![queue(QUEUE, 0)]));
+    for place in 0..2 {
+        owner.feed(Event::Listed(info(place)));
+    }
+    owner.submit_to(JOB, QUEUE, spec(steps), 1, saved);
+    owner.advance(300);
+    owner
+}
+
+/// Guards against tasks that start again although an earlier owner knew that they are done.
+#[rstest]
+fn tasks_that_an_earlier_owner_knows_as_done_do_not_start() {
+    let steps = vec![
+        step(TASKS),
+        Step {
+            after: vec![0],
+            ..step(TASKS)
+        },
+    ];
+    let earlier = earlier(steps.clone());
+    let unsaved = earlier.cell.unsaved();
+    assert_eq!(unsaved.len(), 1, "{unsaved:?}");
+    let mut later = successor(steps, None);
+    assert_eq!(
+        later.starts.len(),
+        0,
+        "the earlier owner is still being asked"
+    );
+    later.feed(Event::HandedOver(unsaved));
+    later.advance(3_000);
+    assert_eq!(later.places(JOB, 0).len(), 0);
+    assert_eq!(later.places(JOB, 1).len(), TASKS as usize);
+    assert_eq!(later.state(JOB), Some(State::Completed));
+}
+
+/// Guards against a successor that waits for an earlier owner that does not answer.
+#[rstest]
+fn without_an_answer_inherited_tasks_start() {
+    let mut later = successor(vec![step(TASKS)], None);
+    assert_eq!(later.starts.len(), 0);
+    later.feed(Event::HandedOver(Vec::new()));
+    later.advance(100);
+    assert_eq!(later.starts.len(), TASKS as usize);
+}
+
+/// Guards against a job that stays open as its last ends come by way of an earlier owner, and
+/// against runs that go on for nothing.
+#[rstest]
+fn a_job_that_an_earlier_owner_knows_as_done_ends_and_its_runs_stop() {
+    let long = Step {
+        estimate_ms: 60_000,
+        ..step(TASKS)
+    };
+    let mut later = successor(vec![long], None);
+    later.feed(Event::HandedOver(Vec::new()));
+    later.advance(300);
+    let mut progress = Progress::default();
+    (0..TASKS).for_each(|place| progress.set_done(place));
+    let unsaved = Unsaved {
+        job: key::Job(JOB),
+        progress,
+    };
+    later.feed(Event::HandedOver(vec![unsaved]));
+    later.advance(1_500);
+    assert_eq!(later.state(JOB), Some(State::Completed));
+    let running: usize = later.workers.iter().map(|worker| worker.runs.len()).sum();
+    assert_eq!(running, 0);
+    assert_eq!(
+        later.saved(JOB).map(|saved| saved.state),
+        Some(State::Completed)
+    );
+}
+
+/// Guards against a task that gets more attempts than its queue allows as the cell changes its
+/// owner, and against an attempt that counts twice.
+#[rstest]
+#[case::some_left(vec![1, 2], State::Running)]
+#[case::none_left(vec![1, 2, 3], State::Failed)]
+fn failed_runs_count_once_each(#[case] runs: Vec<u32>, #[case] state: State) {
+    let mut later = successor(vec![step(TASKS)], None);
+    let failures = stackpier_state::job::Failures { task: 1, runs };
+    let progress = Progress {
+        failures: vec![failures],
+        ..Progress::default()
+    };
+    let unsaved = vec![Unsaved {
+        job: key::Job(JOB),
+        progress,
+    }];
+    later.feed(Event::HandedOver(unsaved.clone()));
+    later.feed(Event::HandedOver(unsaved));
+    later.advance(300);
+    assert_eq!(later.state(JOB), Some(state));
+}
+
+/// Guards against work that is done again from the start, and against a run whose progress is
+/// set back by what an earlier owner had seen of the one before.
+#[rstest]
+#[case::before_a_start(false, Some("saved"))]
+#[case::after_a_start(true, None)]
+fn a_checkpoint_is_taken_over_until_a_run_has_begun(
+    #[case] begun: bool,
+    #[case] resumes: Option<&str>,
+) {
+    let shape = Step {
+        checkpointing: true,
+        ..step(1)
+    };
+    let mut later = successor(vec![shape], None);
+    if begun {
+        later.feed(Event::HandedOver(Vec::new()));
+        later.advance(100);
+    }
+    let checkpoint = stackpier_state::job::Checkpoint {
+        task: 0,
+        text: "saved".to_owned(),
+    };
+    let progress = Progress {
+        checkpoints: vec![checkpoint],
+        ..Progress::default()
+    };
+    let unsaved = vec![Unsaved {
+        job: key::Job(JOB),
+        progress,
+    }];
+    later.feed(Event::HandedOver(unsaved));
+    later.advance(100);
+    assert_eq!(later.starts_of(name(JOB, 0, 0)), 1);
+    assert_eq!(later.starts[0].0.checkpoint.as_deref(), resumes);
+}
+
+/// Guards against bad input: places and jobs that the successor does not know are left aside.
+#[rstest]
+fn what_is_not_known_is_left_aside() {
+    let mut later = successor(vec![step(TASKS)], None);
+    let mut progress = Progress::default();
+    progress.set_done(TASKS + 70);
+    let unsaved = [JOB, JOB + 1].map(|job| Unsaved {
+        job: key::Job(job),
+        progress: progress.clone(),
+    });
+    later.feed(Event::HandedOver(unsaved.to_vec()));
+    later.advance(300);
+    assert_eq!(later.starts.len(), TASKS as usize);
+    assert_eq!(later.state(JOB + 1), None);
+}
--- a/crates/stackpier-scheduler/src/daemon.rs
+++ b/crates/stackpier-scheduler/src/daemon.rs
@@ -105,7 +105,8 @@
         pause(STOP_POLL_MS).await;
     }
     close.send_replace(true);
-    while (open.get() > 0 || node.busy.get() > 0) && node.mono().since(start) < last {
+    let waits = || open.get() > 0 || node.busy.get() > 0 || !node.unsaved.borrow().is_empty();
+    while waits() && node.mono().since(start) < last {
         pause(STOP_POLL_MS).await;
     }
     let text = format!("stopped with {} connections open", open.get());
@@ -115,12 +116,12 @@
 impl<P: Platform> Node<P> {
     /// release gives the cell to another daemon before a planned stop.
     async fn release(&self) {
-        let revision = self.owner.borrow().as_ref().map(|owner| owner.revision);
-        let Some(revision) = revision else {
+        // From here on this daemon orders nothing.
+        let Some(owner) = self.owner.replace(None) else {
             return;
         };
-        // From here on this daemon orders nothing.
-        self.owner.replace(None);
+        let revision = owner.revision;
+        let jobs = self.keep_unsaved(&owner);
         let mut ownership = match self.owned.borrow().as_ref() {
             Some(owned) => owned.ownership.clone(),
             None => return,
@@ -132,7 +133,7 @@
         let done = matches!(committed, Committed::Done(_));
         self.say(
             "owner",
-            &format!("cell released, known to the store: {done}"),
+            &format!("cell released, known to the store: {done}; {jobs} jobs are not saved"),
         );
     }
 
@@ -275,6 +276,7 @@
                 Response::Flag(true)
             }
             Request::Metrics => Response::Metrics(self.settings.metrics.to_string()),
+            Request::Unsaved(fence) => Response::Unsaved(self.unsaved_for(fence)),
             request => self.answer_as_owner(request),
         }
     }
@@ -295,6 +297,10 @@
                 self.feed(fence, Event::Cancelled(job));
                 Response::Flag(true)
             }
+            Request::HandOver(unsaved) => {
+                self.feed(fence, Event::HandedOver(unsaved));
+                Response::Flag(true)
+            }
             Request::State(job) => Response::State(self.job_state(job)),
             Request::Waiting(queue) => {
                 let owner = self.owner.borrow();
@@ -306,6 +312,7 @@
             | Request::Store
             | Request::Config
             | Request::Metrics
+            | Request::Unsaved(_)
             | Request::Calls(_)
             | Request::Answers(_)
             | Request::Write(_) => Response::NotOwner,
--- a/crates/stackpier-scheduler/src/jobs.rs
+++ b/crates/stackpier-scheduler/src/jobs.rs
@@ -254,7 +254,7 @@
     }
 
     /// ask_owner sends a message to the owner.
-    async fn ask_owner(&self, request: &Request) -> Result<Response> {
+    pub(crate) async fn ask_owner(&self, request: &Request) -> Result<Response> {
         let address = self
             .owned
             .borrow()
--- a/crates/stackpier-scheduler/src/lib.rs
+++ b/crates/stackpier-scheduler/src/lib.rs
@@ -13,6 +13,7 @@
 mod explain;
 pub mod fleet;
 mod following;
+mod handover;
 pub mod http;
 mod jobs;
 mod keys;
--- a/crates/stackpier-scheduler/src/link.rs
+++ b/crates/stackpier-scheduler/src/link.rs
@@ -12,6 +12,7 @@
 use bytes::Bytes;
 use h2::{RecvStream, SendStream, client, server};
 use serde::{Deserialize, Serialize};
+use stackpier_cell::Unsaved;
 use stackpier_core::{
     Error, Kind, Result,
     key::{self, Boot},
@@ -61,6 +62,10 @@
     Config,
     /// Does the store answer the receiver?
     Store,
+    /// What could the receiver not save before the sender came to own the cell with this fence?
+    Unsaved(u64),
+    /// What the sender, which owned the cell before, could not save.
+    HandOver(Vec<Unsaved>),
     /// A write by a daemon that can't reach the store. It is safe to be done
     /// twice.
     Write(Transaction),
@@ -110,6 +115,8 @@
     Config(Vec<u8>, u64),
     /// The outcome of a write.
     Written(Committed),
+    /// What an earlier owner could not save.
+    Unsaved(Vec<Unsaved>),
     /// The receiver does not own the cell.
     NotOwner,
     /// The address of the metrics.
--- a/crates/stackpier-scheduler/src/loading.rs
+++ b/crates/stackpier-scheduler/src/loading.rs
@@ -11,6 +11,7 @@
 use crate::{
     Platform,
     following::{Jobs, Workers},
+    handover::Earlier,
     jobs::Source,
     keys::{self, JOBS, MAINTENANCE, MEMORY, PROGRESS, ROSTER},
     node::{Node, Owned, pause},
@@ -39,7 +40,7 @@
 
 impl<P: Platform> Node<P> {
     /// load reads the cell from the store and begins to schedule it.
-    pub(crate) async fn load(&self, owned: Owned, predecessor: bool) {
+    pub(crate) async fn load(&self, owned: Owned, earlier: Earlier) {
         let fence = owned.ownership.fence;
         self.loading.set(true);
         let loaded = self.read_cell(fence).await;
@@ -48,13 +49,18 @@
             return;
         };
         let text = format!(
-            "owns the cell with fence {fence}: {} jobs, {} workers listed, predecessor may act: {predecessor}",
+            "owns the cell with fence {fence}: {} jobs, {} workers listed, predecessor may act: {}",
             loaded.progress.items.len(),
-            loaded.workers.items.len()
+            loaded.workers.items.len(),
+            earlier.may_act
         );
         self.say("owner", &text);
         self.metrics.ownerships.add(1, &[]);
-        self.install(owned, predecessor, loaded);
+        self.install(owned, &earlier, loaded);
+        if let Some(address) = earlier.address {
+            let node = self.clone();
+            tokio::task::spawn_local(async move { node.ask_earlier(fence, &address).await });
+        }
     }
 
     /// read_cell reads the cell, for as long as this daemon owns it.
@@ -112,10 +118,13 @@
 
     /// install puts the cell in its place and begins to follow its jobs and
     /// workers.
-    fn install(&self, owned: Owned, predecessor: bool, loaded: Loaded) {
+    fn install(&self, owned: Owned, earlier: &Earlier, loaded: Loaded) {
         let fence = owned.ownership.fence;
         let mut revisions = Revisions::default();
-        let mut cell = Cell::new(self.settings.cell, fence, self.now(), predecessor);
+        let mut cell = Cell::new(self.settings.cell, fence, self.now(), earlier.may_act);
+        if earlier.address.is_some() {
+            cell.await_handover();
+        }
         // Reading may have taken seconds, in which a later owner may have come.
         cell.confirmed_at(self.owned_since(fence));
         self.restore(&mut cell, &mut revisions, &loaded);
--- a/crates/stackpier-scheduler/src/member.rs
+++ b/crates/stackpier-scheduler/src/member.rs
@@ -14,6 +14,7 @@
 
 use crate::{
     Platform,
+    handover::Earlier,
     keys::{self, CLUSTER, MEMBERS, Member, OWNER, Ownership},
     link::{Alive, Heartbeat, Request, Response},
     node::{Node, Owned, Registered, pause},
@@ -261,7 +262,11 @@
     async fn turn(&mut self) {
         self.node.size_relays();
         if let Some(own) = self.node.unloaded() {
-            self.node.load(own, true).await;
+            let earlier = Earlier {
+                may_act: true,
+                address: None,
+            };
+            self.node.load(own, earlier).await;
             return;
         }
         let owned = self.node.owned.borrow().clone();
@@ -468,8 +473,11 @@
         let boot = self.node.boot;
         let own = |won: &Owned| won.ownership.boot == boot && !won.ownership.released;
         if let Some(won) = won.filter(own) {
-            let predecessor = doubt != Doubt::Vacant;
-            self.node.load(won, predecessor).await;
+            let earlier = Earlier {
+                may_act: doubt != Doubt::Vacant,
+                address: owned.map(|owned| owned.ownership.address),
+            };
+            self.node.load(won, earlier).await;
         }
     }
 
--- a/crates/stackpier-scheduler/src/node.rs
+++ b/crates/stackpier-scheduler/src/node.rs
@@ -11,7 +11,7 @@
 };
 
 use slog::{Logger, info, warn};
-use stackpier_cell::{Now, maintenance::Plan};
+use stackpier_cell::{Now, Unsaved, maintenance::Plan};
 use stackpier_core::{Kind, Millis, Result, key::Boot};
 use stackpier_transport::clock::{self, Steady, Uptime};
 use tokio::sync::Notify;
@@ -77,6 +77,8 @@
     pub(crate) members: RefCell<BTreeMap<String, Registered>>,
     pub(crate) owned: RefCell<Option<Owned>>,
     pub(crate) owner: RefCell<Option<Owner>>,
+    /// What this daemon could not save while it owned the cell, until its successor has it.
+    pub(crate) unsaved: RefCell<Vec<Unsaved>>,
     /// The last swap of the ownership.
     pub(crate) swap: Slot<Swap>,
     /// Whether this daemon is reading the cell that it owns.
@@ -138,6 +140,7 @@
             members: RefCell::default(),
             owned: RefCell::default(),
             owner: RefCell::default(),
+            unsaved: RefCell::default(),
             swap: Slot::default(),
             loading: Slot::default(),
             outdated: Slot::default(),
--- a/crates/stackpier-scheduler/src/owner.rs
+++ b/crates/stackpier-scheduler/src/owner.rs
@@ -148,9 +148,10 @@
         let own = self.owner.borrow().as_ref().map(|owner| owner.fence);
         if let Some(own) = own.filter(|own| *own < fence) {
             let owner = self.owner.replace(None);
-            let unsaved = owner.map_or(String::new(), |owner| owner.cell.unsaved());
+            let jobs = owner.map_or(0, |owner| self.keep_unsaved(&owner));
             self.outdated.set(self.outdated.get().max(own));
-            self.say("owner", &format!("gave up the cell: {why}; {unsaved}"));
+            let text = format!("gave up the cell: {why}; {jobs} jobs are not saved");
+            self.say("owner", &text);
         }
     }
 
