A dedicated worker is reserved for a task that ran before and waits for room

Cause: a task that had waited for four seconds might take any room, but short tasks take each piece that is too small for it, so that enough is never free at a time. The class: a claim on a sum is never met by parts that are given away one by one.

What runs there ends within a short task's time, so the wait has a bound: the four seconds and that.

Ruled out: lending room sooner (it was lent; it came in pieces), stopping short tasks (work thrown away).

--- a/crates/stackpier-cell/src/place/offer.rs
+++ b/crates/stackpier-cell/src/place/offer.rs
@@ -247,7 +247,8 @@
             return Err(Obstacle::Full);
         }
         self.admit(need, key)?;
-        if need.lasting && !self.lends_room(worker, need) {
+        let lends = !need.lasting || self.lends_room(worker, need);
+        if !lends || self.is_reserved(worker, need) {
             return Err(Obstacle::Reserve);
         }
         if free.minus(&need.size).memory_mib < need.reserve_mib {
@@ -267,7 +268,7 @@
 
     /// admit tells whether a worker may take tasks of a step at all, whatever
     /// its room.
-    pub(super) fn admit(&self, need: &Need, key: WorkerKey) -> Result<(), Obstacle> {
+    pub(crate) fn admit(&self, need: &Need, key: WorkerKey) -> Result<(), Obstacle> {
         let worker = self.worker(key);
         if worker.service != need.service {
             return Err(Obstacle::Excluded);
--- a/crates/stackpier-cell/src/roster.rs
+++ b/crates/stackpier-cell/src/roster.rs
@@ -129,6 +129,7 @@
             closed: false,
             spared: false,
             dedicated: None,
+            reserved_for: None,
             idle_room: IdleRoom::default(),
             outlooks: Vec::new(),
             drain_seen: info.draining.then_some(self.now.mono),
