Gauges of a daemon that has not owned the cell are zero, not absent

Cause: a gauge shows once it has a value, and only the owner's tick set one. The doc comments promise zero on followers.

Fix: each gauge begins at zero.

Ruled out: waiting in the test, which would have left followers without the gauges.

--- a/crates/stackpier-scheduler/src/metrics.rs
+++ b/crates/stackpier-scheduler/src/metrics.rs
@@ -45,6 +45,12 @@
         let instruments = Instruments::new()?;
         let meter = instruments.meter();
         let count = |name| instruments.counter(name);
+        let gauge = |name| {
+            let gauge = meter.u64_gauge(name).build();
+            // A gauge shows once it has a value, and followers never set one.
+            gauge.record(0, &[]);
+            gauge
+        };
         Ok(Metrics {
             answers: count("stackpier_answers"),
             latency: instruments.seconds("stackpier_answer_seconds", &LATENCY_BOUNDS),
@@ -53,11 +59,9 @@
             passed_calls: count("stackpier_passed_calls"),
             decisions: count("stackpier_decisions"),
             ownerships: count("stackpier_ownerships"),
-            running: meter.u64_gauge("stackpier_running").build(),
-            waiting: meter.u64_gauge("stackpier_waiting").build(),
-            longest_wait: meter
-                .u64_gauge("stackpier_longest_wait_milliseconds")
-                .build(),
+            running: gauge("stackpier_running"),
+            waiting: gauge("stackpier_waiting"),
+            longest_wait: gauge("stackpier_longest_wait_milliseconds"),
             instruments,
         })
     }
