Short work stands back while more tasks wait for a worker than are reserved

A task that lasts was stopped as its worker left, waited for the leases of an earlier owner, and then for seven seconds for room, as sixteen steps waited and five workers were reserved.

Cause: as many waited, short work went on to have workers dedicated, and more tasks stopped.

Fix: all dedicated workers may be reserved, and while more steps wait than half of these, no more are dedicated and nothing is stopped for short work.

--- a/crates/stackpier-cell/src/dedicated.rs
+++ b/crates/stackpier-cell/src/dedicated.rs
@@ -41,9 +41,9 @@
 /// MOST_PART is the part of all workers, one in so many, that may be dedicated: what a
 /// customer's short tasks take on the mean is a twentieth.
 const MOST_PART: usize = 10;
-/// RESERVED_PART is the part of the dedicated workers, one in so many, that may be reserved for
-/// tasks that wait: short tasks go on running on the others.
-const RESERVED_PART: usize = 2;
+/// OWED_PART is the part of the dedicated workers, one in so many, that tasks which wait may take
+/// before short work has to stand back.
+const OWED_PART: usize = 2;
 
 /// Dedicated is what is known of the workers that are kept for short tasks.
 #[derive(Debug, Default)]
@@ -63,8 +63,8 @@
         }
         let now = self.now.mono;
         self.give_back();
-        self.reserve_room();
-        if !self.is_short_starved() {
+        let overdue = self.reserve_room();
+        if overdue || !self.is_short_starved() {
             self.dedicated.starved_since = None;
             return;
         }
@@ -109,26 +109,23 @@
 
     /// reserve_room reserves a dedicated worker for each step with a task that ran before and
     /// has waited for long. Short tasks share the room of others out, so that a task which asks
-    /// for most of a worker would never find enough at a time.
-    fn reserve_room(&mut self) {
+    /// for most of a worker would never find enough at a time. It tells whether these steps
+    /// are too many for the workers that short tasks leave: then no more workers are dedicated,
+    /// and nothing else is stopped for short work.
+    fn reserve_room(&mut self) -> bool {
         let dedicated = self.dedicated_workers();
         for key in &dedicated {
             let reserved = self.worker(*key).reserved_for;
             self.worker_mut(*key).reserved_for = reserved.filter(|step| self.is_owed(*step));
         }
         let owed: Vec<StepKey> = self.queued().filter(|step| self.is_owed(*step)).collect();
-        for step in owed {
-            let reserved = dedicated
-                .iter()
-                .filter_map(|key| self.worker(*key).reserved_for);
-            let reserved: Vec<StepKey> = reserved.collect();
-            if reserved.len() >= dedicated.len().div_ceil(RESERVED_PART) {
-                return;
-            }
-            if !reserved.contains(&step) {
-                self.reserve_for(step, &dedicated);
+        for step in &owed {
+            let is_its = |key: &WorkerKey| self.worker(*key).reserved_for == Some(*step);
+            if !dedicated.iter().any(is_its) {
+                self.reserve_for(*step, &dedicated);
             }
         }
+        owed.len() > dedicated.len() / OWED_PART
     }
 
     /// reserve_for reserves the dedicated worker for a step on which the least that lasts runs.
