--- a/crates/stackpier-cell/src/cell.rs
+++ b/crates/stackpier-cell/src/cell.rs
@@ -175,6 +175,7 @@
             Event::Plan(plan) => self.plan(plan),
             Event::TakenDown(order, outcome) => self.taken_down(&order, outcome),
             Event::Saved(done) => self.saved(done),
+            Event::EarlierAsked(unsaved) => self.earlier_asked(&unsaved),
             Event::HandedOver(unsaved) => self.take_handover(&unsaved),
             Event::Confirmed(sent) => self.confirm(sent),
             Event::Tick => self.tick(),
--- a/crates/stackpier-cell/src/handover.rs
+++ b/crates/stackpier-cell/src/handover.rs
@@ -29,11 +29,15 @@
         self.tenure.awaits_handover = true;
     }
 
-    /// take_handover takes in what an earlier owner could not save: nothing, if it did not
-    /// answer.
-    pub(crate) fn take_handover(&mut self, unsaved: &[Unsaved]) {
+    /// earlier_asked takes in the answer of the earlier owner, and lets inherited tasks start.
+    pub(crate) fn earlier_asked(&mut self, unsaved: &[Unsaved]) {
         self.tenure.awaits_handover = false;
         self.place_wanted = true;
+        self.take_handover(unsaved);
+    }
+
+    /// take_handover takes in what an earlier owner could not save.
+    pub(crate) fn take_handover(&mut self, unsaved: &[Unsaved]) {
         let mut done = 0;
         for Unsaved { job, progress } in unsaved {
             let known = self.job_keys.get(job).copied();
--- a/crates/stackpier-cell/src/hold.rs
+++ b/crates/stackpier-cell/src/hold.rs
@@ -25,7 +25,7 @@
 const SHORTEST_MS: u64 = 100;
 
 /// STORE_SILENT_MS is how long the store must have been silent for the log to tell what workers
-/// may forget: in two out of three of the owner's questions to it.
+/// may forget. A busy owner hears it several times a second.
 const STORE_SILENT_MS: u64 = 700;
 
 impl Cell {
--- a/crates/stackpier-cell/src/summary.rs
+++ b/crates/stackpier-cell/src/summary.rs
@@ -105,7 +105,8 @@
         let free: Vec<u32> = free.map(|worker| worker.free().milli_cores).collect();
         let total: u64 = free.iter().copied().map(u64::from).sum();
         let text = format!(
-            "{} short steps wait, {hopeless} too late to be of use; their tasks ask for {} cores in the              median and {} at most; {} cores are free in all, {} at most on one worker",
+            "{} short steps wait, {hopeless} too late to be of use; their tasks ask for {} cores in the \
+             median and {} at most; {} cores are free in all, {} at most on one worker",
             cores.len(),
             cores[cores.len() / 2],
             cores[cores.len() - 1],
--- a/crates/stackpier-cell/src/wire.rs
+++ b/crates/stackpier-cell/src/wire.rs
@@ -116,7 +116,9 @@
     /// The store confirmed, by a read sent at this time, that this daemon
     /// still owns the cell.
     Confirmed(Millis),
-    /// An earlier owner told what it could not save, or did not answer in time.
+    /// The earlier owner was asked what it could not save: its answer, nothing if it gave none.
+    EarlierAsked(Vec<Unsaved>),
+    /// An earlier owner told unasked what it could not save.
     HandedOver(Vec<Unsaved>),
     /// Time has passed.
     Tick,
--- a/crates/stackpier-cell/tests/handover.rs
+++ b/crates/stackpier-cell/tests/handover.rs
@@ -7,7 +7,7 @@
 use rstest::rstest;
 use stackpier_cell::{Event, Options, RosterEntry, Unsaved};
 use stackpier_core::key;
-use stackpier_state::job::{Progress, State, Step};
+use stackpier_state::job::{Checkpoint, Failures, Progress, State, Step};
 
 const JOB: u64 = 7;
 /// TASKS fit on the two workers at once.
@@ -36,6 +36,14 @@
     owner
 }
 
+/// told is what an earlier owner tells of the job.
+fn told(progress: Progress) -> Vec<Unsaved> {
+    vec![Unsaved {
+        job: key::Job(JOB),
+        progress,
+    }]
+}
+
 /// Guards against tasks that start again although an earlier owner knew that they are done.
 #[rstest]
 fn tasks_that_an_earlier_owner_knows_as_done_do_not_start() {
@@ -55,7 +63,7 @@
         0,
         "the earlier owner is still being asked"
     );
-    later.feed(Event::HandedOver(unsaved));
+    later.feed(Event::EarlierAsked(unsaved));
     later.advance(3_000);
     assert_eq!(later.places(JOB, 0).len(), 0);
     assert_eq!(later.places(JOB, 1).len(), TASKS as usize);
@@ -67,7 +75,7 @@
 fn without_an_answer_inherited_tasks_start() {
     let mut later = successor(vec![step(TASKS)], None);
     assert_eq!(later.starts.len(), 0);
-    later.feed(Event::HandedOver(Vec::new()));
+    later.feed(Event::EarlierAsked(Vec::new()));
     later.advance(100);
     assert_eq!(later.starts.len(), TASKS as usize);
 }
@@ -81,15 +89,11 @@
         ..step(TASKS)
     };
     let mut later = successor(vec![long], None);
-    later.feed(Event::HandedOver(Vec::new()));
+    later.feed(Event::EarlierAsked(Vec::new()));
     later.advance(300);
     let mut progress = Progress::default();
     (0..TASKS).for_each(|place| progress.set_done(place));
-    let unsaved = Unsaved {
-        job: key::Job(JOB),
-        progress,
-    };
-    later.feed(Event::HandedOver(vec![unsaved]));
+    later.feed(Event::HandedOver(told(progress)));
     later.advance(1_500);
     assert_eq!(later.state(JOB), Some(State::Completed));
     let running: usize = later.workers.iter().map(|worker| worker.runs.len()).sum();
@@ -107,16 +111,13 @@
 #[case::none_left(vec![1, 2, 3], State::Failed)]
 fn failed_runs_count_once_each(#[case] runs: Vec<u32>, #[case] state: State) {
     let mut later = successor(vec![step(TASKS)], None);
-    let failures = stackpier_state::job::Failures { task: 1, runs };
+    let failures = Failures { task: 1, runs };
     let progress = Progress {
         failures: vec![failures],
         ..Progress::default()
     };
-    let unsaved = vec![Unsaved {
-        job: key::Job(JOB),
-        progress,
-    }];
-    later.feed(Event::HandedOver(unsaved.clone()));
+    let unsaved = told(progress);
+    later.feed(Event::EarlierAsked(unsaved.clone()));
     later.feed(Event::HandedOver(unsaved));
     later.advance(300);
     assert_eq!(later.state(JOB), Some(state));
@@ -137,10 +138,10 @@
     };
     let mut later = successor(vec![shape], None);
     if begun {
-        later.feed(Event::HandedOver(Vec::new()));
+        later.feed(Event::EarlierAsked(Vec::new()));
         later.advance(100);
     }
-    let checkpoint = stackpier_state::job::Checkpoint {
+    let checkpoint = Checkpoint {
         task: 0,
         text: "saved".to_owned(),
     };
@@ -148,11 +149,9 @@
         checkpoints: vec![checkpoint],
         ..Progress::default()
     };
-    let unsaved = vec![Unsaved {
-        job: key::Job(JOB),
-        progress,
-    }];
+    let unsaved = told(progress);
     later.feed(Event::HandedOver(unsaved));
+    later.feed(Event::EarlierAsked(Vec::new()));
     later.advance(100);
     assert_eq!(later.starts_of(name(JOB, 0, 0)), 1);
     assert_eq!(later.starts[0].0.checkpoint.as_deref(), resumes);
@@ -168,7 +167,7 @@
         job: key::Job(job),
         progress: progress.clone(),
     });
-    later.feed(Event::HandedOver(unsaved.to_vec()));
+    later.feed(Event::EarlierAsked(unsaved.to_vec()));
     later.advance(300);
     assert_eq!(later.starts.len(), TASKS as usize);
     assert_eq!(later.state(JOB + 1), None);
@@ -196,3 +195,13 @@
     owner.advance(200);
     assert_eq!(owner.starts.len(), TASKS as usize);
 }
+
+/// Guards against inherited tasks that start before their owner of late was heard, as one before
+/// it has told something.
+#[rstest]
+fn what_another_owner_tells_does_not_end_the_wait() {
+    let mut later = successor(vec![step(TASKS)], None);
+    later.feed(Event::HandedOver(Vec::new()));
+    later.advance(300);
+    assert_eq!(later.starts.len(), 0);
+}
--- a/crates/stackpier-fuzz/src/cell/world/handover.rs
+++ b/crates/stackpier-fuzz/src/cell/world/handover.rs
@@ -37,7 +37,8 @@
             true => self.extra_between(ANSWER_MS.0, ANSWER_MS.1),
             false => ASK_MS,
         };
-        self.send_unsaved(delay, later, unsaved);
+        let event = Event::EarlierAsked(unsaved);
+        self.send(delay, Message::Event(later, Box::new(event)));
     }
 
     /// end_owner notes that an owner has learnt of its successor.
@@ -59,11 +60,6 @@
         self.feed(newest, Event::HandedOver(unsaved));
     }
 
-    fn send_unsaved(&mut self, delay: u64, place: usize, unsaved: Vec<Unsaved>) {
-        let event = Event::HandedOver(unsaved);
-        self.send(delay, Message::Event(place, Box::new(event)));
-    }
-
     /// hands_over draws whether what an owner tells its successor arrives.
     fn hands_over(&mut self) -> bool {
         let share = self.faults.handovers;
--- a/crates/stackpier-scheduler/src/handover.rs
+++ b/crates/stackpier-scheduler/src/handover.rs
@@ -27,7 +27,7 @@
 const JOBS_PER_MESSAGE: usize = 32;
 
 /// Earlier is what a daemon that takes the cell over knows of the owner before it.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(crate) struct Earlier {
     /// Whether it may still act.
     pub may_act: bool,
@@ -85,7 +85,8 @@
         Ok(())
     }
 
-    /// unsaved_for answers the daemon that owns the cell with a fence.
+    /// unsaved_for answers the daemon that owns the cell with a fence, in one message. What is
+    /// too long to come in time on a slow link is sent in parts by `hand_over`.
     pub(crate) fn unsaved_for(&self, fence: u64) -> Vec<Unsaved> {
         self.depose(fence, "its successor asks for what is not saved");
         self.unsaved.borrow().clone()
@@ -97,18 +98,12 @@
         let asked = self.links.call(address, &request, ASK_LIMIT).await;
         let unsaved = match asked {
             Ok(Response::Unsaved(unsaved)) => unsaved,
-            Ok(other) => {
-                self.say("owner", &format!("the earlier owner answered {other:?}"));
-                Vec::new()
-            }
-            Err(error) => {
-                self.say(
-                    "owner",
-                    &format!("the earlier owner did not answer: {error}"),
-                );
+            other => {
+                let text = format!("the earlier owner did not tell what is not saved: {other:?}");
+                self.say("owner", &text);
                 Vec::new()
             }
         };
-        self.feed(fence, Event::HandedOver(unsaved));
+        self.feed(fence, Event::EarlierAsked(unsaved));
     }
 }
