--- a/crates/stackpier-cell/src/takeover.rs
+++ b/crates/stackpier-cell/src/takeover.rs
@@ -3,7 +3,8 @@
 //!
 //! Jobs accepted under an earlier fence may have runs on workers that have
 //! not answered this owner yet. Their tasks wait until two reports of each such
-//! worker have come, or until everything that the earlier owner leased has ended.
+//! worker have come, or until everything that the earlier owner leased has ended; and until
+//! that owner was asked for what it could not save.
 //!
 //! A later owner may renew what this one takes for over, and note ends that
 //! this one never sees. A worker that answers this owner has met no later one.
@@ -91,8 +92,8 @@
         (earlier * RUNS_PER_OWNER).min(u64::from(u32::MAX / 2)) as u32 + 1
     }
 
-    /// may_start tells whether a job's tasks have no run that this owner
-    /// can't know of.
+    /// may_start tells whether a job's tasks have no run that this owner can't know of, and no
+    /// end that a later one may know.
     pub(crate) fn may_start(&self, job: JobKey) -> bool {
         if !self.job(job).inherited {
             return true;
