A silent worker is asked before its silence counts as the end of its runs

Cause: a silent worker was asked each 0.9 s, and the end of its lease was read off the clock. Worker 19 could be reached from 17,500 ms, the last question had left at 17,452, and at 18,401 its tasks were placed anew in the step that asked it again. It listed their ends 1 ms later. The order of listing is not the cause: it moves the moment of the retry.

Now a silent worker is asked 200 ms before its silence counts, also while an earlier question may yet be answered, and counts as silent only by the last question. The same for workers of an earlier owner, and for workers that left the list.

Ruled out: the order of listing; a worker out of reach until after the second start (what is left: the last 200 ms).

--- a/crates/stackpier-cell/src/hold.rs
+++ b/crates/stackpier-cell/src/hold.rs
@@ -52,16 +52,24 @@
     }
 
     fn hold(&mut self, key: WorkerKey, wait_ms: u64) {
+        if !self.worker(key).holding {
+            self.send_hold(key, wait_ms);
+        }
+    }
+
+    /// send_hold sends a hold, also if one is on its way.
+    pub(crate) fn send_hold(&mut self, key: WorkerKey, wait_ms: u64) {
         let (now, lease_ms) = (self.now.mono, self.options.lease_ms);
         let (fence, authority) = (self.fence, self.has_authority());
         let foreign = self.is_foreign(self.worker(key));
         let telling = self.forgettable(key);
         let worker = self.worker_mut(key);
-        if worker.holding || worker.life == Life::Over || foreign || !authority {
+        if worker.life == Life::Over || foreign || !authority {
             return;
         }
         let listed = worker.has_unnoted_ends() || worker.noted > telling.max(worker.forgotten);
         worker.holding = true;
+        worker.asked = now;
         worker.telling = telling;
         // A hold without an answer may arrive late. One to a silent worker
         // renews nothing, or its lease would never be known to be over.
@@ -125,12 +133,15 @@
     }
 
     pub(crate) fn held(&mut self, key: WorkerKey, sent: Millis, outcome: Held) {
-        self.worker_mut(key).holding = false;
+        let is_last = sent >= self.worker(key).asked;
+        if is_last {
+            self.worker_mut(key).holding = false;
+        }
         match outcome {
             Held::Report(report) => self.take_report(key, sent, report),
             Held::Fenced => self.depose(),
             Held::OtherLife => self.end_life(key, "its address answers for another life"),
-            Held::Silent if self.is_latest(key) => self.miss(key),
+            Held::Silent if is_last && self.is_latest(key) => self.miss(key),
             Held::Silent => {}
         }
     }
--- a/crates/stackpier-cell/src/lib.rs
+++ b/crates/stackpier-cell/src/lib.rs
@@ -49,6 +49,7 @@
 mod run;
 mod save;
 mod short;
+mod silence;
 mod spare;
 mod speculate;
 mod summary;
--- a/crates/stackpier-cell/src/roster.rs
+++ b/crates/stackpier-cell/src/roster.rs
@@ -114,6 +114,7 @@
             clock: None,
             deadline_ms: 0,
             holding: false,
+            asked: Millis(0),
             hold_after: Millis(0),
             silent_since: None,
             taken: Taken::default(),
@@ -185,8 +186,8 @@
         let now = self.now.mono;
         self.settle_all();
         for key in self.live_now() {
-            let worker = self.worker(key);
-            if worker.silent_since.is_some() && worker.lapsed(now) {
+            self.check_silence(key);
+            if self.is_given_up(self.worker(key)) {
                 self.lapse(key);
             }
             self.retire(key);
@@ -208,9 +209,10 @@
             return;
         }
         let text = format!(
-            "lease of worker {} is over as counted here, with {} runs",
+            "lease of worker {} is over as counted here, with {} runs, last asked {} ms ago",
             worker.info.id,
-            worker.runs.len()
+            worker.runs.len(),
+            self.now.mono.since(worker.asked)
         );
         self.note("worker", None, text);
         self.end_unseen(key, end);
@@ -222,10 +224,10 @@
         let now = self.now.mono;
         let worker = self.worker(key);
         let gone = worker.unlisted_since.is_some() && worker.silent_since.is_some();
-        let met = worker.life == Life::Met && worker.lapsed(now);
-        let unmet = worker.life == Life::New && now >= self.tenure.inherited_until;
+        let unused = worker.life == Life::New && !worker.is_inherited();
+        let unmet = unused && now >= self.tenure.inherited_until;
         let settled = worker.runs.is_empty() && self.has_stored_ends(worker);
-        if gone && settled && (met || unmet) {
+        if gone && settled && (unmet || self.is_given_up(worker)) {
             self.give_up_worker(
                 key,
                 "it left the list, does not answer, and its lease is over",
--- a/crates/stackpier-cell/src/takeover.rs
+++ b/crates/stackpier-cell/src/takeover.rs
@@ -98,11 +98,18 @@
         if !self.job(job).inherited {
             return true;
         }
-        let over = self.owned_after(self.tenure.inherited_until);
+        let over = self.owned_after(self.tenure.inherited_until) && !self.awaits_earlier();
         let current = self.is_confirmed_lately() || self.has_met_all() && !self.has_lost_unheard();
         !self.tenure.awaits_handover && (over || self.has_met_all()) && current
     }
 
+    /// awaits_earlier tells whether a silent worker may yet answer what an earlier owner has
+    /// there.
+    fn awaits_earlier(&self) -> bool {
+        let mut workers = self.workers.iter();
+        workers.any(|worker| self.may_tell_of_earlier(worker))
+    }
+
     /// has_lost_unheard tells whether a worker died that this owner never heard. An earlier one
     /// may have heard it, and may tell a later owner.
     fn has_lost_unheard(&self) -> bool {
--- a/crates/stackpier-cell/src/worker.rs
+++ b/crates/stackpier-cell/src/worker.rs
@@ -112,6 +112,8 @@
     pub deadline_ms: u64,
     /// Whether a hold is on its way.
     pub holding: bool,
+    /// When the last hold was sent.
+    pub asked: Millis,
     pub hold_after: Millis,
     /// Since when it has not answered.
     pub silent_since: Option<Millis>,
@@ -193,11 +195,6 @@
         whole
     }
 
-    /// lapsed tells whether everything that this owner leased has ended by now.
-    pub(crate) fn lapsed(&self, now: Millis) -> bool {
-        self.lease_end().is_some_and(|end| now >= end)
-    }
-
     /// is_heard tells whether it answers, as far as this owner knows.
     pub(crate) fn is_heard(&self) -> bool {
         self.life != Life::Over && self.silent_since.is_none()
--- a/crates/stackpier-cell/tests/common/mod.rs
+++ b/crates/stackpier-cell/tests/common/mod.rs
@@ -48,6 +48,8 @@
     pub starts: Vec<(Start, usize)>,
     /// How many calls asked for a report.
     pub holds: usize,
+    /// After how long a hold without an answer is given up, in milliseconds.
+    pub give_up_ms: u64,
     /// Whether holds wait at the worker for an end, as long as they say.
     pub holds_wait: bool,
     waiting: Vec<Waiting>,
@@ -189,6 +191,7 @@
             revivals: Vec::new(),
             starts: Vec::new(),
             holds: 0,
+            give_up_ms: 1,
             holds_wait: false,
             waiting: Vec::new(),
             saves: Vec::new(),
@@ -425,7 +428,11 @@
         } else {
             self.workers[place].hold(self.now_ms, hold)
         };
-        let after = if hold.wait_ms > 0 { 20 } else { 1 };
+        let after = match outcome {
+            Held::Silent => self.give_up_ms,
+            _ if hold.wait_ms > 0 => 20,
+            _ => 1,
+        };
         let sent = Millis(self.now_ms);
         let worker = hold.worker;
         let event = Event::Held {
