A pass over filling tasks goes on where the last one ended

Callers saw a filling task that nothing kept out never start, once forty kinds of others found no worker (a_filling_task_is_looked_at_however_many_kinds_find_no_worker: fails each time before, passes with this; its check is unchanged).

Cause: a pass ends after forty kinds without a worker, and the next one began with the same kinds in the same order, so the forty-first was never rated. Ruled out: spent ratings (one worker), a kind taken for another (other images).

Now a pass that ended early leaves the kinds that it tried to the next one, which does not rate them again.

--- a/crates/stackpier-cell/src/place.rs
+++ b/crates/stackpier-cell/src/place.rs
@@ -33,8 +33,8 @@
 
 /// FILL_GAP_MS is the least time between two looks at the filling tasks.
 const FILL_GAP_MS: u64 = 40;
-/// MOST_TRIED is how many kinds of filling tasks may find no worker before the
-/// look ends: the users' deployments have up to 18 images.
+/// MOST_TRIED is how many kinds of filling tasks may find no worker before a pass ends. The
+/// next one goes on with the kinds after them.
 const MOST_TRIED: usize = 40;
 /// LASTING_MS is how long a task that lasts waits until it goes before all others of
 /// its priority: users count it as lost from six seconds after its last run.
--- a/crates/stackpier-cell/src/place/pass.rs
+++ b/crates/stackpier-cell/src/place/pass.rs
@@ -105,6 +105,8 @@
     steps: Vec<StepKey>,
     /// What found no worker: tasks alike that ask for as much find none either.
     barred: Vec<Need>,
+    /// How many of these an earlier pass had found, which ended before it had tried all kinds.
+    carried: usize,
     /// Steps that starve, the longest waiting last.
     starving: Vec<StepKey>,
     /// What starves and found no worker: what asks for as much room finds none either.
@@ -153,6 +155,7 @@
             workers: Vec::new(),
             steps: Vec::new(),
             barred: Vec::new(),
+            carried: 0,
             starving: Vec::new(),
             without_room: Vec::new(),
             looked_up: false,
@@ -163,6 +166,20 @@
     pub(crate) fn steps(&self) -> &[StepKey] {
         &self.steps
     }
+
+    /// has_tried_most tells whether the pass has tried as many kinds as it may.
+    fn has_tried_most(&self) -> bool {
+        self.barred.len() - self.carried >= MOST_TRIED
+    }
+
+    /// begin_barred begins a pass with the kinds that need not be tried: none, unless the one
+    /// before it ended early.
+    fn begin_barred(&mut self) {
+        if !self.has_tried_most() {
+            self.barred.clear();
+        }
+        self.carried = self.barred.len();
+    }
 }
 
 impl Cell {
@@ -275,7 +292,7 @@
         fills.held_up = false;
         fills.workers = workers;
         fills.steps = steps;
-        fills.barred.clear();
+        fills.begin_barred();
         fills.without_room.clear();
         fills.looked_up = false;
     }
@@ -311,7 +328,7 @@
 
     fn look_at_filling(&mut self, step: StepKey) {
         if !self.has_nothing_left(step)
-            && self.fills.barred.len() < MOST_TRIED
+            && !self.fills.has_tried_most()
             && let Some(need) = self.need(step)
             && !self
                 .fills
