A save sends 24 transactions at a time, and tells when it was slow

Cause, from trial log lines: hundreds of keys to save after a take-over go in rounds of four transactions, and each round takes 200 to 350 ms at an owner that reads all reports at once; until it is done, ends are listed again in each report. No save failed.

No test: it needs a busy processor.

--- a/crates/stackpier-scheduler/src/saving.rs
+++ b/crates/stackpier-scheduler/src/saving.rs
@@ -20,10 +20,11 @@
 /// and one for the ownership they stay within 32 entries.
 const PUTS: usize = 15;
 /// AT_ONCE is how many transactions of a save are on their way at a time. Ends are noted
-/// only after their save and are listed again until then: one after the other, the eight
-/// transactions of a busy cell took a second on a VM of 0.12 cores, and each report brought
-/// a kilobyte of ends that were known.
-const AT_ONCE: usize = 4;
+/// only after their save and are listed again until then, so a save that takes long makes
+/// more work for a busy owner.
+const AT_ONCE: usize = 24;
+/// SLOW_MS is how long a save takes that is worth a log line.
+const SLOW_MS: u64 = 500;
 /// TRIES is how often an unclear write is sent before the save fails.
 const TRIES: usize = 3;
 /// RETRY_MS is the pause between two tries.
@@ -55,16 +56,24 @@
         let Some((revision, revisions)) = self.saving(fence) else {
             return false;
         };
-        let puts = self.puts(&save);
+        let (puts, begun) = (self.puts(&save), self.mono());
         for group in puts.chunks(PUTS * AT_ONCE) {
             if !self.write_group(fence, revision, &revisions, group).await {
                 return false;
             }
         }
+        self.log_slow(puts.len(), self.mono().since(begun));
         self.log_stored(&save);
         self.trim(fence, revision, &save).await && self.forget(fence, revision, &save).await
     }
 
+    /// log_slow tells of a save that took long.
+    fn log_slow(&self, keys: usize, took_ms: u64) {
+        if took_ms >= SLOW_MS {
+            self.say("save", &format!("a save of {keys} keys took {took_ms} ms"));
+        }
+    }
+
     /// log_stored tells what the store has now: a successor knows of these ends, and waits
     /// for the reports of these workers.
     fn log_stored(&self, save: &Save) {
