Workers that a new owner has not met are asked again before a hold is given up

One lost answer holds all these tasks up: a hold is given up after 0.6 s and sent again after 0.2 s more, and each worker has to answer twice.

Now such a worker is sent another hold after 0.3 s, sixteen a tick, for 4 s if it has not answered at all. Holds may overlap now: a report older than the last one is dropped, and one beside another tells nothing to forget. New tests: unmet.rs; one case of the lost answers fails before.

With it, from reading again: the time to answer is counted from the final hold, as each later hold put off the time from which a silence counts (not seen to fail: the holds of the test fall together).

--- a/crates/stackpier-cell/src/hold.rs
+++ b/crates/stackpier-cell/src/hold.rs
@@ -57,19 +57,24 @@
         }
     }
 
-    /// send_hold sends a hold, also if one is on its way.
-    pub(crate) fn send_hold(&mut self, key: WorkerKey, wait_ms: u64) {
+    /// send_hold sends a hold, also if one is on its way, and tells whether it was sent.
+    pub(crate) fn send_hold(&mut self, key: WorkerKey, wait_ms: u64) -> bool {
         let (now, lease_ms) = (self.now.mono, self.options.lease_ms);
         let (fence, authority) = (self.fence, self.has_authority());
         let foreign = self.is_foreign(self.worker(key));
-        let telling = self.forgettable(key);
+        // Beside a hold that is on its way it tells nothing: an answer does not show which of
+        // the two has arrived.
+        let telling = match self.worker(key).holding {
+            true => 0,
+            false => self.forgettable(key),
+        };
         let worker = self.worker_mut(key);
         if worker.life == Life::Over || foreign || !authority {
-            return;
+            return false;
         }
         let listed = worker.has_unnoted_ends() || worker.noted > telling.max(worker.forgotten);
         worker.holding = true;
-        worker.asked = now;
+        worker.hold_sent = now;
         worker.telling = telling;
         // A hold without an answer may arrive late. One to a silent worker
         // renews nothing, or its lease would never be known to be over.
@@ -90,6 +95,7 @@
         };
         self.effects.push(Effect::Hold(hold));
         self.note_forgotten(key, telling);
+        true
     }
 
     /// note_forgotten tells up to which end a worker may forget, if the store has not answered
@@ -133,15 +139,17 @@
     }
 
     pub(crate) fn held(&mut self, key: WorkerKey, sent: Millis, outcome: Held) {
-        let is_last = sent >= self.worker(key).asked;
-        if is_last {
+        let is_latest = sent >= self.worker(key).hold_sent;
+        if is_latest {
             self.worker_mut(key).holding = false;
         }
         match outcome {
+            // A later hold was answered first.
+            Held::Report(_) if sent < self.worker(key).reported => {}
             Held::Report(report) => self.take_report(key, sent, report),
             Held::Fenced => self.depose(),
             Held::OtherLife => self.end_life(key, "its address answers for another life"),
-            Held::Silent if is_last && self.is_latest(key) => self.miss(key),
+            Held::Silent if is_latest && self.is_latest(key) => self.miss(key),
             Held::Silent => {}
         }
     }
--- a/crates/stackpier-cell/src/lib.rs
+++ b/crates/stackpier-cell/src/lib.rs
@@ -55,6 +55,7 @@
 mod summary;
 mod taken;
 mod takeover;
+mod unmet;
 mod wire;
 mod worker;
 
--- a/crates/stackpier-cell/src/report.rs
+++ b/crates/stackpier-cell/src/report.rs
@@ -48,6 +48,7 @@
         // Its report tells better what runs there.
         worker.ended_unseen = None;
         worker.reported = sent;
+        worker.final_hold = None;
         worker.forgotten = worker.forgotten.max(worker.telling);
         if worker.silent_since.take().is_some() {
             let text = format!("worker {} answers again", worker.info.id);
--- a/crates/stackpier-cell/src/roster.rs
+++ b/crates/stackpier-cell/src/roster.rs
@@ -114,7 +114,8 @@
             clock: None,
             deadline_ms: 0,
             holding: false,
-            asked: Millis(0),
+            hold_sent: Millis(0),
+            final_hold: None,
             hold_after: Millis(0),
             silent_since: None,
             taken: Taken::default(),
@@ -197,6 +198,7 @@
                 self.hold_now(key);
             }
         }
+        self.ask_unmet();
     }
 
     /// lapse ends all runs on a worker whose lease is over by its own clock.
@@ -212,7 +214,7 @@
             "lease of worker {} is over as counted here, with {} runs, last asked {} ms ago",
             worker.info.id,
             worker.runs.len(),
-            self.now.mono.since(worker.asked)
+            self.now.mono.since(worker.hold_sent)
         );
         self.note("worker", None, text);
         self.end_unseen(key, end);
@@ -225,9 +227,9 @@
         let worker = self.worker(key);
         let gone = worker.unlisted_since.is_some() && worker.silent_since.is_some();
         let unused = worker.life == Life::New && !worker.is_inherited();
-        let unmet = unused && now >= self.tenure.inherited_until;
+        let over = unused && now >= self.tenure.inherited_until || self.is_given_up(worker);
         let settled = worker.runs.is_empty() && self.has_stored_ends(worker);
-        if gone && settled && (unmet || self.is_given_up(worker)) {
+        if gone && settled && over {
             self.give_up_worker(
                 key,
                 "it left the list, does not answer, and its lease is over",
--- a/crates/stackpier-cell/src/silence.rs
+++ b/crates/stackpier-cell/src/silence.rs
@@ -1,9 +1,9 @@
 // SPDX-License-Identifier: Apache-2.0
 //! When the silence of a worker counts as the end of what runs there.
 //!
-//! That is once its lease is over, and only if a question sent about then got no answer. An
-//! earlier question may have been lost while the worker has been in reach since, and it may
-//! know that tasks are done which would start again elsewhere.
+//! That is once its lease is over and a final hold, sent shortly before, got no answer. An
+//! earlier hold may have been lost while the worker has been in reach since, and it may know
+//! that tasks are done which would start again elsewhere.
 
 use stackpier_core::Millis;
 
@@ -17,24 +17,24 @@
 const ANSWER_MS: u64 = 200;
 
 impl Cell {
-    /// check_silence asks a silent worker whose lease is about to end, also while an earlier
-    /// question may yet be answered.
+    /// check_silence sends a silent worker the final hold before its lease is over, also while
+    /// an earlier one may yet be answered.
     pub(crate) fn check_silence(&mut self, key: WorkerKey) {
+        let now = self.now.mono;
         let worker = self.worker(key);
-        let Some(end) = self.silence_end(worker) else {
-            return;
-        };
-        if self.now.mono.plus(ANSWER_MS) >= end && !is_asked_for(worker, end) {
-            self.send_hold(key, 0);
+        let is_near = |end: Millis| now.plus(ANSWER_MS) >= end;
+        let due = worker.final_hold.is_none() && self.silence_end(worker).is_some_and(is_near);
+        if due && self.send_hold(key, 0) {
+            self.worker_mut(key).final_hold = Some(now);
         }
     }
 
     /// is_given_up tells whether the silence of a worker counts as the end of what runs there.
     pub(crate) fn is_given_up(&self, worker: &Worker) -> bool {
         let now = self.now.mono;
-        let may_answer = worker.holding && now < worker.asked.plus(ANSWER_MS);
-        let over = |end| now >= end && is_asked_for(worker, end);
-        !may_answer && self.silence_end(worker).is_some_and(over)
+        let over = self.silence_end(worker).is_some_and(|end| now >= end);
+        let unanswered = |sent: Millis| now >= sent.plus(ANSWER_MS);
+        over && worker.final_hold.is_some_and(unanswered)
     }
 
     /// may_tell_of_earlier tells whether a silent worker may yet answer what an earlier owner
@@ -54,8 +54,3 @@
         }
     }
 }
-
-/// is_asked_for tells whether a worker was last asked so late that the answer counts for a time.
-fn is_asked_for(worker: &Worker, time: Millis) -> bool {
-    worker.asked.plus(ANSWER_MS) >= time
-}
--- a/crates/stackpier-cell/src/summary.rs
+++ b/crates/stackpier-cell/src/summary.rs
@@ -84,6 +84,7 @@
         self.note_useless();
         self.note_idle();
         self.note_stranded();
+        self.note_unmet();
         self.describe_model();
     }
 
--- a/crates/stackpier-cell/src/takeover.rs
+++ b/crates/stackpier-cell/src/takeover.rs
@@ -37,6 +37,8 @@
 /// Tenure is what an owner knows of its ownership, and of what an earlier owner left.
 #[derive(Debug)]
 pub(crate) struct Tenure {
+    /// When the ownership began.
+    pub began: Millis,
     /// When the store last confirmed that this daemon owns the cell.
     pub confirmed: Millis,
     /// Since when the store has confirmed that without a gap.
@@ -60,6 +62,7 @@
     /// new begins an ownership that the store has just confirmed.
     pub(crate) fn new(now: Millis, inherited_until: Millis) -> Tenure {
         Tenure {
+            began: now,
             confirmed: now,
             store_since: now,
             confirming: false,
@@ -270,7 +273,7 @@
     }
 
     /// waits_inherited tells whether a task of a job of an earlier owner waits to be placed.
-    fn waits_inherited(&self) -> bool {
+    pub(crate) fn waits_inherited(&self) -> bool {
         self.queued()
             .any(|step| self.job(self.step_of(step).job).inherited)
     }
--- a/crates/stackpier-cell/src/worker.rs
+++ b/crates/stackpier-cell/src/worker.rs
@@ -112,8 +112,10 @@
     pub deadline_ms: u64,
     /// Whether a hold is on its way.
     pub holding: bool,
-    /// When the last hold was sent.
-    pub asked: Millis,
+    /// When the latest hold was sent.
+    pub hold_sent: Millis,
+    /// When the final hold was sent before its silence counts.
+    pub final_hold: Option<Millis>,
     pub hold_after: Millis,
     /// Since when it has not answered.
     pub silent_since: Option<Millis>,
--- /dev/null
+++ b/crates/stackpier-cell/tests/common/carry.rs
@@ -0,0 +1,203 @@
+// SPDX-License-Identifier: Apache-2.0
+//! What the owner decides, carried out at the stand-in workers, the adviser and the store.
+
+use super::*;
+
+impl Owner {
+    pub(super) fn answer(&mut self, after_ms: u64, event: Event) {
+        self.pending.push((self.now_ms + after_ms, event));
+    }
+
+    pub(super) fn place(&self, address: &str) -> usize {
+        let found = self
+            .workers
+            .iter()
+            .position(|worker| worker.info.address == address);
+        found.expect("orders go to known addresses")
+    }
+
+    pub(super) fn carry(&mut self, effect: Effect) {
+        match effect {
+            Effect::Note(note) => self.notes.push(note.text),
+            Effect::Ask(ask) => self.advise(&ask),
+            Effect::Confirm if self.store => {
+                let sent = Millis(self.now_ms);
+                self.answer(2, Event::Confirmed(sent));
+            }
+            Effect::Confirm => self.cell.confirm_failed(),
+            Effect::Deposed => self.deposed = true,
+            Effect::Start(start) => self.carry_start(start),
+            Effect::Stop(stop) => self.carry_stop(&stop),
+            Effect::Pace(pace) => self.carry_pace(&pace),
+            Effect::Hold(hold) => self.carry_hold(&hold),
+            Effect::TakeDown(order) => self.carry_down(order),
+            Effect::Save(save) => {
+                self.saves.push(save);
+                let saved = self.store;
+                self.answer(self.save_ms, Event::Saved(saved));
+            }
+        }
+    }
+
+    fn carry_stop(&mut self, stop: &Stop) {
+        let place = self.place(&stop.order.address);
+        let outcome = if self.cut[place] {
+            Stopped::Silent
+        } else {
+            self.workers[place].stop(self.now_ms, stop)
+        };
+        let run = stop.order.key;
+        self.answer(1, Event::Stopped { run, outcome });
+    }
+
+    fn carry_pace(&mut self, pace: &Pace) {
+        let place = self.place(&pace.order.address);
+        let lost = self.cut[place] || self.lose_paces > 0;
+        self.lose_paces = self.lose_paces.saturating_sub(1);
+        let taken = !lost && self.workers[place].pace(self.now_ms, pace);
+        let (run, percent) = (pace.order.key, pace.percent);
+        self.answer(
+            1,
+            Event::Paced {
+                run,
+                percent,
+                taken,
+            },
+        );
+    }
+
+    /// carry_down takes a host down: its worker is gone at once, and a new one
+    /// is listed two seconds later.
+    fn carry_down(&mut self, order: TakeDown) {
+        let outcome = match self.down_answers.is_empty() {
+            true => TakenDown::Yes,
+            false => self.down_answers.remove(0),
+        };
+        if outcome == TakenDown::Yes {
+            let is_its = |worker: &Worker| worker.info.host == order.host;
+            let place = self.workers.iter().position(is_its).expect("a host");
+            let old = self.workers[place].info.clone();
+            let new = match self.restart_ms {
+                Some(_) => Info {
+                    started_at: Some(Unix(UNIX + self.now_ms)),
+                    ..old.clone()
+                },
+                None => Info {
+                    id: format!("{}-again", old.id),
+                    ..old.clone()
+                },
+            };
+            self.workers[place] = Worker::new(new.clone(), 9_000, self.now_ms);
+            if new.id != old.id {
+                self.answer(1, Event::Unlisted(old.id));
+            }
+            self.answer(2_000, Event::Listed(new));
+        }
+        self.downs.push((self.now_ms, order.clone(), outcome));
+        self.answer(1, Event::TakenDown(order, outcome));
+    }
+
+    fn carry_hold(&mut self, hold: &Hold) {
+        self.holds += 1;
+        if self.holds_wait {
+            self.wait(hold);
+            return;
+        }
+        let place = self.place(&hold.address);
+        let left = self.lose_holds.entry(place).or_default();
+        let lost = *left > 0;
+        *left = left.saturating_sub(1);
+        let outcome = if self.cut[place] || lost {
+            Held::Silent
+        } else {
+            self.workers[place].hold(self.now_ms, hold)
+        };
+        let after = match outcome {
+            Held::Silent => self.give_up_ms,
+            _ if hold.wait_ms > 0 => 20,
+            _ => 1,
+        };
+        let sent = Millis(self.now_ms);
+        let worker = hold.worker;
+        let event = Event::Held {
+            worker,
+            sent,
+            outcome,
+        };
+        self.answer(after, event);
+    }
+
+    /// ticket returns the adviser's ticket for the present life of a worker.
+    pub fn ticket(&self, id: &str) -> String {
+        let is_its = |worker: &&Worker| worker.info.id == id;
+        let worker = self.workers.iter().find(is_its).expect("its id is known");
+        match worker.info.started_at {
+            Some(at) => format!("ticket-{id}-{}", at.0),
+            None => format!("ticket-{id}"),
+        }
+    }
+
+    /// advise answers for the adviser: workers with an even number are good.
+    fn advise(&mut self, ask: &Ask) {
+        let good = ask
+            .workers
+            .iter()
+            .filter(|id| id.ends_with(['0', '2', '4', '6', '8']));
+        let good = good.map(|id| (id.clone(), self.ticket(id))).collect();
+        self.asked.push(ask.workers.len());
+        let answer = Advised {
+            good,
+            valid_ms: 2_000,
+        };
+        self.answer(5, Event::Advised(ask.step, Some(answer)));
+    }
+
+    fn carry_start(&mut self, start: Start) {
+        let place = self.place(&start.order.address);
+        let task = start.order.task;
+        let shape = &self.specs[&task.job.0].steps[usize::from(task.step)];
+        let mut size = shape.size;
+        let mut fills_milli = 0;
+        if shape.fills {
+            fills_milli = std::mem::take(&mut size.milli_cores);
+        }
+        let usual = Behaviour {
+            work_ms: u64::from(shape.estimate_ms),
+            size,
+            fills_milli,
+            saves: shape.checkpointing,
+            lasts: shape.lasting,
+            ..Behaviour::default()
+        };
+        let given = self.behaviours.get(&(task.job.0, task.step));
+        let behaviour = given.copied().unwrap_or(usual);
+        let run = start.order.key;
+        self.under_way += 1;
+        self.most_under_way = self.most_under_way.max(self.under_way);
+        if self.cut[place] {
+            self.answer(
+                self.start_ms,
+                Event::Started {
+                    run,
+                    outcome: Started::Silent,
+                },
+            );
+            return;
+        }
+        let outcome = self.workers[place].start(self.now_ms, &start, behaviour);
+        if outcome == Started::Yes {
+            self.starts.push((start, place));
+            if self.crashing.contains(&task) {
+                self.crash(place);
+            }
+        }
+        let unanswered = self.crashes_unanswered && self.crashing.contains(&task);
+        let outcome = if self.lose_starts > 0 || unanswered {
+            self.lose_starts = self.lose_starts.saturating_sub(1);
+            Started::Silent
+        } else {
+            outcome
+        };
+        self.answer(self.start_ms, Event::Started { run, outcome });
+    }
+}
--- a/crates/stackpier-cell/tests/dedicated.rs
+++ b/crates/stackpier-cell/tests/dedicated.rs
@@ -5,12 +5,9 @@
 
 mod common;
 
-use common::{Owner, QUEUE, queue, spec, step};
+use common::{Owner, QUEUE, queue, sized, spec};
 use rstest::rstest;
 use stackpier_cell::{Event, Mechanism, Options, Queue, TaskName};
-use stackpier_core::Size;
-use stackpier_standin::fleet::Behaviour;
-use stackpier_state::job::Step;
 
 const WORKERS: usize = 10;
 /// LASTING fills all workers, two tasks on each, and WAITING has no room.
@@ -25,29 +22,8 @@
 /// JOBS_MS is the time between two short jobs.
 const JOBS_MS: u64 = 300;
 
-fn sized(milli_cores: u32, count: u32) -> Step {
-    Step {
-        size: Size {
-            milli_cores,
-            memory_mib: 1_000,
-            accelerators: 0,
-        },
-        ..step(count)
-    }
-}
-
 fn lasting(owner: &mut Owner, job: u64, count: u32) {
-    let shape = Step {
-        lasting: true,
-        ..sized(4_000, count)
-    };
-    let behaviour = Behaviour {
-        size: shape.size,
-        lasts: true,
-        ..Behaviour::default()
-    };
-    owner.behaviours.insert((job, 0), behaviour);
-    owner.submit(job, spec(vec![shape]));
+    owner.submit_lasting(job, sized(4_000, count));
 }
 
 /// full starts a cell whose workers are all taken by tasks that last.
--- a/crates/stackpier-cell/tests/fair_order.rs
+++ b/crates/stackpier-cell/tests/fair_order.rs
@@ -4,10 +4,9 @@
 
 mod common;
 
-use common::{Owner, spec, step};
+use common::{Owner, sized, spec};
 use rstest::rstest;
-use stackpier_core::Size;
-use stackpier_state::job::{State, Step};
+use stackpier_state::job::State;
 
 /// JOBS is how many jobs are handed in, one in ten of them large.
 const JOBS: u64 = 200;
@@ -16,17 +15,6 @@
 /// USE_MS is how long after its acceptance a job is of use: three objectives of 2.5 s.
 const USE_MS: u64 = 7_500;
 
-fn sized(milli_cores: u32, count: u32) -> Step {
-    Step {
-        size: Size {
-            milli_cores,
-            memory_mib: 1_000,
-            accelerators: 0,
-        },
-        ..step(count)
-    }
-}
-
 fn is_large(job: u64) -> bool {
     job.is_multiple_of(10)
 }
--- a/crates/stackpier-cell/tests/large_short.rs
+++ b/crates/stackpier-cell/tests/large_short.rs
@@ -6,11 +6,9 @@
 
 use std::collections::BTreeMap;
 
-use common::{Owner, QUEUE, queue, spec, step};
+use common::{Owner, QUEUE, queue, sized, spec};
 use rstest::rstest;
 use stackpier_cell::{Event, Options};
-use stackpier_core::Size;
-use stackpier_standin::fleet::Behaviour;
 use stackpier_state::job::{State, Step};
 
 const WORKERS: usize = 40;
@@ -33,30 +31,15 @@
 /// OBJECTIVES is how many objectives after its arrival a job is still of use.
 const OBJECTIVES: u64 = 3;
 
-fn sized(milli_cores: u32, count: u32, estimate_ms: u32) -> Step {
+fn short(milli_cores: u32, count: u32, estimate_ms: u32) -> Step {
     Step {
-        size: Size {
-            milli_cores,
-            memory_mib: 1_000,
-            accelerators: 0,
-        },
         estimate_ms,
-        ..step(count)
+        ..sized(milli_cores, count)
     }
 }
 
 fn lasting(owner: &mut Owner, job: u64) {
-    let shape = Step {
-        lasting: true,
-        ..sized(LASTING_MILLI, TASKS, 1_000)
-    };
-    let behaviour = Behaviour {
-        size: shape.size,
-        lasts: true,
-        ..Behaviour::default()
-    };
-    owner.behaviours.insert((job, 0), behaviour);
-    owner.submit(job, spec(vec![shape]));
+    owner.submit_lasting(job, sized(LASTING_MILLI, TASKS));
 }
 
 /// full starts a cell whose workers are all taken by tasks that last, while more wait.
@@ -89,9 +72,9 @@
 /// shape returns the only step of a short job.
 fn shape(job: u64) -> Step {
     if is_large(job) {
-        sized(4_000, 6, 600)
+        short(4_000, 6, 600)
     } else {
-        sized(1_500, 1, 500)
+        short(1_500, 1, 500)
     }
 }
 
@@ -166,7 +149,7 @@
 #[case::larger(2 * LASTING_MILLI)]
 fn short_tasks_of_any_size_start_on_dedicated_workers(#[case] milli_cores: u32) {
     let mut owner = full();
-    owner.submit(SHORT, spec(vec![sized(milli_cores, 10, 600)]));
+    owner.submit(SHORT, spec(vec![short(milli_cores, 10, 600)]));
     owner.advance(OBJECTIVES * objective_ms(SHORT));
     assert_eq!(owner.state(SHORT), Some(State::Completed));
 }
