--- a/crates/stackpier-scheduler/src/lib.rs
+++ b/crates/stackpier-scheduler/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod calls;
 pub mod catalog;
+mod cluster;
 pub mod daemon;
 mod explain;
 pub mod fleet;
--- a/crates/stackpier-scheduler/src/member.rs
+++ b/crates/stackpier-scheduler/src/member.rs
@@ -10,16 +10,17 @@
 
 use stackpier_cell::Mechanism;
 use stackpier_core::{Millis, key};
-use stackpier_protocol::codec::{decode, encode};
+use stackpier_protocol::codec::encode;
 
 use crate::{
     Platform,
+    cluster::Cluster,
     handover::Earlier,
-    keys::{self, CLUSTER, MEMBERS, Member, OWNER, Ownership},
+    keys::{self, Member, OWNER, Ownership},
     link::{Alive, Heartbeat, Request, Response},
     node::{Node, Owned, Registered, pause},
-    store::{Change, Committed, Item, Put, Transaction},
-    watch::{Feed, Follower, follow},
+    store::{Committed, Item, Put, Transaction},
+    watch::follow,
 };
 
 /// HEARTBEAT_MS is the time between two heartbeats.
@@ -132,91 +133,7 @@
     }
 }
 
-/// Cluster follows the ownership and the daemons.
-struct Cluster<P> {
-    node: Node<P>,
-}
-
-impl<P: Platform> Follower for Cluster<P> {
-    fn prefix(&self) -> &str {
-        CLUSTER
-    }
-
-    fn is_wanted(&self) -> bool {
-        true
-    }
-
-    fn take(&mut self, feed: Feed) {
-        match feed {
-            Feed::All(items) => {
-                self.node.members.borrow_mut().clear();
-                items.iter().for_each(|item| self.node.take_cluster(item));
-            }
-            Feed::Changes(changes) => {
-                for change in changes {
-                    match change {
-                        Change::Put(item) => self.node.take_cluster(&item),
-                        Change::Removed(key) => self.node.remove_member(&key),
-                    }
-                }
-            }
-        }
-    }
-}
-
 impl<P: Platform> Node<P> {
-    fn take_cluster(&self, item: &Item) {
-        if item.key == OWNER {
-            self.take_ownership(item);
-            return;
-        }
-        match decode::<Member>(&item.value) {
-            Ok(member) => {
-                let vm = member.vm.clone();
-                let revision = item.revision;
-                let entry = Registered { member, revision };
-                self.members.borrow_mut().insert(vm, entry);
-            }
-            Err(error) => self.say("member", &format!("{} is not readable: {error}", item.key)),
-        }
-    }
-
-    fn remove_member(&self, key: &str) {
-        if let Some(vm) = key.strip_prefix(MEMBERS) {
-            self.members.borrow_mut().remove(vm);
-        }
-    }
-
-    /// take_ownership takes in who owns the cell. Older news is left aside.
-    pub(crate) fn take_ownership(&self, item: &Item) {
-        let ownership = match decode::<Ownership>(&item.value) {
-            Ok(ownership) => ownership,
-            Err(error) => {
-                self.say("member", &format!("the ownership is not readable: {error}"));
-                return;
-            }
-        };
-        let older = |owned: &Owned| owned.revision >= item.revision;
-        if self.owned.borrow().as_ref().is_some_and(older) {
-            return;
-        }
-        let text = format!(
-            "cell owned by {} with fence {}, released {}",
-            ownership.vm, ownership.fence, ownership.released
-        );
-        self.say("member", &text);
-        let own = ownership.vm == self.settings.vm && ownership.boot == self.boot;
-        let fence = ownership.fence;
-        self.owned.replace(Some(Owned {
-            ownership,
-            revision: item.revision,
-        }));
-        self.heard.set(self.mono());
-        if !own {
-            self.depose(fence, "the store shows another owner");
-        }
-    }
-
     /// alive answers a heartbeat.
     pub(crate) fn alive(&self, heartbeat: &Heartbeat) -> Alive {
         let fence = self
