Test owners give up a hold as late as before unless a time is set

The harness answered lost holds that wait after 20 ms, and since after 1 ms; no test depended on it. What comes of a hold is a function of its own.

--- a/crates/stackpier-cell/tests/common/carry.rs
+++ b/crates/stackpier-cell/tests/common/carry.rs
@@ -103,17 +103,9 @@
             self.wait(hold);
             return;
         }
-        let place = self.place(&hold.address);
-        let left = self.lose_holds.entry(place).or_default();
-        let lost = *left > 0;
-        *left = left.saturating_sub(1);
-        let outcome = if self.cut[place] || lost {
-            Held::Silent
-        } else {
-            self.workers[place].hold(self.now_ms, hold)
-        };
-        let after = match outcome {
-            Held::Silent => self.give_up_ms,
+        let outcome = self.outcome_of(hold);
+        let after = match (&outcome, self.give_up_ms) {
+            (Held::Silent, Some(give_up_ms)) => give_up_ms,
             _ if hold.wait_ms > 0 => 20,
             _ => 1,
         };
@@ -127,6 +119,18 @@
         self.answer(after, event);
     }
 
+    /// outcome_of returns what comes of a hold that is sent now.
+    fn outcome_of(&mut self, hold: &Hold) -> Held {
+        let place = self.place(&hold.address);
+        let left = self.lose_holds.entry(place).or_default();
+        let lost = *left > 0;
+        *left = left.saturating_sub(1);
+        if self.cut[place] || lost {
+            return Held::Silent;
+        }
+        self.workers[place].hold(self.now_ms, hold)
+    }
+
     /// ticket returns the adviser's ticket for the present life of a worker.
     pub fn ticket(&self, id: &str) -> String {
         let is_its = |worker: &&Worker| worker.info.id == id;
--- a/crates/stackpier-cell/tests/common/mod.rs
+++ b/crates/stackpier-cell/tests/common/mod.rs
@@ -51,8 +51,9 @@
     pub holds: usize,
     /// How many of the next holds get no answer, by the worker's place.
     pub lose_holds: BTreeMap<usize, usize>,
-    /// After how long a hold without an answer is given up, in milliseconds.
-    pub give_up_ms: u64,
+    /// After how long a hold without an answer is given up, in milliseconds: if there is no such
+    /// time, as soon as others are answered.
+    pub give_up_ms: Option<u64>,
     /// Whether holds wait at the worker for an end, as long as they say.
     pub holds_wait: bool,
     waiting: Vec<Waiting>,
@@ -207,7 +208,7 @@
             starts: Vec::new(),
             holds: 0,
             lose_holds: BTreeMap::new(),
-            give_up_ms: 1,
+            give_up_ms: None,
             holds_wait: false,
             waiting: Vec::new(),
             saves: Vec::new(),
--- a/crates/stackpier-cell/tests/silence.rs
+++ b/crates/stackpier-cell/tests/silence.rs
@@ -21,7 +21,7 @@
 /// cut_off returns an owner whose only worker with a run is out of reach.
 fn cut_off(give_up_ms: u64) -> Owner {
     let mut owner = Owner::new(2);
-    owner.give_up_ms = give_up_ms;
+    owner.give_up_ms = Some(give_up_ms);
     owner.submit(JOB, spec(vec![step(1)]));
     owner.advance(WORK_MS / 2);
     let place = owner.places(JOB, 0)[0];
@@ -40,7 +40,7 @@
         ..Options::default()
     };
     let mut owner = Owner::with_options(2, 2, false, options);
-    owner.give_up_ms = give_up_ms;
+    owner.give_up_ms = Some(give_up_ms);
     owner.now_ms = earlier.now_ms;
     owner.workers = earlier.workers;
     owner.cut[place] = true;
--- a/crates/stackpier-cell/tests/unmet.rs
+++ b/crates/stackpier-cell/tests/unmet.rs
@@ -24,7 +24,7 @@
 /// questions.
 fn successor(workers: usize, lost: usize) -> Owner {
     let mut owner = Owner::with(workers, 2, false);
-    owner.give_up_ms = GIVE_UP_MS;
+    owner.give_up_ms = Some(GIVE_UP_MS);
     for place in 0..workers {
         owner
             .lose_holds
