Keep the folder of a test that returns an error; end the processes of input.rs

Now one type, stackpier_testkit::folder::Folder, serves both kinds of cluster: dropping it keeps the folder and prints its path, and Cluster::finish, the last call of each test, the demo and the measurement, ends the processes and removes it. The line goes around the capture of the test harness, so a test that passes and forgot the call shows it, too. A folder that an earlier process with the same id has kept is not used again. The tests of input.rs share a cluster that is dropped with its last share, and its folder is removed if all tests that shared it passed. All checks are as they were.

--- a/crates/stackpier-testkit/src/cluster.rs
+++ b/crates/stackpier-testkit/src/cluster.rs
@@ -6,20 +6,14 @@
 mod intents;
 mod start;
 
-use std::{
-    collections::BTreeMap,
-    fs,
-    net::SocketAddr,
-    path::PathBuf,
-    sync::atomic::{AtomicU32, Ordering},
-};
+use std::{collections::BTreeMap, net::SocketAddr, path::PathBuf};
 
 use anyhow::{Context, Result};
 use serde_json::{Value, json};
 use stackpier_core::{Name, Size};
 use stackpier_protocol::platform::{Role, Roster, Standing, Vm};
 
-use crate::{ports, process::Process};
+use crate::{folder::Folder, ports, process::Process};
 
 use control::post;
 
@@ -33,9 +27,6 @@
     accelerators: 0,
 };
 
-/// CLUSTERS counts the deployments of this process, which number their folders.
-static CLUSTERS: AtomicU32 = AtomicU32::new(0);
-
 /// Plan describes a deployment.
 #[derive(Clone, Debug)]
 pub struct Plan {
@@ -109,7 +100,8 @@
     pub process: Option<Process>,
 }
 
-/// Cluster is a running deployment. Dropping it kills all its processes.
+/// Cluster is a running deployment. Dropping it kills all its processes and keeps its folder, as a
+/// test that fails does. A test that passes ends with [`Cluster::finish`].
 pub struct Cluster {
     /// The daemons, data centre by data centre.
     pub daemons: Vec<Daemon>,
@@ -120,8 +112,6 @@
     /// The control ports of the proxies, by the data centres from and to which they
     /// lead.
     pub links: BTreeMap<(usize, usize), SocketAddr>,
-    /// The folder with settings and logs. It is kept when a test panics.
-    pub folder: PathBuf,
     plan: Plan,
     /// The ports of the proxies from a data centre to a daemon in another one.
     routes: BTreeMap<(usize, Name), SocketAddr>,
@@ -130,6 +120,8 @@
     roster: Roster,
     /// The processes of the platform and the proxies.
     stand_ins: Vec<Process>,
+    /// The folder with settings and logs.
+    pub folder: Folder,
 }
 
 /// data_centre returns the name of the data centre with this number.
@@ -150,21 +142,17 @@
 impl Cluster {
     /// start starts all processes and waits until each daemon is ready.
     pub fn start(plan: Plan) -> Result<Cluster> {
-        let number = CLUSTERS.fetch_add(1, Ordering::SeqCst);
-        let folder = format!("stackpier-{}-{number}", std::process::id());
-        let folder = std::env::temp_dir().join(folder);
-        fs::create_dir_all(&folder)?;
         let mut cluster = Cluster {
             daemons: Vec::new(),
             workers: Vec::new(),
             platforms: Vec::new(),
             links: BTreeMap::new(),
-            folder,
             plan,
             routes: BTreeMap::new(),
             platform_routes: BTreeMap::new(),
             roster: Roster::default(),
             stand_ins: Vec::new(),
+            folder: Folder::create("stackpier")?,
         };
         cluster.lay_out();
         cluster.start_links()?;
@@ -181,6 +169,12 @@
         Ok(cluster)
     }
 
+    /// finish kills all processes and removes the folder. Tests call it once they have passed.
+    pub fn finish(self) -> Result<()> {
+        drop((self.daemons, self.workers, self.stand_ins));
+        self.folder.remove()
+    }
+
     /// lay_out gives all daemons and workers their names and addresses.
     fn lay_out(&mut self) {
         for centre in 0..self.plan.data_centres {
@@ -291,11 +285,3 @@
         Ok(())
     }
 }
-
-impl Drop for Cluster {
-    fn drop(&mut self) {
-        if !std::thread::panicking() {
-            let _ = fs::remove_dir_all(&self.folder);
-        }
-    }
-}
--- a/crates/stackpier-testkit/src/lib.rs
+++ b/crates/stackpier-testkit/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod caller;
 pub mod cluster;
+pub mod folder;
 pub mod oracle;
 pub mod ports;
 pub mod process;
--- a/crates/stackpier-testkit/tests/config.rs
+++ b/crates/stackpier-testkit/tests/config.rs
@@ -79,7 +79,7 @@
             "a refused change took effect"
         );
     }
-    Ok(())
+    cluster.finish()
 }
 
 #[test]
@@ -91,7 +91,8 @@
     cluster.set_link_mode(0, 1, Mode::Pass)?;
     cluster.set_proxy_mode(cluster.daemons[3].platform_proxy_control, Mode::Cut)?;
     cluster.submit(0, &service("by-peers", &[1, 0]))?;
-    await_in_force(&cluster, "by-peers", 1)
+    await_in_force(&cluster, "by-peers", 1)?;
+    cluster.finish()
 }
 
 #[test]
@@ -139,5 +140,5 @@
             "{accepted} changes were accepted, the version is {last:?}"
         );
     }
-    Ok(())
+    cluster.finish()
 }
--- a/crates/stackpier-testkit/tests/end_to_end.rs
+++ b/crates/stackpier-testkit/tests/end_to_end.rs
@@ -23,7 +23,7 @@
             Call::repeatable(daemon.callers, "fleet", &body).send() == Answer::Done(body.clone())
         })?;
     }
-    Ok(())
+    cluster.finish()
 }
 
 #[test]
@@ -33,5 +33,6 @@
     wait::until("all tasks are done", || {
         let shown = cluster.run_tool(1, &["status", "ledger"]);
         shown.is_ok_and(|(_, text)| text.matches("finished").count() == 4)
-    })
+    })?;
+    cluster.finish()
 }
--- a/crates/stackpier-testkit/tests/input.rs
+++ b/crates/stackpier-testkit/tests/input.rs
@@ -6,9 +6,13 @@
     fs,
     io::{Read, Write},
     net::{SocketAddr, TcpStream},
+    ops::Deref,
     path::PathBuf,
     process::Command,
-    sync::LazyLock,
+    sync::{
+        Arc, Mutex, PoisonError, Weak,
+        atomic::{AtomicU32, Ordering},
+    },
     time::Duration,
 };
 
@@ -22,25 +26,79 @@
 };
 use uuid::Uuid;
 
-/// CLUSTER is the deployment of all cases: one daemon without a worker.
-static CLUSTER: LazyLock<Cluster> = LazyLock::new(|| {
-    let plan = Plan {
+/// CURRENT is the deployment that the tests share which run at present. It is not a static
+/// [`Cluster`], as statics are never dropped and its processes would remain.
+static CURRENT: Mutex<Weak<Shared>> = Mutex::new(Weak::new());
+
+/// Shared is a deployment of one daemon without a worker, shared by several tests.
+struct Shared {
+    cluster: Cluster,
+    /// The number of tests that got a share.
+    taken: AtomicU32,
+    /// The number of tests that have passed.
+    passed: AtomicU32,
+}
+
+/// Share is a test's share in the deployment, which ends when the last share is dropped.
+struct Share(Arc<Shared>);
+
+impl Share {
+    /// take returns a share in the current deployment, and starts one if there is none.
+    fn take() -> Result<Share> {
+        let mut current = CURRENT.lock().unwrap_or_else(PoisonError::into_inner);
+        let shared = match current.upgrade() {
+            Some(shared) => shared,
+            None => Arc::new(Shared {
+                cluster: start()?,
+                taken: AtomicU32::new(0),
+                passed: AtomicU32::new(0),
+            }),
+        };
+        shared.taken.fetch_add(1, Ordering::SeqCst);
+        *current = Arc::downgrade(&shared);
+        Ok(Share(shared))
+    }
+
+    /// finish gives the share back. Tests call it once they have passed. The last one removes the
+    /// folder if all have passed.
+    fn finish(self) -> Result<()> {
+        self.0.passed.fetch_add(1, Ordering::SeqCst);
+        match Arc::into_inner(self.0) {
+            Some(last) if last.all_passed() => last.cluster.finish(),
+            _ => Ok(()),
+        }
+    }
+}
+
+impl Shared {
+    fn all_passed(&self) -> bool {
+        self.passed.load(Ordering::SeqCst) == self.taken.load(Ordering::SeqCst)
+    }
+}
+
+impl Deref for Share {
+    type Target = Cluster;
+
+    fn deref(&self) -> &Cluster {
+        &self.0.cluster
+    }
+}
+
+fn start() -> Result<Cluster> {
+    let cluster = Cluster::start(Plan {
         daemons: 1,
         workers: 0,
         times: json!({"head_ms": 400, "body_ms": 400}),
         ..Plan::default()
-    };
-    let started = Cluster::start(plan).and_then(|cluster| {
-        cluster.submit(0, &service("fleet", &[1]))?;
-        wait::until("the service is known", || {
-            cluster
-                .run_tool(0, &["get", "fleet"])
-                .is_ok_and(|(code, _)| code == 0)
-        })?;
-        Ok(cluster)
-    });
-    started.unwrap_or_else(|error| panic!("{error:?}"))
-});
+    })?;
+    cluster.submit(0, &service("fleet", &[1]))?;
+    wait::until("the service is known", || {
+        cluster
+            .run_tool(0, &["get", "fleet"])
+            .is_ok_and(|(code, _)| code == 0)
+    })?;
+    Ok(cluster)
+}
 
 /// exchange sends raw bytes and returns the whole answer.
 fn exchange(to: SocketAddr, bytes: &[u8]) -> Result<String> {
@@ -53,12 +111,12 @@
     Ok(String::from_utf8_lossy(&answer).into_owned())
 }
 
-fn callers() -> SocketAddr {
-    CLUSTER.daemons[0].callers
+fn callers(cluster: &Cluster) -> SocketAddr {
+    cluster.daemons[0].callers
 }
 
-fn operators() -> SocketAddr {
-    CLUSTER.daemons[0].operators
+fn operators(cluster: &Cluster) -> SocketAddr {
+    cluster.daemons[0].operators
 }
 
 fn post(path: &str, headers: &str, body: &str) -> String {
@@ -87,50 +145,54 @@
     #[case] status: &str,
     #[case] text: &str,
 ) -> Result<()> {
-    let answer = exchange(callers(), post(path, headers, "body").as_bytes())?;
+    let cluster = Share::take()?;
+    let answer = exchange(callers(&cluster), post(path, headers, "body").as_bytes())?;
     assert!(
         answer.starts_with(&format!("HTTP/1.1 {status}")),
         "{answer}"
     );
     assert!(answer.contains(text), "{answer}");
     assert!(answer.contains("\"ran\":\"no\""), "{answer}");
-    Ok(())
+    cluster.finish()
 }
 
 #[rstest]
 #[case::old("0180a0a0-0000-7000-8000-000000000000", "key-expired")]
 #[case::future("f180a0a0-0000-7000-8000-000000000000", "key-from-future")]
 fn expired_and_future_keys_are_refused(#[case] key: &str, #[case] kind: &str) -> Result<()> {
+    let cluster = Share::take()?;
     let again = format!("idempotency-key: {key}\r\n");
-    let answer = exchange(callers(), post("/fleet/x", &again, "").as_bytes())?;
+    let answer = exchange(callers(&cluster), post("/fleet/x", &again, "").as_bytes())?;
     assert!(answer.contains(kind), "{answer}");
     assert!(
         answer.contains("\"ran\":\"unknown\""),
         "a repeat may have run: {answer}"
     );
     let first = format!("{again}stackpier-attempt: 1\r\n");
-    let answer = exchange(callers(), post("/fleet/x", &first, "").as_bytes())?;
+    let answer = exchange(callers(&cluster), post("/fleet/x", &first, "").as_bytes())?;
     assert!(
         answer.contains("bad-key") && answer.contains("\"ran\":\"no\""),
         "{answer}"
     );
-    Ok(())
+    cluster.finish()
 }
 
 #[test]
 fn refused_repeat_is_unknown_and_a_refused_first_attempt_not_run() -> Result<()> {
+    let cluster = Share::take()?;
     let key = Uuid::now_v7();
     let repeat = format!("idempotency-key: {key}\r\n");
-    let answer = exchange(callers(), post("/nobody/x", &repeat, "").as_bytes())?;
+    let answer = exchange(callers(&cluster), post("/nobody/x", &repeat, "").as_bytes())?;
     assert!(answer.contains("\"ran\":\"unknown\""), "{answer}");
     let first = format!("{repeat}stackpier-attempt: 1\r\n");
-    let answer = exchange(callers(), post("/nobody/x", &first, "").as_bytes())?;
+    let answer = exchange(callers(&cluster), post("/nobody/x", &first, "").as_bytes())?;
     assert!(answer.contains("\"ran\":\"no\""), "{answer}");
-    Ok(())
+    cluster.finish()
 }
 
 #[test]
 fn oversized_body_and_head_are_refused() -> Result<()> {
+    let cluster = Share::take()?;
     let head = format!(
         "POST /fleet/x HTTP/1.1\r\nhost: x\r\ncontent-length: {}\r\n\r\n",
         2 << 20
@@ -138,7 +200,7 @@
     let body = vec![b'x'; 2 << 20];
     let mut request = head.into_bytes();
     request.extend(&body);
-    let mut stream = TcpStream::connect(callers())?;
+    let mut stream = TcpStream::connect(callers(&cluster))?;
     stream.set_read_timeout(Some(Duration::from_secs(20)))?;
     // The daemon may answer and close before the whole body is written.
     let _ = stream.write_all(&request);
@@ -151,11 +213,11 @@
     );
     let long = "x".repeat(40_000);
     let answer = exchange(
-        callers(),
+        callers(&cluster),
         post("/fleet/x", &format!("a: {long}\r\n"), "").as_bytes(),
     )?;
     assert!(answer.starts_with("HTTP/1.1 431"), "{answer}");
-    Ok(())
+    cluster.finish()
 }
 
 #[rstest]
@@ -166,15 +228,16 @@
     "too-slow"
 )]
 fn slow_and_idle_callers_are_disconnected(#[case] bytes: &str, #[case] text: &str) -> Result<()> {
+    let cluster = Share::take()?;
     // If the daemon did not close the connection, the read would fail with a timeout.
-    let answer = exchange(callers(), bytes.as_bytes())?;
+    let answer = exchange(callers(&cluster), bytes.as_bytes())?;
     assert!(answer.contains(text), "{answer}");
-    let answer = exchange(callers(), post("/nobody/x", "", "").as_bytes())?;
+    let answer = exchange(callers(&cluster), post("/nobody/x", "", "").as_bytes())?;
     assert!(
         answer.starts_with("HTTP/1.1 4"),
         "the next caller is not served: {answer}"
     );
-    Ok(())
+    cluster.finish()
 }
 
 #[rstest]
@@ -191,14 +254,15 @@
     #[case] status: &str,
     #[case] text: &str,
 ) -> Result<()> {
+    let cluster = Share::take()?;
     let request = post(path, "", body).replacen("POST", method, 1);
-    let answer = exchange(operators(), request.as_bytes())?;
+    let answer = exchange(operators(&cluster), request.as_bytes())?;
     assert!(
         answer.starts_with(&format!("HTTP/1.1 {status}")),
         "{answer}"
     );
     assert!(answer.contains(text), "{answer}");
-    Ok(())
+    cluster.finish()
 }
 
 fn replace_value(mut intent: Value, pointer: &str, value: Value) -> Value {
@@ -215,15 +279,16 @@
 #[case::tasks(replace_value(batch("b", 1, 1, 1), "/batch/tasks", json!(0)), "batch.tasks")]
 #[case::run_time(replace_value(batch("b", 1, 1, 1), "/batch/run_time_ms", json!(0)), "batch.run_time_ms")]
 fn bad_intent_names_its_field(#[case] intent: Value, #[case] field: &str) -> Result<()> {
-    let file = CLUSTER.folder.join(format!("bad-{field}.json"));
+    let cluster = Share::take()?;
+    let file = cluster.folder.join(format!("bad-{field}.json"));
     fs::write(&file, serde_json::to_vec(&intent)?)?;
     let file = file.display().to_string();
     for command in ["check", "submit"] {
-        let (code, text) = CLUSTER.run_tool(0, &[command, &file])?;
+        let (code, text) = cluster.run_tool(0, &[command, &file])?;
         assert_eq!(code, 2, "{text}");
         assert!(text.contains(&format!("field '{field}'")), "{text}");
     }
-    Ok(())
+    cluster.finish()
 }
 
 #[rstest]
@@ -260,6 +325,7 @@
 
 #[test]
 fn tool_reports_an_unreachable_server_and_tries_the_next_one() -> Result<()> {
+    let cluster = Share::take()?;
     let nobody = stackpier_testkit::ports::free().to_string();
     let tool = |servers: &[&str]| -> Result<(i32, String)> {
         let mut command = Command::new(binary("stackpier")?);
@@ -273,8 +339,8 @@
     let (code, text) = tool(&[&nobody])?;
     assert_eq!(code, 5, "{text}");
     assert!(text.contains("unreachable"), "{text}");
-    let known = operators().to_string();
+    let known = operators(&cluster).to_string();
     let (code, text) = tool(&[&nobody, &known])?;
     assert_eq!(code, 0, "{text}");
-    Ok(())
+    cluster.finish()
 }
--- a/crates/stackpier-testkit/tests/leaving.rs
+++ b/crates/stackpier-testkit/tests/leaving.rs
@@ -65,7 +65,7 @@
         cluster.log(0)?.spans.len() == starts,
         "a leaving upstream got a start"
     );
-    Ok(())
+    cluster.finish()
 }
 
 #[test]
@@ -125,5 +125,5 @@
         other == Answer::Done("others go on".to_owned()),
         "{other:?}"
     );
-    Ok(())
+    cluster.finish()
 }
--- a/crates/stackpier-testkit/tests/once.rs
+++ b/crates/stackpier-testkit/tests/once.rs
@@ -83,7 +83,7 @@
         let last = call.repeat(port(number)).send();
         check(&cluster, &call, &[last])?;
     }
-    Ok(())
+    cluster.finish()
 }
 
 #[test]
@@ -117,7 +117,7 @@
         answers.push(call.repeat(first).send());
         check(&cluster, &call, &answers)?;
     }
-    Ok(())
+    cluster.finish()
 }
 
 #[test]
@@ -146,7 +146,8 @@
         answers.push(answer.clone());
         answer == Answer::Done("before the cut".to_owned())
     })?;
-    check(&cluster, &call, &answers)
+    check(&cluster, &call, &answers)?;
+    cluster.finish()
 }
 
 fn send_all(calls: impl Iterator<Item = Call>) -> Vec<JoinHandle<Answer>> {
@@ -198,5 +199,5 @@
     for ((call, caller), repeat) in calls.iter().zip(callers).zip(repeats) {
         check(&cluster, call, &[join_answer(caller), repeat])?;
     }
-    Ok(())
+    cluster.finish()
 }
--- a/crates/stackpier-testkit/tests/placement.rs
+++ b/crates/stackpier-testkit/tests/placement.rs
@@ -81,7 +81,7 @@
             "a worker with 32 cores runs more than two tasks of 12 cores"
         );
     }
-    Ok(())
+    cluster.finish()
 }
 
 #[test]
@@ -102,7 +102,8 @@
     }
     await_finished(&cluster, 0, "ledger", 8)?;
     cluster.await_running(1, "fleet", 4)?;
-    oracle::check(&oracle::spans(&cluster)?)
+    oracle::check(&oracle::spans(&cluster)?)?;
+    cluster.finish()
 }
 
 #[test]
@@ -126,7 +127,7 @@
     let spans = oracle::spans(&cluster)?;
     oracle::check(&spans)?;
     ensure!(oracle::running(&spans).len() == 4, "not four replicas run");
-    Ok(())
+    cluster.finish()
 }
 
 #[test]
@@ -149,7 +150,7 @@
             "{answer:?}"
         );
     }
-    Ok(())
+    cluster.finish()
 }
 
 #[test]
@@ -184,7 +185,7 @@
         spans.iter().filter(done).count() == 8,
         "not every task finished once"
     );
-    Ok(())
+    cluster.finish()
 }
 
 #[test]
@@ -197,7 +198,8 @@
     wait::until("four replicas run again", || {
         oracle::spans(&cluster).is_ok_and(|spans| oracle::running(&spans).len() == 4)
     })?;
-    oracle::check(&oracle::spans(&cluster)?)
+    oracle::check(&oracle::spans(&cluster)?)?;
+    cluster.finish()
 }
 
 #[test]
@@ -231,7 +233,7 @@
     let resumed = spans.iter().find(|(_, span)| span.from.is_some());
     let (worker, _) = resumed.context("no task was evicted and resumed")?;
     ensure!(*worker != slowed, "the task went back to the slowed worker");
-    Ok(())
+    cluster.finish()
 }
 
 #[test]
@@ -257,5 +259,5 @@
         (1..16).contains(&failures),
         "{failures} starts failed for 32 tasks"
     );
-    Ok(())
+    cluster.finish()
 }
--- a/crates/stackpier-testkit/tests/requests.rs
+++ b/crates/stackpier-testkit/tests/requests.rs
@@ -68,7 +68,7 @@
             .all(|caller| caller.join().unwrap_or(false))
     });
     ensure!(whole, "an answer was incomplete or to another caller");
-    Ok(())
+    cluster.finish()
 }
 
 /// cut_at_offsets cuts exchanges at many offsets, and verifies that a request that is
@@ -104,7 +104,7 @@
         })?;
     }
     ensure!(unknown > 0, "no cut left an outcome unknown");
-    Ok(())
+    cluster.finish()
 }
 
 #[test]
@@ -154,5 +154,5 @@
     cluster.set_proxy_mode(cluster.workers[0].proxy_control, Mode::Cut)?;
     let answer = Call::keyed(cluster.daemons[0].callers, "fleet", "gone").send();
     ensure!(matches!(answer, Answer::Failed(..)), "{answer:?}");
-    Ok(())
+    cluster.finish()
 }
--- a/xtask/src/demo.rs
+++ b/xtask/src/demo.rs
@@ -42,6 +42,7 @@
     for place in 1..cluster.daemons.len() {
         call(&cluster, place)?;
     }
+    cluster.finish()?;
     println!("demo passed");
     Ok(())
 }
--- a/xtask/src/measure.rs
+++ b/xtask/src/measure.rs
@@ -90,7 +90,7 @@
         (store_after.writes - store_before.writes) as f64 / seconds,
         (bytes(&store_after) - bytes(&store_before)) as f64 / seconds,
     );
-    Ok(())
+    cluster.finish()
 }
 
 fn samples(cluster: &Cluster) -> Result<Vec<Sample>> {
