--- a/crates/stackpier-fuzz/src/placement/check.rs
+++ b/crates/stackpier-fuzz/src/placement/check.rs
@@ -8,6 +8,7 @@
 use stackpier_standin::worker::Span;
 use stackpier_state::{
     Page,
+    homes::{End, Place},
     intent::Kind,
     rack::Phase,
     work::{Outcome, Run},
@@ -129,6 +130,7 @@
             let missing: Vec<&Task> = wanted.difference(&running).collect();
             assert!(missing.is_empty(), "not running at rest: {missing:?}");
             hit("rest: every wanted service task runs");
+            self.check_batch_done();
         }
         let extra: Vec<&Task> = running.difference(&wanted).collect();
         assert!(
@@ -137,6 +139,31 @@
         );
     }
 
+    /// check_batch_done asserts that every task of a batch job that was not
+    /// cancelled has ended by the homes.
+    fn check_batch_done(&self) {
+        let mut open = Vec::new();
+        let objects = self.intents.values().flat_map(|(_, shard)| &shard.objects);
+        for object in objects.filter(|object| !object.cancelled) {
+            let Kind::Batch(batch) = &object.intent.kind else {
+                continue;
+            };
+            let job = object.job.within(data_centre());
+            for index in 0..batch.tasks {
+                let task = Task { job, index };
+                let place = self.store.values().find_map(|(_, page)| match page {
+                    Page::Homes(shard) => shard.home(task).map(|home| home.place),
+                    _ => None,
+                });
+                if !matches!(place, Some(Place::Ended(End::Finished | End::Failed))) {
+                    open.push((task, place));
+                }
+            }
+        }
+        assert!(open.is_empty(), "batch tasks not done at rest: {open:?}");
+        hit("rest: every batch task is done");
+    }
+
     /// count_fitting_tasks returns how many service tasks fit on the workers
     /// that are neither leaving nor gone.
     fn count_fitting_tasks(&self) -> usize {
