--- a/crates/stackpier-coordination/tests/takeover.rs
+++ b/crates/stackpier-coordination/tests/takeover.rs
@@ -379,3 +379,23 @@
     );
     assert!(world.hinted, "no placer was told");
 }
+
+/// Guards against ends that no log shows: they are in the page, and the answer
+/// to the swap that wrote them was lost.
+#[test]
+fn end_of_a_run_is_logged_although_the_answer_to_its_swap_was_lost() {
+    let mut world = World::new();
+    world.advance(2_000);
+    world.lose_rack();
+    world.advance(500);
+    world.regain_rack();
+    world.owner.receive_renounced(member("entry-2", 20), 3);
+    world.advance(1_000);
+    world.fault = Fault::SwapAnswersLost;
+    world.finished = true;
+    world.advance(FAULTY_MS);
+    world.fault = Fault::None;
+    world.advance(2 * Options::default().sweep_ms);
+    let logged = world.notes.contains(&Note::Ended(run(), Outcome::Finished));
+    assert!(logged, "the end is in the page and not in the log");
+}
--- a/crates/stackpier-testkit/tests/takeover.rs
+++ b/crates/stackpier-testkit/tests/takeover.rs
@@ -169,3 +169,28 @@
     cluster.set_proxy_mode(control, Mode::Stall)?;
     await_done(cluster, (first + 1) % 3)
 }
+
+/// Guards against takeovers among live daemons: a stopped third daemon holds up
+/// the heartbeats between the two others until their silence counts as an end.
+#[test]
+fn rack_of_a_live_owner_is_not_taken_over_while_a_third_daemon_is_stopped() -> Result<()> {
+    let mut cluster = start()?;
+    let result = stop_third(&mut cluster);
+    finish(cluster, result)
+}
+
+fn stop_third(cluster: &mut Cluster) -> Result<()> {
+    cluster.submit(0, &service("fleet", &[1]))?;
+    cluster.await_running(0, "fleet", 1)?;
+    let before = owner(cluster)?;
+    let third = (before.0 + 1) % 3;
+    signal(cluster, third, Signal::Stop)?;
+    thread::sleep(Duration::from_millis(2 * SILENCE_MS));
+    signal(cluster, third, Signal::Continue)?;
+    let after = owner(cluster)?;
+    ensure!(
+        before == after,
+        "the rack moved from {before:?} to {after:?}"
+    );
+    Ok(())
+}
