Owner and placer pause after a failed read or swap

What was seen: a daemon without the store requested the failed read again in the step that processed the failure.

Cause: `advance` of both state machines requests a read whenever the page is stale and nothing is awaited, and a failure leaves it so.

Calls to workers and hints go on.

--- a/crates/stackpier-coordination/src/lib.rs
+++ b/crates/stackpier-coordination/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod membership;
 pub mod once;
 pub mod owner;
+mod pause;
 pub mod placer;
 pub mod policy;
 pub mod queue;
--- a/crates/stackpier-coordination/src/owner.rs
+++ b/crates/stackpier-coordination/src/owner.rs
@@ -35,6 +35,7 @@
     effect::{Effect, Event, Writer},
     interference::{self, Model},
     membership::Table,
+    pause::Pause,
     reaction::{self, Budget},
 };
 
@@ -114,6 +115,8 @@
     writing: Vec<Claims>,
     /// Whether the page has to be read again.
     stale: bool,
+    /// The pause after a read or swap that failed.
+    pause: Pause,
     /// When the last sweep was made.
     swept: Option<Millis>,
     /// When the last swap was requested.
@@ -144,6 +147,7 @@
             unwritten: Vec::new(),
             writing: Vec::new(),
             stale: true,
+            pause: Pause::default(),
             swept: None,
             committed: None,
             sole_since: None,
@@ -169,6 +173,7 @@
         writer: &mut Writer,
     ) -> Vec<Effect> {
         let mut effects = Vec::new();
+        self.pause.record(now, &event);
         match event {
             Event::Tick => {}
             Event::Read(Key::Rack(_), fetched) => self.receive_page(now, fetched, &mut effects),
@@ -196,7 +201,7 @@
         self.page.as_ref().map(|(_, page)| page)
     }
 
-    /// advance requests the next read or swap, if it is due.
+    /// advance requests the next read or swap, if it is due and no pause is left.
     fn advance(
         &mut self,
         now: Millis,
@@ -205,6 +210,9 @@
         effects: &mut Vec<Effect>,
     ) {
         self.sweep(now, table, effects);
+        if !self.pause.over(now) {
+            return;
+        }
         if matches!(self.step, Step::Idle) && self.stale {
             self.step = Step::Loading;
             effects.push(Effect::Read(Key::Rack(self.rack)));
--- a/crates/stackpier-coordination/src/placer.rs
+++ b/crates/stackpier-coordination/src/placer.rs
@@ -24,6 +24,7 @@
 use crate::{
     effect::{Effect, Event, Writer},
     membership::Table,
+    pause::Pause,
     policy,
 };
 
@@ -94,6 +95,8 @@
     writing: Ends,
     /// Whether the page has to be read again.
     stale: bool,
+    /// The pause after a read or swap that failed.
+    pause: Pause,
     /// When the last sweep was made.
     swept: Option<Millis>,
     /// When the last swap was requested.
@@ -117,6 +120,7 @@
             unwritten: Ends::new(),
             writing: Ends::new(),
             stale: true,
+            pause: Pause::default(),
             swept: None,
             committed: None,
             seen: None,
@@ -139,6 +143,7 @@
         writer: &mut Writer,
     ) -> Vec<Effect> {
         let mut effects = Vec::new();
+        self.pause.record(now, &event);
         match event {
             Event::Read(Key::Homes(..), fetched) => self.receive_page(fetched),
             Event::Swapped(_, swap) => self.finish_swap(swap, &mut effects),
@@ -165,8 +170,8 @@
         self.stale = false;
     }
 
-    /// advance requests the next read or swap if it is due and this daemon normally
-    /// places the shard.
+    /// advance requests the next read or swap if it is due, no pause is left and
+    /// this daemon normally places the shard.
     fn advance(
         &mut self,
         now: Millis,
@@ -185,6 +190,9 @@
             return;
         }
         self.sweep(now, view, effects);
+        if !self.pause.over(now) {
+            return;
+        }
         if matches!(self.step, Step::Idle) && self.stale {
             self.step = Step::Loading;
             effects.push(Effect::Read(Key::Homes(
