Outages of the store are logged, and what is read back after a lost answer

Cause: a failed read or swap produced no note, and `adopt` replaced the page without the comparison that `finish_swap` makes.

Now `Pause` returns a note on the first failure, with its key, and one when that key is answered, with the time between; the failures in between have none. The scheduler prints them ("store: calls fail", "store: calls are answered again"). `adopt` calls `report_changes` if this daemon renews the rack by the page that was read: only the renewer writes the page, so the changes since the known page are its own. The same path begins the term of a takeover that is read back, which reads the homes as well; that was left to the next messages before. The comparison is always with the known page, so a change is reported and counted once. It now compares the write of the page that it reads with that of its last swap.

Not covered: if another daemon takes the rack over before this one reads the page back, nobody logs those ends. A placer that is no longer the shard's ends its outage without a note.

--- a/crates/stackpier-coordination/src/effect.rs
+++ b/crates/stackpier-coordination/src/effect.rs
@@ -52,6 +52,12 @@
     Lapsed(Name),
     /// A worker has restarted and its runs are over.
     Rebooted(Name),
+    /// Reads or swaps of a page began to fail. The failures up to
+    /// [`Note::Answered`] have no notes of their own.
+    Failing(Key),
+    /// A page is read or swapped again, this many milliseconds after the first
+    /// failure.
+    Answered(Key, u64),
 }
 
 /// Event is an input of a state machine.
--- a/crates/stackpier-coordination/src/owner.rs
+++ b/crates/stackpier-coordination/src/owner.rs
@@ -172,11 +172,12 @@
         table: &Table,
         writer: &mut Writer,
     ) -> Vec<Effect> {
-        let mut effects = Vec::new();
-        self.pause.record(now, &event);
+        let mut effects = Vec::from_iter(self.pause.record(now, &event));
         match event {
             Event::Tick => {}
-            Event::Read(Key::Rack(_), fetched) => self.receive_page(now, fetched, &mut effects),
+            Event::Read(Key::Rack(_), fetched) => {
+                self.receive_page(now, fetched, table, &mut effects);
+            }
             Event::Read(Key::Homes(_, shard), fetched) => self.receive_homes(shard, fetched),
             Event::Read(_, _) => {}
             Event::Swapped(_, swap) => self.finish_swap(now, swap, table, &mut effects),
--- a/crates/stackpier-coordination/src/owner/commit.rs
+++ b/crates/stackpier-coordination/src/owner/commit.rs
@@ -102,9 +102,9 @@
         self.report_changes(now, &old, table, effects);
     }
 
-    /// report_changes logs and reports what the page that was just written
+    /// report_changes logs and reports what this daemon's last write of the page
     /// changed, and begins a new term if this daemon took the rack over.
-    fn report_changes(
+    pub(super) fn report_changes(
         &mut self,
         now: Millis,
         old: &Rack,
--- a/crates/stackpier-coordination/src/owner/read.rs
+++ b/crates/stackpier-coordination/src/owner/read.rs
@@ -33,6 +33,7 @@
         &mut self,
         now: Millis,
         fetched: Fetched,
+        table: &Table,
         effects: &mut Vec<Effect>,
     ) {
         if !matches!(self.step, Step::Loading) {
@@ -40,16 +41,29 @@
         }
         self.step = Step::Idle;
         match fetched {
-            Fetched::Found(revision, Page::Rack(page)) => self.adopt(now, revision, page, effects),
+            Fetched::Found(revision, Page::Rack(page)) => {
+                self.adopt(now, revision, page, table, effects);
+            }
             Fetched::Absent => self.page = Some((ABSENT, Rack::empty())),
             Fetched::Found(..) | Fetched::Failed => return,
         }
         self.stale = false;
+        if !self.renews() {
+            // Homes whose read failed are not read again.
+            effects.extend(self.pause.end(now));
+        }
     }
 
     /// adopt replaces the page by a newer one, which another daemon may have
     /// written.
-    fn adopt(&mut self, now: Millis, revision: Revision, page: Rack, effects: &mut Vec<Effect>) {
+    fn adopt(
+        &mut self,
+        now: Millis,
+        revision: Revision,
+        page: Rack,
+        table: &Table,
+        effects: &mut Vec<Effect>,
+    ) {
         if self.page.as_ref().is_some_and(|(old, _)| *old > revision) {
             return;
         }
@@ -61,13 +75,13 @@
             self.renounced = Some(term);
             effects.push(Effect::Note(Note::GaveUp(self.rack, term)));
         }
-        if renews && !self.renews() {
-            // This daemon's take-over was written, but the store's reply was
-            // lost.
-            self.sole_since = page.former.is_empty().then_some((term, now));
-            self.contacts.clear();
+        let before = self.page.replace((revision, page));
+        if renews {
+            // Only the renewer writes the page: what changed was written by this
+            // daemon, and the store's reply was lost.
+            let old = before.map_or_else(Rack::empty, |(_, page)| page);
+            self.report_changes(now, &old, table, effects);
         }
-        self.page = Some((revision, page));
     }
 
     /// receive_homes collects a shard of homes that was read. One that could not
--- a/crates/stackpier-coordination/src/pause.rs
+++ b/crates/stackpier-coordination/src/pause.rs
@@ -1,5 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
-//! The pause of a state machine after a read or swap that failed.
+//! The pause of a state machine after a read or swap that failed, and the log
+//! notes on the outage.
 
 use stackpier_core::Millis;
 use stackpier_state::{
@@ -7,7 +8,7 @@
     page::{Fetched, Key, Swapped},
 };
 
-use crate::effect::Event;
+use crate::effect::{Effect, Event, Note};
 
 /// FIRST_MS is the pause after the first failure, in milliseconds.
 const FIRST_MS: u64 = 50;
@@ -20,21 +21,42 @@
 pub(crate) struct Pause {
     /// The end of the last pause and its length, if no answer came since.
     last: Option<(Millis, u64)>,
+    /// The key whose failure began the outage, and when, until it is answered.
+    failing: Option<(Key, Millis)>,
 }
 
 impl Pause {
-    /// record processes the outcome of a read or swap. Other events change
-    /// nothing.
-    pub(crate) fn record(&mut self, now: Millis, event: &Event) {
-        match answered(event) {
-            Some((_, true)) => self.last = None,
-            Some((_, false)) if self.over(now) => {
-                let doubled = self.last.map_or(FIRST_MS, |(_, ms)| ms * 2);
-                let ms = doubled.min(MAX_MS);
-                self.last = Some((now.plus(ms), ms));
-            }
-            Some((_, false)) | None => {}
+    /// record processes the outcome of a read or swap, and returns the note on
+    /// the begin or end of an outage. Other events change nothing.
+    pub(crate) fn record(&mut self, now: Millis, event: &Event) -> Option<Effect> {
+        let (key, answered) = outcome(event)?;
+        if !answered {
+            return self.record_failure(now, key);
         }
+        self.last = None;
+        match self.failing {
+            Some((failing, _)) if failing == key => self.end(now),
+            Some(_) | None => None,
+        }
+    }
+
+    fn record_failure(&mut self, now: Millis, key: Key) -> Option<Effect> {
+        if self.over(now) {
+            let doubled = self.last.map_or(FIRST_MS, |(_, ms)| ms * 2);
+            let ms = doubled.min(MAX_MS);
+            self.last = Some((now.plus(ms), ms));
+        }
+        if self.failing.is_some() {
+            return None;
+        }
+        self.failing = Some((key, now));
+        Some(Effect::Note(Note::Failing(key)))
+    }
+
+    /// end returns the note on the end of the outage, if there was one.
+    pub(crate) fn end(&mut self, now: Millis) -> Option<Effect> {
+        let (key, since) = self.failing.take()?;
+        Some(Effect::Note(Note::Answered(key, now.since(since))))
     }
 
     /// over reports whether the store may be called.
@@ -43,9 +65,9 @@
     }
 }
 
-/// answered returns the key of a read or swap and whether it was carried out. A
+/// outcome returns the key of a read or swap and whether it was carried out. A
 /// page of the wrong kind counts as a failed read, since it is read again.
-fn answered(event: &Event) -> Option<(Key, bool)> {
+fn outcome(event: &Event) -> Option<(Key, bool)> {
     match event {
         Event::Read(key, fetched) => Some((*key, has_kind(*key, fetched))),
         Event::Swapped(key, swapped) => {
--- a/crates/stackpier-coordination/src/placer.rs
+++ b/crates/stackpier-coordination/src/placer.rs
@@ -10,7 +10,7 @@
 
 use std::collections::BTreeMap;
 
-use stackpier_core::{Millis, Name};
+use stackpier_core::{Millis, Name, key::Write};
 use stackpier_protocol::peer::{Hint, RackReport};
 use stackpier_state::{
     Page, Revision,
@@ -93,6 +93,8 @@
     unwritten: Ends,
     /// Ended runs that the pending swap writes.
     writing: Ends,
+    /// The write of the last swap, while its outcome is unknown.
+    unclear: Option<Write>,
     /// Whether the page has to be read again.
     stale: bool,
     /// The pause after a read or swap that failed.
@@ -119,6 +121,7 @@
             step: Step::Idle,
             unwritten: Ends::new(),
             writing: Ends::new(),
+            unclear: None,
             stale: true,
             pause: Pause::default(),
             swept: None,
@@ -142,10 +145,9 @@
         view: View<'_>,
         writer: &mut Writer,
     ) -> Vec<Effect> {
-        let mut effects = Vec::new();
-        self.pause.record(now, &event);
+        let mut effects = Vec::from_iter(self.pause.record(now, &event));
         match event {
-            Event::Read(Key::Homes(..), fetched) => self.receive_page(fetched),
+            Event::Read(Key::Homes(..), fetched) => self.receive_page(fetched, &mut effects),
             Event::Swapped(_, swap) => self.finish_swap(swap, &mut effects),
             Event::Hint(Hint::Ended { shard, rack, ended }) if shard == self.shard => {
                 let ends = ended.iter().map(|e| ((rack, e.run), e.outcome));
@@ -157,19 +159,31 @@
         effects
     }
 
-    fn receive_page(&mut self, fetched: Fetched) {
+    /// receive_page replaces the page by the one that was read, unless the read
+    /// failed.
+    fn receive_page(&mut self, fetched: Fetched, effects: &mut Vec<Effect>) {
         if !matches!(self.step, Step::Loading) {
             return;
         }
         self.step = Step::Idle;
         match fetched {
-            Fetched::Found(revision, Page::Homes(page)) => self.page = Some((revision, page)),
+            Fetched::Found(revision, Page::Homes(page)) => self.adopt(revision, page, effects),
             Fetched::Absent => self.page = Some((ABSENT, Shard::default())),
             Fetched::Found(..) | Fetched::Failed => return,
         }
         self.stale = false;
     }
 
+    /// adopt replaces the page, and sends the changes if this placer's last swap
+    /// wrote it and the store's reply was lost.
+    fn adopt(&mut self, revision: Revision, page: Shard, effects: &mut Vec<Effect>) {
+        let mine = self.unclear.take() == Some(page.write);
+        let before = self.page.replace((revision, page));
+        if let Some((_, old)) = before.filter(|_| mine) {
+            self.send_changes(&old, effects);
+        }
+    }
+
     /// advance requests the next read or swap if it is due, no pause is left and
     /// this daemon normally places the shard.
     fn advance(
@@ -186,6 +200,7 @@
             // if that changes.
             if matches!(self.step, Step::Idle) {
                 self.stale = true;
+                self.pause = Pause::default();
             }
             return;
         }
--- a/crates/stackpier-coordination/src/placer/commit.rs
+++ b/crates/stackpier-coordination/src/placer/commit.rs
@@ -90,6 +90,7 @@
             // The swap lost, or its outcome is unknown: nothing is concluded
             // from it before the page is read again.
             self.stale = true;
+            self.unclear = Some(next.write);
             self.seen = None;
             self.unwritten.append(&mut self.writing);
             return;
--- a/crates/stackpier-fuzz/src/placement/calls.rs
+++ b/crates/stackpier-fuzz/src/placement/calls.rs
@@ -230,6 +230,8 @@
         Note::Reacted(..) => hit("branch: reaction to a slowed service"),
         Note::Lapsed(_) => hit("branch: lease lapsed as evidence"),
         Note::Rebooted(_) => hit("branch: worker's new boot as evidence"),
+        Note::Failing(_) => hit("branch: store outage noticed"),
+        Note::Answered(..) => hit("branch: store answers again"),
     }
 }
 
--- a/crates/stackpierd/src/scheduler.rs
+++ b/crates/stackpierd/src/scheduler.rs
@@ -5,7 +5,7 @@
 use std::{collections::BTreeMap, sync::Arc, thread, time::Duration};
 
 use flume::{Receiver, RecvTimeoutError, Sender};
-use slog::info;
+use slog::{info, warn};
 use stackpier_coordination::{
     effect::{Effect, Event, Note},
     owner::Owner,
@@ -346,6 +346,13 @@
             Note::Rebooted(worker) => {
                 info!(log, "lease: worker restarted"; "worker" => %worker);
             }
+            Note::Failing(key) => {
+                warn!(log, "store: calls fail"; "key" => %key, "target" => ?target);
+            }
+            Note::Answered(key, after_ms) => {
+                info!(log, "store: calls are answered again";
+                    "key" => %key, "after_ms" => after_ms, "target" => ?target);
+            }
         }
     }
 }
