The owner's unwritten claims are bounded while the store is away

Now an `Inbox` keeps them by shard and revision. Of the messages of a shard that name a run as claimed, or as released, only the newest keeps it; an older one that names nothing else is dropped, except the newest of a shard, whose sum is needed. So at most one message for each shard, claim and release is held. Whole messages can't supersede older ones, as each holds changes only. A claim keeps the revision of its own message: if it took over that of a later one, a claim from before the page was settled would be accepted, and its run start again.

Messages are applied by revision and no longer as they arrived. A claim that arrived after a later release was skipped before, until its homes were read.

No claim, stop or release is lost, in three orders of arrival, with homes that can't be read: the reversed order failed before. A claim is not renewed by a later message: passed before, too, and fails in a trial in which claims move to the newer message.

--- a/crates/stackpier-coordination/src/owner.rs
+++ b/crates/stackpier-coordination/src/owner.rs
@@ -11,6 +11,7 @@
 mod calls;
 mod commit;
 mod contact;
+mod inbox;
 mod learn;
 mod messages;
 mod read;
@@ -21,7 +22,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use stackpier_core::{Millis, Name};
-use stackpier_protocol::peer::{Claims, RackReport};
+use stackpier_protocol::peer::RackReport;
 use stackpier_state::{
     Revision,
     holders::Member,
@@ -40,6 +41,7 @@
 };
 
 use contact::Contact;
+use inbox::Inbox;
 use read::{Reading, Snapshots};
 use renewer::member;
 
@@ -110,9 +112,9 @@
     /// Shards of homes that have to be read.
     dirty: BTreeSet<u16>,
     /// Claims received from placers and not yet written to the page.
-    unwritten: Vec<Claims>,
+    unwritten: Inbox,
     /// Claims that the pending swap writes.
-    writing: Vec<Claims>,
+    writing: Inbox,
     /// Whether the page has to be read again.
     stale: bool,
     /// The pause after a read or swap that failed.
@@ -144,8 +146,8 @@
             breakers: BTreeMap::new(),
             expiring: BTreeMap::new(),
             dirty: BTreeSet::new(),
-            unwritten: Vec::new(),
-            writing: Vec::new(),
+            unwritten: Inbox::default(),
+            writing: Inbox::default(),
             stale: true,
             pause: Pause::default(),
             swept: None,
@@ -202,6 +204,12 @@
         self.page.as_ref().map(|(_, page)| page)
     }
 
+    /// backlog returns how many messages, claims and releases are not yet written
+    /// to the page.
+    pub fn backlog(&self) -> usize {
+        self.unwritten.len()
+    }
+
     /// advance requests the next read or swap, if it is due and no pause is left.
     fn advance(
         &mut self,
--- a/crates/stackpier-coordination/src/owner/commit.rs
+++ b/crates/stackpier-coordination/src/owner/commit.rs
@@ -32,7 +32,7 @@
     /// may_commit reports whether the interval between commits has passed. It
     /// is shorter while urgent work waits.
     pub(super) fn may_commit(&self, now: Millis) -> bool {
-        let mut claimed = self.unwritten.iter().flat_map(|claims| &claims.claimed);
+        let mut claimed = self.unwritten.messages().flat_map(|claims| &claims.claimed);
         let urgent = claimed.any(|home| home.work.urgent);
         let interval = interval_ms(self.options.commit_ms, urgent);
         self.committed.is_none_or(|at| now.since(at) >= interval)
--- a/crates/stackpier-coordination/src/owner/messages.rs
+++ b/crates/stackpier-coordination/src/owner/messages.rs
@@ -33,7 +33,7 @@
         if claims.revision < page.settled_by(claims.shard) {
             self.dirty.insert(claims.shard);
         } else if self.renews() {
-            self.unwritten.push(claims);
+            self.unwritten.add(claims);
         }
     }
 
@@ -41,24 +41,14 @@
     /// even after their placers' messages were applied. In that case a message
     /// was lost.
     pub(super) fn differing(&self, next: &Rack) -> BTreeSet<u16> {
-        let mut sums = BTreeMap::new();
-        for claims in &self.unwritten {
-            let newest = sums
-                .entry(claims.shard)
-                .or_insert((claims.revision, claims.sum));
-            if claims.revision >= newest.0 {
-                *newest = (claims.revision, claims.sum);
-            }
-        }
         let here = |shard: u16| {
             let rows = next.rows.iter();
             let ours = rows.filter(move |row| shard_of(row, self.options.shards) == shard);
             claims_sum(ours.map(|row| row.run))
         };
-        let differs = sums
-            .iter()
-            .filter(|(shard, (_, sum))| here(**shard) != *sum);
-        differs.map(|(shard, _)| *shard).collect()
+        let newest = self.unwritten.newest();
+        let differs = newest.filter(|claims| here(claims.shard) != claims.sum);
+        differs.map(|claims| claims.shard).collect()
     }
 
     /// ended_hints returns the hints that tell the placers of shards which of
--- a/crates/stackpier-coordination/src/owner/revise.rs
+++ b/crates/stackpier-coordination/src/owner/revise.rs
@@ -44,7 +44,7 @@
         for (shard, (revision, page)) in homes {
             self.settle_shard(now, *shard, *revision, page, next);
         }
-        for claims in &self.unwritten {
+        for claims in self.unwritten.messages() {
             self.settle_claims(now, claims, next);
         }
     }
