--- a/crates/stackpier-coordination/src/owner.rs
+++ b/crates/stackpier-coordination/src/owner.rs
@@ -11,6 +11,7 @@
 mod calls;
 mod commit;
 mod contact;
+mod inbox;
 mod learn;
 mod messages;
 mod read;
@@ -21,7 +22,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use stackpier_core::{Millis, Name};
-use stackpier_protocol::peer::{Claims, RackReport};
+use stackpier_protocol::peer::RackReport;
 use stackpier_state::{
     Revision,
     holders::Member,
@@ -35,10 +36,12 @@
     effect::{Effect, Event, Writer},
     interference::{self, Model},
     membership::Table,
+    pause::Pause,
     reaction::{self, Budget},
 };
 
 use contact::Contact;
+use inbox::Inbox;
 use read::{Reading, Snapshots};
 use renewer::member;
 
@@ -109,11 +112,13 @@
     /// Shards of homes that have to be read.
     dirty: BTreeSet<u16>,
     /// Claims received from placers and not yet written to the page.
-    unwritten: Vec<Claims>,
+    unwritten: Inbox,
     /// Claims that the pending swap writes.
-    writing: Vec<Claims>,
+    writing: Inbox,
     /// Whether the page has to be read again.
     stale: bool,
+    /// The pause after a read or swap that failed.
+    pause: Pause,
     /// When the last sweep was made.
     swept: Option<Millis>,
     /// When the last swap was requested.
@@ -141,9 +146,10 @@
             breakers: BTreeMap::new(),
             expiring: BTreeMap::new(),
             dirty: BTreeSet::new(),
-            unwritten: Vec::new(),
-            writing: Vec::new(),
+            unwritten: Inbox::default(),
+            writing: Inbox::default(),
             stale: true,
+            pause: Pause::default(),
             swept: None,
             committed: None,
             sole_since: None,
@@ -168,10 +174,12 @@
         table: &Table,
         writer: &mut Writer,
     ) -> Vec<Effect> {
-        let mut effects = Vec::new();
+        let mut effects = Vec::from_iter(self.pause.record(now, &event));
         match event {
             Event::Tick => {}
-            Event::Read(Key::Rack(_), fetched) => self.receive_page(now, fetched, &mut effects),
+            Event::Read(Key::Rack(_), fetched) => {
+                self.receive_page(now, fetched, table, &mut effects);
+            }
             Event::Read(Key::Homes(_, shard), fetched) => self.receive_homes(shard, fetched),
             Event::Read(_, _) => {}
             Event::Swapped(_, swap) => self.finish_swap(now, swap, table, &mut effects),
@@ -196,7 +204,13 @@
         self.page.as_ref().map(|(_, page)| page)
     }
 
-    /// advance requests the next read or swap, if it is due.
+    /// backlog returns how many messages, claims and releases are not yet written
+    /// to the page.
+    pub fn backlog(&self) -> usize {
+        self.unwritten.len()
+    }
+
+    /// advance requests the next read or swap, if it is due and no pause is left.
     fn advance(
         &mut self,
         now: Millis,
@@ -205,6 +219,9 @@
         effects: &mut Vec<Effect>,
     ) {
         self.sweep(now, table, effects);
+        if !self.pause.over(now) {
+            return;
+        }
         if matches!(self.step, Step::Idle) && self.stale {
             self.step = Step::Loading;
             effects.push(Effect::Read(Key::Rack(self.rack)));
