Take racks and shards from a daemon that alone does not reach the store

What callers saw: a batch task whose worker had finished it stayed "claimed" for ever, evicted tasks were not placed again, and no log line said why ("not within 60s: 1 tasks of ledger are done").

Cause: `Table::alive`, `chosen` and `preferred` counted heartbeats only. A daemon that could neither read nor swap, but sent heartbeats, kept its racks, its shards of homes and the holder map. The status command at such a daemon waited for the store's time-out.

Why this works: each daemon records when the store last answered a read, a swap or a watch (the list of VMs is no evidence, as it may be served without the store), and probes it when nothing was answered for half of `silence_ms`, so being idle is not taken for it. With the default times the polls (1 s) are more frequent, so no read is added at rest (arithmetic, not measured). After `silence_ms` without an answer it tells the daemons of its data centre so in each round, by a new message beside the heartbeat. `chosen` and `alive` leave it out while another live daemon has the store; if none has, each keeps what it has. The report is forgotten after `silence_ms`. A daemon that was suspended itself asks the store before it concludes.

Taking over is as safe as before: the page's compare-and-swap, terms, `former`, promises and leases do not depend on why a renewer changed. New is when a former renewer promises: at once when it hears of the newer term from a peer, as it may not be able to read the page; calls already sent quote clock readings from before the promise, as they did when the page was read. Earlier builds answer the new message with `Failed` on its own stream, and the connection goes on (test in stackpier-transport); heartbeats are unchanged.

--- a/crates/stackpier-coordination/src/lib.rs
+++ b/crates/stackpier-coordination/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod placer;
 pub mod policy;
 pub mod queue;
+pub mod reach;
 pub mod reaction;
 pub mod retry;
 pub mod route;
--- a/crates/stackpier-coordination/src/membership.rs
+++ b/crates/stackpier-coordination/src/membership.rs
@@ -49,6 +49,10 @@
     ended: BTreeSet<Member>,
     /// Workers that peers or [`Table::depart`] reported as leaving or gone.
     departing: BTreeSet<Name>,
+    /// Daemons that reported that they do not reach the store, and when.
+    storeless: BTreeMap<Member, Millis>,
+    /// Whether the own daemon does not reach the store.
+    store_lost: bool,
     stopping: bool,
 }
 
@@ -63,6 +67,8 @@
             daemons: BTreeMap::new(),
             ended: BTreeSet::new(),
             departing: BTreeSet::new(),
+            storeless: BTreeMap::new(),
+            store_lost: false,
             stopping: false,
         }
     }
@@ -87,6 +93,24 @@
         self.stopping
     }
 
+    /// set_store_lost sets whether the own daemon does not reach the store.
+    pub fn set_store_lost(&mut self, lost: bool) {
+        self.store_lost = lost;
+    }
+
+    /// store_lost reports whether the own daemon does not reach the store.
+    pub fn store_lost(&self) -> bool {
+        self.store_lost
+    }
+
+    /// record_storeless records another daemon's report that it does not reach
+    /// the store. It holds until the silence is over, unless it is repeated.
+    pub fn record_storeless(&mut self, now: Millis, from: Member) {
+        let silence_ms = self.options.silence_ms;
+        self.storeless.retain(|_, at| now.since(*at) < silence_ms);
+        self.storeless.insert(from, now);
+    }
+
     /// update_roster merges in the platform's list. As the list may lag, a VM
     /// once listed as gone stays gone, and one once listed as leaving does not
     /// become live again.
@@ -174,19 +198,48 @@
         live
     }
 
+    /// left_out returns the live daemons of this data centre that get no racks,
+    /// shards or holder map, as they do not reach the store while another live
+    /// one does.
+    pub fn left_out(&self, now: Millis) -> Vec<Member> {
+        let live = self.live(now, self.data_centre);
+        let storeless = |member: &&Member| self.is_storeless(now, **member);
+        let out: Vec<Member> = live.iter().filter(storeless).copied().collect();
+        match out.len() == live.len() {
+            true => Vec::new(),
+            false => out,
+        }
+    }
+
+    /// able returns the live daemons of this data centre that are not left out.
+    pub fn able(&self, now: Millis) -> Vec<Member> {
+        let out = self.left_out(now);
+        let mut live = self.live(now, self.data_centre);
+        live.retain(|member| !out.contains(member));
+        live
+    }
+
+    fn is_storeless(&self, now: Millis, member: Member) -> bool {
+        if member == self.me {
+            return self.store_lost;
+        }
+        let reported = self.storeless.get(&member);
+        reported.is_some_and(|at| now.since(*at) < self.options.silence_ms)
+    }
+
     /// alive reports whether a boot of a daemon is among the live ones of this
-    /// data centre.
+    /// data centre that are not left out.
     pub fn alive(&self, now: Millis, member: Member) -> bool {
-        self.live(now, self.data_centre).contains(&member)
+        self.able(now).contains(&member)
     }
 
     /// chosen returns the daemon that normally does the work on `item` in this
     /// data centre. It reduces contention and gives no exclusive right: daemons
     /// may disagree on who is live.
     pub fn chosen(&self, now: Millis, item: &str) -> Option<Member> {
-        let live = self.live(now, self.data_centre);
+        let able = self.able(now);
         let by_weight = |member: &Member| (weight(item.as_bytes(), member.boot.0), *member);
-        live.into_iter().max_by_key(by_weight)
+        able.into_iter().max_by_key(by_weight)
     }
 
     /// preferred reports whether this daemon is the chosen one for `item`.
--- a/crates/stackpier-coordination/src/owner.rs
+++ b/crates/stackpier-coordination/src/owner.rs
@@ -176,7 +176,7 @@
             Event::Read(_, _) => {}
             Event::Swapped(_, swap) => self.finish_swap(now, swap, table, &mut effects),
             Event::Synced(worker, reply) => self.receive_reply(now, worker, reply, &mut effects),
-            Event::Hint(hint) => self.receive_hint(hint),
+            Event::Hint(hint) => self.receive_hint(hint, &mut effects),
         }
         self.update_sole_since(now, table);
         self.advance(now, table, writer, &mut effects);
@@ -235,6 +235,11 @@
             return;
         }
         let Some((_, page)) = &self.page else { return };
+        if !page.former.is_empty() {
+            // A former renewer that does not reach the store learns of this term
+            // only by the hint.
+            effects.extend(self.renewer_hint());
+        }
         effects.extend(self.ended_hints(page.rows.iter()));
     }
 }
--- a/crates/stackpier-coordination/src/owner/messages.rs
+++ b/crates/stackpier-coordination/src/owner/messages.rs
@@ -14,14 +14,14 @@
 
 impl Owner {
     /// receive_hint processes a hint if it concerns this rack.
-    pub(super) fn receive_hint(&mut self, hint: Hint) {
+    pub(super) fn receive_hint(&mut self, hint: Hint, effects: &mut Vec<Effect>) {
         match hint {
             Hint::Claims(claims) if claims.rack == self.rack => self.receive_claims(claims),
             Hint::TakenOver {
                 rack,
                 renewer,
                 term,
-            } if rack == self.rack => self.receive_renewer(renewer, term),
+            } if rack == self.rack => self.receive_renewer(renewer, term, effects),
             _ => {}
         }
     }
--- a/crates/stackpier-coordination/src/owner/renewer.rs
+++ b/crates/stackpier-coordination/src/owner/renewer.rs
@@ -6,7 +6,10 @@
 use stackpier_state::{holders::Member, rack::Renewer};
 
 use super::Owner;
-use crate::{effect::Effect, membership::Table};
+use crate::{
+    effect::{Effect, Note},
+    membership::Table,
+};
 
 impl Owner {
     /// renews reports whether this daemon is the rack's renewer, according to
@@ -68,12 +71,22 @@
 
     /// receive_renewer marks the page as stale if a newer term concerns this
     /// daemon: it may have lost the rack, or won it by a swap whose answer was
-    /// lost.
-    pub(super) fn receive_renewer(&mut self, renewer: Member, term: u64) {
+    /// lost. A daemon that lost the rack stops renewing at once, as it may not
+    /// be able to read the page.
+    pub(super) fn receive_renewer(
+        &mut self,
+        renewer: Member,
+        term: u64,
+        effects: &mut Vec<Effect>,
+    ) {
         let known = self.page().and_then(|page| page.renewer);
         let newer = term > known.map_or(0, |renewer| renewer.term);
-        let concerned = self.renews() || renewer.boot == self.me.boot;
-        self.stale |= newer && concerned;
+        let own = renewer.boot == self.me.boot;
+        self.stale |= newer && (self.renews() || own);
+        if newer && self.renews() && !own && self.renounced.is_none_or(|below| below < term) {
+            self.renounced = Some(term);
+            effects.push(Effect::Note(Note::GaveUp(self.rack, term)));
+        }
     }
 
     /// renewer_hint returns the hint that tells all daemons the page's renewer.
--- a/crates/stackpier-fuzz/src/placement.rs
+++ b/crates/stackpier-fuzz/src/placement.rs
@@ -75,6 +75,8 @@
     intents: BTreeMap<u16, (Revision, Shard)>,
     submissions: u128,
     daemons: Vec<Daemon>,
+    /// Whether calls of each daemon can't reach the store.
+    store_cut: [bool; DAEMONS],
     workers: Vec<Host>,
     in_flight: Vec<Operation>,
     detached: Vec<Operation>,
@@ -103,6 +105,7 @@
             intents: BTreeMap::new(),
             submissions: 0,
             daemons: Vec::new(),
+            store_cut: [false; DAEMONS],
             workers: Vec::new(),
             in_flight: Vec::new(),
             detached: Vec::new(),
@@ -167,6 +170,7 @@
             Step::Vanish(n) => drop(pick(&mut self.messages, n)),
             Step::Reboot(n) => self.restart_worker(usize::from(n) % WORKERS),
             Step::Cut(n, cut) => self.workers[usize::from(n) % WORKERS].cut = cut,
+            Step::CutStore(n, cut) => self.store_cut[usize::from(n) % DAEMONS] = cut,
             Step::Leave(n) => self.list_worker(usize::from(n) % WORKERS, Standing::Leaving),
             Step::Gone(n) => self.end_worker(usize::from(n) % WORKERS),
             Step::Lost(n) => self.end_daemon(usize::from(n) % DAEMONS),
@@ -202,7 +206,8 @@
     }
 
     /// settle ends all faults and runs `SETTLE_ROUNDS` rounds, after which the simulation must be
-    /// at rest. The invariants are checked after each round.
+    /// at rest. One daemon may stay cut off from the store. The invariants are checked after each
+    /// round.
     pub fn settle(&mut self) {
         for number in 0..DAEMONS {
             self.thaw_daemon(number);
@@ -210,6 +215,7 @@
         for host in &mut self.workers {
             host.cut = false;
         }
+        self.reconnect_store();
         while !self.detached.is_empty() {
             self.perform_detached(0);
         }
--- a/crates/stackpier-fuzz/src/placement/calls.rs
+++ b/crates/stackpier-fuzz/src/placement/calls.rs
@@ -79,13 +79,12 @@
     }
 
     /// deliver_call performs a call. The answer is lost unless `answered` is
-    /// set; a call to a worker that is cut off is detached.
+    /// set; a call that is cut off from its worker or the store is detached.
     pub(super) fn deliver_call(&mut self, n: u8, answered: bool) {
         let Some(operation) = pick(&mut self.in_flight, n) else {
             return;
         };
-        if self.is_cut_off(&operation.request) {
-            hit("fault: worker cut off");
+        if self.is_cut_off(&operation) {
             self.deliver_answer(&operation, failure_event(&operation.request));
             self.detached.push(operation);
             return;
@@ -100,14 +99,22 @@
         }
     }
 
-    /// is_cut_off reports whether a call can't reach its worker now. It may
-    /// still reach it later.
-    fn is_cut_off(&self, request: &Request) -> bool {
-        let Request::Sync(worker, _) = request else {
-            return false;
+    /// is_cut_off reports whether a call can't reach its worker or the store now.
+    /// It may still reach it later.
+    fn is_cut_off(&self, operation: &Operation) -> bool {
+        let Request::Sync(worker, _) = &operation.request else {
+            let cut = self.store_cut[operation.daemon];
+            if cut {
+                hit("fault: daemon cut off from the store");
+            }
+            return cut;
         };
         let found = self.workers.iter().find(|host| host.name == *worker);
-        found.is_some_and(|host| host.cut)
+        let cut = found.is_some_and(|host| host.cut);
+        if cut {
+            hit("fault: worker cut off");
+        }
+        cut
     }
 
     pub(super) fn lose_call(&mut self, n: u8) {
--- a/crates/stackpier-fuzz/src/placement/daemon.rs
+++ b/crates/stackpier-fuzz/src/placement/daemon.rs
@@ -9,8 +9,9 @@
     owner::{self, Owner},
     placer::{self, Placer, View},
     policy,
+    reach::Reach,
 };
-use stackpier_core::{Name, key::Boot};
+use stackpier_core::{Millis, Name, key::Boot};
 use stackpier_protocol::peer::RackReport;
 use stackpier_state::{catalogue::Catalogue, holders::Member};
 
@@ -18,8 +19,11 @@
     MAX_DRIFT_MILLI, RACKS, Simulation, calls::Target, data_centre, drift, messages::record_report,
     name, rack,
 };
-use crate::time::Clock;
+use crate::{counts::hit, time::Clock};
 
+/// SILENCE_MS is the time after which a daemon counts as unreachable, and as
+/// without the store.
+const SILENCE_MS: u64 = 1_500;
 /// SHARDS is the number of shards of homes.
 const SHARDS: u16 = 2;
 /// OWNER holds the options of the owners.
@@ -49,6 +53,9 @@
     pub boot: Boot,
     pub clock: Clock,
     pub table: Table,
+    /// When the store last answered.
+    pub answered: Millis,
+    pub reach: Reach,
     pub catalogue: Catalogue,
     pub racks: BTreeMap<Name, RackReport>,
     pub owners: BTreeMap<Name, Owner>,
@@ -68,18 +75,24 @@
             vm: name(&format!("entry-{number}")),
             boot,
         };
-        let options = membership::Options { silence_ms: 1_500 };
+        let options = membership::Options {
+            silence_ms: SILENCE_MS,
+        };
         let mut table = Table::new(me, data_centre(), options);
         table.update_roster(self.roster.clone());
+        let clock = Clock::new(
+            100_000 * (number as u64 + 1),
+            1_000 - MAX_DRIFT_MILLI + drift(number + 2),
+        );
+        let now = clock.at(self.time);
         let owners = (0..RACKS).map(|n| (rack(n), Owner::new(rack(n), me, OWNER)));
         let placers = (0..SHARDS).map(|shard| (shard, Placer::new(shard, PLACER)));
         Daemon {
             boot,
-            clock: Clock::new(
-                100_000 * (number as u64 + 1),
-                1_000 - MAX_DRIFT_MILLI + drift(number + 2),
-            ),
+            clock,
             table,
+            answered: now,
+            reach: Reach::new(now, SILENCE_MS),
             catalogue: Catalogue::default(),
             racks: BTreeMap::new(),
             owners: owners.collect(),
@@ -96,6 +109,7 @@
         if self.daemons[number].frozen || self.daemons[number].dead {
             return;
         }
+        self.look_at_store(number);
         for rack_number in 0..RACKS {
             self.step_machine(number, Target::Rack(rack(rack_number)), Event::Tick);
         }
@@ -104,6 +118,30 @@
         }
     }
 
+    /// look_at_store lets a daemon probe the store, and conclude whether it
+    /// reaches it.
+    fn look_at_store(&mut self, number: usize) {
+        let cut = self.store_cut[number];
+        let daemon = &mut self.daemons[number];
+        let now = daemon.clock.at(self.time);
+        if !cut {
+            daemon.answered = now;
+        }
+        daemon.reach.look(now, daemon.answered);
+        daemon.table.set_store_lost(daemon.reach.lost());
+        let left_out = daemon.table.left_out(now);
+        if !left_out.is_empty() {
+            hit("branch: daemon left out, as it does not reach the store");
+        }
+        let mut renewers = daemon.owners.values().filter_map(|owner| {
+            let renewer = owner.page()?.renewer?;
+            Some(renewer.boot)
+        });
+        if renewers.any(|boot| left_out.iter().any(|member| member.boot == boot)) {
+            hit("branch: renewer left out");
+        }
+    }
+
     /// step_machine gives one event to one state machine of a daemon, and
     /// performs the effects that it returns.
     pub(super) fn step_machine(&mut self, number: usize, target: Target, event: Event) {
--- a/crates/stackpier-fuzz/src/placement/faults.rs
+++ b/crates/stackpier-fuzz/src/placement/faults.rs
@@ -47,6 +47,21 @@
         self.roster.vms[number].standing = Standing::Gone;
     }
 
+    /// reconnect_store connects all daemons to the store but one, if another
+    /// one runs.
+    pub(super) fn reconnect_store(&mut self) {
+        let running = |number: &usize| !self.daemons[*number].dead;
+        let cut = (0..DAEMONS)
+            .filter(running)
+            .find(|number| self.store_cut[*number]);
+        let kept = cut.filter(|_| (0..DAEMONS).filter(running).count() > 1);
+        self.store_cut = [false; DAEMONS];
+        if let Some(number) = kept {
+            hit("rest: a daemon does not reach the store");
+            self.store_cut[number] = true;
+        }
+    }
+
     pub(super) fn restart_worker(&mut self, number: usize) {
         if self.workers[number].gone {
             return;
--- a/crates/stackpier-fuzz/src/placement/messages.rs
+++ b/crates/stackpier-fuzz/src/placement/messages.rs
@@ -3,6 +3,7 @@
 
 use stackpier_coordination::{effect::Event, owner::Owner};
 use stackpier_protocol::peer::{Claims, Heartbeat, Hint, RackReport};
+use stackpier_state::holders::Member;
 
 use super::{Simulation, calls::Target, daemon::Daemon, data_centre, pick};
 use crate::counts::hit;
@@ -18,6 +19,7 @@
 #[derive(Clone, Debug)]
 pub(super) enum Body {
     Beat(Box<Heartbeat>),
+    Storeless(Member),
     Hint(Hint),
 }
 
@@ -28,6 +30,10 @@
         if from == to || daemon.frozen || daemon.dead {
             return;
         }
+        if daemon.table.store_lost() {
+            let body = Body::Storeless(daemon.table.me());
+            self.messages.push(Message { to, body });
+        }
         let beat = Heartbeat {
             from: daemon.table.me(),
             data_centre: data_centre(),
@@ -97,6 +103,9 @@
                 }
                 Hint::Holders => {}
             },
+            Body::Storeless(from) => {
+                daemon.table.record_storeless(daemon.clock.at(time), from);
+            }
             Body::Beat(beat) => {
                 daemon.table.record_heartbeat(daemon.clock.at(time), &beat);
                 for report in beat.racks {
--- a/crates/stackpier-fuzz/src/placement/step.rs
+++ b/crates/stackpier-fuzz/src/placement/step.rs
@@ -58,6 +58,8 @@
     Reboot(u8),
     /// Cut a worker off from all daemons, or connect it again.
     Cut(u8, bool),
+    /// Cut a daemon off from the store, or connect it again.
+    CutStore(u8, bool),
     /// List a worker as leaving.
     Leave(u8),
     /// End a worker and list it as gone.
--- a/crates/stackpier-fuzz/tests/placement.rs
+++ b/crates/stackpier-fuzz/tests/placement.rs
@@ -1,8 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 //! Stateful fuzz of placement: no worker runs more than its capacity, no task
 //! runs on two workers, and an evicted run resumes once from its checkpoint. The
-//! faults: daemons and workers that restart or end, freezes, lost and late calls,
-//! and races.
+//! faults: daemons and workers that restart or end, freezes, daemons without the
+//! store, lost and late calls, and races.
 
 mod common;
 
@@ -37,6 +37,7 @@
         4 => any::<u8>().prop_map(Step::Release),
         1 => any::<u8>().prop_map(Step::Reboot),
         2 => (any::<u8>(), any::<bool>()).prop_map(|(n, cut)| Step::Cut(n, cut)),
+        2 => (any::<u8>(), any::<bool>()).prop_map(|(n, cut)| Step::CutStore(n, cut)),
         1 => (2..4_u8).prop_map(Step::Leave),
         1 => any::<u8>().prop_map(Step::Gone),
         1 => any::<u8>().prop_map(Step::Lost),
@@ -93,6 +94,9 @@
         "branch: run evicted with a checkpoint",
         "branch: promise not to renew heard",
         "branch: worker ignored a call older than its lease",
+        "branch: daemon left out, as it does not reach the store",
+        "branch: renewer left out",
+        "rest: a daemon does not reach the store",
         "rest: every wanted service task runs",
     ]);
 }
--- a/crates/stackpier-protocol/src/peer.rs
+++ b/crates/stackpier-protocol/src/peer.rs
@@ -40,6 +40,10 @@
     Map,
     /// Requests the list of VMs as the answering daemon knows it.
     Roster,
+    /// Reports that this daemon of the data centre does not reach the store. It
+    /// is repeated with each heartbeat. Earlier builds answer it with
+    /// [`Response::Failed`].
+    Storeless(Member),
 }
 
 /// Response answers a [`Request`].
--- a/crates/stackpierd/src/acceptance.rs
+++ b/crates/stackpierd/src/acceptance.rs
@@ -6,6 +6,7 @@
 use stackpier_core::Result;
 use stackpier_protocol::{operator::Accepted, peer::ShardPage};
 use stackpier_state::{catalogue::shard_of, page::Key};
+use stackpier_transport::platform::Store;
 
 use crate::{
     backend::Backend,
--- a/crates/stackpierd/src/daemon.rs
+++ b/crates/stackpierd/src/daemon.rs
@@ -20,7 +20,7 @@
 use stackpier_transport::peers::Peers;
 
 use crate::{
-    backend::Backend, clock, metrics::Metrics, routing::Routing, scheduler::Input,
+    backend::Backend, clock, metrics::Metrics, reach::Observed, routing::Routing, scheduler::Input,
     settings::Settings,
 };
 
@@ -34,7 +34,7 @@
     /// This run of the daemon.
     pub me: Member,
     /// The platform and the workers.
-    pub backend: B,
+    pub backend: Observed<B>,
     /// The other daemons.
     pub peers: Peers,
     /// The log.
@@ -104,7 +104,7 @@
         let table = Table::new(me, settings.data_centre, settings.membership);
         Ok(Daemon {
             me,
-            backend: parts.backend,
+            backend: Observed::new(parts.backend),
             metrics: Metrics::new(&parts.peers)?,
             peers: parts.peers,
             log: parts.log,
--- a/crates/stackpierd/src/heartbeat.rs
+++ b/crates/stackpierd/src/heartbeat.rs
@@ -20,11 +20,13 @@
     peer::{Heartbeat, HeartbeatReply, RackReport, Request, Response, ShardPage},
     platform::Roster,
 };
+use stackpier_transport::platform::Roster as _;
 
 use crate::{
     backend::Backend,
     clock,
     daemon::{Daemon, PEER_LIMIT, lock},
+    reach::Watch,
     scheduler::Input,
 };
 
@@ -35,7 +37,9 @@
         .name("heartbeat".to_owned())
         .spawn(move || {
             let mut receipts = Receipts::default();
+            let mut watch = Watch::new(sending.settings.membership.silence_ms);
             for round in 0.. {
+                watch.run_round(&sending);
                 send_heartbeats(&sending, round, &mut receipts);
                 thread::sleep(Duration::from_millis(sending.settings.heartbeat_ms));
             }
--- a/crates/stackpierd/src/holders.rs
+++ b/crates/stackpierd/src/holders.rs
@@ -16,6 +16,7 @@
     holders::{Map, Member},
     page::{ABSENT, Fetched, Key, Swapped},
 };
+use stackpier_transport::platform::Store;
 
 use crate::{
     backend::Backend,
--- a/crates/stackpierd/src/intents.rs
+++ b/crates/stackpierd/src/intents.rs
@@ -11,6 +11,7 @@
     catalogue::SHARDS,
     page::{ABSENT, Fetched, Index, Key, Swapped},
 };
+use stackpier_transport::platform::Store;
 
 use crate::{
     backend::Backend,
--- a/crates/stackpierd/src/lib.rs
+++ b/crates/stackpierd/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod operators;
 pub mod peers;
 pub mod pool;
+pub mod reach;
 pub mod request;
 pub mod routing;
 pub mod scheduler;
--- a/crates/stackpierd/src/main.rs
+++ b/crates/stackpierd/src/main.rs
@@ -29,6 +29,7 @@
     heartbeat, holders, intents, logging,
     operators::Operators,
     peers::Peers,
+    reach,
     request::Callers,
     scheduler::{self, Input},
     settings::{self, Settings},
@@ -113,6 +114,7 @@
         operators_port,
         Arc::new(Operators::new(Arc::clone(&daemon))),
     )?;
+    reach::start(&daemon)?;
     heartbeat::start(&daemon)?;
     intents::start(&daemon)?;
     holders::start(&daemon)?;
--- a/crates/stackpierd/src/metrics.rs
+++ b/crates/stackpierd/src/metrics.rs
@@ -30,6 +30,8 @@
     pub store_reads: Counter<u64>,
     /// Swaps in the store.
     pub store_swaps: Counter<u64>,
+    /// Times that the store stopped answering this daemon.
+    pub store_losses: Counter<u64>,
     /// Calls to workers.
     pub worker_calls: Counter<u64>,
     /// Decisions of placement, by kind.
@@ -48,6 +50,7 @@
             retries: counter("stackpier_retries"),
             store_reads: counter("stackpier_store_reads"),
             store_swaps: counter("stackpier_store_swaps"),
+            store_losses: counter("stackpier_store_losses"),
             worker_calls: counter("stackpier_worker_calls"),
             placements: counter("stackpier_placements"),
             instruments,
--- a/crates/stackpierd/src/operators.rs
+++ b/crates/stackpierd/src/operators.rs
@@ -18,10 +18,14 @@
     page::{Fetched, Key},
     work::Run,
 };
-use stackpier_transport::operators::{Request, Service};
+use stackpier_transport::{
+    operators::{Request, Service},
+    platform::Store,
+};
 
 use crate::{
     backend::Backend,
+    clock,
     daemon::{Daemon, lock},
 };
 
@@ -69,6 +73,7 @@
 
     fn status(&self, name: Name) -> Result<Reply> {
         let object = self.find_object(name)?;
+        self.check_store()?;
         let data_centres = lock(&self.daemon.table).data_centres();
         let mut tasks = Vec::new();
         for data_centre in data_centres {
@@ -77,6 +82,26 @@
         json_reply(&Status { object, tasks })
     }
 
+    /// check_store refuses at once what needs the store while this daemon does
+    /// not reach it, and names the daemons that do.
+    fn check_store(&self) -> Result<()> {
+        let table = lock(&self.daemon.table);
+        if !table.store_lost() {
+            return Ok(());
+        }
+        let able = table.able(clock::now()).into_iter();
+        let able = able.filter(|member| *member != self.daemon.me);
+        let names: Vec<String> = able.map(|member| member.vm.to_string()).collect();
+        let text = match names.is_empty() {
+            true => "no daemon here reaches the store".to_owned(),
+            false => format!(
+                "this daemon does not reach the store, ask {}",
+                names.join(", ")
+            ),
+        };
+        Err(Error::new(Kind::StoreUnavailable, text))
+    }
+
     fn collect_tasks(
         &self,
         object: &Object,
--- a/crates/stackpierd/src/peers.rs
+++ b/crates/stackpierd/src/peers.rs
@@ -12,6 +12,7 @@
 
 use crate::{
     backend::Backend,
+    clock,
     daemon::{Daemon, lock},
     scheduler::Input,
 };
@@ -61,6 +62,10 @@
             Request::SealThere(key) => Response::SealedThere(daemon.seal_locally(key)),
             Request::Map => Response::Map(lock(&daemon.holder).map().clone()),
             Request::Roster => Response::Roster(self.build_roster()),
+            Request::Storeless(from) => {
+                lock(&daemon.table).record_storeless(clock::now(), from);
+                Response::Taken
+            }
             Request::Hint(Hint::Holders) => {
                 daemon.holder_map_outdated.store(true, Ordering::SeqCst);
                 Response::Taken
--- a/crates/stackpierd/src/request/dispatch.rs
+++ b/crates/stackpierd/src/request/dispatch.rs
@@ -8,7 +8,7 @@
 use stackpier_coordination::route::Outcome;
 use stackpier_core::{Error, Kind, Millis, Name, Result, error::Ran};
 use stackpier_state::ledger::{Record, Reply};
-use stackpier_transport::platform::{Sent, Upstream};
+use stackpier_transport::platform::{Sent, Upstream, Worker};
 
 use super::{Callers, call::Call, keyed::OpenGrant};
 use crate::{
--- a/crates/stackpierd/src/scheduler.rs
+++ b/crates/stackpierd/src/scheduler.rs
@@ -17,6 +17,7 @@
     sync::{Call, Reply},
 };
 use stackpier_state::{Page, Revision, holders::Member, page::Key, work::Run};
+use stackpier_transport::platform::{Store, Worker};
 
 use crate::{
     backend::Backend,
