Send heartbeats at their pace, whatever earlier rounds still wait for

Cause: `send_heartbeats` waited for every answer of a round, up to 1 s each, before the next round. So one mute daemon held up the heartbeats between all others, and with a `silence_ms` below about 1.5 s they counted each other as unreachable. Fetching intents pages from a peer held the rounds up, too.

Why this works: a round sends and goes on. Answers of all rounds are handled as they come, until the next round is due. The report of a daemon without the store goes with the heartbeat, under the same bound. Intents pages are fetched on a thread of their own; while it is busy, the next reply asks for them again. Heartbeats may now overtake each other; what they carry allows that: reports have terms and changes, promises and leaving workers only grow, and a boot that is leaving stays so.

--- a/crates/stackpierd/src/heartbeat.rs
+++ b/crates/stackpierd/src/heartbeat.rs
@@ -6,14 +6,17 @@
 //! daemon of each other data centre, which changes from round to round. So the
 //! cost does not grow with the square of the number of all daemons.
 
+pub mod pending;
+
 use std::{
     collections::{BTreeMap, HashMap},
     net::SocketAddr,
     sync::{Arc, atomic::Ordering},
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
+use flume::Sender;
 use slog::{debug, info};
 use stackpier_core::{Name, key::Boot};
 use stackpier_protocol::{
@@ -30,18 +33,21 @@
     scheduler::Input,
 };
 
+use pending::{Pending, Sent};
+
 /// start starts the threads that send heartbeats and read the list of VMs.
 pub fn start<B: Backend>(daemon: &Arc<Daemon<B>>) -> std::io::Result<()> {
     let sending = Arc::clone(daemon);
+    let (behind, pulls) = flume::bounded(1);
     thread::Builder::new()
         .name("heartbeat".to_owned())
+        .spawn(move || send_rounds(&sending, &behind))?;
+    let pulling = Arc::clone(daemon);
+    thread::Builder::new()
+        .name("pull".to_owned())
         .spawn(move || {
-            let mut receipts = Receipts::default();
-            let mut watch = Watch::new(sending.settings.membership.silence_ms);
-            for round in 0.. {
-                watch.run_round(&sending);
-                send_heartbeats(&sending, round, &mut receipts);
-                thread::sleep(Duration::from_millis(sending.settings.heartbeat_ms));
+            for address in pulls {
+                pull_intents(&pulling, address);
             }
         })?;
     let reading = Arc::clone(daemon);
@@ -175,36 +181,77 @@
     }
 }
 
-/// send_heartbeats sends one round of heartbeats and handles the replies. Only
-/// daemons of the own data centre get reports and promises on racks.
-fn send_heartbeats<B: Backend>(daemon: &Daemon<B>, round: usize, receipts: &mut Receipts) {
+/// send_rounds sends heartbeats at their pace, and handles the replies to all
+/// rounds as they come. Daemons whose intents pages differ go to `behind`.
+fn send_rounds<B: Backend>(daemon: &Daemon<B>, behind: &Sender<SocketAddr>) {
+    let interval = Duration::from_millis(daemon.settings.heartbeat_ms);
+    let mut receipts = Receipts::default();
+    let mut pending = Pending::default();
+    let mut watch = Watch::new(daemon.settings.membership.silence_ms);
+    let mut next = Instant::now();
+    for round in 0.. {
+        watch.run_round(daemon);
+        send_heartbeats(daemon, round, &receipts, &mut pending);
+        // Missed rounds are not made up for.
+        next = (next + interval).max(Instant::now());
+        while let Some((sent, reply)) = pending.next_reply(next) {
+            receipts.record(sent.address, reply.from.boot, &sent.reports);
+            handle_reply(daemon, sent.address, &reply, behind);
+        }
+    }
+}
+
+/// send_heartbeats sends one round of heartbeats. Only daemons of the own data
+/// centre get reports and promises on racks.
+fn send_heartbeats<B: Backend>(
+    daemon: &Daemon<B>,
+    round: usize,
+    receipts: &Receipts,
+    pending: &mut Pending,
+) {
+    let storeless = lock(&daemon.table).store_lost();
     let (local, remote) = choose_targets(daemon, round);
     let full = build_heartbeat(daemon, true);
     let brief = build_heartbeat(daemon, false);
-    let local = local.into_iter().map(|address| {
+    for address in local {
+        if !pending.has_room(address) {
+            continue;
+        }
         let racks = receipts.unacknowledged(address, &full.racks);
-        (
+        let beat = Heartbeat {
+            racks,
+            ..full.clone()
+        };
+        send_heartbeat(daemon, address, beat, pending);
+        if storeless {
+            let message = Request::Storeless(daemon.me);
+            let _ = daemon.peers.send(address, &message, PEER_LIMIT);
+        }
+    }
+    for address in remote {
+        if pending.has_room(address) {
+            send_heartbeat(daemon, address, brief.clone(), pending);
+        }
+    }
+}
+
+fn send_heartbeat<B: Backend>(
+    daemon: &Daemon<B>,
+    address: SocketAddr,
+    beat: Heartbeat,
+    pending: &mut Pending,
+) {
+    let reports = beat.racks.clone();
+    let message = Request::Heartbeat(beat);
+    match daemon.peers.send(address, &message, PEER_LIMIT) {
+        Ok(answer) => pending.push(Sent {
             address,
-            Heartbeat {
-                racks,
-                ..full.clone()
-            },
-        )
-    });
-    let remote = remote.into_iter().map(|address| (address, brief.clone()));
-    let sent: Vec<_> = local
-        .chain(remote)
-        .filter_map(|(address, beat)| {
-            let reports = beat.racks.clone();
-            let message = Request::Heartbeat(beat);
-            let answer = daemon.peers.send(address, &message, PEER_LIMIT).ok()?;
-            Some((address, reports, answer))
-        })
-        .collect();
-    for (address, reports, answer) in sent {
-        if let Ok(Ok(Response::Heartbeat(reply))) = answer.recv() {
-            receipts.record(address, reply.from.boot, &reports);
-            handle_reply(daemon, address, &reply);
+            reports,
+            answer,
+        }),
+        Err(error) => {
+            debug!(daemon.log, "member: heartbeat not sent";
+                "peer" => %address, "why" => %error);
         }
     }
 }
@@ -253,12 +300,18 @@
     }
 }
 
-/// handle_reply records a reply, and fetches intents pages if the peer's differ.
-fn handle_reply<B: Backend>(daemon: &Daemon<B>, address: SocketAddr, reply: &HeartbeatReply) {
+/// handle_reply records a reply, and has intents pages fetched if the peer's
+/// differ. If others are being fetched, the next reply tells it again.
+fn handle_reply<B: Backend>(
+    daemon: &Daemon<B>,
+    address: SocketAddr,
+    reply: &HeartbeatReply,
+    behind: &Sender<SocketAddr>,
+) {
     lock(&daemon.table).record_reply(clock::now(), reply);
     let sum = lock(&daemon.catalogue).digest().sum();
     if reply.sum != sum {
-        pull_intents(daemon, address);
+        let _ = behind.try_send(address);
     }
 }
 
--- a/crates/stackpierd/src/reach.rs
+++ b/crates/stackpierd/src/reach.rs
@@ -1,7 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 //! Whether this daemon and its peers reach the platform's store: the record of
-//! the store's answers, the probes while nothing else is read, and the reports to
-//! the other daemons.
+//! the store's answers, and the probes while nothing else is read.
 
 use std::{
     sync::{
@@ -16,7 +15,6 @@
 use stackpier_coordination::reach::{Change, Reach};
 use stackpier_core::{Millis, Result};
 use stackpier_protocol::{
-    peer::Request,
     platform::Roster as List,
     sync::{Call, Reply},
 };
@@ -143,8 +141,8 @@
         }
     }
 
-    /// run_round passes to the table whether the store is reached, and tells the
-    /// other daemons while it is not.
+    /// run_round passes to the table whether the store is reached. The heartbeats
+    /// tell the other daemons while it is not.
     pub fn run_round<B: Backend>(&mut self, daemon: &Daemon<B>) {
         let now = clock::now();
         match self.reach.look(now, daemon.backend.answered()) {
@@ -163,9 +161,6 @@
             table.left_out(now)
         };
         self.log_left_out(daemon, left_out);
-        if self.reach.lost() {
-            let _ = daemon.broadcast(&Request::Storeless(daemon.me));
-        }
     }
 
     fn log_left_out<B: Backend>(&mut self, daemon: &Daemon<B>, left_out: Vec<Member>) {
