--- a/crates/stackpier-coordination/src/lib.rs
+++ b/crates/stackpier-coordination/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod placer;
 pub mod policy;
 pub mod queue;
+pub mod reach;
 pub mod reaction;
 pub mod retry;
 pub mod route;
