Wait for owners before the predecessor that may still act

Client accounts could have seen a task run twice. An owner that was held up for 3.5 s was replaced; its successor was killed; the third owner found the cell vacant and waited for one lease only. The first owner, awake again within its authority and cut off from the store and its peers, started the task on a worker that only it reached.

Cause: the successor looked at the last owner alone. If that one was known to be dead, no earlier owner was counted.

Each daemon now keeps until when owners before the present one may act. An owner's authority counts from a confirmation before the change of the ownership, so it ends at the latest `authority_ms` after the daemon first saw the later ownership. An owner drops out that released the cell or whose VM has registered a new process since, whenever that is seen. Owners that the daemon never saw count as well, from the later ownership on. Nothing is stored and no message changes. `Cell::new` takes the time for which earlier owners may act in place of a flag for the predecessor.

tests/inherited.rs: `replace_owner` passes the latest end over all earlier owners, which is what daemons now know. That changes the model of the next owner, not a check.

--- a/crates/stackpier-cell/src/cell.rs
+++ b/crates/stackpier-cell/src/cell.rs
@@ -92,11 +92,10 @@
 }
 
 impl Cell {
-    /// new starts the ownership of a cell under `fence`, without jobs or workers. `predecessor`
-    /// tells whether a predecessor may still act.
-    pub fn new(options: Options, fence: u64, now: Now, predecessor: bool) -> Cell {
-        let acting = if predecessor { options.authority_ms } else { 0 };
-        let inherited_until = Cell::inherited_until(&options, now.mono, acting);
+    /// new starts the ownership of a cell under `fence`, without jobs or workers. `acting_ms` is
+    /// how long an earlier owner may still act: the predecessor, or one before it.
+    pub fn new(options: Options, fence: u64, now: Now, acting_ms: u64) -> Cell {
+        let inherited_until = Cell::inherited_until(&options, now.mono, acting_ms);
         let guaranteed_ratings = options.ratings_per_ms / GUARANTEED_RATING_DIVISOR;
         Cell {
             options,
--- a/crates/stackpier-cell/src/takeover.rs
+++ b/crates/stackpier-cell/src/takeover.rs
@@ -86,8 +86,8 @@
 }
 
 impl Cell {
-    /// inherited_until returns when all leases of a predecessor have expired, if that owner may act
-    /// for `acting_ms` more.
+    /// inherited_until returns when all leases of earlier owners have expired, if the last of them
+    /// to act may do so for `acting_ms` more.
     pub(crate) fn inherited_until(options: &Options, now: Millis, acting_ms: u64) -> Millis {
         let lease = options.max_lease_ms + options.max_lease_ms * CLOCK_ERROR_MILLI / 1_000;
         now.plus(acting_ms + lease + MARGIN_MS)
--- a/crates/stackpier-cell/tests/common/mod.rs
+++ b/crates/stackpier-cell/tests/common/mod.rs
@@ -193,8 +193,9 @@
             mono: Millis(1),
             unix: Unix(UNIX),
         };
+        let acting_ms = if predecessor { options.authority_ms } else { 0 };
         let mut owner = Owner {
-            cell: Cell::new(options, fence, now, predecessor),
+            cell: Cell::new(options, fence, now, acting_ms),
             now_ms: 1,
             workers: (0..workers)
                 .map(|place| Worker::new(info(place), 5_000 + place as u64, 1))
--- a/crates/stackpier-cell/tests/inherited.rs
+++ b/crates/stackpier-cell/tests/inherited.rs
@@ -80,6 +80,8 @@
     records: BTreeMap<u64, Record>,
     progress: BTreeMap<u64, Progress>,
     roster: Vec<RosterEntry>,
+    /// Until when an earlier owner may act, as far as daemons know.
+    acting_until: u64,
     listed: BTreeMap<usize, Info>,
     cut: BTreeSet<usize>,
     mute: Mute,
@@ -128,6 +130,7 @@
             records: BTreeMap::new(),
             progress: BTreeMap::new(),
             roster: Vec::new(),
+            acting_until: 0,
             listed: BTreeMap::new(),
             cut: BTreeSet::new(),
             mute: Mute::default(),
@@ -313,8 +316,9 @@
         self.replace_owner(vacant_ms, false);
     }
 
-    /// replace_owner does the same; `predecessor` tells whether the earlier owner may still act. It
-    /// returns that owner with a copy of the workers.
+    /// replace_owner does the same; `predecessor` tells whether the earlier owner may still act. Like
+    /// a daemon, the next owner knows the latest end over all earlier owners. It returns the earlier
+    /// owner with a copy of the workers.
     fn replace_owner(&mut self, vacant_ms: u64, predecessor: bool) -> Owner {
         self.store_saves();
         self.log.push((self.owner.now_ms, "OWNER ends".to_owned()));
@@ -323,7 +327,11 @@
         let fence = self.owner.cell.fence() + 1;
         let mut next = Owner::with(0, fence, false);
         next.now_ms = now_ms;
-        next.cell = Cell::new(options, fence, next.now(), predecessor);
+        if predecessor {
+            self.acting_until = now_ms + options.authority_ms;
+        }
+        let acting_ms = self.acting_until.saturating_sub(now_ms);
+        next.cell = Cell::new(options, fence, next.now(), acting_ms);
         next.workers = self.owner.workers.clone();
         next.cut = vec![false; next.workers.len()];
         next.behaviours = self.owner.behaviours.clone();
--- a/crates/stackpier-cell/tests/superseded.rs
+++ b/crates/stackpier-cell/tests/superseded.rs
@@ -158,7 +158,8 @@
     let mut owner = Owner::with(1, 2, true);
     owner.store = false;
     owner.now_ms = 10_000;
-    owner.cell = Cell::new(Options::default(), 2, owner.now(), true);
+    let options = Options::default();
+    owner.cell = Cell::new(options, 2, owner.now(), options.authority_ms);
     owner.cell.set_confirmed(Millis(4_000));
     owner.feed(Event::Queues(vec![queue(QUEUE, 0)]));
     owner.cell.add_roster(&RosterEntry {
--- a/crates/stackpier-fuzz/src/cell/simulation.rs
+++ b/crates/stackpier-fuzz/src/cell/simulation.rs
@@ -286,10 +286,14 @@
     fn take_over(&mut self, data_centre: usize) {
         self.count("takeover");
         self.oracle.record_takeover(self.now_ms);
-        let predecessor = self.store.fence > 0;
+        // Owners before the predecessor were replaced earlier, so their authority ends earlier.
+        let acting_ms = match self.store.fence {
+            0 => 0,
+            _ => self.options.authority_ms,
+        };
         self.store.fence += 1;
         let fence = self.store.fence;
-        let mut cell = Cell::new(self.options, fence, self.now(), predecessor);
+        let mut cell = Cell::new(self.options, fence, self.now(), acting_ms);
         let index = self.owners.len();
         self.store
             .roster
--- a/crates/stackpier-load/src/cell/simulation.rs
+++ b/crates/stackpier-load/src/cell/simulation.rs
@@ -140,7 +140,7 @@
         let mut simulation = Simulation {
             now_ms: 1,
             random,
-            cell: Cell::new(scenario.options, FENCE, now, false),
+            cell: Cell::new(scenario.options, FENCE, now, 0),
             workers: workers.collect(),
             ground_truth,
             scenario,
--- /dev/null
+++ b/crates/stackpier-scheduler/src/authority.rs
@@ -0,0 +1,77 @@
+// SPDX-License-Identifier: Apache-2.0
+//! How long earlier owners of the cell may still act, from what a daemon sees of the ownership.
+//!
+//! An owner acts until its authority ends, which counts from a time at which the store confirmed
+//! its ownership. That was before the store changed the ownership, and so before any daemon saw
+//! the later one. An owner that was held up may act beside several successors, so a daemon keeps
+//! the ends of all earlier owners.
+
+use stackpier_core::{Millis, key::Boot};
+
+/// Holder is an owner of the cell, as the store showed it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Holder {
+    /// The VM of the owner.
+    pub vm: String,
+    /// The id of its process.
+    pub boot: Boot,
+    /// The address for its peers.
+    pub address: String,
+    /// Its fencing token.
+    pub fence: u64,
+    /// The revision at which the store showed it as the owner.
+    pub revision: u64,
+}
+
+/// Acting is an earlier owner that may still act.
+#[derive(Clone, Debug)]
+struct Acting {
+    holder: Holder,
+    until: Millis,
+}
+
+/// Authorities holds until when the owners before the present one may act.
+#[derive(Clone, Debug, Default)]
+pub struct Authorities {
+    acting: Vec<Acting>,
+    /// The same for owners that this daemon never saw in the store.
+    unseen_until: Millis,
+}
+
+impl Authorities {
+    /// replace records that at `now` the store shows a later owner with `fence` for the first
+    /// time, after `earlier`. `may_act` tells whether that owner may act without the store.
+    pub fn replace(&mut self, earlier: Option<(Holder, bool)>, fence: u64, until: Millis) {
+        let known = earlier.as_ref().map_or(0, |(holder, _)| holder.fence);
+        if fence > known + 1 {
+            self.unseen_until = until;
+        }
+        if let Some((holder, true)) = earlier {
+            self.acting.push(Acting { holder, until });
+        }
+    }
+
+    /// remove records that an owner does not act any more.
+    pub fn remove(&mut self, boot: Boot, fence: u64) {
+        let stopped = |acting: &Acting| acting.holder.boot == boot && acting.holder.fence <= fence;
+        self.acting.retain(|acting| !stopped(acting));
+    }
+
+    /// prune drops the owners whose authority has ended, and those that `is_gone` tells.
+    pub fn prune(&mut self, now: Millis, is_gone: impl Fn(&Holder) -> bool) {
+        self.acting
+            .retain(|acting| acting.until > now && !is_gone(&acting.holder));
+    }
+
+    /// holders returns the owners that may still act.
+    pub fn holders(&self) -> impl Iterator<Item = &Holder> {
+        self.acting.iter().map(|acting| &acting.holder)
+    }
+
+    /// acting_ms returns how long after `now` an earlier owner may still act.
+    pub fn acting_ms(&self, now: Millis) -> u64 {
+        let ends = self.acting.iter().map(|acting| acting.until);
+        let last = ends.fold(self.unseen_until, Millis::max);
+        last.since(now)
+    }
+}
--- a/crates/stackpier-scheduler/src/cluster.rs
+++ b/crates/stackpier-scheduler/src/cluster.rs
@@ -91,13 +91,30 @@
         self.log_line("member", &text);
         let own = ownership.vm == self.settings.vm && ownership.boot == self.boot;
         let fence = ownership.fence;
-        self.owned.replace(Some(Owned {
+        let earlier = self.owned.replace(Some(Owned {
             ownership,
             revision: item.revision,
         }));
+        self.record_change(earlier.as_ref(), fence);
         self.last_contact.set(self.mono());
         if !own {
             self.depose(fence, "the store shows another owner");
         }
     }
+
+    /// record_change records how long the owner before the one with `fence` may still act. An owner
+    /// that released the cell does not, nor does this daemon: it gives up the cell when it sees a
+    /// later owner.
+    fn record_change(&self, earlier: Option<&Owned>, fence: u64) {
+        if earlier.is_some_and(|earlier| earlier.ownership.fence >= fence) {
+            return;
+        }
+        let may_act = |owned: &Owned| {
+            let ownership = &owned.ownership;
+            !ownership.released && ownership.boot != self.boot
+        };
+        let earlier = earlier.map(|owned| (owned.holder(), may_act(owned)));
+        let until = self.mono().plus(self.settings.cell.authority_ms);
+        self.authorities.borrow_mut().replace(earlier, fence, until);
+    }
 }
--- a/crates/stackpier-scheduler/src/handover.rs
+++ b/crates/stackpier-scheduler/src/handover.rs
@@ -34,6 +34,8 @@
 pub(crate) struct Predecessor {
     /// Whether it may still act as the owner.
     pub may_act: bool,
+    /// How long it, or an owner before it, may still act.
+    pub acting_ms: u64,
     /// The address on which it takes messages, if known.
     pub address: Option<String>,
 }
--- a/crates/stackpier-scheduler/src/lib.rs
+++ b/crates/stackpier-scheduler/src/lib.rs
@@ -8,6 +8,7 @@
 //! interfaces are behind the traits [`Store`], [`Fleet`], [`Adviser`], [`Hosts`] and
 //! [`Catalog`], which an adapter implements.
 
+pub mod authority;
 mod calls;
 pub mod catalog;
 mod cluster;
--- a/crates/stackpier-scheduler/src/loading.rs
+++ b/crates/stackpier-scheduler/src/loading.rs
@@ -49,10 +49,12 @@
             return;
         };
         let text = format!(
-            "owns the cell with fence {fence}: {} jobs, {} workers listed, predecessor may act: {}",
+            "owns the cell with fence {fence}: {} jobs, {} workers listed, predecessor may act: {}, \
+             earlier owners act for {} ms more at most",
             loaded.progress.items.len(),
             loaded.workers.items.len(),
-            predecessor.may_act
+            predecessor.may_act,
+            predecessor.acting_ms
         );
         self.log_line("owner", &text);
         self.metrics.ownerships.add(1, &[]);
@@ -125,7 +127,8 @@
     fn install(&self, owned: Owned, predecessor: &Predecessor, loaded: Loaded) {
         let fence = owned.ownership.fence;
         let mut revisions = Revisions::default();
-        let mut cell = Cell::new(self.settings.cell, fence, self.now(), predecessor.may_act);
+        let now = self.now();
+        let mut cell = Cell::new(self.settings.cell, fence, now, predecessor.acting_ms);
         if predecessor.address.is_some() {
             cell.await_handover();
         }
--- a/crates/stackpier-scheduler/src/monitor.rs
+++ b/crates/stackpier-scheduler/src/monitor.rs
@@ -18,7 +18,7 @@
     handover::Predecessor,
     keys::{self, Member, OWNER, Ownership},
     link::{Alive, Heartbeat, Request, Response},
-    node::{Node, Owned, Registered, pause},
+    node::{Node, Owned, pause},
     store::{Committed, Item, Put, Transaction},
     watch::follow,
 };
@@ -191,6 +191,7 @@
         if let Some(own) = self.node.unloaded() {
             let predecessor = Predecessor {
                 may_act: true,
+                acting_ms: self.node.settings.cell.authority_ms,
                 address: None,
             };
             self.node.load(own, predecessor).await;
@@ -223,7 +224,7 @@
         if ownership.boot == self.node.boot {
             return ownership.released.then_some(Reason::Vacant);
         }
-        if ownership.released || self.is_owner_gone(owned) {
+        if ownership.released || self.node.is_gone(&owned.holder()) {
             return Some(Reason::Vacant);
         }
         if !self.is_heartbeat_due(owned) {
@@ -241,16 +242,6 @@
         }
     }
 
-    /// is_owner_gone reports whether the owner's process has ended: a new process has
-    /// registered on the owner's VM since. An entry that is older than the ownership proves
-    /// nothing, as a daemon may read the two from the store in either order.
-    fn is_owner_gone(&self, owned: &Owned) -> bool {
-        let members = self.node.members.borrow();
-        let entry = members.get(&owned.ownership.vm);
-        let restarted = |entry: &Registered| entry.member.boot != owned.ownership.boot;
-        entry.is_some_and(|entry| entry.revision > owned.revision && restarted(entry))
-    }
-
     /// is_heartbeat_due reports whether to send a heartbeat now.
     fn is_heartbeat_due(&self, owned: &Owned) -> bool {
         let waited_ms = self.node.mono().since(self.sent);
@@ -409,6 +400,7 @@
         if let Some(won) = won.filter(own) {
             let predecessor = Predecessor {
                 may_act: reason != Reason::Vacant,
+                acting_ms: self.node.acting_ms(),
                 address: owned.map(|owned| owned.ownership.address),
             };
             self.node.load(won, predecessor).await;
--- a/crates/stackpier-scheduler/src/node.rs
+++ b/crates/stackpier-scheduler/src/node.rs
@@ -18,6 +18,7 @@
 
 use crate::{
     Platform, Settings,
+    authority::{Authorities, Holder},
     catalog::Config,
     keys::{Member, Ownership},
     link::Links,
@@ -43,6 +44,19 @@
     pub revision: u64,
 }
 
+impl Owned {
+    /// holder returns the owner.
+    pub(crate) fn holder(&self) -> Holder {
+        Holder {
+            vm: self.ownership.vm.clone(),
+            boot: self.ownership.boot,
+            address: self.ownership.address.clone(),
+            fence: self.ownership.fence,
+            revision: self.revision,
+        }
+    }
+}
+
 /// Registered is a daemon's entry as last read from the store, with its revision.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Registered {
@@ -78,6 +92,8 @@
     pub(crate) members: RefCell<BTreeMap<String, Registered>>,
     pub(crate) owned: RefCell<Option<Owned>>,
     pub(crate) owner: RefCell<Option<Owner>>,
+    /// How long the owners before the present one may still act.
+    pub(crate) authorities: RefCell<Authorities>,
     /// What this daemon could not save while it owned the cell. It is kept until the
     /// successor has received it.
     pub(crate) unsaved: RefCell<Vec<Unsaved>>,
@@ -142,6 +158,7 @@
             members: RefCell::default(),
             owned: RefCell::default(),
             owner: RefCell::default(),
+            authorities: RefCell::default(),
             unsaved: RefCell::default(),
             swap: Slot::default(),
             loading: Slot::default(),
@@ -228,6 +245,24 @@
         answered > Millis(0) && self.mono().since(answered) < STORE_FRESH_MS
     }
 
+    /// is_gone reports whether an owner's process has ended: a new process has registered on its VM
+    /// since. An entry that is older than the ownership proves nothing, as a daemon may read the
+    /// two from the store in either order.
+    pub(crate) fn is_gone(&self, holder: &Holder) -> bool {
+        let members = self.members.borrow();
+        let entry = members.get(&holder.vm);
+        let restarted = |entry: &Registered| entry.member.boot != holder.boot;
+        entry.is_some_and(|entry| entry.revision > holder.revision && restarted(entry))
+    }
+
+    /// acting_ms returns how long owners before the present one may still act.
+    pub(crate) fn acting_ms(&self) -> u64 {
+        let now = self.mono();
+        let mut authorities = self.authorities.borrow_mut();
+        authorities.prune(now, |holder| self.is_gone(holder));
+        authorities.acting_ms(now)
+    }
+
     /// is_owner reports whether this daemon owns the cell and has loaded it.
     pub(crate) fn is_owner(&self) -> bool {
         self.owner.borrow().is_some()
