Ask earlier owners whether they have stopped acting

Callers saw long-running tasks lost: an owner was frozen for 1.6 s just after workers had ended that it still had in its roster, and 20 to 125 long-running tasks waited 11.6 s for these workers under the next owner.

Cause: the time for which leases of earlier owners count was set once, at the takeover: authority 5 s, lease 6 s and margins. But a thawed owner gives up the cell, and says so, 0.03 to 1.5 s after the takeover.

The successor now sends heartbeats with its fence to each earlier owner that may still act, every 250 ms, until that owner answers that it does not own the cell, a new process has registered on its VM, or its authority has ended. Then it tells the cell, which counts one lease and the margin from that moment, or from the end of the authority of the other earlier owners. The time is never prolonged. An answer counts only from the same process, and only if that process can't load the cell afterwards under its old fence, after a swap whose answer was lost: it has answered as the owner before, or it knows the later owner. No message changes.

Tests: `the_authority_of_a_stopped_predecessor_is_not_waited_for` fails without the shorter bound (12,354 ms; bound 7,756 and 9,226 ms). `a_stopped_predecessor_does_not_speak_for_the_owner_before_it` fails if the other owners' authority is left out: the task runs on two workers. The fuzz has owners that ask earlier ones: its six new cases pass, and all six fail if the lease is left out, five with a task that runs twice. If only the authority of other owners is left out, the two cases that were run to the end do not show it; the cell's test does.

--- a/crates/stackpier-cell/src/cell.rs
+++ b/crates/stackpier-cell/src/cell.rs
@@ -173,6 +173,7 @@
             Event::TakenDown(order, outcome) => self.handle_take_down_answer(&order, outcome),
             Event::Saved(done) => self.handle_save_answer(done),
             Event::PredecessorAnswered(unsaved) => self.handle_predecessor_answer(&unsaved),
+            Event::PredecessorStopped { acting_ms } => self.shorten_inherited(acting_ms),
             Event::HandedOver(unsaved) => self.apply_handover(&unsaved),
             Event::Confirmed(sent) => self.apply_confirmation(sent),
             Event::Tick => self.tick(),
--- a/crates/stackpier-cell/src/event.rs
+++ b/crates/stackpier-cell/src/event.rs
@@ -118,6 +118,12 @@
     /// The predecessor was asked for the progress that it could not save. The list is its
     /// answer, empty if it gave none.
     PredecessorAnswered(Vec<Unsaved>),
+    /// An earlier owner has stopped acting. Of the other earlier owners, the last to act may do so
+    /// for `acting_ms` more.
+    PredecessorStopped {
+        /// How long that is.
+        acting_ms: u64,
+    },
     /// A predecessor sent, without being asked, the progress that it could not save.
     HandedOver(Vec<Unsaved>),
     /// Time has passed.
--- a/crates/stackpier-cell/src/takeover.rs
+++ b/crates/stackpier-cell/src/takeover.rs
@@ -93,6 +93,22 @@
         now.plus(acting_ms + lease + MARGIN_MS)
     }
 
+    /// shorten_inherited records that earlier owners may act for `acting_ms` more. It never makes
+    /// tasks wait longer.
+    pub(crate) fn shorten_inherited(&mut self, acting_ms: u64) {
+        let now = self.now.mono;
+        let until = Cell::inherited_until(&self.options, now, acting_ms);
+        let before = self.ownership.inherited_until;
+        self.ownership.inherited_until = before.min(until);
+        let text = format!(
+            "an earlier owner has stopped acting, others may act for {acting_ms} ms more: leases \
+             of earlier owners end in {} ms instead of {} ms",
+            self.ownership.inherited_until.since(now),
+            before.since(now)
+        );
+        self.log("takeover", None, text);
+    }
+
     /// first_run returns the number of the first run of a task under this owner.
     pub(crate) fn first_run(&self) -> u32 {
         let earlier = self.fence.saturating_sub(1);
--- a/crates/stackpier-cell/tests/inherited.rs
+++ b/crates/stackpier-cell/tests/inherited.rs
@@ -82,6 +82,8 @@
     roster: Vec<RosterEntry>,
     /// Until when an earlier owner may act, as far as daemons know.
     acting_until: u64,
+    /// Until when an owner before the predecessor may act.
+    before_until: u64,
     listed: BTreeMap<usize, Info>,
     cut: BTreeSet<usize>,
     mute: Mute,
@@ -131,6 +133,7 @@
             progress: BTreeMap::new(),
             roster: Vec::new(),
             acting_until: 0,
+            before_until: 0,
             listed: BTreeMap::new(),
             cut: BTreeSet::new(),
             mute: Mute::default(),
@@ -327,6 +330,7 @@
         let fence = self.owner.cell.fence() + 1;
         let mut next = Owner::with(0, fence, false);
         next.now_ms = now_ms;
+        self.before_until = self.acting_until;
         if predecessor {
             self.acting_until = now_ms + options.authority_ms;
         }
@@ -358,6 +362,13 @@
         earlier
     }
 
+    /// stop_predecessor tells the owner that its predecessor has stopped acting.
+    fn stop_predecessor(&mut self) {
+        self.acting_until = self.before_until;
+        let acting_ms = self.acting_until.saturating_sub(self.owner.now_ms);
+        self.owner.feed(Event::PredecessorStopped { acting_ms });
+    }
+
     /// store_saves keeps what the owner has saved.
     fn store_saves(&mut self) {
         for save in &self.owner.saves {
@@ -550,6 +561,63 @@
     assert_eq!(chain.places().len(), 1, "{}", chain.story());
 }
 
+/// Guards against waiting for the authority of a predecessor that has said that it has stopped: only
+/// its leases can still be valid.
+#[rstest]
+fn the_authority_of_a_stopped_predecessor_is_not_waited_for(#[values(30, 1_500)] answer_ms: u64) {
+    let mut chain = stop_task(10);
+    chain.cut.insert(10);
+    chain.replace_owner(VACANT_MS, true);
+    chain.advance(answer_ms);
+    chain.stop_predecessor();
+    let waited_ms = chain.advance_until_run();
+    println!("waited {waited_ms} ms");
+    let lease_ms = options().max_lease_ms * 1_021 / 1_000;
+    let before_ms = 1_000;
+    let most_ms = before_ms + answer_ms + lease_ms + 600;
+    assert!(waited_ms <= most_ms, "{waited_ms}: {}", chain.story());
+}
+
+/// Guards against a predecessor that says late that it has stopped, when its authority has ended
+/// already: its leases are not counted anew.
+#[test]
+fn a_late_answer_of_the_predecessor_does_not_prolong_the_wait() {
+    let mut chain = stop_task(10);
+    chain.cut.insert(10);
+    chain.replace_owner(VACANT_MS, true);
+    chain.advance(options().authority_ms + 2_000);
+    chain.stop_predecessor();
+    let waited_ms = chain.advance_until_run();
+    let lease_ms = options().max_lease_ms * 1_021 / 1_000;
+    let most_ms = 1_000 + options().authority_ms + lease_ms + 600;
+    assert!(waited_ms <= most_ms, "{waited_ms}: {}", chain.story());
+}
+
+/// Guards against a task that runs twice at once: the predecessor says that it has stopped, but the
+/// owner before it was only held up, and starts the task on a worker that only it reaches.
+/// `observe` checks.
+#[test]
+fn a_stopped_predecessor_does_not_speak_for_the_owner_before_it() {
+    const REACHED: usize = 10;
+    let mut chain = stop_task(REACHED);
+    chain.cut.insert(REACHED);
+    let held_up_ms = chain.owner.now_ms;
+    let mut first = chain.replace_owner(1_300, true);
+    chain.advance(700);
+    chain.replace_owner(VACANT_MS, true);
+    chain.stop_predecessor();
+    first.now_ms = held_up_ms + 3_500;
+    first.store = false;
+    first.cut = (0..=REACHED).map(|place| place != REACHED).collect();
+    first.advance(1_600);
+    let runs = &first.workers[REACHED].runs;
+    assert!(runs.iter().any(|run| run.task.job.0 == LASTS), "started");
+    chain.advance(first.now_ms - chain.owner.now_ms);
+    chain.owner.workers[REACHED] = first.workers[REACHED].clone();
+    chain.advance(10_000);
+    assert_eq!(chain.places().len(), 1, "{}", chain.story());
+}
+
 /// Guards against takeovers that each begin anew the wait for a lease that is over: the worker on
 /// which the task ran died with the first owner.
 #[rstest]
--- a/crates/stackpier-fuzz/src/cell/simulation.rs
+++ b/crates/stackpier-fuzz/src/cell/simulation.rs
@@ -6,6 +6,7 @@
 mod handover;
 mod jobs;
 mod listing;
+mod query;
 mod saves;
 mod series;
 
@@ -99,6 +100,8 @@
     TakeOver(usize),
     /// The current owner receives what a predecessor could not save.
     HandOver(Vec<Unsaved>),
+    /// An owner asks earlier ones whether they have stopped acting.
+    Query(usize),
 }
 
 struct Owner {
@@ -110,6 +113,10 @@
     /// When each incarnation of a worker last sent it a report.
     last_contact: BTreeMap<String, u64>,
     frozen_until: u64,
+    /// When it took over.
+    began_ms: u64,
+    /// Earlier owners that have answered it that they have stopped acting.
+    stopped: BTreeSet<usize>,
     /// Whether it has learnt of its successor.
     ended: bool,
 }
@@ -306,6 +313,8 @@
             confirmed_ms: self.now_ms,
             last_contact: BTreeMap::new(),
             frozen_until: 0,
+            began_ms: self.now_ms,
+            stopped: BTreeSet::new(),
             ended: false,
         });
         self.poll_predecessor();
@@ -326,6 +335,9 @@
             }
         }
         self.send(TICK_MS, Message::Tick(index));
+        if self.faults.queries > 0 {
+            self.query_earlier_owners(index);
+        }
     }
 
     /// deliver passes an event to an owner and executes the effects that it returns.
@@ -445,6 +457,7 @@
             }
             Message::TakeOver(data_centre) => self.take_over(data_centre),
             Message::HandOver(unsaved) => self.deliver_handover(unsaved),
+            Message::Query(index) => self.query_earlier_owners(index),
         }
     }
 
--- a/crates/stackpier-fuzz/src/cell/simulation/faults.rs
+++ b/crates/stackpier-fuzz/src/cell/simulation/faults.rs
@@ -70,11 +70,14 @@
     /// Messages that arrive, of those in which a replaced owner sends its successor what it could
     /// not save.
     pub handovers: u32,
+    /// Messages that arrive, of those in which an owner asks earlier ones whether they have stopped
+    /// acting. If this rate is zero, owners do not ask.
+    pub queries: u32,
 }
 
 impl Faults {
     /// all returns faults of most kinds at a rate. Workers list their ends by number, restart
-    /// under new ids, and owners hand nothing over: draws for these faults would change all later
+    /// under new ids, and owners hand nothing over and ask nothing: draws for these faults would change all later
     /// draws of the second random stream.
     pub fn all(rate: u32) -> Faults {
         Faults {
@@ -100,6 +103,7 @@
             late_ends: 0,
             restarts: 0,
             handovers: 0,
+            queries: 0,
         }
     }
 }
--- a/crates/stackpier-fuzz/tests/cell.rs
+++ b/crates/stackpier-fuzz/tests/cell.rs
@@ -248,6 +248,25 @@
     assert!(counts["handed over"] > 0, "{counts:?}");
 }
 
+/// Guards against counting leases for too short a time after an earlier owner has said that it
+/// has stopped, while others may still act: a task would run twice.
+#[rstest]
+#[case::takeovers(Faults { takeovers: 300, cuts: 60, ..Faults::default() })]
+#[case::freezes(Faults { freezes: 250, takeovers: 250, cuts: 60, ..Faults::default() })]
+#[case::outages(Faults { outages: 120, takeovers: 200, freezes: 100, cuts: 60, late: 30, ..Faults::default() })]
+#[case::series(Faults { series: 150, takeovers: 100, freezes: 60, ..Faults::default() })]
+#[case::handovers(Faults { handovers: 500, drains: 30, takeovers: 200, freezes: 100, cuts: 60, ..Faults::default() })]
+#[case::all(Faults { handovers: 500, takeovers: 200, ..Faults::all(15) })]
+fn owners_ask_earlier_ones_whether_they_have_stopped(#[case] faults: Faults) {
+    let queries = 500;
+    let counts = run_seeds(Faults { queries, ..faults }, seeds(16));
+    let reached = [
+        "stopped acting",
+        "stopped acting beside another earlier owner",
+    ];
+    require_reached(&counts, &reached);
+}
+
 /// Guards against an owner that does not know yet that it was replaced, and starts a task that has
 /// ended: only its predecessor knew of the end, and sent it to the newest owner.
 #[rstest]
--- a/crates/stackpier-scheduler/src/authority.rs
+++ b/crates/stackpier-scheduler/src/authority.rs
@@ -8,6 +8,8 @@
 
 use stackpier_core::{Millis, key::Boot};
 
+use crate::link::Alive;
+
 /// Holder is an owner of the cell, as the store showed it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Holder {
@@ -21,6 +23,20 @@
     pub fence: u64,
     /// The revision at which the store showed it as the owner.
     pub revision: u64,
+    /// Whether it has answered this daemon as the owner with that token.
+    pub answered: bool,
+}
+
+impl Holder {
+    /// has_stopped reports whether an answer, to a heartbeat with the later fence `fence`, proves
+    /// that this owner sends no more orders under its own fence. A process that says that it does
+    /// not own the cell may still be about to learn that it does: that a swap took effect whose
+    /// answer was lost. It does not load the cell any more if it has done so before, or if it knows
+    /// the later owner.
+    pub fn has_stopped(&self, answer: &Alive, fence: u64) -> bool {
+        let knows = self.answered || answer.fence >= fence;
+        answer.boot == self.boot && !answer.owner && knows
+    }
 }
 
 /// Acting is an earlier owner that may still act.
@@ -63,6 +79,12 @@
             .retain(|acting| acting.until > now && !is_gone(&acting.holder));
     }
 
+    /// may_act reports whether an owner may still act.
+    pub fn may_act(&self, holder: &Holder, now: Millis) -> bool {
+        let mut acting = self.acting.iter();
+        acting.any(|acting| acting.holder == *holder && acting.until > now)
+    }
+
     /// holders returns the owners that may still act.
     pub fn holders(&self) -> impl Iterator<Item = &Holder> {
         self.acting.iter().map(|acting| &acting.holder)
--- a/crates/stackpier-scheduler/src/cluster.rs
+++ b/crates/stackpier-scheduler/src/cluster.rs
@@ -113,7 +113,11 @@
             let ownership = &owned.ownership;
             !ownership.released && ownership.boot != self.boot
         };
-        let earlier = earlier.map(|owned| (owned.holder(), may_act(owned)));
+        let earlier = earlier.map(|owned| {
+            let mut holder = owned.holder();
+            holder.answered = self.answered.get() == holder.fence;
+            (holder, may_act(owned))
+        });
         let until = self.mono().plus(self.settings.cell.authority_ms);
         self.authorities.borrow_mut().replace(earlier, fence, until);
     }
--- a/crates/stackpier-scheduler/src/handover.rs
+++ b/crates/stackpier-scheduler/src/handover.rs
@@ -4,6 +4,9 @@
 //! The successor requests it when it takes over. A predecessor that was unreachable then
 //! sends it when it learns that it was replaced. Both may happen, and the same progress may
 //! arrive twice.
+//!
+//! The successor also asks earlier owners whether they have stopped acting, so that it need not
+//! wait for the end of their authority.
 
 use std::time::Duration;
 
@@ -12,7 +15,9 @@
 
 use crate::{
     Platform,
-    link::{Request, Response},
+    authority::Holder,
+    link::{Alive, Heartbeat, Request, Response},
+    monitor::{HEARTBEAT_MS, HEARTBEAT_TIMEOUT},
     node::{Node, pause},
     owner::Owner,
 };
@@ -114,4 +119,70 @@
         };
         self.feed(fence, Event::PredecessorAnswered(unsaved));
     }
+
+    /// ask_earlier_owners asks each owner that may still act, until it is known to have stopped.
+    pub(crate) fn ask_earlier_owners(&self, fence: u64) {
+        let holders: Vec<Holder> = self.authorities.borrow().holders().cloned().collect();
+        for holder in holders {
+            let node = self.clone();
+            tokio::task::spawn_local(async move { node.ask_until_stopped(fence, holder).await });
+        }
+    }
+
+    /// ask_until_stopped sends heartbeats with the later fence to an earlier owner, which make it
+    /// give up the cell. It ends when the owner says that it has, when a new process has registered
+    /// on its VM, or when its authority has ended.
+    async fn ask_until_stopped(&self, fence: u64, holder: Holder) {
+        while self.owns_with(fence) && self.may_act(&holder) {
+            let restarted = self.is_gone(&holder);
+            if restarted || self.says_stopped(fence, &holder).await {
+                self.record_stopped(fence, &holder, restarted);
+                return;
+            }
+            pause(HEARTBEAT_MS).await;
+        }
+    }
+
+    fn may_act(&self, holder: &Holder) -> bool {
+        let now = self.mono();
+        self.authorities.borrow().may_act(holder, now)
+    }
+
+    async fn says_stopped(&self, fence: u64, holder: &Holder) -> bool {
+        let answer = self.ask_alive(fence, &holder.address).await;
+        answer.is_some_and(|alive| holder.has_stopped(&alive, fence))
+    }
+
+    /// ask_alive sends a heartbeat to the daemon at an address.
+    async fn ask_alive(&self, fence: u64, address: &str) -> Option<Alive> {
+        let request = Request::Heartbeat(Heartbeat {
+            vm: self.settings.vm.clone(),
+            fence,
+            config: self.config_version(),
+        });
+        match self.links.call(address, &request, HEARTBEAT_TIMEOUT).await {
+            Ok(Response::Alive(alive)) => Some(alive),
+            // It is asked again, and counts as acting until then.
+            Ok(_) | Err(_) => None,
+        }
+    }
+
+    /// record_stopped records that an earlier owner does not act any more, and tells the cell.
+    fn record_stopped(&self, fence: u64, holder: &Holder, restarted: bool) {
+        self.authorities
+            .borrow_mut()
+            .remove(holder.boot, holder.fence);
+        let acting_ms = self.acting_ms();
+        let how = match restarted {
+            true => "a new process has registered on its VM",
+            false => "it answers that it does not own the cell",
+        };
+        let text = format!(
+            "{} with fence {} has stopped acting: {how}; other earlier owners act for {acting_ms} \
+             ms more at most",
+            holder.vm, holder.fence
+        );
+        self.log_line("owner", &text);
+        self.feed(fence, Event::PredecessorStopped { acting_ms });
+    }
 }
--- a/crates/stackpier-scheduler/src/loading.rs
+++ b/crates/stackpier-scheduler/src/loading.rs
@@ -59,6 +59,7 @@
         self.log_line("owner", &text);
         self.metrics.ownerships.add(1, &[]);
         self.install(owned, &predecessor, loaded);
+        self.ask_earlier_owners(fence);
         if let Some(address) = predecessor.address {
             let node = self.clone();
             tokio::task::spawn_local(async move { node.query_predecessor(fence, &address).await });
--- a/crates/stackpier-scheduler/src/monitor.rs
+++ b/crates/stackpier-scheduler/src/monitor.rs
@@ -24,7 +24,7 @@
 };
 
 /// HEARTBEAT_MS is the time between two heartbeats.
-const HEARTBEAT_MS: u64 = 250;
+pub(crate) const HEARTBEAT_MS: u64 = 250;
 /// FREQUENT_FOLLOWERS is how many daemons, those that would take over first, send a
 /// heartbeat every [`HEARTBEAT_MS`]. The others wait for seconds before they take over, so
 /// faster detection does not help them. 96 followers on one interval send 390 heartbeats a
@@ -35,7 +35,7 @@
 /// also bring the newest configuration to a daemon that can't reach the store.
 const SLOW_HEARTBEAT_MS: u64 = 1_500;
 /// HEARTBEAT_TIMEOUT bounds the wait for the answer to a heartbeat.
-const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(400);
+pub(crate) const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(400);
 /// SILENT_MS is how long the owner may leave heartbeats unanswered before a takeover: three
 /// heartbeats and a margin. Large transfers on a slow link extend it, see
 /// [`Monitor::silence_limit_ms`].
@@ -78,8 +78,6 @@
     reason: Option<(Reason, Millis)>,
     /// When this daemon last sent a heartbeat.
     sent: Millis,
-    /// The fence of the owner that last answered a heartbeat.
-    answered: u64,
     /// Since when the owner has been without the store while this daemon reaches it.
     storeless_since: Option<Millis>,
 }
@@ -94,7 +92,6 @@
         node: node.clone(),
         reason: None,
         sent: Millis(0),
-        answered: 0,
         storeless_since: None,
     };
     loop {
@@ -235,7 +232,7 @@
             Some(alive) if alive.owner => {
                 let now = self.node.mono();
                 self.node.last_contact.set(now);
-                self.answered = ownership.fence;
+                self.node.answered.set(ownership.fence);
                 self.check_store(alive, now)
             }
             _ => self.is_silent().then_some(Reason::Silent),
@@ -278,7 +275,7 @@
     /// has_answered reports whether the owner has answered a heartbeat since it took the
     /// cell over.
     fn has_answered(&self, owned: &Owned) -> bool {
-        self.answered == owned.ownership.fence
+        self.node.answered.get() == owned.ownership.fence
     }
 
     fn check_store(&mut self, alive: Alive, now: Millis) -> Option<Reason> {
--- a/crates/stackpier-scheduler/src/node.rs
+++ b/crates/stackpier-scheduler/src/node.rs
@@ -53,6 +53,7 @@
             address: self.ownership.address.clone(),
             fence: self.ownership.fence,
             revision: self.revision,
+            answered: false,
         }
     }
 }
@@ -107,6 +108,8 @@
     /// When the owner last answered a heartbeat, was last reported reachable by another
     /// daemon, or became known as the owner.
     pub(crate) last_contact: Slot<Millis>,
+    /// The fence of the owner that last answered a heartbeat.
+    pub(crate) answered: Slot<u64>,
     pub(crate) stopping: Slot<bool>,
     /// When this daemon exits at the latest, set once it is stopping.
     pub(crate) ends_at: Slot<Option<Millis>>,
@@ -165,6 +168,7 @@
             outdated: Slot::default(),
             store: StoreHealth::default(),
             last_contact: Slot::default(),
+            answered: Slot::default(),
             stopping: Slot::default(),
             ends_at: Slot::default(),
             open_requests: Slot::default(),
--- a/crates/stackpier-scheduler/tests/authority.rs
+++ b/crates/stackpier-scheduler/tests/authority.rs
@@ -2,7 +2,10 @@
 //! How long a daemon takes earlier owners to act.
 
 use stackpier_core::{Millis, key::Boot};
-use stackpier_scheduler::authority::{Authorities, Holder};
+use stackpier_scheduler::{
+    authority::{Authorities, Holder},
+    link::Alive,
+};
 
 /// AUTHORITY_MS is how long an owner acts without a confirmation by the store.
 const AUTHORITY_MS: u64 = 5_000;
@@ -15,6 +18,7 @@
         address: String::new(),
         fence,
         revision: fence * 10,
+        answered: false,
     }
 }
 
@@ -77,3 +81,32 @@
     authorities.replace(None, 1, Millis(AUTHORITY_MS));
     assert_eq!(authorities.acting_ms(Millis(0)), 0);
 }
+
+/// alive returns the answer of a process to a heartbeat: the fence that it knows, and whether it
+/// owns the cell.
+fn alive(boot: u64, fence: u64, owner: bool) -> Alive {
+    Alive {
+        boot: Boot(boot),
+        fence,
+        owner,
+        store: true,
+        config: 1,
+    }
+}
+
+/// Guards against a task that runs twice: an answer that does not prove that the earlier owner has
+/// stopped is taken for one.
+#[test]
+fn only_an_answer_of_the_owner_itself_shows_that_it_has_stopped() {
+    let seen = Holder {
+        answered: true,
+        ..holder(3)
+    };
+    assert!(seen.has_stopped(&alive(3, 3, false), 4));
+    assert!(!seen.has_stopped(&alive(9, 4, false), 4), "other process");
+    assert!(!seen.has_stopped(&alive(3, 4, true), 4), "still loading");
+    let unseen = holder(3);
+    assert!(!unseen.has_stopped(&alive(3, 2, false), 4), "its swap");
+    assert!(!unseen.has_stopped(&alive(3, 3, false), 4), "not loaded");
+    assert!(unseen.has_stopped(&alive(3, 4, false), 4));
+}
