--- a/crates/stackpier-cell/src/cell.rs
+++ b/crates/stackpier-cell/src/cell.rs
@@ -92,11 +92,10 @@
 }
 
 impl Cell {
-    /// new starts the ownership of a cell under `fence`, without jobs or workers. `predecessor`
-    /// tells whether a predecessor may still act.
-    pub fn new(options: Options, fence: u64, now: Now, predecessor: bool) -> Cell {
-        let acting = if predecessor { options.authority_ms } else { 0 };
-        let inherited_until = Cell::inherited_until(&options, now.mono, acting);
+    /// new starts the ownership of a cell under `fence`, without jobs or workers. `acting_ms` is
+    /// how long an earlier owner may still act: the predecessor, or one before it.
+    pub fn new(options: Options, fence: u64, now: Now, acting_ms: u64) -> Cell {
+        let inherited_until = Cell::inherited_until(&options, now.mono, acting_ms);
         let guaranteed_ratings = options.ratings_per_ms / GUARANTEED_RATING_DIVISOR;
         Cell {
             options,
@@ -174,6 +173,7 @@
             Event::TakenDown(order, outcome) => self.handle_take_down_answer(&order, outcome),
             Event::Saved(done) => self.handle_save_answer(done),
             Event::PredecessorAnswered(unsaved) => self.handle_predecessor_answer(&unsaved),
+            Event::PredecessorStopped { acting_ms } => self.shorten_inherited(acting_ms),
             Event::HandedOver(unsaved) => self.apply_handover(&unsaved),
             Event::Confirmed(sent) => self.apply_confirmation(sent),
             Event::Tick => self.tick(),
--- a/crates/stackpier-cell/src/takeover.rs
+++ b/crates/stackpier-cell/src/takeover.rs
@@ -86,13 +86,29 @@
 }
 
 impl Cell {
-    /// inherited_until returns when all leases of a predecessor have expired, if that owner may act
-    /// for `acting_ms` more.
+    /// inherited_until returns when all leases of earlier owners have expired, if the last of them
+    /// to act may do so for `acting_ms` more.
     pub(crate) fn inherited_until(options: &Options, now: Millis, acting_ms: u64) -> Millis {
         let lease = options.max_lease_ms + options.max_lease_ms * CLOCK_ERROR_MILLI / 1_000;
         now.plus(acting_ms + lease + MARGIN_MS)
     }
 
+    /// shorten_inherited records that earlier owners may act for `acting_ms` more. It never makes
+    /// tasks wait longer.
+    pub(crate) fn shorten_inherited(&mut self, acting_ms: u64) {
+        let now = self.now.mono;
+        let until = Cell::inherited_until(&self.options, now, acting_ms);
+        let before = self.ownership.inherited_until;
+        self.ownership.inherited_until = before.min(until);
+        let text = format!(
+            "an earlier owner has stopped acting, others may act for {acting_ms} ms more: leases \
+             of earlier owners end in {} ms instead of {} ms",
+            self.ownership.inherited_until.since(now),
+            before.since(now)
+        );
+        self.log("takeover", None, text);
+    }
+
     /// first_run returns the number of the first run of a task under this owner.
     pub(crate) fn first_run(&self) -> u32 {
         let earlier = self.fence.saturating_sub(1);
--- a/crates/stackpier-scheduler/src/monitor.rs
+++ b/crates/stackpier-scheduler/src/monitor.rs
@@ -18,13 +18,13 @@
     handover::Predecessor,
     keys::{self, Member, OWNER, Ownership},
     link::{Alive, Heartbeat, Request, Response},
-    node::{Node, Owned, Registered, pause},
+    node::{Node, Owned, pause},
     store::{Committed, Item, Put, Transaction},
     watch::follow,
 };
 
 /// HEARTBEAT_MS is the time between two heartbeats.
-const HEARTBEAT_MS: u64 = 250;
+pub(crate) const HEARTBEAT_MS: u64 = 250;
 /// FREQUENT_FOLLOWERS is how many daemons, those that would take over first, send a
 /// heartbeat every [`HEARTBEAT_MS`]. The others wait for seconds before they take over, so
 /// faster detection does not help them. 96 followers on one interval send 390 heartbeats a
@@ -35,7 +35,7 @@
 /// also bring the newest configuration to a daemon that can't reach the store.
 const SLOW_HEARTBEAT_MS: u64 = 1_500;
 /// HEARTBEAT_TIMEOUT bounds the wait for the answer to a heartbeat.
-const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(400);
+pub(crate) const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(400);
 /// SILENT_MS is how long the owner may leave heartbeats unanswered before a takeover: three
 /// heartbeats and a margin. Large transfers on a slow link extend it, see
 /// [`Monitor::silence_limit_ms`].
@@ -78,8 +78,6 @@
     reason: Option<(Reason, Millis)>,
     /// When this daemon last sent a heartbeat.
     sent: Millis,
-    /// The fence of the owner that last answered a heartbeat.
-    answered: u64,
     /// Since when the owner has been without the store while this daemon reaches it.
     storeless_since: Option<Millis>,
 }
@@ -94,7 +92,6 @@
         node: node.clone(),
         reason: None,
         sent: Millis(0),
-        answered: 0,
         storeless_since: None,
     };
     loop {
@@ -191,6 +188,7 @@
         if let Some(own) = self.node.unloaded() {
             let predecessor = Predecessor {
                 may_act: true,
+                acting_ms: self.node.settings.cell.authority_ms,
                 address: None,
             };
             self.node.load(own, predecessor).await;
@@ -223,7 +221,7 @@
         if ownership.boot == self.node.boot {
             return ownership.released.then_some(Reason::Vacant);
         }
-        if ownership.released || self.is_owner_gone(owned) {
+        if ownership.released || self.node.is_gone(&owned.holder()) {
             return Some(Reason::Vacant);
         }
         if !self.is_heartbeat_due(owned) {
@@ -234,23 +232,13 @@
             Some(alive) if alive.owner => {
                 let now = self.node.mono();
                 self.node.last_contact.set(now);
-                self.answered = ownership.fence;
+                self.node.answered.set(ownership.fence);
                 self.check_store(alive, now)
             }
             _ => self.is_silent().then_some(Reason::Silent),
         }
     }
 
-    /// is_owner_gone reports whether the owner's process has ended: a new process has
-    /// registered on the owner's VM since. An entry that is older than the ownership proves
-    /// nothing, as a daemon may read the two from the store in either order.
-    fn is_owner_gone(&self, owned: &Owned) -> bool {
-        let members = self.node.members.borrow();
-        let entry = members.get(&owned.ownership.vm);
-        let restarted = |entry: &Registered| entry.member.boot != owned.ownership.boot;
-        entry.is_some_and(|entry| entry.revision > owned.revision && restarted(entry))
-    }
-
     /// is_heartbeat_due reports whether to send a heartbeat now.
     fn is_heartbeat_due(&self, owned: &Owned) -> bool {
         let waited_ms = self.node.mono().since(self.sent);
@@ -287,7 +275,7 @@
     /// has_answered reports whether the owner has answered a heartbeat since it took the
     /// cell over.
     fn has_answered(&self, owned: &Owned) -> bool {
-        self.answered == owned.ownership.fence
+        self.node.answered.get() == owned.ownership.fence
     }
 
     fn check_store(&mut self, alive: Alive, now: Millis) -> Option<Reason> {
@@ -409,6 +397,7 @@
         if let Some(won) = won.filter(own) {
             let predecessor = Predecessor {
                 may_act: reason != Reason::Vacant,
+                acting_ms: self.node.acting_ms(),
                 address: owned.map(|owned| owned.ownership.address),
             };
             self.node.load(won, predecessor).await;
