Hold a deferred start until the store has confirmed the ownership

Callers saw a long-running task of an earlier job that never started again after a takeover, while one worker had never answered and saves took 0.8 s or more. No log line said why.

The start of such a task waits for a save. A start that relies on a confirmation of the ownership wants one of at most 800 ms (MAX_CONFIRMATION_AGE_MS). The answer to a save confirms the time at which the save was sent, and the store was not asked while a save was in flight, so a save of 0.8 s or more refused the start that it was made for, each time.

The store is now also asked while a save is in flight, but only where something waits for the answer, one question at a time as before. A start whose save is done, and whose confirmation is too old, is held until the next confirmation. It is given up when a save fails or the store has not confirmed the ownership for 2.5 s, and then a log line gives the reason. A start also no longer waits for saves after its own.

The age limit stays: a start is sent only after `may_still_start` was true on the confirmation of that moment.

`the_task_starts_once_saves_are_fast_again` checked the trace of this fault, that the task does not start while saves take a second. It is replaced by `slow_saves_delay_the_task_by_one_save`, which fails without the change for 900, 1,000 and 3,000 ms. The test in superseded.rs of a start that is not sent on an old confirmation now also wants the log line, once, and fails on that without the change.

--- a/crates/stackpier-cell/src/cell.rs
+++ b/crates/stackpier-cell/src/cell.rs
@@ -383,6 +383,7 @@
     fn tick(&mut self) {
         self.release_due();
         self.check_workers();
+        self.send_deferred();
         self.check_confirmed();
         let now = self.now.mono;
         if now.since(self.swept_at) >= SWEEP_MS {
--- a/crates/stackpier-cell/src/crash/deferred.rs
+++ b/crates/stackpier-cell/src/crash/deferred.rs
@@ -4,6 +4,9 @@
 //! Each waits for one save, usually less than 50 ms. If the save fails, the starts are sent anyway,
 //! and later ones do not wait until a save has succeeded again: tasks must be able to start while
 //! the store is unavailable.
+//!
+//! A save may take so long that the last confirmation of the ownership is too old for the start. The
+//! start is then held until the store, asked again, has confirmed the ownership.
 
 use crate::{
     Cell,
@@ -18,18 +21,40 @@
         run.is_some_and(|run| run.after_save.is_none())
     }
 
-    /// send_deferred sends the starts whose save has been attempted.
+    /// send_deferred sends the starts whose save has been attempted, except those that are held.
     pub(crate) fn send_deferred(&mut self) {
         for key in std::mem::take(&mut self.saver.deferred) {
             let save = self.runs.get(key).and_then(|run| run.after_save);
             match save {
-                Some(save) if !self.saver.has_attempted(save) => self.saver.deferred.push(key),
+                Some(save) if !self.saver.has_attempted(save) || self.is_held(key) => {
+                    self.saver.deferred.push(key);
+                }
                 Some(_) => self.send_or_requeue(key),
                 None => self.flow.record_answered(key),
             }
         }
     }
 
+    /// holds_starts reports whether starts are held until the store confirms the ownership.
+    pub(crate) fn holds_starts(&self) -> bool {
+        let mut deferred = self.saver.deferred.iter();
+        deferred.any(|key| {
+            let save = self.runs.get(*key).and_then(|run| run.after_save);
+            save.is_some_and(|save| self.saver.has_attempted(save))
+        })
+    }
+
+    /// is_held reports whether a start whose save is done may lack only a recent confirmation. It
+    /// is held no longer once the store counts as unavailable.
+    fn is_held(&self, key: RunKey) -> bool {
+        let run = self.runs.get(key);
+        let starting = run.filter(|run| run.phase == Phase::Starting);
+        let has_store = self.has_store() && !self.saver.has_failed();
+        has_store
+            && !self.is_confirmed_lately()
+            && starting.is_some_and(|run| !self.may_still_start(key, run.task))
+    }
+
     /// send_or_requeue sends a deferred start, or requeues it if its worker must not run it any
     /// more.
     fn send_or_requeue(&mut self, key: RunKey) {
@@ -47,17 +72,32 @@
         run.progressed_at = now;
         let (task, worker) = (run.task, run.worker);
         let lease_ms = self.options.lease_ms;
-        if self.may_still_take(worker, key)
-            && self.may_still_start(key, task)
-            && let Some(deadline_ms) = self.worker_mut(worker).lease(now, lease_ms)
-        {
+        let refusal = if !self.may_still_take(worker, key) {
+            "its worker may not take it any more"
+        } else if !self.may_still_start(key, task) {
+            "a run or an end that this owner does not know of is possible"
+        } else if let Some(deadline_ms) = self.worker_mut(worker).lease(now, lease_ms) {
             self.begin_isolation(key, task, worker);
             self.send_start(key, deadline_ms);
             self.renew_with_wait(worker);
+            return;
         } else {
-            self.flow.record_answered(key);
-            self.requeue(key);
-        }
+            "its worker has not answered"
+        };
+        self.log_refused(task, worker, refusal);
+        self.flow.record_answered(key);
+        self.requeue(key);
+    }
+
+    /// log_refused logs why a start was not sent after its save.
+    fn log_refused(&mut self, task: TaskKey, worker: WorkerKey, refusal: &str) {
+        let text = format!(
+            "start on worker {} is not sent after its save: {refusal}; the store confirmed the \
+             ownership {} ms ago",
+            self.worker(worker).info.id,
+            self.store_silent_ms()
+        );
+        self.log("order", Some(self.name(task)), text);
     }
 
     /// may_still_start reports whether a task may still start after the save. The save may have
--- a/crates/stackpier-cell/src/save.rs
+++ b/crates/stackpier-cell/src/save.rs
@@ -78,7 +78,7 @@
 
     /// has_attempted reports whether a save was attempted, successfully or not.
     pub(crate) fn has_attempted(&self, number: u64) -> bool {
-        self.sent >= number && !self.is_busy()
+        self.sent > number || self.sent == number && !self.is_busy()
     }
 
     /// is_busy reports whether a save is in flight.
@@ -86,6 +86,11 @@
         self.in_flight.is_some()
     }
 
+    /// has_failed reports whether the last save failed.
+    pub(crate) fn has_failed(&self) -> bool {
+        self.failed
+    }
+
     /// is_idle reports whether nothing must be saved or is in flight.
     fn is_idle(&self) -> bool {
         self.is_empty() && !self.is_busy()
--- a/crates/stackpier-cell/src/takeover.rs
+++ b/crates/stackpier-cell/src/takeover.rs
@@ -135,7 +135,7 @@
 
     /// is_confirmed_lately reports whether the last confirmation is recent enough to rule out that
     /// a successor contacted, some time ago, a worker that did not answer this owner.
-    fn is_confirmed_lately(&self) -> bool {
+    pub(crate) fn is_confirmed_lately(&self) -> bool {
         self.now.mono.since(self.ownership.confirmed) < MAX_CONFIRMATION_AGE_MS
     }
 
@@ -231,6 +231,7 @@
     pub(crate) fn apply_confirmation(&mut self, sent: Millis) {
         self.ownership.confirming = false;
         self.record_confirmation(sent);
+        self.send_deferred();
     }
 
     /// record_confirmation records that the store, asked at `sent`, confirmed the ownership.
@@ -256,9 +257,11 @@
 
     /// check_confirmed asks the store who owns the cell, if that is due.
     pub(crate) fn check_confirmed(&mut self) {
-        let idle = self.now.mono.since(self.ownership.confirmed) >= self.options.confirm_ms;
+        let old = self.now.mono.since(self.ownership.confirmed) >= self.options.confirm_ms;
+        // The answer to a save confirms the ownership too, but may take long.
+        let idle = old && !self.saver.is_busy();
         let due = idle || self.waits_for_store();
-        if due && !self.ownership.confirming && !self.saver.is_busy() {
+        if due && !self.ownership.confirming {
             self.ownership.confirming = true;
             self.effects.push(Effect::Confirm);
         }
@@ -272,6 +275,7 @@
         let lost = self.has_lost_uncontacted() && self.waits_inherited();
         let uncertain = self.waits_presumed_ended() || lost || over && !self.has_contacted_all();
         leases
+            || self.holds_starts()
             || uncertain && !self.is_confirmed_lately()
             || self
                 .workers
--- a/crates/stackpier-cell/tests/inherited.rs
+++ b/crates/stackpier-cell/tests/inherited.rs
@@ -785,19 +785,18 @@
     chain.check_within(FORCED_MS);
 }
 
-/// Checks that slow saves alone are what keeps the task from starting: it starts soon after saves
-/// are fast again.
-#[test]
-fn the_task_starts_once_saves_are_fast_again() {
+/// Guards against slow saves keeping the task from starting for good: each start waited for a save
+/// and was then dropped, because the last confirmation was as old as the save. The wait for the
+/// leases is forced by TWICE here, and one save follows it.
+#[rstest]
+fn slow_saves_delay_the_task_by_one_save(#[values(500, 700, 900, 1_000, 3_000)] save_ms: u64) {
     let mut chain = stop_task(10);
     chain.cut.insert(10);
-    chain.owner.save_ms = 1_000;
+    chain.owner.save_ms = save_ms;
     chain.change_owner(VACANT_MS);
-    chain.advance(20_000);
-    assert!(chain.places().is_empty());
-    chain.owner.save_ms = 2;
-    chain.advance(1_500);
-    assert_eq!(chain.places().len(), 1, "{}", chain.story());
+    chain.advance_until_run();
+    // The task had waited for less than a second when the first owner ended.
+    chain.check_within(1_000 + FORCED_MS + save_ms);
 }
 
 /// Guards against short work that keeps arriving taking the room of a long-running task that was
--- a/crates/stackpier-cell/tests/superseded.rs
+++ b/crates/stackpier-cell/tests/superseded.rs
@@ -382,6 +382,8 @@
         1,
         "a successor may know its end"
     );
+    let told = |line: &&String| line.contains("is not sent after its save");
+    assert_eq!(owner.log_lines.iter().filter(told).count(), 1, "logged");
     owner.store = true;
     owner.save_ms = 2;
     owner.advance(2_000);
