Spread the time slices of adopted runs over six seconds

A new owner took every inherited run to begin with the takeover, so rotation and dedicated workers found no task to preempt for 6 s (MIN_RUN_MS), and then all at once: tasks waited 10,984 and 14,984 ms for a time slice under two and three takeovers in a row (bound 9 s), and a cell of 160 long-running tasks stopped none for 6 s and 86 within the next second.

The age of an adopted run is not known, so its time slice now ends between 0 and 6 s after the adoption, spread evenly by task and run number. 'since' is unchanged, so measurements, paces, copies, stalls and crash checks count from the adoption as before. In the same tests the task waits 2,324 and 4,184 ms, and no second has more stops (31) than those before the takeover (40).

With earlier stops, a run that the predecessor had ordered to stop could count as working, as reports show it until it ends: a second task of its step was stopped where one may be missing (seen in a new test with the spread alone). Until a report requested stop_ms after the adoption shows it, an adopted run now counts as missing; so do tasks that no report has shown, as before.

The spread bounds how many are stopped in a second, not how many wait at a time.

--- a/crates/stackpier-cell/src/dedicated.rs
+++ b/crates/stackpier-cell/src/dedicated.rs
@@ -16,7 +16,6 @@
     Cell, Mechanism,
     arena::{RunKey, StepKey, WorkerKey},
     place::{Demand, Rank},
-    rotation::MIN_RUN_MS,
     run::{Phase, Run},
     worker::{Presence, Worker},
 };
@@ -224,12 +223,11 @@
         kept.map(|run| run.size.milli_cores).sum()
     }
 
-    /// may_preempt_long_running reports whether a long-running task may be preempted: it has
-    /// run for at least MIN_RUN_MS, and its step tolerates another missing task.
+    /// may_preempt_long_running reports whether a long-running task may be preempted: its time
+    /// slice is over, and its step tolerates another missing task.
     pub(crate) fn may_preempt_long_running(&self, key: RunKey) -> bool {
         let now = self.now.mono;
-        let has_run_enough =
-            |run: &Run| run.phase == Phase::Running && now.since(run.since) >= MIN_RUN_MS;
+        let has_run_enough = |run: &Run| run.phase == Phase::Running && now >= run.slice_end();
         self.runs.get(key).is_some_and(has_run_enough) && self.may_interrupt(key)
     }
 
--- a/crates/stackpier-cell/src/maintenance/empty.rs
+++ b/crates/stackpier-cell/src/maintenance/empty.rs
@@ -96,10 +96,19 @@
     fn is_working(&self, task: TaskKey) -> bool {
         let runs = self.task(task).runs.iter();
         let mut runs = runs.filter_map(|key| self.runs.get(*key));
-        let works = |run: &Run| run.phase == Phase::Running && run.percent >= 100;
+        let works = |run: &Run| {
+            run.phase == Phase::Running && run.percent >= 100 && !self.may_be_stopping(run)
+        };
         runs.any(|run| works(run) && self.worker(run.worker).is_responsive())
     }
 
+    /// may_be_stopping reports whether a predecessor may have ordered a run to stop: reports show
+    /// it as long as it has not ended.
+    fn may_be_stopping(&self, run: &Run) -> bool {
+        let ended_by = run.since.plus(self.options.stop_ms);
+        run.number < self.first_run() && self.worker(run.worker).report_requested_at <= ended_by
+    }
+
     fn stop_for_maintenance(&mut self, key: RunKey) {
         let Some(run) = self.runs.get(key) else {
             return;
--- a/crates/stackpier-cell/src/order.rs
+++ b/crates/stackpier-cell/src/order.rs
@@ -6,6 +6,7 @@
 use crate::{
     Cell, Effect, Order, Start, Started, Stop, Stopped,
     arena::{RunKey, TaskKey, WorkerKey},
+    rotation::{self, MIN_RUN_MS},
     run::{Phase, Run},
     worker::Presence,
 };
@@ -86,6 +87,7 @@
             serving: spec.long_running && spec.target_ms > 0,
             image: self.step_of(step).image,
             since: self.now.mono,
+            min_run_ms: MIN_RUN_MS,
             confirmed: None,
             reported: false,
             cleared: false,
@@ -115,6 +117,7 @@
     pub(crate) fn adopt(&mut self, task: TaskKey, worker: WorkerKey, number: u32) -> RunKey {
         let mut run = self.new_run(task, worker);
         run.number = number;
+        run.min_run_ms = rotation::remaining_ms(self.name(task), number);
         run.phase = Phase::Running;
         run.confirmed = Some(self.now.mono);
         run.pace_unknown = run.best_effort;
--- a/crates/stackpier-cell/src/rotation.rs
+++ b/crates/stackpier-cell/src/rotation.rs
@@ -8,10 +8,10 @@
 
 use std::cmp::Reverse;
 
-use stackpier_core::Millis;
+use stackpier_core::{Millis, key};
 
 use crate::{
-    Cell, Mechanism,
+    Cell, Mechanism, TaskName,
     arena::{RunKey, StepKey, TaskKey, WorkerKey},
     place::Demand,
 };
@@ -27,6 +27,20 @@
 /// have been preempted before.
 pub(crate) const MIN_RUN_MS: u64 = 6_000;
 
+/// INDEX_FACTOR is the fractional part of the golden ratio, in 2^-64: its multiples are spread
+/// evenly, however few there are.
+const INDEX_FACTOR: u64 = 0x9E37_79B9_7F4A_7C15;
+
+/// remaining_ms returns how long an adopted run goes on at least before it is preempted. Its age
+/// is not known, so the ages of adopted runs are assumed to be spread evenly up to [`MIN_RUN_MS`]:
+/// if all were assumed to be zero, no task would make way for that long, and hundreds at once
+/// then. A later owner assumes the same for the same run.
+pub(crate) fn remaining_ms(task: TaskName, number: u32) -> u64 {
+    let offset = key::weight(&number.to_le_bytes(), task.job.0);
+    let place = offset.wrapping_add(u64::from(task.index).wrapping_mul(INDEX_FACTOR));
+    ((place >> 32) * MIN_RUN_MS) >> 32
+}
+
 /// Waiting is a long-running task that waits for capacity.
 #[derive(Clone, Copy, Debug)]
 struct Waiting {
@@ -39,7 +53,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Victim {
     run: RunKey,
-    since: Millis,
+    slice_end: Millis,
 }
 
 impl Cell {
@@ -102,11 +116,11 @@
             let eligible = !run.best_effort && !self.step_spec(run.step).gang;
             (eligible && self.may_preempt_long_running(key)).then_some(Victim {
                 run: key,
-                since: run.since,
+                slice_end: run.slice_end(),
             })
         };
         let mut victims: Vec<Victim> = runs.filter_map(victim).collect();
-        victims.sort_by_key(|victim| victim.since);
+        victims.sort_by_key(|victim| victim.slice_end);
         victims
     }
 
--- a/crates/stackpier-cell/src/run.rs
+++ b/crates/stackpier-cell/src/run.rs
@@ -60,7 +60,10 @@
     pub(crate) long_running: bool,
     pub(crate) serving: bool,
     pub(crate) image: ImageKey,
+    /// When it was started, or adopted from a predecessor.
     pub(crate) since: Millis,
+    /// How long after `since` a long-running task may first be preempted.
+    pub(crate) min_run_ms: u64,
     /// When the worker confirmed the run.
     pub(crate) confirmed: Option<Millis>,
     /// Whether a report has shown it, which tells in which incarnation of its worker it runs.
@@ -108,6 +111,11 @@
 }
 
 impl Run {
+    /// slice_end returns when a long-running task may first be preempted.
+    pub(crate) fn slice_end(&self) -> Millis {
+        self.since.plus(self.min_run_ms)
+    }
+
     /// record_tail records a measurement of a serving task's tail latency.
     pub(crate) fn record_tail(&mut self, now: Millis, tail_ms: Option<u32>, target_ms: u32) {
         let Some(tail_ms) = tail_ms.filter(|tail_ms| *tail_ms > 0) else {
