--- a/crates/stackpier-cell/tests/witnessed.rs
+++ b/crates/stackpier-cell/tests/witnessed.rs
@@ -56,7 +56,7 @@
     };
     let mut next = Owner::with(0, 2, false);
     next.now_ms = earlier.now_ms;
-    next.cell = Cell::new(options, 2, next.now(), false);
+    next.cell = Cell::new(options, 2, next.now(), 0);
     next.workers.clone_from(&earlier.workers);
     next.behaviours.clone_from(&earlier.behaviours);
     next.give_up_ms = Some(600);
