A witnessed end of a long-running task counts only if no earlier owner could start it meanwhile

An earlier owner is cut off from the store and may act for 5 s. Its successor sees the task run, stops it and has its end; then the worker restarts. The earlier owner finds another incarnation there, takes the run for ended without asking the store (a long-running task of a dead worker does not wait for that) and starts it on a worker that only it reaches. The successor, with a witnessed end, did not wait for that worker any more.

Now a report shows a long-running run as witnessed only if it was requested after earlier owners had stopped acting: the run was still there, so none of them can have taken it for ended. With a predecessor that is gone, or has said that it stopped, that is at once.

a_long_running_task_waits_while_an_earlier_owner_may_have_started_it failed before (one start beside the earlier owner's).

--- a/crates/stackpier-cell/src/cell.rs
+++ b/crates/stackpier-cell/src/cell.rs
@@ -95,7 +95,7 @@
     /// new starts the ownership of a cell under `fence`, without jobs or workers. `acting_ms` is
     /// how long an earlier owner may still act: the predecessor, or one before it.
     pub fn new(options: Options, fence: u64, now: Now, acting_ms: u64) -> Cell {
-        let inherited_until = Cell::inherited_until(&options, now.mono, acting_ms);
+        let ownership = Ownership::new(&options, now.mono, now.mono.plus(acting_ms));
         let guaranteed_ratings = options.ratings_per_ms / GUARANTEED_RATING_DIVISOR;
         Cell {
             options,
@@ -135,7 +135,7 @@
             suspects: Vec::new(),
             polled_for_suspects: Millis(0),
             saver: Saver::default(),
-            ownership: Ownership::new(now.mono, inherited_until),
+            ownership,
             flow: Flow::new(&options),
             effects: Vec::new(),
         }
--- a/crates/stackpier-cell/src/report.rs
+++ b/crates/stackpier-cell/src/report.rs
@@ -101,7 +101,8 @@
                 run
             }
         };
-        let witnessed = self.worker(key).refused_others(sent);
+        let long_running = self.runs.get(run).is_some_and(|run| run.long_running);
+        let witnessed = self.is_witnessed(key, long_running, sent);
         if let Some(run) = self.runs.get_mut(run) {
             run.witnessed |= witnessed;
         }
--- a/crates/stackpier-cell/src/takeover.rs
+++ b/crates/stackpier-cell/src/takeover.rs
@@ -52,6 +52,8 @@
     pub confirming: bool,
     /// Whether another daemon is known to own the cell.
     pub deposed: bool,
+    /// Until when an earlier owner may act.
+    pub acting_until: Millis,
     /// Until when runs of a predecessor may exist on workers that have not answered yet.
     pub inherited_until: Millis,
     /// Whether the workers that predecessors used are unknown.
@@ -64,15 +66,17 @@
 }
 
 impl Ownership {
-    /// new returns an ownership that the store has just confirmed.
-    pub(crate) fn new(now: Millis, inherited_until: Millis) -> Ownership {
+    /// new returns an ownership that the store has just confirmed. An earlier owner may act until
+    /// `acting_until`.
+    pub(crate) fn new(options: &Options, now: Millis, acting_until: Millis) -> Ownership {
         Ownership {
             began: now,
             confirmed: now,
             store_since: now,
             confirming: false,
             deposed: false,
-            inherited_until,
+            acting_until,
+            inherited_until: inherited_until(options, acting_until),
             roster_unknown: false,
             awaits_handover: false,
             presumed_ended: Vec::new(),
@@ -86,21 +90,23 @@
     }
 }
 
-impl Cell {
-    /// inherited_until returns when all leases of earlier owners have expired, if the last of them
-    /// to act may do so for `acting_ms` more.
-    pub(crate) fn inherited_until(options: &Options, now: Millis, acting_ms: u64) -> Millis {
-        let lease = options.max_lease_ms + options.max_lease_ms * CLOCK_ERROR_MILLI / 1_000;
-        now.plus(acting_ms + lease + MARGIN_MS)
-    }
+/// inherited_until returns when all leases of earlier owners have expired, if these owners may act
+/// until `acting_until`.
+fn inherited_until(options: &Options, acting_until: Millis) -> Millis {
+    let lease_ms = options.max_lease_ms + options.max_lease_ms * CLOCK_ERROR_MILLI / 1_000;
+    acting_until.plus(lease_ms + MARGIN_MS)
+}
 
+impl Cell {
     /// shorten_inherited records that earlier owners may act for `acting_ms` more. It never makes
     /// tasks wait longer.
     pub(crate) fn shorten_inherited(&mut self, acting_ms: u64) {
         let now = self.now.mono;
-        let until = Cell::inherited_until(&self.options, now, acting_ms);
         let before = self.ownership.inherited_until;
-        self.ownership.inherited_until = before.min(until);
+        let acting_until = self.ownership.acting_until.min(now.plus(acting_ms));
+        self.ownership.acting_until = acting_until;
+        self.ownership.inherited_until = inherited_until(&self.options, acting_until).min(before);
+        self.placement_due = true;
         let text = format!(
             "an earlier owner has stopped acting, others may act for {acting_ms} ms more: leases \
              of earlier owners end in {} ms instead of {} ms",
@@ -134,6 +140,15 @@
         entry.end_witnessed && !entry.presumed_ended && !may_have_others
     }
 
+    /// is_witnessed reports whether a run that a report shows, which was requested at `sent`, is the
+    /// only one that its task can have until its end. Its worker must have refused the orders of
+    /// earlier owners by then. An earlier owner that may act takes the runs on a dead worker for ended
+    /// without a confirmation of the store, and starts long-running ones again elsewhere.
+    pub(crate) fn is_witnessed(&self, worker: WorkerKey, long_running: bool, sent: Millis) -> bool {
+        let alone = !long_running || sent >= self.ownership.acting_until;
+        alone && self.worker(worker).refused_others(sent)
+    }
+
     /// may_start_any reports whether `may_start` holds for some waiting task of a step.
     pub(crate) fn may_start_any(&self, step: StepKey) -> bool {
         self.count_startable(step) > 0
--- a/crates/stackpier-cell/tests/witnessed.rs
+++ b/crates/stackpier-cell/tests/witnessed.rs
@@ -48,15 +48,24 @@
     owner
 }
 
-/// take_over returns the owner after another one, with the same workers.
-fn take_over(earlier: &Owner, shape: &Step) -> Owner {
-    let options = Options {
+/// options returns the options of the second owner.
+fn options() -> Options {
+    Options {
         max_lease_ms: 6_000,
         ..Options::default()
-    };
+    }
+}
+
+/// take_over returns the owner after another one, with the same workers.
+fn take_over(earlier: &Owner, shape: &Step) -> Owner {
+    take_over_from(earlier, shape, 0)
+}
+
+/// take_over_from does the same for an earlier owner that may act for `acting_ms` more.
+fn take_over_from(earlier: &Owner, shape: &Step, acting_ms: u64) -> Owner {
     let mut next = Owner::with(0, 2, false);
     next.now_ms = earlier.now_ms;
-    next.cell = Cell::new(options, 2, next.now(), 0);
+    next.cell = Cell::new(options(), 2, next.now(), acting_ms);
     next.workers.clone_from(&earlier.workers);
     next.behaviours.clone_from(&earlier.behaviours);
     next.give_up_ms = Some(600);
@@ -179,3 +188,50 @@
     let waiting = job.tasks.iter().filter(|task| waits(&task.standing));
     assert_eq!(waiting.count(), 1, "{:?}", job.tasks);
 }
+
+/// Guards against a long-running task that runs twice at once: an earlier owner, cut off from the
+/// store, finds that another incarnation has replaced the worker, and starts the task on a worker
+/// that only it reaches.
+#[test]
+fn a_long_running_task_waits_while_an_earlier_owner_may_have_started_it() {
+    let shape = Step {
+        long_running: true,
+        ..sized(6_000, 1)
+    };
+    let behaviour = Behaviour {
+        size: shape.size,
+        long_running: true,
+        ..Behaviour::default()
+    };
+    let mut first = Owner::new(SILENT + 1);
+    first.behaviours.insert((JOB, 0), behaviour);
+    first.submit(JOB, spec(vec![shape.clone()]));
+    first.advance(500);
+    let place = place_of_run(&first);
+    assert_ne!(place, SILENT);
+    first.store = false;
+    let mut owner = take_over_from(&first, &shape, options().authority_ms);
+    owner.advance(SEEN_MS);
+    owner.feed(Event::Listed(Info {
+        draining: true,
+        remaining_ms: Some(6_000),
+        ..info(place)
+    }));
+    owner.advance(1_000);
+    assert!(owner.workers[place].runs.is_empty(), "stopped");
+    let mut next = info(place);
+    next.id = "again".to_owned();
+    first.workers[place] = Worker::new(next, 9_000, first.now_ms);
+    first.cut = (0..=SILENT)
+        .map(|other| other != place && other != SILENT)
+        .collect();
+    first.advance(1_500);
+    let task = name(JOB, 0, 0);
+    assert_eq!(
+        first.starts_of(task),
+        2,
+        "the earlier owner started it again"
+    );
+    owner.advance(8_000);
+    assert_eq!(owner.starts_of(task), 0, "{:?}", owner.log_lines);
+}
