A daemon promises not to renew, whatever it knows of its own takeover

- promise_follows_a_takeover_whose_answer_was_lost and runs_of_a_dead_worker_end_while_a_former_owner_is_cut_off: a daemon wins a rack by a swap whose answer is lost, and loses the store.
By its cached page it does not renew, so it ignored that another daemon took the rack over and never promised.
Its successor kept it as a former renewer, and the runs of a dead worker never ended (still running after 120 s).
- takeover_that_ends_after_the_stop_is_given_up: the answer to a takeover came after the daemon had begun its planned stop; it renewed, and nobody was told.

Now a daemon promises whenever it hears of a newer term of another one, gives up a takeover that is being written, and a new term clears only promises about earlier terms. A promise binds only terms below that of a renewer that another daemon saw in the page, so it costs a renewal at most.

--- a/crates/stackpier-coordination/src/owner/commit.rs
+++ b/crates/stackpier-coordination/src/owner/commit.rs
@@ -134,12 +134,13 @@
         }
     }
 
-    /// begin_term discards what was known under an earlier term.
+    /// begin_term discards what was known under an earlier term. A promise not to
+    /// renew under this term stays.
     fn begin_term(&mut self, now: Millis, term: u64, table: &Table, effects: &mut Vec<Effect>) {
         self.contacts.clear();
         self.expiring.clear();
         self.dirty.extend(0..self.options.shards);
-        self.renounced = None;
+        self.renounced = self.renounced.filter(|below| *below > term);
         self.sole_since = None;
         self.update_sole_since(now, table);
         effects.push(Effect::Note(Note::TookOver(self.rack, term)));
--- a/crates/stackpier-coordination/src/owner/renewer.rs
+++ b/crates/stackpier-coordination/src/owner/renewer.rs
@@ -5,7 +5,7 @@
 use stackpier_protocol::peer::{Hint, Renounced};
 use stackpier_state::{holders::Member, rack::Renewer};
 
-use super::Owner;
+use super::{Owner, Step};
 use crate::{
     effect::{Effect, Note},
     membership::Table,
@@ -29,11 +29,17 @@
     }
 
     /// give_up stops renewing, so that another daemon can take the rack over
-    /// when this one stops as planned.
+    /// when this one stops as planned. A takeover that is being written is given
+    /// up, too.
     pub fn give_up(&mut self) {
-        if let Some(renewer) = self.page().and_then(|page| page.renewer)
-            && renewer.boot == self.me.boot
-        {
+        let pending = match &self.step {
+            Step::Swapping(next) => next.renewer,
+            Step::Idle | Step::Loading | Step::Reading(_) => None,
+        };
+        let known = self.page().and_then(|page| page.renewer);
+        let mine = |renewer: &Renewer| renewer.boot == self.me.boot;
+        let own = pending.filter(mine).or(known.filter(mine));
+        if let Some(renewer) = own {
             self.renounced = Some(renewer.term + 1);
         }
     }
@@ -72,7 +78,8 @@
     /// receive_renewer marks the page as stale if a newer term concerns this
     /// daemon: it may have lost the rack, or won it by a swap whose answer was
     /// lost. A daemon that lost the rack stops renewing at once, as it may not
-    /// be able to read the page.
+    /// be able to read the page. So does one that may have won an earlier term
+    /// without knowing it.
     pub(super) fn receive_renewer(
         &mut self,
         renewer: Member,
@@ -83,9 +90,11 @@
         let newer = term > known.map_or(0, |renewer| renewer.term);
         let own = renewer.boot == self.me.boot;
         self.stale |= newer && (self.renews() || own);
-        if newer && self.renews() && !own && self.renounced.is_none_or(|below| below < term) {
+        if newer && !own && self.renounced.is_none_or(|below| below < term) {
             self.renounced = Some(term);
-            effects.push(Effect::Note(Note::GaveUp(self.rack, term)));
+            if self.renews() {
+                effects.push(Effect::Note(Note::GaveUp(self.rack, term)));
+            }
         }
     }
 
