Only long-running tasks start on a witnessed end; starts are held for 1.6 s at most

- A task ran twice: a poll of an earlier owner had waited at the worker since before the takeover and brought it the end of the witnessed run, and it acted within its authority.
- A task started once more than its queue allows: a failed run that no store held was listed only by a worker that did not answer.
- A start relied on a witnessed end, though a successor may have shown the job as completed.
- While the store answers in 0.8 to 2.5 s, held starts took the slots for starts under way, and no other job started.

A witnessed end counts for long-running tasks only, which have no attempts and no last end, and only if the run was seen after all earlier owners had stopped acting; none of them can have had its end by then. What is left of the gain is the long-running task that its owner stopped itself. A held start gives its slot back and is held for 1.6 s; then it is refused with a log line, as before.

--- a/crates/stackpier-cell/src/crash/deferred.rs
+++ b/crates/stackpier-cell/src/crash/deferred.rs
@@ -11,9 +11,13 @@
 use crate::{
     Cell,
     arena::{RunKey, TaskKey, WorkerKey},
-    run::Phase,
+    run::{Phase, Run},
 };
 
+/// MAX_HELD_MS is how long a start is held at most: the time of two confirmations that are just recent
+/// enough. Its worker's capacity is taken meanwhile.
+const MAX_HELD_MS: u64 = 1_600;
+
 impl Cell {
     /// is_sent reports whether the start of a run no longer waits for a save.
     pub(crate) fn is_sent(&self, key: RunKey) -> bool {
@@ -26,7 +30,9 @@
         for key in std::mem::take(&mut self.saver.deferred) {
             let save = self.runs.get(key).and_then(|run| run.after_save);
             match save {
-                Some(save) if !self.saver.has_attempted(save) || self.is_held(key) => {
+                Some(save) if !self.saver.has_attempted(save) => self.saver.deferred.push(key),
+                Some(_) if self.is_held(key) => {
+                    self.hold(key);
                     self.saver.deferred.push(key);
                 }
                 Some(_) => self.send_or_requeue(key),
@@ -45,16 +51,32 @@
     }
 
     /// is_held reports whether a start whose save is done may lack only a recent confirmation. It
-    /// is held no longer once the store counts as unavailable.
+    /// is held no longer once the store counts as unavailable, or has been slow for too long.
     fn is_held(&self, key: RunKey) -> bool {
+        let now = self.now.mono;
         let run = self.runs.get(key);
-        let starting = run.filter(|run| run.phase == Phase::Starting);
+        let expired = |run: &Run| {
+            let since = run.held_since;
+            since.is_some_and(|since| now.since(since) >= MAX_HELD_MS)
+        };
+        let starting = run.filter(|run| run.phase == Phase::Starting && !expired(run));
         let has_store = self.has_store() && !self.saver.has_failed();
         has_store
             && !self.is_confirmed_lately()
             && starting.is_some_and(|run| !self.may_still_start(key, run.task))
     }
 
+    /// hold records that a start is held. It is not under way meanwhile, so others may be.
+    fn hold(&mut self, key: RunKey) {
+        let now = self.now.mono;
+        if let Some(run) = self.runs.get_mut(key)
+            && run.held_since.is_none()
+        {
+            run.held_since = Some(now);
+            self.flow.record_answered(key);
+        }
+    }
+
     /// send_or_requeue sends a deferred start, or requeues it if its worker must not run it any
     /// more.
     fn send_or_requeue(&mut self, key: RunKey) {
@@ -70,13 +92,16 @@
         run.after_save = None;
         run.since = now;
         run.progressed_at = now;
-        let (task, worker) = (run.task, run.worker);
+        let (task, worker, held) = (run.task, run.worker, run.held_since.is_some());
         let lease_ms = self.options.lease_ms;
         let refusal = if !self.may_still_take(worker, key) {
             "its worker may not take it any more"
         } else if !self.may_still_start(key, task) {
             "a run or an end that this owner does not know of is possible"
         } else if let Some(deadline_ms) = self.worker_mut(worker).lease(now, lease_ms) {
+            if held {
+                self.flow.record_sent(key, self.job_of(task).payload.len());
+            }
             self.begin_isolation(key, task, worker);
             self.send_start(key, deadline_ms);
             self.renew_with_wait(worker);
--- a/crates/stackpier-cell/src/job.rs
+++ b/crates/stackpier-cell/src/job.rs
@@ -125,11 +125,10 @@
     /// Whether a run of it was presumed to have ended with a silent worker's lease. A successor
     /// may then learn from that worker that the task is done.
     pub presumed_ended: bool,
-    /// Whether the last end of a run that this owner knows of was reported, and was that of a run
-    /// which it had started or seen running.
+    /// Whether the last run that this owner knows of was a witnessed one and its end was reported.
     pub end_witnessed: bool,
     /// Whether it ever had more than one run at once, as far as this owner knows.
-    pub had_rivals: bool,
+    pub had_parallel_runs: bool,
     /// The workers on which it failed last, so that the next run goes elsewhere.
     pub failed_on: Vec<WorkerKey>,
     /// The earliest next start.
--- a/crates/stackpier-cell/src/lifecycle.rs
+++ b/crates/stackpier-cell/src/lifecycle.rs
@@ -144,7 +144,7 @@
                 suspect: None,
                 presumed_ended: false,
                 end_witnessed: false,
-                had_rivals: false,
+                had_parallel_runs: false,
                 failed_on: Vec::new(),
                 not_before: Millis(0),
                 last_ended_at: None,
--- a/crates/stackpier-cell/src/order.rs
+++ b/crates/stackpier-cell/src/order.rs
@@ -28,7 +28,7 @@
             return;
         };
         let mut run = self.new_run(task, worker);
-        run.witnessed = true;
+        run.witnessed = run.long_running;
         let number = run.number;
         let key = self.insert_run(run);
         self.consume_reservation(worker, task);
@@ -95,6 +95,7 @@
             cleared: false,
             recorded: false,
             after_save: None,
+            held_since: None,
             stop_accepted_at: None,
             stop_sent: false,
             stop_retry_at: Millis(0),
--- a/crates/stackpier-cell/src/report.rs
+++ b/crates/stackpier-cell/src/report.rs
@@ -101,8 +101,8 @@
                 run
             }
         };
-        let long_running = self.runs.get(run).is_some_and(|run| run.long_running);
-        let witnessed = self.is_witnessed(key, long_running, sent);
+        let shown = self.runs.get(run);
+        let witnessed = shown.is_some_and(|run| self.is_witnessed(key, run, sent));
         if let Some(run) = self.runs.get_mut(run) {
             run.witnessed |= witnessed;
         }
@@ -122,7 +122,7 @@
     /// job is over, or if the task has another run and allows no copies.
     fn check_adopted(&mut self, task: TaskKey, run: RunKey) {
         let others = self.task(task).runs.len() > 1;
-        self.task_mut(task).had_rivals |= others;
+        self.task_mut(task).had_parallel_runs |= others;
         let copies = self.step_spec(self.task(task).step).speculative;
         let over = self.task(task).done || self.job_of(task).state.is_final();
         let text = "adopted a run of a predecessor".to_owned();
--- a/crates/stackpier-cell/src/run.rs
+++ b/crates/stackpier-cell/src/run.rs
@@ -68,8 +68,7 @@
     pub(crate) confirmed: Option<Millis>,
     /// Whether a report has shown it, which tells in which incarnation of its worker it runs.
     pub(crate) reported: bool,
-    /// Whether this owner started it, or a report that was requested after an earlier report of the
-    /// worker had arrived has shown it. The worker then accepts no orders of earlier owners.
+    /// Whether its end, once reported, shows that its task runs nowhere: see `Cell::is_witnessed`.
     pub(crate) witnessed: bool,
     /// Whether it is known not to crash its worker.
     pub(crate) cleared: bool,
@@ -77,6 +76,8 @@
     pub(crate) recorded: bool,
     /// The number of the save that must be done before the start is sent.
     pub(crate) after_save: Option<u64>,
+    /// Since when its start, whose save is done, has been held for a confirmation of the ownership.
+    pub(crate) held_since: Option<Millis>,
     /// When the worker accepted the order to stop it.
     pub(crate) stop_accepted_at: Option<Millis>,
     /// Whether an order to stop it is in flight.
--- a/crates/stackpier-cell/src/takeover.rs
+++ b/crates/stackpier-cell/src/takeover.rs
@@ -4,8 +4,9 @@
 //! Jobs accepted under an earlier fence may have runs on workers that have not answered this owner
 //! yet. Their tasks wait until each such worker has sent two reports, or until everything leased by
 //! the predecessor has expired. They also wait until the predecessor has been asked for progress
-//! that it could not save. A task waits for no other worker if this owner has seen its run and
-//! received the end: while it ran, no earlier owner could start another run.
+//! that it could not save. A long-running task waits for no other worker if this owner has seen its
+//! run after all earlier owners had stopped acting, and has received its end: none of them can have
+//! started it elsewhere.
 //!
 //! A successor may renew leases that this owner takes for expired, and may acknowledge ends that
 //! this owner never receives. A worker that answers this owner has not been contacted by a
@@ -19,6 +20,7 @@
 use crate::{
     Cell, Effect, Options,
     arena::{JobKey, RunKey, StepKey, TaskKey, WorkerKey},
+    run::Run,
     worker::{CLOCK_ERROR_MILLI, Inheritance, Presence, Worker},
 };
 
@@ -130,23 +132,25 @@
         witnessed || self.may_start_all(job)
     }
 
-    /// is_end_witnessed reports whether this owner has received the end of the only run that the
-    /// task had: no earlier owner can have started another one. While the run was there, an earlier
-    /// owner could not start another, and its worker has refused to tell these owners of the end.
+    /// is_end_witnessed reports whether this owner has received the end of a witnessed run of a task
+    /// (see `is_witnessed`), and no run of it since was only presumed to have ended.
     pub(crate) fn is_end_witnessed(&self, task: TaskKey) -> bool {
         let entry = self.task(task);
         let spec = self.step_spec(entry.step);
-        let may_have_others = spec.speculative || spec.gang || entry.had_rivals;
+        let may_have_others = spec.speculative || spec.gang || entry.had_parallel_runs;
         entry.end_witnessed && !entry.presumed_ended && !may_have_others
     }
 
     /// is_witnessed reports whether a run that a report shows, which was requested at `sent`, is the
-    /// only one that its task can have until its end. Its worker must have refused the orders of
-    /// earlier owners by then. An earlier owner that may act takes the runs on a dead worker for ended
-    /// without a confirmation of the store, and starts long-running ones again elsewhere.
-    pub(crate) fn is_witnessed(&self, worker: WorkerKey, long_running: bool, sent: Millis) -> bool {
-        let alone = !long_running || sent >= self.ownership.acting_until;
-        alone && self.worker(worker).refused_others(sent)
+    /// only one that its task can have until its end, and will be the last until then. Its worker
+    /// must have refused the orders of earlier owners by then, and these must have stopped acting: one
+    /// that acts may receive the end by a poll that waited there since before the takeover, or take
+    /// the run on a dead worker for ended, and start a long-running task again elsewhere. Of short
+    /// tasks a silent worker may list failures that count against their attempts.
+    pub(crate) fn is_witnessed(&self, worker: WorkerKey, run: &Run, sent: Millis) -> bool {
+        run.long_running
+            && sent >= self.ownership.acting_until
+            && self.worker(worker).refused_others(sent)
     }
 
     /// may_start_any reports whether `may_start` holds for some waiting task of a step.
