--- a/crates/stackpier-cell/tests/common/mod.rs
+++ b/crates/stackpier-cell/tests/common/mod.rs
@@ -4,9 +4,11 @@
 
 #![allow(dead_code)]
 
+pub mod chain;
 mod crash;
 mod effects;
 mod renewals;
+pub mod shapes;
 
 use std::collections::{BTreeMap, BTreeSet};
 
