--- a/crates/stackpier-coordination/src/owner.rs
+++ b/crates/stackpier-coordination/src/owner.rs
@@ -219,7 +219,7 @@
         effects: &mut Vec<Effect>,
     ) {
         self.sweep(now, table, effects);
-        if !self.pause.over(now) {
+        if !self.pause.may_read(now) {
             return;
         }
         if matches!(self.step, Step::Idle) && self.stale {
@@ -227,6 +227,9 @@
             effects.push(Effect::Read(Key::Rack(self.rack)));
             return;
         }
+        if !self.pause.may_swap(now) {
+            return;
+        }
         if self.may_commit(now) && matches!(self.step, Step::Idle) && self.renews() {
             self.read_homes(table, effects);
         }
--- a/crates/stackpier-coordination/src/owner/read.rs
+++ b/crates/stackpier-coordination/src/owner/read.rs
@@ -50,7 +50,7 @@
         self.stale = false;
         if !self.renews() {
             // Homes whose read failed are not read again.
-            effects.extend(self.pause.end(now));
+            effects.extend(self.pause.end_reads(now));
         }
     }
 
--- a/crates/stackpier-coordination/src/pause.rs
+++ b/crates/stackpier-coordination/src/pause.rs
@@ -15,14 +15,12 @@
 /// MAX_MS is the longest pause, in milliseconds.
 const MAX_MS: u64 = 1_000;
 
-/// Pause delays requests to the store after failures. It doubles with each
-/// failure after the last pause, up to [`MAX_MS`], and an answer ends it.
+/// Pause delays requests to the store after failures: reads after failed reads,
+/// and swaps after any.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Pause {
-    /// The end of the last pause and its length, if no answer came since.
-    last: Option<(Millis, u64)>,
-    /// The key whose failure began the outage, and when, until it is answered.
-    failing: Option<(Key, Millis)>,
+    reads: Outage,
+    swaps: Outage,
 }
 
 impl Pause {
@@ -30,6 +28,42 @@
     /// the begin or end of an outage. Other events change nothing.
     pub(crate) fn record(&mut self, now: Millis, event: &Event) -> Option<Effect> {
         let (key, answered) = outcome(event)?;
+        let outage = match event {
+            Event::Swapped(..) => &mut self.swaps,
+            Event::Read(..) | Event::Tick | Event::Synced(..) | Event::Hint(_) => &mut self.reads,
+        };
+        outage.record(now, key, answered)
+    }
+
+    /// end_reads returns the note on the end of an outage of reads, if there was
+    /// one.
+    pub(crate) fn end_reads(&mut self, now: Millis) -> Option<Effect> {
+        self.reads.end(now)
+    }
+
+    /// may_read reports whether the store may be asked for a page.
+    pub(crate) fn may_read(&self, now: Millis) -> bool {
+        self.reads.over(now)
+    }
+
+    /// may_swap reports whether the store may be asked to swap a page.
+    pub(crate) fn may_swap(&self, now: Millis) -> bool {
+        self.reads.over(now) && self.swaps.over(now)
+    }
+}
+
+/// Outage is a series of failures of one kind of call. The pause doubles with
+/// each failure after the last pause, up to [`MAX_MS`], and an answer ends it.
+#[derive(Clone, Copy, Debug, Default)]
+struct Outage {
+    /// The end of the last pause and its length, if no answer came since.
+    last: Option<(Millis, u64)>,
+    /// The key whose failure began the outage, and when, until it is answered.
+    failing: Option<(Key, Millis)>,
+}
+
+impl Outage {
+    fn record(&mut self, now: Millis, key: Key, answered: bool) -> Option<Effect> {
         if !answered {
             return self.record_failure(now, key);
         }
@@ -53,14 +87,13 @@
         Some(Effect::Note(Note::Failing(key)))
     }
 
-    /// end returns the note on the end of the outage, if there was one.
-    pub(crate) fn end(&mut self, now: Millis) -> Option<Effect> {
+    fn end(&mut self, now: Millis) -> Option<Effect> {
         let (key, since) = self.failing.take()?;
         Some(Effect::Note(Note::Answered(key, now.since(since))))
     }
 
-    /// over reports whether the store may be called.
-    pub(crate) fn over(&self, now: Millis) -> bool {
+    /// over reports whether the last pause is over.
+    fn over(&self, now: Millis) -> bool {
         self.last.is_none_or(|(end, _)| now >= end)
     }
 }
--- a/crates/stackpier-coordination/src/placer.rs
+++ b/crates/stackpier-coordination/src/placer.rs
@@ -205,7 +205,7 @@
             return;
         }
         self.sweep(now, view, effects);
-        if !self.pause.over(now) {
+        if !self.pause.may_read(now) {
             return;
         }
         if matches!(self.step, Step::Idle) && self.stale {
@@ -216,6 +216,9 @@
             )));
             return;
         }
+        if !self.pause.may_swap(now) {
+            return;
+        }
         self.update_urgent(view.catalogue);
         let may_commit = self
             .committed
