--- a/crates/stackpier-cell/src/cell.rs
+++ b/crates/stackpier-cell/src/cell.rs
@@ -360,8 +360,8 @@
         self.requeue_unstarted(key);
     }
 
-    /// requeue_unstarted does the same for a run that never existed, because its start was refused
-    /// or not sent.
+    /// requeue_unstarted makes a task ready again whose run never existed, because its start was
+    /// refused or not sent. What is known of its earlier runs remains valid.
     pub(crate) fn requeue_unstarted(&mut self, key: RunKey) {
         let Some(run) = self.drop_run(key) else {
             return;
--- a/crates/stackpier-cell/src/crash/deferred.rs
+++ b/crates/stackpier-cell/src/crash/deferred.rs
@@ -14,8 +14,8 @@
     run::{Phase, Run},
 };
 
-/// MAX_HELD_MS is how long a start is held at most: the time of two confirmations that are just recent
-/// enough. Its worker's capacity is taken meanwhile.
+/// MAX_HELD_MS is how long a start is held at most, twice the age that a confirmation may have: the
+/// capacity of its worker is kept for it meanwhile.
 const MAX_HELD_MS: u64 = 1_600;
 
 impl Cell {
@@ -66,7 +66,7 @@
             && starting.is_some_and(|run| !self.may_still_start(key, run.task))
     }
 
-    /// hold records that a start is held. It is not under way meanwhile, so others may be.
+    /// hold records that a start is held. It does not count as in flight meanwhile.
     fn hold(&mut self, key: RunKey) {
         let now = self.now.mono;
         if let Some(run) = self.runs.get_mut(key)
--- a/crates/stackpier-cell/src/event.rs
+++ b/crates/stackpier-cell/src/event.rs
@@ -118,10 +118,9 @@
     /// The predecessor was asked for the progress that it could not save. The list is its
     /// answer, empty if it gave none.
     PredecessorAnswered(Vec<Unsaved>),
-    /// An earlier owner has stopped acting. Of the other earlier owners, the last to act may do so
-    /// for `acting_ms` more.
+    /// An earlier owner has stopped acting: the predecessor, or one before it.
     PredecessorStopped {
-        /// How long that is.
+        /// The time for which any other earlier owner may still act, zero if none may.
         acting_ms: u64,
     },
     /// A predecessor sent, without being asked, the progress that it could not save.
--- a/crates/stackpier-cell/src/takeover.rs
+++ b/crates/stackpier-cell/src/takeover.rs
@@ -141,12 +141,13 @@
         entry.end_witnessed && !entry.presumed_ended && !may_have_others
     }
 
-    /// is_witnessed reports whether a run that a report shows, which was requested at `sent`, is the
-    /// only one that its task can have until its end, and will be the last until then. Its worker
-    /// must have refused the orders of earlier owners by then, and these must have stopped acting: one
-    /// that acts may receive the end by a poll that waited there since before the takeover, or take
-    /// the run on a dead worker for ended, and start a long-running task again elsewhere. Of short
-    /// tasks a silent worker may list failures that count against their attempts.
+    /// is_witnessed reports whether a report that was requested at `sent` shows that no other run of
+    /// the task exists, and that no earlier owner will start one before or after this run ends. That
+    /// holds if the worker refused orders of earlier owners by then and these had stopped acting. One
+    /// that still acts may receive the end by a poll that has waited at the worker since before the
+    /// takeover, or it may find the worker dead; in both cases it starts a long-running task again
+    /// elsewhere. Short tasks are excluded: a silent worker may list failed runs of them, which count
+    /// against their attempts.
     pub(crate) fn is_witnessed(&self, worker: WorkerKey, run: &Run, sent: Millis) -> bool {
         run.long_running
             && sent >= self.ownership.acting_until
--- a/crates/stackpier-coordination/src/membership.rs
+++ b/crates/stackpier-coordination/src/membership.rs
@@ -1,6 +1,10 @@
 // SPDX-License-Identifier: Apache-2.0
 //! Which daemons and workers exist: the platform's list, which lags, combined
 //! with heartbeats.
+//!
+//! A daemon is *live* if heartbeats arrive from it, and *able* if it also reaches
+//! the store or no live daemon of its data centre does. Racks, shards and the
+//! holder map go to able daemons; requests and running work don't depend on it.
 
 use std::collections::{BTreeMap, BTreeSet};
 
--- a/crates/stackpier-coordination/src/reach.rs
+++ b/crates/stackpier-coordination/src/reach.rs
@@ -13,14 +13,14 @@
     Regained(u64),
 }
 
-/// Reach decides whether the store is reached. It is looked at regularly.
+/// Reach decides whether the store is reached. It is observed at regularly.
 #[derive(Clone, Copy, Debug)]
 pub struct Reach {
     silence_ms: u64,
     answered: Millis,
     /// The time from which a silence is counted.
     since: Millis,
-    looked: Millis,
+    observed: Millis,
     lost: bool,
 }
 
@@ -31,7 +31,7 @@
             silence_ms,
             answered: now,
             since: now,
-            looked: now,
+            observed: now,
             lost: false,
         }
     }
@@ -41,16 +41,16 @@
         self.lost
     }
 
-    /// look takes the time of the store's last answer and returns what that
+    /// observe takes the time of the store's last answer and returns what that
     /// changed.
-    pub fn look(&mut self, now: Millis, answered: Millis) -> Option<Change> {
+    pub fn observe(&mut self, now: Millis, answered: Millis) -> Option<Change> {
         let before = self.answered;
         self.answered = before.max(answered);
         // A daemon that stood still made no calls meanwhile.
-        if now.since(self.looked) >= self.silence_ms {
+        if now.since(self.observed) >= self.silence_ms {
             self.since = now;
         }
-        self.looked = now;
+        self.observed = now;
         self.since = self.since.max(self.answered);
         let lost = now.since(self.since) >= self.silence_ms;
         match (self.lost, lost) {
--- a/crates/stackpier-coordination/tests/membership.rs
+++ b/crates/stackpier-coordination/tests/membership.rs
@@ -136,7 +136,7 @@
             1_000..2_500 => Millis(900),
             _ => now,
         };
-        changes.extend(reach.look(now, answered).map(|change| (now.0, change)));
+        changes.extend(reach.observe(now, answered).map(|change| (now.0, change)));
     }
     let expected = [(1_700, Change::Lost(800)), (2_500, Change::Regained(1_600))];
     assert_eq!(changes, expected);
@@ -151,9 +151,9 @@
 fn suspended_daemon_asks_the_store_before_it_counts_as_cut_off(#[case] pause_ms: u64) {
     let mut reach = Reach::new(Millis(0), SILENCE_MS);
     let resumed = Millis(pause_ms);
-    assert_eq!(reach.look(resumed, Millis(0)), None);
+    assert_eq!(reach.observe(resumed, Millis(0)), None);
     let answered = resumed.plus(50);
-    assert_eq!(reach.look(answered, answered), None);
+    assert_eq!(reach.observe(answered, answered), None);
     assert!(!reach.lost());
 }
 
--- a/crates/stackpier-fuzz/src/placement/daemon.rs
+++ b/crates/stackpier-fuzz/src/placement/daemon.rs
@@ -127,7 +127,7 @@
         if !cut {
             daemon.answered = now;
         }
-        daemon.reach.look(now, daemon.answered);
+        daemon.reach.observe(now, daemon.answered);
         daemon.table.set_store_lost(daemon.reach.lost());
         let left_out = daemon.table.left_out(now);
         if !left_out.is_empty() {
--- a/crates/stackpier-scheduler/src/authority.rs
+++ b/crates/stackpier-scheduler/src/authority.rs
@@ -50,13 +50,14 @@
 #[derive(Clone, Debug, Default)]
 pub struct Authorities {
     acting: Vec<Acting>,
-    /// The same for owners that this daemon never saw in the store.
+    /// Until when owners may act that this daemon never saw in the store.
     unseen_until: Millis,
 }
 
 impl Authorities {
-    /// replace records that at `now` the store shows a later owner with `fence` for the first
-    /// time, after `earlier`. `may_act` tells whether that owner may act without the store.
+    /// replace records that the store shows a later owner, with `fence`, for the first time.
+    /// `earlier` is the owner that it showed before, and whether that one may still act: until
+    /// `until` then, as may owners between the two that this daemon never saw.
     pub fn replace(&mut self, earlier: Option<(Holder, bool)>, fence: u64, until: Millis) {
         let known = earlier.as_ref().map_or(0, |(holder, _)| holder.fence);
         if fence > known + 1 {
--- a/crates/stackpierd/src/heartbeat.rs
+++ b/crates/stackpierd/src/heartbeat.rs
@@ -225,7 +225,11 @@
         send_heartbeat(daemon, address, beat, pending);
         if storeless {
             let message = Request::Storeless(daemon.me);
-            let _ = daemon.peers.send(address, &message, PEER_LIMIT);
+            if let Err(error) = daemon.peers.send(address, &message, PEER_LIMIT) {
+                // The next round repeats it.
+                debug!(daemon.log, "member: loss of the store not reported";
+                    "peer" => %address, "why" => %error);
+            }
         }
     }
     for address in remote {
--- a/crates/stackpierd/src/reach.rs
+++ b/crates/stackpierd/src/reach.rs
@@ -145,7 +145,7 @@
     /// tell the other daemons while it is not.
     pub fn run_round<B: Backend>(&mut self, daemon: &Daemon<B>) {
         let now = clock::now();
-        match self.reach.look(now, daemon.backend.answered()) {
+        match self.reach.observe(now, daemon.backend.answered()) {
             Some(Change::Lost(silent_ms)) => {
                 daemon.metrics.store_losses.add(1, &[]);
                 warn!(daemon.log, "member: store lost"; "silent_ms" => silent_ms);
