Allow a new owner on a slow link the time to load its cell

Cause: on links of 2 Mbit/s each new owner reads the cell and collects the reports of all workers, and answers no heartbeats for 1.3 s and more. The time for reading the cell ended with the first answer to a heartbeat. The decision is a module of its own without I/O.

--- a/crates/stackpier-scheduler/src/cluster.rs
+++ b/crates/stackpier-scheduler/src/cluster.rs
@@ -102,13 +102,14 @@
         }
     }
 
-    /// record_change records how long the owner before the one with `fence` may still act. An owner
-    /// that released the cell does not, nor does this daemon: it gives up the cell when it sees a
-    /// later owner.
+    /// record_change records that there is a new owner, with `fence`, and how long the one before it
+    /// may still act. An owner that released the cell does not, nor does this daemon: it gives up the
+    /// cell when it sees a later owner.
     fn record_change(&self, earlier: Option<&Owned>, fence: u64) {
         if earlier.is_some_and(|earlier| earlier.ownership.fence >= fence) {
             return;
         }
+        self.detector.borrow_mut().record_takeover(self.mono());
         let may_act = |owned: &Owned| {
             let ownership = &owned.ownership;
             !ownership.released && ownership.boot != self.boot
--- a/crates/stackpier-scheduler/src/lib.rs
+++ b/crates/stackpier-scheduler/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod catalog;
 mod cluster;
 pub mod daemon;
+pub mod detector;
 mod explain;
 pub mod fleet;
 mod following;
--- a/crates/stackpier-scheduler/src/monitor.rs
+++ b/crates/stackpier-scheduler/src/monitor.rs
@@ -15,6 +15,7 @@
 use crate::{
     Platform,
     cluster::Cluster,
+    detector::SILENT_MS,
     handover::Predecessor,
     keys::{self, Member, OWNER, Ownership},
     link::{Alive, Heartbeat, Request, Response},
@@ -36,16 +37,6 @@
 const SLOW_HEARTBEAT_MS: u64 = 1_500;
 /// HEARTBEAT_TIMEOUT bounds the wait for the answer to a heartbeat.
 pub(crate) const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(400);
-/// SILENT_MS is how long the owner may leave heartbeats unanswered before a takeover: three
-/// heartbeats and a margin. Large transfers on a slow link extend it, see
-/// [`Monitor::silence_limit_ms`].
-const SILENT_MS: u64 = 900;
-/// CELL_BYTES is the size of the cell in the store, as seen in current deployments. A new
-/// owner reads all of it before it can act.
-const CELL_BYTES: u64 = 384 * 1024;
-/// WIRE_BITS_PER_BYTE is how many bits on the link a byte of a value takes: 8 bits times
-/// four thirds for base64, and a tenth for headers.
-const WIRE_BITS_PER_BYTE: u64 = 12;
 /// STORELESS_MS is how long the owner may be without the store, while this daemon reaches it,
 /// before a takeover.
 const STORELESS_MS: u64 = 1_000;
@@ -251,25 +242,21 @@
         self.node.mono().since(self.node.last_contact.get()) >= self.silence_limit_ms()
     }
 
-    /// silence_limit_ms returns how long the owner may leave heartbeats unanswered. All
-    /// daemons receive a new configuration at once, with no delay between them, so an owner
-    /// on a slow link does not answer while it receives its own copy: one second for 256 KB
-    /// on 2 Mbit/s. Taking over then is a cost without a gain, as the new owner would be
-    /// held up for as long. An owner that has not answered since it took over also gets the
-    /// time to read the cell ([`CELL_BYTES`]).
+    /// silence_limit_ms returns how long the owner may leave heartbeats unanswered.
     fn silence_limit_ms(&self) -> u64 {
         let config = self.node.config_item.borrow();
-        let bytes = config.as_ref().map_or(0, |item| item.value.len() as u64);
+        let config_bytes = config.as_ref().map_or(0, |item| item.value.len() as u64);
         let owned = self.node.owned.borrow();
-        let owner = owned.as_ref().map(|owned| &owned.ownership.vm);
         let members = self.node.members.borrow();
+        let owner = owned.as_ref().map(|owned| &owned.ownership.vm);
         let link = owner.and_then(|vm| Some(members.get(vm)?.member.link_kbps));
-        let kbps = u64::from(link.unwrap_or(u32::MAX).max(1));
-        let is_new = owned
-            .as_ref()
-            .is_some_and(|owned| !self.has_answered(owned));
-        let bytes = if is_new { bytes.max(CELL_BYTES) } else { bytes };
-        SILENT_MS + bytes * WIRE_BITS_PER_BYTE / kbps
+        let has_answered = owned.as_ref().is_none_or(|owned| self.has_answered(owned));
+        self.node.detector.borrow().limit_ms(
+            self.node.mono(),
+            link.unwrap_or(u32::MAX),
+            config_bytes,
+            has_answered,
+        )
     }
 
     /// has_answered reports whether the owner has answered a heartbeat since it took the
--- a/crates/stackpier-scheduler/src/node.rs
+++ b/crates/stackpier-scheduler/src/node.rs
@@ -20,6 +20,7 @@
     Platform, Settings,
     authority::{Authorities, Holder},
     catalog::Config,
+    detector::Detector,
     keys::{Member, Ownership},
     link::Links,
     log::{Admission, RateLimit},
@@ -95,6 +96,7 @@
     pub(crate) owner: RefCell<Option<Owner>>,
     /// How long the owners before the present one may still act.
     pub(crate) authorities: RefCell<Authorities>,
+    pub(crate) detector: RefCell<Detector>,
     /// What this daemon could not save while it owned the cell. It is kept until the
     /// successor has received it.
     pub(crate) unsaved: RefCell<Vec<Unsaved>>,
@@ -162,6 +164,7 @@
             owned: RefCell::default(),
             owner: RefCell::default(),
             authorities: RefCell::default(),
+            detector: RefCell::default(),
             unsaved: RefCell::default(),
             swap: Slot::default(),
             loading: Slot::default(),
