Cordon data centres that operators want no starts in

Cause: the operators' entry for a data centre was read by nobody, so that tasks started there. Change: the adapter decodes the entry, every daemon follows it, and the cell starts nothing there: short, best-effort and long-running tasks, gangs, copies, moves, time slices and starts that wait for their save. An owner starts nothing before it has read the operators' entries. What runs there goes on. explain shows the obstacle. An unreadable entry is logged once with its key. The operators' entries have a module of their own now (configs.rs).

--- a/crates/stackpier-cell/src/cell.rs
+++ b/crates/stackpier-cell/src/cell.rs
@@ -9,6 +9,7 @@
 use crate::{
     Effect, Event, LogEntry, Mechanism, Now, Options, Queue, TaskName,
     arena::{JobKey, RunKey, StepKey, TaskKey, WorkerKey},
+    cordon::Cordons,
     cycle::Cycle,
     evacuation::Evacuations,
     flow::Flow,
@@ -80,6 +81,7 @@
     /// The memory that short tasks ask for.
     pub(crate) short_task_memory: ShortTaskMemory,
     pub(crate) evacuations: Evacuations,
+    pub(crate) cordons: Cordons,
     /// Tasks that may crash the workers that start them.
     pub(crate) suspects: Vec<TaskKey>,
     /// When workers were last polled for the next starts of suspects.
@@ -132,6 +134,7 @@
             take_downs_from: Cell::take_downs_from(&options, now.mono, fence),
             short_task_memory: ShortTaskMemory::default(),
             evacuations: Evacuations::default(),
+            cordons: Cordons::default(),
             suspects: Vec::new(),
             polled_for_suspects: Millis(0),
             saver: Saver::default(),
@@ -146,6 +149,7 @@
         self.now = now;
         match event {
             Event::Queues(queues) => self.apply_queues(queues),
+            Event::Cordons(data_centres) => self.apply_cordons(data_centres),
             Event::Listed(info) => self.apply_entry(info),
             Event::Unlisted(id) => self.mark_unlisted(&id),
             Event::Unreadable(id) => self.mark_unreadable(&id),
--- a/crates/stackpier-cell/src/event.rs
+++ b/crates/stackpier-cell/src/event.rs
@@ -54,6 +54,8 @@
 pub enum Event {
     /// A configuration took effect.
     Queues(Vec<Queue>),
+    /// Operators want no starts in these data centres, and in no others.
+    Cordons(Vec<String>),
     /// The list of workers shows this entry.
     Listed(Info),
     /// The list of workers no longer shows the worker with this id.
--- a/crates/stackpier-cell/src/lib.rs
+++ b/crates/stackpier-cell/src/lib.rs
@@ -13,6 +13,7 @@
 mod advice;
 mod arena;
 mod cell;
+mod cordon;
 mod crash;
 pub mod cycle;
 mod dedicated;
--- a/crates/stackpier-cell/src/obstacle.rs
+++ b/crates/stackpier-cell/src/obstacle.rs
@@ -25,6 +25,8 @@
     /// The worker gets no starts now: for example, it does not answer, is about to
     /// leave, or fails runs.
     Unusable,
+    /// Operators have cordoned the worker's data centre.
+    Cordoned,
     /// The worker runs serving tasks, and best-effort tasks may not run beside them.
     Apart,
     /// The worker lacks processors, memory or accelerators that are neither allocated nor
@@ -51,6 +53,7 @@
         match self {
             Obstacle::Excluded => explain::Obstacle::Excluded,
             Obstacle::Unusable => explain::Obstacle::Unusable,
+            Obstacle::Cordoned => explain::Obstacle::Cordoned,
             Obstacle::Apart => explain::Obstacle::Apart,
             Obstacle::Full => explain::Obstacle::Full,
             Obstacle::Reserve => explain::Obstacle::Reserve,
@@ -151,6 +154,9 @@
         if !self.has_authority() {
             return Cause::Unconfirmed;
         }
+        if !self.knows_cordons() {
+            return Cause::Unread;
+        }
         if !self.may_start_any(step) {
             return Cause::Predecessor;
         }
--- a/crates/stackpier-cell/src/place.rs
+++ b/crates/stackpier-cell/src/place.rs
@@ -84,7 +84,7 @@
     /// place starts waiting tasks that find a worker. It continues the passes that are under
     /// way, or begins new ones.
     pub(crate) fn place(&mut self) {
-        if !self.has_authority() {
+        if !self.has_authority() || !self.knows_cordons() {
             return;
         }
         let is_due = std::mem::take(&mut self.placement_due);
--- a/crates/stackpier-cell/src/place/candidate.rs
+++ b/crates/stackpier-cell/src/place/candidate.rs
@@ -296,6 +296,9 @@
         if worker.service != demand.service {
             return Err(Obstacle::Excluded);
         }
+        if worker.data_centre_cordoned {
+            return Err(Obstacle::Cordoned);
+        }
         if !self.is_usable(worker) {
             return Err(Obstacle::Unusable);
         }
@@ -339,6 +342,7 @@
             && !worker.info.draining
             && !worker.unreadable
             && !worker.cordoned
+            && !worker.data_centre_cordoned
             && listed
             && worker.silent_since.is_none()
     }
--- a/crates/stackpier-cell/src/roster.rs
+++ b/crates/stackpier-cell/src/roster.rs
@@ -73,6 +73,8 @@
         worker.rack = rack;
         worker.unlisted_since = None;
         worker.unreadable = false;
+        self.update_cordon(key);
+        let worker = self.worker_mut(key);
         // A worker that had left may come back. It must be in the roster before it gets starts.
         let stays =
             worker.presence == Presence::Contacted && !worker.rostered && !worker.info.draining;
@@ -131,6 +133,7 @@
             full_until: Millis(0),
             relaxed_start_at: None,
             cordoned: false,
+            data_centre_cordoned: false,
             evacuated: false,
             dedicated: None,
             reservation: None,
@@ -145,6 +148,7 @@
         );
         self.worker_keys.insert(worker.info.id.clone(), key);
         self.workers.push(worker);
+        self.update_cordon(key);
         self.log("worker", None, text);
         self.renew_now(key);
         key
--- a/crates/stackpier-cell/src/worker.rs
+++ b/crates/stackpier-cell/src/worker.rs
@@ -145,6 +145,8 @@
     pub draining_since: Option<Millis>,
     /// Whether it gets no starts because its host is about to go down.
     pub cordoned: bool,
+    /// Whether it gets no starts because its data centre is cordoned.
+    pub data_centre_cordoned: bool,
     /// Whether it is kept free of serving tasks, to make way for best-effort tasks.
     pub evacuated: bool,
     /// Whether it is kept for short tasks.
--- a/crates/stackpier-fuzz/src/cell/oracle.rs
+++ b/crates/stackpier-fuzz/src/cell/oracle.rs
@@ -114,7 +114,7 @@
         }
     }
 
-    fn report_violation(&mut self, at_ms: u64, what: String) {
+    pub(super) fn report_violation(&mut self, at_ms: u64, what: String) {
         self.violation.get_or_insert(Violation { at_ms, what });
     }
 
--- a/crates/stackpier-fuzz/src/cell/simulation.rs
+++ b/crates/stackpier-fuzz/src/cell/simulation.rs
@@ -2,6 +2,7 @@
 //! The simulation: time, owners, workers, the store, and scheduled messages.
 
 mod calls;
+mod cordons;
 mod faults;
 mod handover;
 mod jobs;
@@ -102,6 +103,8 @@
     HandOver(Vec<Unsaved>),
     /// An owner asks earlier ones whether they have stopped acting.
     Query(usize),
+    /// An owner reads which data centres are cordoned.
+    Cordons(usize),
 }
 
 struct Owner {
@@ -119,6 +122,8 @@
     stopped: BTreeSet<usize>,
     /// Whether it has learnt of its successor.
     ended: bool,
+    /// The cordoned data centres that it knows of.
+    cordons: Option<BTreeSet<usize>>,
 }
 
 #[derive(Default)]
@@ -158,6 +163,8 @@
     incarnations: u64,
     behaviours: BTreeMap<key::Job, Vec<Vec<Behaviour>>>,
     store: Store,
+    /// The data centres that are cordoned now.
+    cordons: BTreeSet<usize>,
     options: Options,
     /// The checks of workers and reported states.
     pub oracle: Oracle,
@@ -190,6 +197,7 @@
             incarnations: 0,
             behaviours: BTreeMap::new(),
             store: Store::default(),
+            cordons: BTreeSet::new(),
             options: Options {
                 max_lease_ms: 6_000,
                 ..Options::default()
@@ -316,7 +324,9 @@
             began_ms: self.now_ms,
             stopped: BTreeSet::new(),
             ended: false,
+            cordons: None,
         });
+        self.delay_cordons(index);
         self.poll_predecessor();
         self.deliver(index, Event::Queues(vec![queue()]));
         for (job, record) in self.store.jobs.clone() {
@@ -352,6 +362,7 @@
             return;
         }
         let now = self.now();
+        self.record_cordons(index, &event);
         for effect in self.owners[index].cell.step(now, event) {
             self.execute(index, effect);
         }
@@ -366,6 +377,10 @@
             Effect::Deposed => self.end_owner(index),
             Effect::Confirm => self.confirm(index, delay),
             Effect::Save(save) => self.send_save(index, save, delay),
+            Effect::Start(start) => {
+                self.check_cordons(index, &start);
+                self.send_order(index, Effect::Start(start), delay);
+            }
             order => self.send_order(index, order, delay),
         }
     }
@@ -458,6 +473,7 @@
             Message::TakeOver(data_centre) => self.take_over(data_centre),
             Message::HandOver(unsaved) => self.deliver_handover(unsaved),
             Message::Query(index) => self.query_earlier_owners(index),
+            Message::Cordons(index) => self.read_cordons(index),
         }
     }
 
--- a/crates/stackpier-fuzz/src/cell/simulation/faults.rs
+++ b/crates/stackpier-fuzz/src/cell/simulation/faults.rs
@@ -73,6 +73,9 @@
     /// Messages that arrive, of those in which an owner asks earlier ones whether they have stopped
     /// acting. If this rate is zero, owners do not ask.
     pub queries: u32,
+    /// Seconds in which operators cordon or uncordon a data centre. If this rate is zero, owners
+    /// do not wait for the operators' entries.
+    pub cordons: u32,
 }
 
 impl Faults {
@@ -104,6 +107,7 @@
             restarts: 0,
             handovers: 0,
             queries: 0,
+            cordons: 0,
         }
     }
 }
@@ -134,6 +138,7 @@
             self.count("outage");
             self.store.unavailable_until = self.now_ms + self.draw_range(500, 8_000);
         }
+        self.change_cordons();
         self.send(1_000, Message::Second);
     }
 
--- a/crates/stackpier-fuzz/tests/cell.rs
+++ b/crates/stackpier-fuzz/tests/cell.rs
@@ -277,3 +277,26 @@
     };
     run_seeds(faults, 1314..1315);
 }
+
+/// No owner starts anything in a data centre that it knows to be cordoned, nor before it has read
+/// the operators' entries; all jobs end once the cordons have ended.
+#[rstest]
+#[case::alone(Faults::default())]
+#[case::takeovers(Faults { takeovers: 200, ..Faults::default() })]
+#[case::outages(Faults { outages: 120, takeovers: 100, unanswered: 30, ..Faults::default() })]
+#[case::late_orders(Faults { late: 30, cuts: 60, takeovers: 60, ..Faults::default() })]
+#[case::restarts(Faults { restarts: 700, ..accompanying_faults() })]
+#[case::crashing(Faults { crashing: 10, crashes: 20, takeovers: 60, ..Faults::default() })]
+#[case::copies(Faults { copies: 700, grey: 60, cuts: 60, ..Faults::default() })]
+#[case::all(Faults::all(15))]
+fn cordoned_data_centres_get_no_starts(#[case] faults: Faults) {
+    let cordons = 200;
+    let counts = run_seeds(Faults { cordons, ..faults }, seeds(12));
+    let reached = [
+        "cordon",
+        "uncordon",
+        "all data centres cordoned",
+        "start beside a cordon",
+    ];
+    require_reached(&counts, &reached);
+}
--- a/crates/stackpier-scheduler/src/catalog.rs
+++ b/crates/stackpier-scheduler/src/catalog.rs
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 //! The entries that operators and workers write into the store: the
-//! configuration, maintenance plans and workers.
+//! configuration, maintenance plans, cordons of data centres and workers.
 
 use stackpier_cell::{Info, Queue, maintenance::Plan};
 use stackpier_core::Result;
@@ -59,6 +59,14 @@
     /// else.
     fn plan(&self, item: &Item) -> Result<Option<Plan>>;
 
+    /// cordon decodes a cordon: the data centre whose workers get no starts as long as the item
+    /// exists. It returns `None` if the item is something else.
+    fn cordon(&self, item: &Item) -> Result<Option<String>>;
+
+    /// cordoned_by returns the data centre that the item with a key cordons, or `None` if the key
+    /// is that of something else.
+    fn cordoned_by<'a>(&self, key: &'a str) -> Result<Option<&'a str>>;
+
     /// plan_state returns the write that shows operators whether a plan is completed.
     fn plan_state(&self, plan: u64, completed: bool) -> Result<Put>;
 
--- a/crates/stackpier-scheduler/src/daemon.rs
+++ b/crates/stackpier-scheduler/src/daemon.rs
@@ -9,7 +9,7 @@
 use http::{Request as Query, Response as Answer};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use stackpier_cell::{Event, maintenance::Plan};
+use stackpier_cell::Event;
 use stackpier_protocol::{codec::encode, explain};
 use tokio::{
     signal::unix::{SignalKind, signal},
@@ -18,15 +18,15 @@
 
 use crate::{
     Platform,
-    catalog::Config,
+    configs::Configs,
     http::{Handler, answer, listen, serve},
     jobs::Source,
     keys::OWNER,
     link::{self, Request, Response},
     monitor,
     node::{Node, pause},
-    store::{Committed, Item, Transaction},
-    watch::{Follower, Update, follow},
+    store::{Committed, Transaction},
+    watch::follow,
 };
 
 /// DRAIN_MS is how long a stopping daemon still accepts connections. The load balancer
@@ -37,8 +37,6 @@
 const STOP_MARGIN_MS: u64 = 1_000;
 /// STOP_POLL_MS is the time between two checks of whether work is still open.
 const STOP_POLL_MS: u64 = 50;
-/// FETCH_TIMEOUT bounds fetching the configuration from a peer.
-const FETCH_TIMEOUT: std::time::Duration = std::time::Duration::from_millis(800);
 
 /// run serves until the process receives a signal to stop. `callers` handles the requests
 /// of client accounts.
@@ -72,7 +70,7 @@
         Rc::clone(&other_open),
     ));
     tokio::task::spawn_local(link::serve(peers, node.clone(), other_open));
-    tokio::task::spawn_local(follow(node.clone(), Configs { node: node.clone() }, None));
+    tokio::task::spawn_local(follow(node.clone(), Configs::new(node.clone()), None));
     tokio::task::spawn_local(monitor::run(node.clone()));
     node.log_line("daemon", &format!("started: {settings:?}"));
     wait_for_stop(&node).await?;
@@ -140,132 +138,6 @@
             &format!("cell released, known to the store: {done}; {jobs} jobs are not saved"),
         );
     }
-
-    /// config_version returns the version of the configuration in force, 0 if there is
-    /// none.
-    pub(crate) fn config_version(&self) -> u64 {
-        self.config
-            .borrow()
-            .as_ref()
-            .map_or(0, |config| config.version)
-    }
-
-    /// config returns the configuration in force, if there is one.
-    pub fn config(&self) -> Option<Rc<Config>> {
-        self.config.borrow().clone()
-    }
-
-    /// apply_config puts a configuration in force unless the version in force is the same
-    /// or newer.
-    fn apply_config(&self, item: &Item, from: &str) {
-        let config = match self.platform.config(item) {
-            Ok(config) => config,
-            Err(error) => {
-                self.log_line(
-                    "config",
-                    &format!("the configuration is not readable: {error}"),
-                );
-                return;
-            }
-        };
-        if config.version <= self.config_version() {
-            return;
-        }
-        let text = format!(
-            "version {} in force, {} routes, from {from}",
-            config.version,
-            config.routes.len()
-        );
-        self.log_line("config", &text);
-        self.config.replace(Some(Rc::new(config)));
-        self.config_item.replace(Some(item.clone()));
-        self.feed_queues();
-    }
-
-    /// apply_plan adds a maintenance plan that an operator wrote, if the settings allow
-    /// taking hosts down.
-    fn apply_plan(&self, item: &Item) {
-        let plan = match self.platform.plan(item) {
-            Ok(Some(plan)) => plan,
-            Ok(None) => return,
-            Err(error) => {
-                let text = format!("the plan {} is not readable: {error}", item.key);
-                self.log_line("config", &text);
-                return;
-            }
-        };
-        if self.settings.hosts.is_none() {
-            let text = format!(
-                "plan {} ignored: the settings have no address for taking hosts down",
-                plan.number
-            );
-            self.log_line("config", &text);
-            return;
-        }
-        let is_same = |other: &Plan| other.number == plan.number;
-        if self.plans.borrow().iter().any(is_same) {
-            return;
-        }
-        self.plans.borrow_mut().push(plan);
-        self.feed_plans();
-    }
-
-    /// fetch_config fetches the configuration from a peer and puts it in force if it is
-    /// newer.
-    pub(crate) async fn fetch_config(&self, address: &str) {
-        if let Ok(Response::Config(value, revision)) = self
-            .links
-            .call(address, &Request::Config, FETCH_TIMEOUT)
-            .await
-        {
-            let key = self.platform.config_key().to_owned();
-            let item = Item {
-                key,
-                value,
-                revision,
-            };
-            self.apply_config(&item, "a peer");
-        }
-    }
-}
-
-/// Configs follows the configuration and the maintenance plans that operators write to the
-/// store.
-struct Configs<P> {
-    node: Node<P>,
-}
-
-impl<P: Platform> Configs<P> {
-    fn apply_item(&self, item: &Item) {
-        if item.key == self.node.platform.config_key() {
-            self.node.apply_config(item, "the store");
-        } else {
-            self.node.apply_plan(item);
-        }
-    }
-}
-
-impl<P: Platform> Follower for Configs<P> {
-    fn prefix(&self) -> &str {
-        self.node.platform.config_prefix()
-    }
-
-    fn is_wanted(&self) -> bool {
-        true
-    }
-
-    /// wants_latest_only is true because each configuration replaces the one before. With
-    /// twelve changes a second, a link of 2 Mbit/s can't carry every version, and the last
-    /// one came into force seconds late.
-    fn wants_latest_only(&self) -> bool {
-        true
-    }
-
-    fn apply(&mut self, update: Update) {
-        for item in update.into_items() {
-            self.apply_item(&item);
-        }
-    }
 }
 
 impl<P: Platform> link::Service for Node<P> {
--- a/crates/stackpier-scheduler/src/lib.rs
+++ b/crates/stackpier-scheduler/src/lib.rs
@@ -12,6 +12,7 @@
 mod calls;
 pub mod catalog;
 mod cluster;
+mod configs;
 pub mod daemon;
 pub mod detector;
 mod explain;
--- a/crates/stackpier-scheduler/src/loading.rs
+++ b/crates/stackpier-scheduler/src/loading.rs
@@ -133,6 +133,7 @@
         if predecessor.address.is_some() {
             cell.await_handover();
         }
+        cell.await_cordons();
         // Reading may have taken seconds, and a successor may have taken over meanwhile.
         cell.set_confirmed(self.owned_since(fence));
         self.restore(&mut cell, &mut revisions, &loaded);
@@ -151,6 +152,7 @@
         }));
         self.feed_queues();
         self.feed_plans();
+        self.feed_cordons();
         let jobs = Jobs {
             node: self.clone(),
             fence,
--- a/crates/stackpier-scheduler/src/node.rs
+++ b/crates/stackpier-scheduler/src/node.rs
@@ -4,7 +4,7 @@
 
 use std::{
     cell::{Cell as Slot, RefCell},
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     ops::Deref,
     rc::Rc,
     time::Duration,
@@ -89,6 +89,8 @@
     pub(crate) config: RefCell<Option<Rc<Config>>>,
     /// The maintenance plans that operators wrote.
     pub(crate) plans: RefCell<Vec<Plan>>,
+    /// The data centres that operators have cordoned, once their entries have been read.
+    pub(crate) cordons: RefCell<Option<BTreeSet<String>>>,
     /// The store's item of the configuration in force, as sent to peers that ask for it.
     pub(crate) config_item: RefCell<Option<Item>>,
     pub(crate) members: RefCell<BTreeMap<String, Registered>>,
@@ -159,6 +161,7 @@
             relays: Relays::new(),
             config: RefCell::default(),
             plans: RefCell::default(),
+            cordons: RefCell::default(),
             config_item: RefCell::default(),
             members: RefCell::default(),
             owned: RefCell::default(),
--- a/crates/stackpier-scheduler/src/owner.rs
+++ b/crates/stackpier-scheduler/src/owner.rs
@@ -52,6 +52,15 @@
         }
     }
 
+    /// feed_cordons passes the cordoned data centres to the cell.
+    pub(crate) fn feed_cordons(&self) {
+        let fence = self.owner.borrow().as_ref().map(|owner| owner.fence);
+        let cordons = self.cordons.borrow().clone();
+        if let (Some(cordons), Some(fence)) = (cordons, fence) {
+            self.feed(fence, Event::Cordons(cordons.into_iter().collect()));
+        }
+    }
+
     /// owns_with reports whether this daemon still owns the cell with `fence`.
     pub(crate) fn owns_with(&self, fence: u64) -> bool {
         self.owner
--- a/crates/stackpier-state/src/explain.rs
+++ b/crates/stackpier-state/src/explain.rs
@@ -107,6 +107,8 @@
     /// A predecessor may have started the task on a worker that has not answered
     /// this owner yet.
     Predecessor,
+    /// The owner has not read yet which data centres operators have cordoned.
+    Unread,
     /// The configuration lacks the job's queue, which has this name.
     UnknownQueue(String),
     /// The workers, counted by what prevents a start on them.
@@ -162,6 +164,8 @@
     /// The worker is not in the rack of the step's data, and there is time to wait
     /// for one that is.
     Far,
+    /// Operators have cordoned the worker's data centre.
+    Cordoned,
 }
 
 impl Tally {
@@ -244,6 +248,7 @@
         match self {
             Cause::Unconfirmed => f.write_str("the store has not confirmed the ownership lately"),
             Cause::Predecessor => f.write_str("runs of an earlier owner are possible"),
+            Cause::Unread => f.write_str("the operators' entries are not read yet"),
             Cause::UnknownQueue(queue) => write!(f, "queue {queue} is not known"),
             Cause::Workers(tally) => tally.fmt(f),
         }
@@ -275,6 +280,7 @@
             Obstacle::Unsettled => "unsettled",
             Obstacle::Harm => "harm",
             Obstacle::Far => "far",
+            Obstacle::Cordoned => "cordoned",
         })
     }
 }
