--- a/crates/stackpier-cell/src/relief.rs
+++ b/crates/stackpier-cell/src/relief.rs
@@ -17,11 +17,12 @@
 };
 
 /// REPORT_LAG_MS is how much longer than reports show a task may have been over its target: a
-/// report covers the last half second, and a worker with serving tasks reports every 0.3 s.
-const REPORT_LAG_MS: u64 = 800;
-/// ORDER_MS is the time from the decision to pause a task to its effect, also if the order is sent
-/// twice.
-const ORDER_MS: u64 = 500;
+/// report covers the last half second, a worker with serving tasks reports every 0.3 s, and the
+/// next report may be the first that shows it.
+const REPORT_LAG_MS: u64 = 1_000;
+/// EFFECT_MS is the time from the decision to pause tasks until the tail latency has fallen: the
+/// order, its effect on the worker, and the half second over which the latency is measured.
+const EFFECT_MS: u64 = 800;
 /// START_MS is how long before a pause the last best-effort task may start on the worker: a run can
 /// be paused once a report has shown it.
 const START_MS: u64 = 700;
@@ -64,7 +65,7 @@
     /// pause_after_ms returns how long a serving task may be over its target before best-effort
     /// tasks are paused.
     fn pause_after_ms(&self) -> u64 {
-        let margin_ms = REPORT_LAG_MS + ORDER_MS;
+        let margin_ms = REPORT_LAG_MS + EFFECT_MS;
         self.options.max_over_target_ms.saturating_sub(margin_ms)
     }
 
