Raise paces up to the load to which slowing down brings a serving task

Cause: slowed tasks waited for a predicted load of 0.75 of the target, while new ones started beside serving tasks that were closer to it.

--- a/crates/stackpier-cell/src/pace.rs
+++ b/crates/stackpier-cell/src/pace.rs
@@ -17,7 +17,7 @@
 const GOAL_LOAD: f64 = load_at(0.85);
 /// RAISE_LOAD is the load up to which paces are raised again. The gap to SLOW_DOWN_LOAD keeps
 /// paces from oscillating.
-const RAISE_LOAD: f64 = load_at(0.75);
+const RAISE_LOAD: f64 = GOAL_LOAD;
 /// MIN_CONTRIBUTION is the load that a best-effort task must add to a serving task to be slowed
 /// down for it: slowing down smaller ones would gain nothing.
 const MIN_CONTRIBUTION: f64 = 0.03;
