--- a/crates/stackpier-cell/src/cordon.rs
+++ b/crates/stackpier-cell/src/cordon.rs
@@ -2,8 +2,8 @@
 //! Cordoned data centres: operators ask for no further starts on their workers.
 //!
 //! What already runs there goes on: a stop would lose work, and the other data centres rarely have
-//! capacity for a whole one more. A task that ends there starts again elsewhere. If no other data
-//! centre can take a task, it waits, also if all data centres are cordoned.
+//! free capacity for all of it. A task whose run there ends starts again elsewhere. If no other data
+//! centre can take it, it waits, also if all data centres are cordoned.
 
 use std::collections::BTreeSet;
 
