Fuzz of cuts in series: 45 seeds instead of 30

Which seeds reach this rare situation depends on every order that owners send, and the order of late jobs changed these: none of seeds 0 to 29 reaches it now, one of 30 to 44 does, none of 45 to 59, four in 60 to 89. No violation in any of the 90. The check stays, on more seeds.

--- a/crates/stackpier-fuzz/tests/cell.rs
+++ b/crates/stackpier-fuzz/tests/cell.rs
@@ -224,7 +224,7 @@
         crashes: 10,
         ..Faults::default()
     };
-    let counts = run_seeds(faults, seeds(30));
+    let counts = run_seeds(faults, seeds(45));
     require_reached(&counts, &SERIES_COUNTS);
 }
 
