--- a/crates/stackpier-cell/src/relief.rs
+++ b/crates/stackpier-cell/src/relief.rs
@@ -8,7 +8,7 @@
 //! Once nothing best-effort has worked beside a serving task for a while, the time begins anew: if
 //! the task is still over its target, that is due to its own load, and further pauses would help
 //! nobody. The model is not asked for a task's own load here: coefficients of pairs change within
-//! seconds, and tasks that seemed to be over their targets by their own load were harmed.
+//! seconds, so it may take a harmed task for one that is over its target by its own load.
 
 use crate::{
     Cell, Mechanism,
--- a/crates/stackpier-scheduler/src/detector.rs
+++ b/crates/stackpier-scheduler/src/detector.rs
@@ -12,8 +12,8 @@
 /// SILENT_MS is how long the owner may leave heartbeats unanswered on a fast link: three
 /// heartbeats and a margin.
 pub(crate) const SILENT_MS: u64 = 900;
-/// CELL_BYTES is the size of the cell in the store, as seen in current deployments. A new
-/// owner reads all of it before it can act.
+/// CELL_BYTES is the size of a large cell in the store. A new owner reads all of it before it can
+/// act.
 const CELL_BYTES: u64 = 384 * 1024;
 /// WIRE_BITS_PER_BYTE is how many bits on the link a byte of a value takes: 8 bits times
 /// four thirds for base64, and a tenth for headers.
