--- a/crates/stackpier-fuzz/src/cell/simulation.rs
+++ b/crates/stackpier-fuzz/src/cell/simulation.rs
@@ -3,6 +3,7 @@
 
 mod calls;
 mod cordons;
+mod draw;
 mod faults;
 mod handover;
 mod jobs;
@@ -16,7 +17,7 @@
     collections::{BTreeMap, BTreeSet, BinaryHeap},
 };
 
-use rand::{RngExt, SeedableRng};
+use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use stackpier_cell::{Cell, Effect, Event, Info, Now, Options, Queue, RosterEntry, Save, Unsaved};
 use stackpier_core::{Millis, Size, Unix, key};
@@ -216,27 +217,6 @@
         simulation
     }
 
-    /// draw_fault draws whether a fault occurs; none does in the recovery phase.
-    fn draw_fault(&mut self, thousandths: u32) -> bool {
-        self.now_ms < self.faults_until && self.random.random_range(0..1_000) < thousandths
-    }
-
-    fn draw_range(&mut self, low: u64, high: u64) -> u64 {
-        self.random.random_range(low..=high)
-    }
-
-    /// draw_extra_fault is [`Self::draw_fault`] on the second random stream.
-    fn draw_extra_fault(&mut self, thousandths: u32) -> bool {
-        self.now_ms < self.faults_until
-            && thousandths > 0
-            && self.extra_random.random_range(0..1_000) < thousandths
-    }
-
-    /// draw_extra_range is [`Self::draw_range`] on the second random stream.
-    fn draw_extra_range(&mut self, low: u64, high: u64) -> u64 {
-        self.extra_random.random_range(low..=high)
-    }
-
     fn count(&mut self, what: &'static str) {
         *self.counts.entry(what).or_default() += 1;
     }
