--- a/crates/stackpier-cell/src/evacuation.rs
+++ b/crates/stackpier-cell/src/evacuation.rs
@@ -6,8 +6,7 @@
 //! without serving tasks can take all of them. So while enough best-effort tasks wait to occupy a
 //! whole worker, the workers with the fewest processors allocated to long-running tasks are
 //! evacuated, a few at a time: these tasks move to other workers on which they fit, as far as
-//! their steps allow it (`may_miss`). This gains 0.013 of the goodput where most pairs disturb
-//! each other heavily, and 0.005 elsewhere.
+//! their steps allow it (`may_miss`).
 
 use stackpier_core::{Millis, Size};
 
--- a/crates/stackpier-cell/src/flow.rs
+++ b/crates/stackpier-cell/src/flow.rs
@@ -3,10 +3,9 @@
 //! in a short time, so that heartbeats, leases and stops never queue behind them.
 //!
 //! A start carries its job's payload, a kilobyte or more, and a wide step has hundreds of
-//! starts. On a link of 2 Mbit/s, an owner that sent them all at once was silent for two seconds
-//! and lost the cell, and so did each successor: there were ten takeovers in fifteen seconds,
-//! and only 0.14 of the requested work was served. Further starts wait for answers, so the rate
-//! also follows a processor or a network that is slower than the settings say.
+//! starts. An owner on a slow link that sent them all at once would be silent for seconds and lose
+//! the cell, and so would each successor. Further starts wait for answers, so the rate also follows
+//! a processor or a network that is slower than the settings say.
 
 use std::collections::HashMap;
 
--- a/crates/stackpier-cell/src/job.rs
+++ b/crates/stackpier-cell/src/job.rs
@@ -50,13 +50,10 @@
 impl Job {
     /// visible_state returns the state that client accounts are shown. A final state must never
     /// change again, but a successor that does not find it in the store starts the job's tasks
-    /// again. This happened 4 s after client accounts had seen the final state, when the owner
-    /// lost the store and was killed while workers crashed. So a final state is shown only once it
-    /// is saved.
+    /// again. So a final state is shown only once it is saved.
     ///
-    /// This delays the answer by one save (about 25 ms: half of the pause between saves and a call
-    /// to the store) and costs 0.01 of the goodput of short jobs in simulation. A cancellation
-    /// needs no wait: the store has it before the owner knows of it.
+    /// This delays the answer by one save: half of the pause between saves and a call to the
+    /// store. A cancellation needs no wait: the store has it before the owner knows of it.
     pub(crate) fn visible_state(&self) -> State {
         let backed = self.stored == self.state || self.state == State::Cancelled;
         if self.state.is_final() && !backed {
--- a/crates/stackpier-cell/src/place.rs
+++ b/crates/stackpier-cell/src/place.rs
@@ -52,8 +52,7 @@
 }
 
 /// Rank orders the steps of one priority. Jobs with the fewest tasks left come first: more of
-/// them end while their results have value. Ordering late jobs by their age instead cost 0.008
-/// of the goodput.
+/// them end while their results have value.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Rank {
     /// Long-running tasks that have waited; since when the first of them has. On a nearly full
--- a/crates/stackpier-cell/src/place/budget.rs
+++ b/crates/stackpier-cell/src/place/budget.rs
@@ -1,9 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 //! Limits for the work of placement: within one call of `Cell::step`, so that the owner keeps
-//! answering heartbeats and reports, and over time, so that it keeps up on a small VM. On 490
-//! workers with a thousand waiting tasks, an owner without these limits fell seconds behind:
-//! goodput was 0.50 to 0.65, against 0.76 to 0.78 with the limits and the current order of late
-//! jobs.
+//! answering heartbeats and reports, and over time, so that it keeps up on a small VM.
 
 use std::cell::Cell as Counter;
 
--- a/crates/stackpier-cell/src/place/starvation.rs
+++ b/crates/stackpier-cell/src/place/starvation.rs
@@ -23,8 +23,7 @@
 /// seconds on.
 const STARVED_MS: u64 = 2_000;
 /// LOADED_STARVED_MS is the same limit for other steps while more than half is in use. Capacity
-/// comes and goes then, and a start regardless of the limits harms other tasks: two seconds here,
-/// too, cost 0.01 to 0.02 of the goodput.
+/// comes and goes then, and a start regardless of the limits harms other tasks.
 const LOADED_STARVED_MS: u64 = 20_000;
 /// SETTLE_MS is the shortest time between two such starts on a worker. Reports cover the last
 /// half second, so the effect of one start is seen before the next.
@@ -63,8 +62,7 @@
 impl Cell {
     /// find_starving returns the steps that starve, the longest waiting last. One task of each is
     /// started if it finds a worker. They come after everything that the limits allow, as steps
-    /// that have waited for a long time are late in any case: trying them first gave 0.003 and
-    /// 0.006 less goodput on two deployments, within the noise of single runs.
+    /// that have waited for a long time are late in any case.
     pub(super) fn find_starving(&mut self) -> Vec<StepKey> {
         if !self.is_enabled(Mechanism::Starving) {
             return Vec::new();
--- a/crates/stackpier-cell/src/short_task_memory.rs
+++ b/crates/stackpier-cell/src/short_task_memory.rs
@@ -1,9 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 //! The mean memory of recently submitted short tasks. As much memory is kept free of
 //! best-effort tasks on each worker, so that a short task fits beside them.
-//!
-//! With none kept free, 0.006 of the goodput was lost; a fixed 18,000 MiB lost 0.022 on workers
-//! half as large.
+//! A fixed amount would be too much for small workers.
 
 use stackpier_state::job::Spec;
 
--- a/crates/stackpier-scheduler/src/configs.rs
+++ b/crates/stackpier-scheduler/src/configs.rs
@@ -93,9 +93,8 @@
         true
     }
 
-    /// wants_latest_only is true because each configuration replaces the one before. With
-    /// twelve changes a second, a link of 2 Mbit/s can't carry every version, and the last
-    /// one came into force seconds late.
+    /// wants_latest_only is true because each configuration replaces the one before. At several
+    /// changes a second a slow link can't carry every version in time.
     fn wants_latest_only(&self) -> bool {
         true
     }
--- a/crates/stackpier-scheduler/src/monitor.rs
+++ b/crates/stackpier-scheduler/src/monitor.rs
@@ -28,9 +28,8 @@
 pub(crate) const HEARTBEAT_MS: u64 = 250;
 /// FREQUENT_FOLLOWERS is how many daemons, those that would take over first, send a
 /// heartbeat every [`HEARTBEAT_MS`]. The others wait for seconds before they take over, so
-/// faster detection does not help them. 96 followers on one interval send 390 heartbeats a
-/// second. Without most of them, and with fewer log lines, the goodput under an owner with
-/// 0.12 cores rose from 0.51 to 0.66.
+/// faster detection does not help them, and answering 96 followers on one interval would take
+/// 390 heartbeats a second.
 const FREQUENT_FOLLOWERS: u64 = 8;
 /// SLOW_HEARTBEAT_MS is the time between two heartbeats of all other followers. Heartbeats
 /// also bring the newest configuration to a daemon that can't reach the store.
--- a/crates/stackpier-scheduler/src/relay.rs
+++ b/crates/stackpier-scheduler/src/relay.rs
@@ -5,8 +5,7 @@
 //! of a small VM provide: a start carries its job's payload, and each call takes about 40
 //! microseconds of a core. The owner sends as many calls itself as fit into a share of both.
 //! It forwards the rest in batches to helpers in the workers' data centres, each payload
-//! once. With 85 workers, on VMs of 0.12 cores and 2 Mbit/s, the goodput was 0.83 with
-//! forwarded starts and 0.16 without.
+//! once.
 //!
 //! What a worker does with a call does not depend on who sends it: the call contains the
 //! fence, the worker's id, the run's number and the end of the lease. A call that is sent
