--- a/crates/stackpier-cell/src/cell.rs
+++ b/crates/stackpier-cell/src/cell.rs
@@ -160,6 +160,9 @@
                 cancelled,
             } => self.accept(job, &record, progress.as_deref(), cancelled),
             Event::Cancelled(job) => self.cancel(job),
+            Event::Forwarded(starts) => starts
+                .iter()
+                .for_each(|start| self.flow.record_forwarded(start.run, start.bytes)),
             Event::Started { run, outcome } => self.handle_start_answer(run, outcome),
             Event::Stopped { run, outcome } => self.handle_stop_answer(run, outcome),
             Event::Paced {
--- a/crates/stackpier-cell/src/event.rs
+++ b/crates/stackpier-cell/src/event.rs
@@ -75,6 +75,8 @@
     },
     /// The store holds a cancellation of this job.
     Cancelled(key::Job),
+    /// These starts were sent by way of other daemons.
+    Forwarded(Vec<Forwarded>),
     /// A start was answered, or got no answer.
     Started {
         /// The run.
@@ -151,6 +153,15 @@
     pub valid_ms: u64,
 }
 
+/// Forwarded is a start that another daemon sends to the worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Forwarded {
+    /// The run.
+    pub run: Index<Run>,
+    /// How many bytes the start put on the owner's link.
+    pub bytes: u64,
+}
+
 /// Started is the outcome of a start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Started {
--- a/crates/stackpier-cell/src/flow.rs
+++ b/crates/stackpier-cell/src/flow.rs
@@ -4,7 +4,8 @@
 //!
 //! A start carries its job's payload, a kilobyte or more, and a wide step has hundreds of
 //! starts. An owner on a slow link that sent them all at once would be silent for seconds and lose
-//! the cell, and so would each successor. Further starts wait for answers, so the rate also follows
+//! the cell, and so would each successor. A start that another daemon sends counts with what it puts
+//! on the owner's link. Further starts wait for answers, so the rate also follows
 //! a processor or a network that is slower than the settings say.
 
 use std::collections::HashMap;
@@ -47,6 +48,17 @@
         self.full |= self.bytes >= self.max_bytes || self.unanswered.len() >= self.max_starts;
     }
 
+    /// record_forwarded records that another daemon sends a start, which put only `bytes` on the
+    /// owner's link.
+    pub(crate) fn record_forwarded(&mut self, run: RunKey, bytes: u64) {
+        if let Some(assumed) = self.unanswered.get_mut(&run) {
+            self.bytes -= *assumed;
+            self.bytes += bytes;
+            *assumed = bytes;
+            self.release();
+        }
+    }
+
     /// record_answered records that a start was answered or given up. Once the limit is
     /// reached, further starts wait until half of it is free again: a placement attempt rates
     /// all workers for a step, so it pays to place many tasks at a time.
@@ -54,6 +66,10 @@
         if let Some(bytes) = self.unanswered.remove(&run) {
             self.bytes -= bytes;
         }
+        self.release();
+    }
+
+    fn release(&mut self) {
         self.full &= self.bytes > self.max_bytes / 2 || self.unanswered.len() > self.max_starts / 2;
     }
 
--- a/crates/stackpier-cell/src/lib.rs
+++ b/crates/stackpier-cell/src/lib.rs
@@ -63,9 +63,9 @@
 pub use arena::{ImageKey, JobKey, StepKey, TaskKey, WorkerKey};
 pub use cell::Cell;
 pub use event::{
-    AdviceRequest, Advised, Effect, End, EndCause, Event, LogEntry, Now, Order, Pace, Renewal,
-    Renewed, Report, RosterEntry, RunStatus, Save, Start, Started, Stop, Stopped, TaskName,
-    Unsaved,
+    AdviceRequest, Advised, Effect, End, EndCause, Event, Forwarded, LogEntry, Now, Order, Pace,
+    Renewal, Renewed, Report, RosterEntry, RunStatus, Save, Start, Started, Stop, Stopped,
+    TaskName, Unsaved,
 };
 pub use mechanism::{Mechanism, Mechanisms};
 pub use model_snapshot::{ModelSnapshot, SavedEstimate, ServingImage};
--- a/crates/stackpier-cell/src/lifecycle.rs
+++ b/crates/stackpier-cell/src/lifecycle.rs
@@ -19,7 +19,7 @@
 
 impl Cell {
     /// accept adds a job that is in the store, with the progress that a predecessor saved. A
-    /// job that is already known is left unchanged.
+    /// job that is already known is left unchanged, but for a payload that was not known yet.
     pub(crate) fn accept(
         &mut self,
         id: key::Job,
@@ -34,6 +34,11 @@
             return;
         }
         let over = |progress: &Progress| progress.state.is_final();
+        if let Some(key) = self.job_keys.get(&id).copied()
+            && self.job(key).payload.is_empty()
+        {
+            self.job_mut(key).payload = Rc::from(record.spec.payload.as_str());
+        }
         if self.job_keys.contains_key(&id) || record.is_trimmed() && !progress.is_some_and(over) {
             return;
         }
--- a/crates/stackpier-cell/tests/common/mod.rs
+++ b/crates/stackpier-cell/tests/common/mod.rs
@@ -13,8 +13,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use stackpier_cell::{
-    AdviceRequest, Advised, Cell, Effect, Event, Info, Now, Options, Pace, Queue, Renewal, Renewed,
-    Save, Start, Started, Stop, Stopped, TaskName,
+    AdviceRequest, Advised, Cell, Effect, Event, Forwarded, Info, Now, Options, Pace, Queue,
+    Renewal, Renewed, Save, Start, Started, Stop, Stopped, TaskName,
     maintenance::{TakeDown, TakenDown},
 };
 use stackpier_core::{Millis, Size, Unix, key};
@@ -70,6 +70,9 @@
     pub advice_sizes: Vec<usize>,
     /// How many of the next answers to starts are lost.
     pub lose_starts: usize,
+    /// How many bytes a start that other daemons send puts on the owner's link. If not set, the
+    /// owner sends all starts itself.
+    pub forwarded_bytes: Option<u64>,
     /// How long answers to starts take.
     pub start_ms: u64,
     /// How many starts have no answer yet.
@@ -221,6 +224,7 @@
             deposed: false,
             advice_sizes: Vec::new(),
             lose_starts: 0,
+            forwarded_bytes: None,
             start_ms: 1,
             unanswered_starts: 0,
             max_unanswered_starts: 0,
@@ -297,9 +301,26 @@
         if matches!(event, Event::Started { .. }) {
             self.unanswered_starts -= 1;
         }
-        for effect in self.cell.step(now, event) {
+        let effects = self.cell.step(now, event);
+        let forwarded = self.forwarded(&effects);
+        for effect in effects {
             self.execute(effect);
         }
+        if !forwarded.is_empty() {
+            self.feed(Event::Forwarded(forwarded));
+        }
+    }
+
+    /// forwarded returns the starts among the effects that other daemons send.
+    fn forwarded(&self, effects: &[Effect]) -> Vec<Forwarded> {
+        let forwarded = |effect: &Effect| match (effect, self.forwarded_bytes) {
+            (Effect::Start(start), Some(bytes)) => Some(Forwarded {
+                run: start.order.key,
+                bytes,
+            }),
+            _ => None,
+        };
+        effects.iter().filter_map(forwarded).collect()
     }
 
     /// advance moves the clock forward, with a tick every 50 ms.
--- a/crates/stackpier-scheduler/src/calls.rs
+++ b/crates/stackpier-scheduler/src/calls.rs
@@ -7,18 +7,20 @@
     maintenance::{TakeDown, TakenDown},
 };
 
-use crate::{Platform, metrics, node::Node, relay::Delivery};
+use crate::{Platform, metrics, node::Node, relay::Route};
 
 impl<P: Platform> Node<P> {
-    pub(crate) async fn send_start(self, fence: u64, start: Start) {
-        let Delivery { outcome, helper } = self.start_or_forward(&start).await;
+    pub(crate) async fn send_start(self, fence: u64, start: Start, route: Route) {
+        let outcome = self.deliver_start(&route, &start).await;
+        let sender = match &route {
+            Route::Direct => "this daemon",
+            Route::Forwarded { helper, .. } => helper,
+        };
         self.count_worker_call("start", outcome == Started::Yes);
         let order = &start.order;
         let text = format!(
-            "run {} on worker {} under fence {fence} by {}: {outcome:?}",
-            order.run,
-            order.worker_id,
-            helper.as_deref().unwrap_or("this daemon")
+            "run {} on worker {} under fence {fence} by {sender}: {outcome:?}",
+            order.run, order.worker_id,
         );
         self.log_about("place", Some(order.task.to_string()), &text);
         let run = order.key;
--- a/crates/stackpier-scheduler/src/daemon.rs
+++ b/crates/stackpier-scheduler/src/daemon.rs
@@ -175,7 +175,7 @@
             return Response::NotOwner;
         };
         match request {
-            Request::Accepted(job, record) => {
+            Request::Accepted(job, record) | Request::Announced(job, record) => {
                 self.add_job(fence, Source::Message, job, record, None);
                 Response::Flag(true)
             }
--- a/crates/stackpier-scheduler/src/jobs.rs
+++ b/crates/stackpier-scheduler/src/jobs.rs
@@ -36,6 +36,9 @@
 const RETRY_MS: u64 = 50;
 /// ASK_LIMIT bounds a message to the owner.
 const ASK_LIMIT: Duration = Duration::from_millis(350);
+/// PAYLOAD_LINK_KBPS is the bandwidth of the owner's link, in kbit/s, from which it is sent the
+/// payloads of new jobs: thirty jobs a second with 4,000 bytes each take a fifth of it.
+const PAYLOAD_LINK_KBPS: u32 = 5_000;
 /// NOTIFY_TRIES is how many times a daemon tries to send the owner a message
 /// about a job. The owner also finds the job in the store.
 const NOTIFY_TRIES: usize = 2;
@@ -207,10 +210,26 @@
         let own = self.owner.borrow().as_ref().map(|owner| owner.fence);
         match own {
             Some(fence) => self.add_job(fence, Source::Client, job, Box::new(record), None),
+            None if self.is_owner_link_slow() => {
+                let mut record = record;
+                record.spec.payload.clear();
+                self.notify_owner(Request::Announced(job, Box::new(record)));
+            }
             None => self.notify_owner(Request::Accepted(job, Box::new(record))),
         }
     }
 
+    /// is_owner_link_slow reports whether the owner's link should carry no payloads that the
+    /// helpers can read from the store.
+    fn is_owner_link_slow(&self) -> bool {
+        let owned = self.owned.borrow();
+        let members = self.members.borrow();
+        let owner = owned
+            .as_ref()
+            .and_then(|owned| members.get(&owned.ownership.vm));
+        owner.is_some_and(|entry| entry.member.link_kbps < PAYLOAD_LINK_KBPS)
+    }
+
     /// add_job passes a job that is in the store to the cell. It logs how the owner first learnt of
     /// the job and with what progress, which shows whether a successor knew what was done
     /// before.
--- a/crates/stackpier-scheduler/src/link.rs
+++ b/crates/stackpier-scheduler/src/link.rs
@@ -81,6 +81,8 @@
     Calls(Batch),
     /// Reports the answers to calls that the receiver forwarded.
     Answers(Vec<Numbered<Outcome>>),
+    /// Reports a job that is in the store, without its payload.
+    Announced(key::Job, Box<Record>),
 }
 
 impl Request {
--- a/crates/stackpier-scheduler/src/owner.rs
+++ b/crates/stackpier-scheduler/src/owner.rs
@@ -5,7 +5,7 @@
 use std::{cell::RefCell, rc::Rc};
 
 use opentelemetry::KeyValue;
-use stackpier_cell::{Cell, Effect, Event, LogEntry};
+use stackpier_cell::{Cell, Effect, Event, Forwarded, LogEntry};
 use stackpier_core::{Millis, key};
 use stackpier_state::job::State;
 
@@ -70,25 +70,39 @@
     }
 
     /// feed passes an event to the cell and carries out the resulting effects. An event
-    /// from an earlier ownership is dropped.
+    /// from an earlier ownership is dropped. The cell then learns which starts use this daemon's
+    /// link less than it assumed, and may return more of them.
     pub(crate) fn feed(&self, fence: u64, event: Event) {
-        let effects = {
-            let mut slot = self.owner.borrow_mut();
-            let Some(owner) = slot.as_mut().filter(|owner| owner.fence == fence) else {
-                return;
+        let mut next = Some(event);
+        while let Some(event) = next {
+            let effects = {
+                let mut slot = self.owner.borrow_mut();
+                let Some(owner) = slot.as_mut().filter(|owner| owner.fence == fence) else {
+                    return;
+                };
+                owner.cell.step(self.now(), event)
             };
-            owner.cell.step(self.now(), event)
-        };
-        for effect in effects {
-            self.execute(fence, effect);
+            let mut forwarded = Vec::new();
+            for effect in effects {
+                self.execute(fence, effect, &mut forwarded);
+            }
+            next = (!forwarded.is_empty()).then_some(Event::Forwarded(forwarded));
         }
     }
 
-    fn execute(&self, fence: u64, effect: Effect) {
+    /// execute carries out an effect, and adds a start that a helper sends to `forwarded`.
+    fn execute(&self, fence: u64, effect: Effect, forwarded: &mut Vec<Forwarded>) {
         match effect {
             Effect::Log(entry) => self.log_entry(&entry),
             Effect::Deposed => self.depose(fence + 1, "a worker or the store knows a later fence"),
-            Effect::Start(start) => self.spawn(move |node| node.send_start(fence, start)),
+            Effect::Start(start) => {
+                let route = self.choose_route(&start);
+                if let Some(bytes) = route.link_bytes(start.payload.len()) {
+                    let run = start.order.key;
+                    forwarded.push(Forwarded { run, bytes });
+                }
+                self.spawn(move |node| node.send_start(fence, start, route));
+            }
             Effect::Stop(stop) => self.spawn(move |node| node.send_stop(fence, stop)),
             Effect::Pace(pace) => self.spawn(move |node| node.send_pace(fence, pace)),
             Effect::Renew(renewal) => self.spawn(move |node| node.send_renewal(fence, renewal)),
--- a/crates/stackpier-scheduler/src/relay.rs
+++ b/crates/stackpier-scheduler/src/relay.rs
@@ -4,8 +4,8 @@
 //! The starts and lease renewals of a large cell need more than the link and the processor
 //! of a small VM provide: a start carries its job's payload, and each call takes about 40
 //! microseconds of a core. The owner sends as many calls itself as fit into a share of both.
-//! It forwards the rest in batches to helpers in the workers' data centres, each payload
-//! once.
+//! It forwards the rest in batches to helpers in the workers' data centres. A helper gets each
+//! payload once: from the owner, as far as a share of its link allows, or else from the store.
 //!
 //! What a worker does with a call does not depend on who sends it: the call contains the
 //! fence, the worker's id, the run's number and the end of the lease. A call that is sent
@@ -62,9 +62,6 @@
 /// WORKERS_PER_HELPER is how many workers one helper calls for the owner. In a busy cell each
 /// worker gets five calls a second, so 128 workers use a quarter of a VM of 0.12 cores.
 const WORKERS_PER_HELPER: usize = 128;
-/// TRIES is how many times a start is forwarded. The second attempt is for a helper that no
-/// longer has the payload.
-const TRIES: usize = 2;
 /// MAX_RECEIVED is how many received batches a daemon remembers, so that it carries out none
 /// twice. An owner sends it at most one every 5 ms for starts and one every 15 ms for
 /// renewals, and workers refuse a start after the end of its lease, which lasts ten seconds at
@@ -74,36 +71,42 @@
 /// DIRECT_SHARE is the share of the owner's link and processor that is available for the calls
 /// that it sends itself.
 const DIRECT_SHARE: f64 = 0.3;
+/// PAYLOAD_SHARE is the share of the owner's link that is available for payloads for helpers.
+const PAYLOAD_SHARE: f64 = 0.2;
+/// FORWARDED_START_BYTES is how many bytes a forwarded start and its answer take on the owner's
+/// link in each direction, without the payload.
+const FORWARDED_START_BYTES: u64 = 160;
 /// SAVED_MS bounds the unused time that a [`Budget`] saves up for later calls, in
 /// milliseconds.
 const SAVED_MS: f64 = 100.0;
 
-/// Budget limits the calls that the owner sends itself to a share of its link and processor.
+/// Budget limits what the owner sends to a share of its link or processor.
 #[derive(Debug)]
 struct Budget {
+    /// The share that may be used.
+    share: f64,
     /// The time that may still be used, in milliseconds.
     saved_ms: f64,
     /// When time was last added.
     refilled: Millis,
 }
 
-impl Default for Budget {
-    /// default has the maximum saved up.
-    fn default() -> Budget {
+impl Budget {
+    /// new has the maximum saved up.
+    fn new(share: f64) -> Budget {
         Budget {
+            share,
             saved_ms: SAVED_MS,
             refilled: Millis(0),
         }
     }
-}
 
-impl Budget {
-    /// try_spend returns whether there is time left for a call that keeps the link or the
+    /// try_spend returns whether there is time left for something that keeps the link or the
     /// processor busy for `busy_ms`, and subtracts that time if so.
     fn try_spend(&mut self, now: Millis, busy_ms: f64) -> bool {
         let passed_ms = now.since(self.refilled) as f64;
         self.refilled = now;
-        self.saved_ms = (self.saved_ms + passed_ms * DIRECT_SHARE).min(SAVED_MS);
+        self.saved_ms = (self.saved_ms + passed_ms * self.share).min(SAVED_MS);
         if self.saved_ms < busy_ms {
             return false;
         }
@@ -115,7 +118,10 @@
 /// Relays holds the state of forwarded calls: of those that this daemon forwards as the owner,
 /// and of those that it sends for another owner.
 pub(crate) struct Relays {
-    budget: RefCell<Budget>,
+    /// Limits the calls that this daemon sends itself as the owner.
+    direct: RefCell<Budget>,
+    /// Limits the payloads that it sends to helpers.
+    payload_budget: RefCell<Budget>,
     /// How many helpers the owner has in each data centre.
     helpers: Cell<usize>,
     /// The calls that are gathered for the next batch, by the address of the helper.
@@ -124,7 +130,7 @@
     unanswered: RefCell<HashMap<u64, oneshot::Sender<Outcome>>>,
     /// The number of the last call.
     number: Cell<u64>,
-    /// The jobs whose payloads helpers have, by the helpers' addresses.
+    /// The jobs whose payloads helpers have or were told to read, by the helpers' addresses.
     known_payloads: RefCell<HashMap<String, Recent<key::Job>>>,
     /// When helpers and workers last failed to answer, by their addresses.
     failed: RefCell<BTreeMap<String, Millis>>,
@@ -141,7 +147,8 @@
     /// answers to an earlier process of this daemon match no call.
     pub(crate) fn new() -> Relays {
         Relays {
-            budget: RefCell::default(),
+            direct: RefCell::new(Budget::new(DIRECT_SHARE)),
+            payload_budget: RefCell::new(Budget::new(PAYLOAD_SHARE)),
             helpers: Cell::new(1),
             gathered: RefCell::default(),
             unanswered: RefCell::default(),
@@ -209,12 +216,31 @@
     }
 }
 
-/// Delivery tells how a start was sent, and its outcome.
+/// Route is how a start reaches its worker.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) struct Delivery {
-    pub outcome: Started,
-    /// The address of the helper that sent the start, or `None` if this daemon sent it.
-    pub helper: Option<String>,
+pub(crate) enum Route {
+    /// This daemon calls the worker.
+    Direct,
+    /// A helper does.
+    Forwarded {
+        /// The address of the helper.
+        helper: String,
+        /// Whether the start carries its job's payload to the helper.
+        carries_payload: bool,
+    },
+}
+
+impl Route {
+    /// link_bytes returns how many bytes a start with a payload of `payload` bytes puts on this
+    /// daemon's link, or `None` if it sends the start to the worker itself.
+    pub(crate) fn link_bytes(&self, payload: usize) -> Option<u64> {
+        match self {
+            Route::Direct => None,
+            Route::Forwarded {
+                carries_payload, ..
+            } => Some(FORWARDED_START_BYTES + u64::from(*carries_payload) * payload as u64),
+        }
+    }
 }
 
 impl<P: Platform> Node<P> {
@@ -230,25 +256,70 @@
         }
     }
 
-    /// start_or_forward sends a start, through a helper if the share of this daemon's link and
-    /// processor is used up.
-    pub(crate) async fn start_or_forward(&self, start: &Start) -> Delivery {
-        let busy_ms = self.settings.costs.start_ms(start.payload.len());
+    /// choose_route returns how a start reaches its worker: through a helper if the share of this
+    /// daemon's link and processor is used up.
+    pub(crate) fn choose_route(&self, start: &Start) -> Route {
+        let payload = start.payload.len();
+        let busy_ms = self.settings.costs.start_ms(payload);
         let worker = &start.order.address;
         let Some(helper) = self.choose_helper(worker, &start.data_centre, busy_ms) else {
-            return Delivery {
-                outcome: self.platform.start(start).await,
-                helper: None,
-            };
+            return Route::Direct;
+        };
+        let is_unknown = self.is_unknown_payload(&helper, start.order.task.job);
+        let carries_payload = is_unknown && payload > 0 && {
+            let busy_ms = self.settings.costs.link_ms(payload);
+            let mut budget = self.relays.payload_budget.borrow_mut();
+            budget.try_spend(self.mono(), busy_ms)
+        };
+        Route::Forwarded {
+            helper,
+            carries_payload,
+        }
+    }
+
+    /// is_unknown_payload reports whether a helper was not told of a job before, and records that
+    /// it is now.
+    fn is_unknown_payload(&self, helper: &str, job: key::Job) -> bool {
+        let mut known = self.relays.known_payloads.borrow_mut();
+        let known = known
+            .entry(helper.to_owned())
+            .or_insert_with(|| Recent::new(MAX_PAYLOADS));
+        known.insert(job)
+    }
+
+    /// deliver_start sends a start on a route and returns the worker's answer.
+    pub(crate) async fn deliver_start(&self, route: &Route, start: &Start) -> Started {
+        let Route::Forwarded {
+            helper,
+            carries_payload,
+        } = route
+        else {
+            return self.start_directly(start).await;
         };
-        let outcome = self.forward_start(&helper, start).await;
+        let outcome = self.forward_start(helper, start, *carries_payload).await;
         self.count_forwarded("start", outcome != Started::Silent);
         if outcome == Started::Silent {
-            self.relays.avoid(worker, self.mono());
+            self.relays.avoid(&start.order.address, self.mono());
+        }
+        outcome
+    }
+
+    /// start_directly sends a start to the worker itself. If this daemon was told of the job without
+    /// its payload, it first reads that from the store.
+    async fn start_directly(&self, start: &Start) -> Started {
+        if !start.payload.is_empty() {
+            return self.platform.start(start).await;
         }
-        Delivery {
-            outcome,
-            helper: Some(helper),
+        match self.find_payload(start.order.task.job).await {
+            Some(payload) => {
+                let start = Start {
+                    payload,
+                    ..start.clone()
+                };
+                self.platform.start(&start).await
+            }
+            // The start was not sent, so the task is placed again.
+            None => Started::Unhealthy,
         }
     }
 
@@ -260,7 +331,7 @@
             return self.platform.renew(renewal).await;
         };
         let limit = Duration::from_millis(renewal.wait_ms + RENEWAL_MARGIN_MS);
-        let outcome = self.forward(&helper, limit, GATHER_RENEWALS_MS, |number, batch, _| {
+        let outcome = self.forward(&helper, limit, GATHER_RENEWALS_MS, |number, batch| {
             batch.add_renewal(number, renewal);
         });
         let renewed = match outcome.await {
@@ -286,7 +357,7 @@
     fn choose_helper(&self, worker: &str, data_centre: &str, busy_ms: f64) -> Option<String> {
         let now = self.mono();
         let relays = &self.relays;
-        let direct = relays.budget.borrow_mut().try_spend(now, busy_ms);
+        let direct = relays.direct.borrow_mut().try_spend(now, busy_ms);
         if direct || relays.is_avoided(worker, now) {
             return None;
         }
@@ -315,26 +386,22 @@
             .map(|member| member.address.clone())
     }
 
-    /// forward_start makes a helper send a start, and returns the worker's answer.
-    async fn forward_start(&self, helper: &str, start: &Start) -> Started {
-        for _ in 0..TRIES {
-            let outcome = self.forward(
-                helper,
-                START_LIMIT,
-                GATHER_STARTS_MS,
-                |number, batch, known| {
-                    batch.add_start(number, start, known);
-                },
-            );
+    /// forward_start makes a helper send a start, and returns the worker's answer. A helper that
+    /// can't get the payload is sent it with a second attempt, if the owner has it.
+    async fn forward_start(&self, helper: &str, start: &Start, carries_payload: bool) -> Started {
+        let has_payload = !start.payload.is_empty();
+        for carries_payload in [carries_payload, has_payload] {
+            let outcome = self.forward(helper, START_LIMIT, GATHER_STARTS_MS, |number, batch| {
+                batch.add_start(number, start, carries_payload);
+            });
             match outcome.await {
                 Some(Outcome::Started(outcome)) => return outcome,
-                Some(Outcome::NoPayload) => {
-                    self.relays.forget_payload(helper, start.order.task.job);
-                }
+                Some(Outcome::NoPayload) => {}
                 // Without an answer the start may or may not have been sent.
                 _ => return Started::Silent,
             }
         }
+        self.relays.forget_payload(helper, start.order.task.job);
         // The start was not sent, so the task is placed again.
         Started::Unhealthy
     }
@@ -346,7 +413,7 @@
         helper: &str,
         limit: Duration,
         gather_ms: u64,
-        add: impl FnOnce(u64, &mut Batch, &mut Recent<key::Job>),
+        add: impl FnOnce(u64, &mut Batch),
     ) -> Option<Outcome> {
         let (answer, answered) = oneshot::channel();
         let number = self.relays.register(answer);
@@ -370,22 +437,14 @@
 
     /// gather adds a call to the next batch for a helper, and returns whether it is the first
     /// start or the first renewal in the batch. If so, `forward` sends the batch after a pause.
-    fn gather(
-        &self,
-        helper: &str,
-        number: u64,
-        add: impl FnOnce(u64, &mut Batch, &mut Recent<key::Job>),
-    ) -> bool {
-        let mut known = self.relays.known_payloads.borrow_mut();
-        let known = known.entry(helper.to_owned());
-        let known = known.or_insert_with(|| Recent::new(MAX_PAYLOADS));
+    fn gather(&self, helper: &str, number: u64, add: impl FnOnce(u64, &mut Batch)) -> bool {
         let mut gathered = self.relays.gathered.borrow_mut();
         let batch = gathered.entry(helper.to_owned()).or_insert_with(|| {
             let owner = self.settings.advertised.to_string();
             Batch::new(owner)
         });
         let before = batch.count_kinds();
-        add(number, batch, known);
+        add(number, batch);
         batch.count_kinds() > before
     }
 
--- a/crates/stackpier-scheduler/src/relay/batch.rs
+++ b/crates/stackpier-scheduler/src/relay/batch.rs
@@ -1,13 +1,15 @@
 // SPDX-License-Identifier: Apache-2.0
 //! The messages between the owner and its helpers, and the payloads of jobs that helpers keep.
 
-use std::{collections::VecDeque, rc::Rc};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    rc::Rc,
+};
 
 use serde::{Deserialize, Serialize};
 use stackpier_cell::{self as cell, Renewal, Renewed, Start, Started, TaskName, WorkerKey};
 use stackpier_core::key;
-
-use super::recent::Recent;
+use tokio::sync::OnceCell;
 
 /// MAX_PAYLOADS is how many payloads a helper keeps, and for how many jobs the owner remembers
 /// that the helper has the payload. The tasks of a job start within some seconds, during which
@@ -22,7 +24,7 @@
     pub(super) owner: String,
     /// The owner's fence.
     fence: u64,
-    /// The payloads that the helper is not known to have.
+    /// Payloads that the helper may lack. It reads others from the store.
     payloads: Vec<Payload>,
     starts: Vec<Numbered<StartCall>>,
     #[serde(rename = "looks")]
@@ -47,7 +49,7 @@
 
 /// StartCall orders a start, without the job's payload.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-struct StartCall {
+pub(super) struct StartCall {
     address: String,
     /// The id of the worker that the call is for, which all its incarnations share.
     #[serde(rename = "life")]
@@ -97,12 +99,12 @@
         }
     }
 
-    /// add_start adds a start, and its job's payload unless the job is in `known`, the jobs
-    /// whose payloads the helper has. No two calls of the owner have the same number.
-    pub fn add_start(&mut self, number: u64, start: &Start, known: &mut Recent<key::Job>) {
+    /// add_start adds a start, and its job's payload if the batch shall carry it. No two calls
+    /// of the owner have the same number.
+    pub fn add_start(&mut self, number: u64, start: &Start, carries_payload: bool) {
         let job = start.order.task.job;
         self.fence = start.order.fence;
-        if known.insert(job) {
+        if carries_payload {
             self.payloads.push(Payload {
                 job,
                 text: start.payload.to_string(),
@@ -153,18 +155,24 @@
         start.or(self.renewals.first().map(|renewal| renewal.number))
     }
 
-    /// take_starts stores the payloads, and removes and returns the starts, with `None` for
-    /// those without a payload.
-    pub(super) fn take_starts(&mut self, payloads: &mut Payloads) -> Vec<Numbered<Option<Start>>> {
+    /// take_starts stores the payloads, and removes and returns the starts by job.
+    pub(super) fn take_starts(
+        &mut self,
+        payloads: &mut Payloads,
+    ) -> BTreeMap<key::Job, Vec<Numbered<StartCall>>> {
         for payload in self.payloads.drain(..) {
             payloads.insert(payload.job, payload.text);
         }
-        let fence = self.fence;
-        let start = |Numbered { number, item }: Numbered<StartCall>| Numbered {
-            number,
-            item: item.into_start(fence, payloads),
-        };
-        self.starts.drain(..).map(start).collect()
+        let mut starts: BTreeMap<key::Job, Vec<_>> = BTreeMap::new();
+        for start in self.starts.drain(..) {
+            starts.entry(start.item.task.job).or_default().push(start);
+        }
+        starts
+    }
+
+    /// fence returns the owner's fence.
+    pub(super) fn fence(&self) -> u64 {
+        self.fence
     }
 
     /// take_renewals removes and returns the renewals.
@@ -179,9 +187,9 @@
 }
 
 impl StartCall {
-    fn into_start(self, fence: u64, payloads: &Payloads) -> Option<Start> {
-        let payload = payloads.get(self.task.job)?;
-        Some(Start {
+    /// into_start returns the start of an owner with `fence`, with the payload of its job.
+    pub(super) fn into_start(self, fence: u64, payload: Rc<str>) -> Start {
+        Start {
             order: cell::Order {
                 // Keys of runs are only valid in the owner.
                 key: Default::default(),
@@ -196,7 +204,7 @@
             deadline_ms: self.deadline_ms,
             checkpoint: self.checkpoint,
             ticket: self.ticket,
-        })
+        }
     }
 }
 
@@ -216,23 +224,32 @@
     }
 }
 
-/// Payloads holds the latest payloads that a helper was sent, by job.
+/// Slot holds the payload of a job: empty until the payload has been received or read.
+pub(super) type Slot = Rc<OnceCell<Rc<str>>>;
+
+/// Payloads holds the latest payloads that a helper was sent or has read, by job.
 #[derive(Debug, Default)]
 pub(super) struct Payloads {
-    latest: VecDeque<(key::Job, Rc<str>)>,
+    latest: VecDeque<(key::Job, Slot)>,
 }
 
 impl Payloads {
     fn insert(&mut self, job: key::Job, text: String) {
-        self.latest.retain(|(other, _)| *other != job);
-        self.latest.push_back((job, Rc::from(text)));
-        if self.latest.len() > MAX_PAYLOADS {
-            self.latest.pop_front();
-        }
+        // The payload of a job never changes, so one that is already there can stay.
+        let _ = self.slot(job).set(Rc::from(text));
     }
 
-    fn get(&self, job: key::Job) -> Option<Rc<str>> {
+    /// slot returns the slot of a job. The oldest one is removed if there are too many.
+    pub(super) fn slot(&mut self, job: key::Job) -> Slot {
         let found = self.latest.iter().rev().find(|(other, _)| *other == job);
-        found.map(|(_, text)| Rc::clone(text))
+        if let Some((_, slot)) = found {
+            return Rc::clone(slot);
+        }
+        let slot = Slot::default();
+        self.latest.push_back((job, Rc::clone(&slot)));
+        if self.latest.len() > MAX_PAYLOADS {
+            self.latest.pop_front();
+        }
+        slot
     }
 }
--- a/crates/stackpier-scheduler/src/settings.rs
+++ b/crates/stackpier-scheduler/src/settings.rs
@@ -139,6 +139,11 @@
         link_ms.max(RENEWAL_PROCESSOR_MS / self.cores)
     }
 
+    /// link_ms returns how long `bytes` keep the link busy, in milliseconds.
+    pub fn link_ms(&self, bytes: usize) -> f64 {
+        bytes as f64 / (self.link_mbps * BYTES_PER_MS)
+    }
+
     /// start_ms returns how long a start with a payload of `payload` bytes keeps the link
     /// or the processor busy, whichever is longer, in milliseconds.
     pub fn start_ms(&self, payload: usize) -> f64 {
