--- a/crates/stackpier-cell/src/event.rs
+++ b/crates/stackpier-cell/src/event.rs
@@ -185,6 +185,8 @@
     OtherLife,
     /// There was no answer: the run may exist, or may start later.
     Silent,
+    /// The start was not sent to the worker, as its payload was not to be had.
+    Unsent,
 }
 
 /// Stopped is the outcome of a stop.
--- a/crates/stackpier-cell/src/order.rs
+++ b/crates/stackpier-cell/src/order.rs
@@ -14,6 +14,8 @@
 /// INVALID_PAUSE_MS is how long a task waits for another attempt on a different worker after a
 /// worker called its start invalid.
 const INVALID_PAUSE_MS: u64 = 1_000;
+/// UNSENT_PAUSE_MS is how long a task waits for another attempt if its start could not be sent.
+const UNSENT_PAUSE_MS: u64 = 200;
 /// FULL_PAUSE_MS is the pause in starts on a worker that refused one for lack of capacity.
 /// Within about this time a report shows what runs there.
 const FULL_PAUSE_MS: u64 = 250;
@@ -199,6 +201,10 @@
                 self.make_ready(task);
                 self.end_incarnation(worker, "its address answers for another incarnation");
             }
+            Started::Unsent => {
+                self.task_mut(task).not_before = now.plus(UNSENT_PAUSE_MS);
+                self.requeue_unstarted(key);
+            }
             refused => self.handle_refusal(key, refused),
         }
     }
--- a/crates/stackpier-scheduler/src/relay.rs
+++ b/crates/stackpier-scheduler/src/relay.rs
@@ -260,8 +260,13 @@
     /// daemon's link and processor is used up.
     pub(crate) fn choose_route(&self, start: &Start) -> Route {
         let payload = start.payload.len();
-        let busy_ms = self.settings.costs.start_ms(payload);
         let worker = &start.order.address;
+        let busy_ms = match payload {
+            // A helper reads a payload that is not known here, so that this daemon's link does not
+            // carry it twice.
+            0 => f64::INFINITY,
+            _ => self.settings.costs.start_ms(payload),
+        };
         let Some(helper) = self.choose_helper(worker, &start.data_centre, busy_ms) else {
             return Route::Direct;
         };
@@ -318,8 +323,7 @@
                 };
                 self.platform.start(&start).await
             }
-            // The start was not sent, so the task is placed again.
-            None => Started::Unhealthy,
+            None => Started::Unsent,
         }
     }
 
@@ -402,8 +406,7 @@
             }
         }
         self.relays.forget_payload(helper, start.order.task.job);
-        // The start was not sent, so the task is placed again.
-        Started::Unhealthy
+        Started::Unsent
     }
 
     /// forward makes a helper send a call. It returns the answer, or `None` if none arrives within
