Admission: reject jobs that can't be done while their result is of use

Cause: every job was accepted, whatever the room; what the cell could not carry failed slowly.

The owner makes an outlook of the lanes in which tasks found no worker within half a second: the room, the work before a job of each size, and how run times differ from estimates. Followers ask for it beside their heartbeats while jobs come in. The daemon that a job is handed in to rejects it if by the lowest estimate it would end after admission_objectives times its objective, with the time at which it can be done. A rejection is a key in the store, so an earlier try that is written late fails. Without an outlook, with an old one or one of another owner everything is accepted. The mechanism is called admission; it is off without its setting.

--- a/crates/stackpier-cell/src/cell.rs
+++ b/crates/stackpier-cell/src/cell.rs
@@ -11,12 +11,14 @@
     arena::{JobKey, RunKey, StepKey, TaskKey, WorkerKey},
     cordon::Cordons,
     cycle::Cycle,
+    duration::Durations,
     evacuation::Evacuations,
     flow::Flow,
     interference::{Images, Model},
     interner::Interner,
     job::{Job, Step, Task},
     maintenance::{Record, Rollout},
+    outlook::Forecaster,
     place::{BestEffortPass, Budget, GuaranteedPass},
     run::Run,
     save::Saver,
@@ -88,6 +90,10 @@
     pub(crate) polled_for_suspects: Millis,
     pub(crate) saver: Saver,
     pub(crate) ownership: Ownership,
+    /// What the outlook is made of.
+    pub(crate) forecaster: Forecaster,
+    /// How run times differ from their estimates.
+    pub(crate) durations: Durations,
     /// The starts that are not answered yet.
     pub(crate) flow: Flow,
     pub(crate) effects: Vec<Effect>,
@@ -139,6 +145,8 @@
             polled_for_suspects: Millis(0),
             saver: Saver::default(),
             ownership,
+            forecaster: Forecaster::default(),
+            durations: Durations::default(),
             flow: Flow::new(&options),
             effects: Vec::new(),
         }
@@ -417,6 +425,7 @@
             self.forget_jobs();
             self.prune_presumed_ended();
         }
+        self.update_outlook();
         self.log_summary();
         let waits = self.queued().next().is_some();
         self.placement_due |= waits;
--- a/crates/stackpier-cell/src/ends.rs
+++ b/crates/stackpier-cell/src/ends.rs
@@ -8,6 +8,7 @@
     Cell, End, EndCause,
     arena::{JobKey, TaskKey, WorkerKey},
     received::Skipped,
+    run::Run,
     worker::Worker,
 };
 
@@ -90,7 +91,10 @@
         entry.next_run = entry.next_run.max(end.run + 1);
         if let Some(run) = self.find_run(task, worker, end.run) {
             let run = self.drop_run(run);
-            self.task_mut(task).end_witnessed = run.is_some_and(|run| run.witnessed);
+            self.task_mut(task).end_witnessed = run.as_ref().is_some_and(|run| run.witnessed);
+            if let Some(run) = run.filter(|_| end.cause == EndCause::Done) {
+                self.record_duration(&run);
+            }
         }
         match end.cause {
             EndCause::Done => self.record_done(task, worker, end.run),
@@ -101,6 +105,23 @@
         }
     }
 
+    /// record_duration records how long a run took that has done its task's work.
+    fn record_duration(&mut self, run: &Run) {
+        let spec = self.step_spec(run.step);
+        let (estimate_ms, best_effort) = (u64::from(spec.estimate_ms), spec.best_effort);
+        // A run that resumed from a checkpoint has done only a part of the work.
+        let whole = run.number == self.first_run();
+        if let Some(confirmed) = run.confirmed
+            && !run.long_running
+            && whole
+        {
+            let service = self.worker(run.worker).service;
+            let ran_ms = self.now.mono.since(confirmed);
+            self.durations
+                .record(service, best_effort, estimate_ms, ran_ms);
+        }
+    }
+
     fn record_done(&mut self, task: TaskKey, worker: WorkerKey, run: u32) {
         let now = self.now.mono;
         self.worker_mut(worker).health.record_success(now);
--- a/crates/stackpier-cell/src/interner.rs
+++ b/crates/stackpier-cell/src/interner.rs
@@ -21,6 +21,13 @@
         texts.into_iter().map(|(_, text)| text.clone()).collect()
     }
 
+    /// text returns the text with a number, empty if there is none.
+    pub(crate) fn text(&self, number: u16) -> &str {
+        let mut numbers = self.numbers.iter();
+        let found = numbers.find(|(_, known)| **known == number);
+        found.map_or("", |(text, _)| text.as_str())
+    }
+
     /// intern returns the number of a text and assigns a new one if the text is new. All texts
     /// past the first 65,535 share the last number.
     pub(crate) fn intern(&mut self, text: &str) -> u16 {
--- a/crates/stackpier-cell/src/lib.rs
+++ b/crates/stackpier-cell/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod cycle;
 mod dedicated;
 mod drain;
+mod duration;
 mod ends;
 mod evacuation;
 mod event;
@@ -38,6 +39,7 @@
 mod obstacle;
 mod options;
 mod order;
+pub mod outlook;
 mod pace;
 mod place;
 mod prediction;
@@ -62,6 +64,7 @@
 
 pub use arena::{ImageKey, JobKey, StepKey, TaskKey, WorkerKey};
 pub use cell::Cell;
+pub use duration::Factor;
 pub use event::{
     AdviceRequest, Advised, Effect, End, EndCause, Event, Forwarded, LogEntry, Now, Order, Pace,
     Renewal, Renewed, Report, RosterEntry, RunStatus, Save, Start, Started, Stop, Stopped,
--- a/crates/stackpier-cell/src/lifecycle.rs
+++ b/crates/stackpier-cell/src/lifecycle.rs
@@ -357,7 +357,7 @@
 
 /// longest_chains returns, for each step, the longest chain of work that starts with it, in
 /// milliseconds.
-fn longest_chains(spec: &Spec) -> Vec<u64> {
+pub(crate) fn longest_chains(spec: &Spec) -> Vec<u64> {
     let mut chains = vec![0; spec.steps.len()];
     for number in (0..spec.steps.len()).rev() {
         let follows = |later: &usize| spec.steps[*later].after.contains(&(number as u16));
--- a/crates/stackpier-cell/src/mechanism.rs
+++ b/crates/stackpier-cell/src/mechanism.rs
@@ -70,11 +70,13 @@
     Storeless,
     /// A daemon that the owner does not answer asks the other daemons before it takes over.
     Votes,
+    /// Jobs that can't be done in time are rejected as they come in.
+    Admission,
 }
 
 impl Mechanism {
     /// ALL lists all mechanisms.
-    pub const ALL: [Mechanism; 28] = [
+    pub const ALL: [Mechanism; 29] = [
         Mechanism::Packing,
         Mechanism::SameImage,
         Mechanism::Exposure,
@@ -103,6 +105,7 @@
         Mechanism::SavedModel,
         Mechanism::Storeless,
         Mechanism::Votes,
+        Mechanism::Admission,
     ];
 
     /// as_str returns the name of the mechanism in settings and tables.
@@ -136,6 +139,7 @@
             Mechanism::SavedModel => "memory",
             Mechanism::Storeless => "storeless",
             Mechanism::Votes => "votes",
+            Mechanism::Admission => "admission",
         }
     }
 }
--- a/crates/stackpier-cell/src/place/pass.rs
+++ b/crates/stackpier-cell/src/place/pass.rs
@@ -290,6 +290,7 @@
             return;
         }
         if self.place_step(&demand) == Outcome::NoWorker && demand.needs_only_capacity() {
+            self.forecaster.record_shortage(self.now.mono, &demand);
             self.guaranteed_pass.rejections.push(Rejection::of(&demand));
         }
     }
@@ -361,6 +362,7 @@
             && self.place_step(&demand) == Outcome::NoWorker
             && demand.needs_only_capacity()
         {
+            self.forecaster.record_shortage(self.now.mono, &demand);
             self.best_effort_pass.rejected.push(demand);
         }
         if self.flow.is_full() {
--- a/crates/stackpier-scheduler/src/daemon.rs
+++ b/crates/stackpier-scheduler/src/daemon.rs
@@ -25,6 +25,7 @@
     link::{self, Request, Response},
     monitor,
     node::{Node, pause},
+    rejecting,
     store::{Committed, Transaction},
     watch::follow,
 };
@@ -72,6 +73,7 @@
     tokio::task::spawn_local(link::serve(peers, node.clone(), other_open));
     tokio::task::spawn_local(follow(node.clone(), Configs::new(node.clone()), None));
     tokio::task::spawn_local(monitor::run(node.clone()));
+    tokio::task::spawn_local(rejecting::clean(node.clone()));
     node.log_line("daemon", &format!("started: {settings:?}"));
     wait_for_stop(&node).await?;
     stop(&node, &close, &open).await;
@@ -188,6 +190,11 @@
                 Response::Flag(true)
             }
             Request::State(job) => Response::State(self.job_state(job)),
+            Request::Outlook => {
+                let owner = self.owner.borrow();
+                let outlook = owner.as_ref().and_then(|owner| owner.cell.outlook());
+                Response::Outlook(outlook.cloned())
+            }
             Request::Waiting(queue) => {
                 let owner = self.owner.borrow();
                 let waiting = owner.as_ref().map(|owner| owner.cell.waiting(&queue));
--- a/crates/stackpier-scheduler/src/jobs.rs
+++ b/crates/stackpier-scheduler/src/jobs.rs
@@ -69,6 +69,9 @@
         if Instant::now() >= end {
             return Err(refusal("this daemon is about to end", false));
         }
+        self.reject_hopeless(job, queue, &spec).await?;
+        // The revision of the job's rejection, zero if there is none.
+        let mut rejection = 0;
         // Whether an earlier attempt may have written the job.
         let mut unconfirmed = false;
         while Instant::now() < end {
@@ -82,10 +85,11 @@
                 fence: owned.ownership.fence,
                 accepted_ms: self.now().unix.0,
             };
-            match self
-                .commit(&build_acceptance(job, &record, &owned)?, end)
-                .await
-            {
+            let mut acceptance = build_acceptance(job, &record, &owned)?;
+            if self.is_rejecting() {
+                withdraw_rejection(&mut acceptance, job, rejection);
+            }
+            match self.commit(&acceptance, end).await {
                 Committed::Done(_) => {
                     self.notify_accepted(job, record);
                     return Ok(());
@@ -94,6 +98,7 @@
                     if self.apply_conflict(job, &items)? {
                         return Ok(());
                     }
+                    rejection = find_revision(&items, &keys::rejection(job));
                     if !items.iter().any(|item| item.key == OWNER) {
                         return Err(refusal("the cell has no owner", unconfirmed));
                     }
@@ -395,6 +400,22 @@
     })
 }
 
+/// withdraw_rejection makes an acceptance depend on the job's rejection being at a revision, zero
+/// for none, and removes it.
+fn withdraw_rejection(acceptance: &mut Transaction, job: key::Job, revision: u64) {
+    let key = keys::rejection(job);
+    if revision > 0 {
+        acceptance.removals.push(key.clone());
+    }
+    acceptance.conditions.push(Condition { key, revision });
+}
+
+/// find_revision returns the revision of a key among items, zero if it is not there.
+fn find_revision(items: &[Item], key: &str) -> u64 {
+    let found = items.iter().find(|item| item.key == key);
+    found.map_or(0, |item| item.revision)
+}
+
 fn build_cancellation(job: key::Job) -> Transaction {
     Transaction {
         puts: vec![Put {
--- a/crates/stackpier-scheduler/src/keys.rs
+++ b/crates/stackpier-scheduler/src/keys.rs
@@ -14,6 +14,8 @@
 pub(crate) const JOBS: &str = "job/";
 /// PROGRESS is the prefix of the jobs' progress.
 pub(crate) const PROGRESS: &str = "progress/";
+/// REJECTIONS is the prefix of the jobs that were rejected lately.
+pub(crate) const REJECTIONS: &str = "rejected/";
 /// ROSTER is the key of the roster: the workers that may run something for the cell.
 pub(crate) const ROSTER: &str = "roster";
 /// MEMORY is the key of the saved model: what the owners learnt of pairs of images and of the
@@ -87,6 +89,17 @@
     format!("{JOBS}{}{CANCEL}", hex(job))
 }
 
+/// rejection returns the key of a job's rejection.
+pub(crate) fn rejection(job: key::Job) -> String {
+    format!("{REJECTIONS}{}", hex(job))
+}
+
+/// rejected parses a key under [`REJECTIONS`].
+pub(crate) fn rejected(key: &str) -> Option<key::Job> {
+    let hex = key.strip_prefix(REJECTIONS)?;
+    u64::from_str_radix(hex, ID_RADIX).ok().map(key::Job)
+}
+
 /// progress returns the key of a job's progress.
 pub(crate) fn progress(job: key::Job) -> String {
     format!("{PROGRESS}{}", hex(job))
--- a/crates/stackpier-scheduler/src/lib.rs
+++ b/crates/stackpier-scheduler/src/lib.rs
@@ -8,6 +8,7 @@
 //! interfaces are behind the traits [`Store`], [`Fleet`], [`Adviser`], [`Hosts`] and
 //! [`Catalog`], which an adapter implements.
 
+pub mod admission;
 pub mod authority;
 mod calls;
 pub mod catalog;
@@ -29,6 +30,7 @@
 mod monitor;
 mod node;
 mod owner;
+mod rejecting;
 pub mod relay;
 mod saving;
 pub mod settings;
--- a/crates/stackpier-scheduler/src/link.rs
+++ b/crates/stackpier-scheduler/src/link.rs
@@ -13,7 +13,7 @@
 use bytes::Bytes;
 use h2::{RecvStream, SendStream, client, server};
 use serde::{Deserialize, Serialize};
-use stackpier_cell::Unsaved;
+use stackpier_cell::{Unsaved, outlook::Outlook};
 use stackpier_core::{
     Error, Kind, Result,
     key::{self, Boot},
@@ -83,6 +83,8 @@
     Answers(Vec<Numbered<Outcome>>),
     /// Reports a job that is in the store, without its payload.
     Announced(key::Job, Box<Record>),
+    /// Asks the owner for its outlook.
+    Outlook,
 }
 
 impl Request {
@@ -130,6 +132,8 @@
     NotOwner,
     /// The address on which metrics are served.
     Metrics(String),
+    /// The owner's outlook, `None` if it does not know the cell yet.
+    Outlook(Option<Outlook>),
 }
 
 impl Response {
--- a/crates/stackpier-scheduler/src/loading.rs
+++ b/crates/stackpier-scheduler/src/loading.rs
@@ -60,6 +60,8 @@
         self.metrics.ownerships.add(1, &[]);
         self.install(owned, &predecessor, loaded);
         self.ask_earlier_owners(fence);
+        let node = self.clone();
+        tokio::task::spawn_local(async move { node.adopt_rejections().await });
         if let Some(address) = predecessor.address {
             let node = self.clone();
             tokio::task::spawn_local(async move { node.query_predecessor(fence, &address).await });
--- a/crates/stackpier-scheduler/src/metrics.rs
+++ b/crates/stackpier-scheduler/src/metrics.rs
@@ -28,6 +28,10 @@
     pub forwarded_calls: Counter<u64>,
     /// Decisions of the cell, by part.
     pub decisions: Counter<u64>,
+    /// Jobs that were handed in while room was short or not, by outcome and queue.
+    pub admissions: Counter<u64>,
+    /// The age of the owner's outlook, in milliseconds; zero if there is none.
+    pub outlook_age: Gauge<u64>,
     /// Times that this daemon came to own the cell.
     pub ownerships: Counter<u64>,
     /// Runs that occupy capacity on workers; zero on followers.
@@ -58,6 +62,8 @@
             worker_calls: count("stackpier_worker_calls"),
             forwarded_calls: count("stackpier_passed_calls"),
             decisions: count("stackpier_decisions"),
+            admissions: count("stackpier_admissions"),
+            outlook_age: gauge("stackpier_outlook_age_milliseconds"),
             ownerships: count("stackpier_ownerships"),
             running: gauge("stackpier_running"),
             waiting: gauge("stackpier_waiting"),
@@ -72,6 +78,14 @@
     }
 }
 
+/// admission returns the labels of a decision on a job.
+pub fn admission(outcome: &'static str, queue: &str) -> [KeyValue; 2] {
+    [
+        KeyValue::new("outcome", outcome),
+        KeyValue::new("queue", queue.to_owned()),
+    ]
+}
+
 /// labels returns the labels of a counted call.
 pub fn labels(call: &'static str, outcome: &'static str) -> [KeyValue; 2] {
     [
--- a/crates/stackpier-scheduler/src/monitor.rs
+++ b/crates/stackpier-scheduler/src/monitor.rs
@@ -223,6 +223,8 @@
                 let now = self.node.mono();
                 self.node.last_contact.set(now);
                 self.node.answered.set(ownership.fence);
+                self.node
+                    .refresh_outlook(&ownership.address, ownership.fence);
                 self.check_store(alive, now)
             }
             _ => self.is_silent().then_some(Reason::Silent),
--- a/crates/stackpier-scheduler/src/node.rs
+++ b/crates/stackpier-scheduler/src/node.rs
@@ -26,6 +26,7 @@
     log::{Admission, RateLimit},
     metrics::{Metrics, labels},
     owner::Owner,
+    rejecting::Admissions,
     relay::Relays,
     store::{Committed, Item, Listing, Transaction, Watched},
 };
@@ -114,6 +115,8 @@
     pub(crate) last_contact: Slot<Millis>,
     /// The fence of the owner that last answered a heartbeat.
     pub(crate) answered: Slot<u64>,
+    /// What is needed to reject jobs, if the settings allow it.
+    pub(crate) admissions: Option<Admissions>,
     pub(crate) stopping: Slot<bool>,
     /// When this daemon exits at the latest, set once it is stopping.
     pub(crate) ends_at: Slot<Option<Millis>>,
@@ -150,6 +153,7 @@
     /// new creates the state of a daemon that has just started.
     pub fn new(settings: Settings, platform: P, log: Logger) -> anyhow::Result<Node<P>> {
         let limit = RateLimit::new(settings.milli_cores);
+        let admissions = settings.admission_objectives.map(Admissions::new);
         let inner = Inner {
             settings,
             platform,
@@ -175,6 +179,7 @@
             store: StoreHealth::default(),
             last_contact: Slot::default(),
             answered: Slot::default(),
+            admissions,
             stopping: Slot::default(),
             ends_at: Slot::default(),
             open_requests: Slot::default(),
--- a/crates/stackpier-scheduler/src/owner.rs
+++ b/crates/stackpier-scheduler/src/owner.rs
@@ -194,6 +194,7 @@
 pub(crate) async fn tick<P: Platform>(node: Node<P>, fence: u64) {
     while node.owns_with(fence) {
         node.feed(fence, Event::Tick);
+        node.update_gate();
         node.record_gauges();
         pause(TICK_MS).await;
     }
--- /dev/null
+++ b/crates/stackpier-scheduler/src/rejecting.rs
@@ -0,0 +1,260 @@
+// SPDX-License-Identifier: Apache-2.0
+//! Rejects jobs that can't be done in time, so that they never run.
+//!
+//! An earlier try of the same job may still be on its way to the store. So a rejection is a key in
+//! the store, on the condition that the job is not there; and a job is accepted on the condition that
+//! there is no rejection, or none but the one that the acceptance removes.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::VecDeque,
+};
+
+use stackpier_cell::{Queue, outlook::Proposal};
+use stackpier_core::{Error, Kind, Millis, Result, key};
+use stackpier_state::job::Spec;
+
+use crate::{
+    Platform,
+    admission::{Gate, Rejection},
+    keys::{self, REJECTIONS},
+    link::{Request, Response},
+    metrics,
+    monitor::HEARTBEAT_TIMEOUT,
+    node::{Node, pause},
+    store::{Committed, Condition, Put, Transaction},
+};
+
+/// KEPT_MS is how long a rejection stays in the store. A write without an answer may be done
+/// seconds later.
+const KEPT_MS: u64 = 15_000;
+/// CLEAN_MS is the time between two removals of old rejections.
+const CLEAN_MS: u64 = 1_000;
+/// MAX_REMOVALS is how many keys a transaction may remove.
+const MAX_REMOVALS: usize = 32;
+/// ASKED_MS is how long after a job came in a follower asks for outlooks.
+const ASKED_MS: u64 = 3_000;
+
+/// Admissions holds what a daemon needs to decide on jobs.
+pub(crate) struct Admissions {
+    gate: RefCell<Gate>,
+    /// When a job last came in.
+    asked_at: Cell<Millis>,
+    /// The fence of an owner that knows no outlooks.
+    unsupported: Cell<u64>,
+    /// The rejections in the store, with the time from which they may be removed.
+    kept: RefCell<VecDeque<(Millis, key::Job)>>,
+}
+
+impl Admissions {
+    /// new returns the state of a daemon that has received no outlook.
+    pub(crate) fn new(objectives: f64) -> Admissions {
+        Admissions {
+            gate: RefCell::new(Gate::new(objectives)),
+            asked_at: Cell::default(),
+            unsupported: Cell::default(),
+            kept: RefCell::default(),
+        }
+    }
+}
+
+impl<P: Platform> Node<P> {
+    /// reject_hopeless returns an error if a job can't be done in time and is rejected. It returns
+    /// `Ok` for a job that is to be accepted, or that an earlier try has written.
+    pub(crate) async fn reject_hopeless(
+        &self,
+        job: key::Job,
+        queue: &Queue,
+        spec: &Spec,
+    ) -> Result<()> {
+        let Some(admissions) = &self.admissions else {
+            return Ok(());
+        };
+        let now = self.mono();
+        admissions.asked_at.set(now);
+        let Some(proposal) = Proposal::new(queue, spec) else {
+            return Ok(());
+        };
+        let daemons = self.members.borrow().len() as u64;
+        let decided = admissions.gate.borrow_mut().decide(now, &proposal, daemons);
+        let Err(rejection) = decided else {
+            self.metrics
+                .admissions
+                .add(1, &metrics::admission("accepted", &queue.name));
+            return Ok(());
+        };
+        let outcome = self.store_commit(&build_rejection(job)).await;
+        let rejected = matches!(outcome, Committed::Done(_));
+        self.log_rejection(job, &proposal, rejection, rejected);
+        if !rejected {
+            // The job is there already, or the store does not answer: accepting it shows which.
+            self.metrics
+                .admissions
+                .add(1, &metrics::admission("not-rejected", &queue.name));
+            return Ok(());
+        }
+        self.metrics
+            .admissions
+            .add(1, &metrics::admission("rejected", &queue.name));
+        let until = self.mono().plus(KEPT_MS);
+        admissions.kept.borrow_mut().push_back((until, job));
+        let text = format!("no room for {} ms at least", rejection.wait_ms);
+        Err(Error::new(Kind::Overloaded, text).after(rejection.retry_ms))
+    }
+
+    fn log_rejection(&self, job: key::Job, proposal: &Proposal, rejection: Rejection, done: bool) {
+        let Rejection {
+            wait_ms,
+            retry_ms,
+            age_ms,
+        } = rejection;
+        let outcome = if done {
+            "rejected"
+        } else {
+            "not rejected, the store did not take it"
+        };
+        let text = format!(
+            "job of {} tasks, {} thousandths of a core at most, {outcome}: waits {wait_ms} ms at least, \
+             {} ms are allowed, retry in {retry_ms} ms, outlook {age_ms} ms old",
+            proposal.tasks, proposal.largest_milli, proposal.objective_ms,
+        );
+        self.log_about("admission", Some(keys::hex(job)), &text);
+    }
+
+    /// is_rejecting reports whether this daemon may reject jobs.
+    pub(crate) fn is_rejecting(&self) -> bool {
+        self.admissions.is_some()
+    }
+
+    /// update_gate gives the gate of the owner its own outlook.
+    pub(crate) fn update_gate(&self) {
+        let owner = self.owner.borrow();
+        let (Some(admissions), Some(owner)) = (&self.admissions, owner.as_ref()) else {
+            return;
+        };
+        let outlook = owner.cell.outlook().cloned();
+        let mut gate = admissions.gate.borrow_mut();
+        gate.receive(self.mono(), owner.fence, outlook);
+    }
+
+    /// refresh_outlook asks the owner for its outlook, if jobs have come in lately.
+    pub(crate) fn refresh_outlook(&self, address: &str, fence: u64) {
+        let Some(admissions) = &self.admissions else {
+            return;
+        };
+        let is_idle = self.mono().since(admissions.asked_at.get()) >= ASKED_MS;
+        if is_idle || admissions.unsupported.get() == fence {
+            return;
+        }
+        let (node, address) = (self.clone(), address.to_owned());
+        tokio::task::spawn_local(async move { node.fetch_outlook(&address, fence).await });
+    }
+
+    async fn fetch_outlook(&self, address: &str, fence: u64) {
+        let Some(admissions) = &self.admissions else {
+            return;
+        };
+        let answer = self
+            .links
+            .call(address, &Request::Outlook, HEARTBEAT_TIMEOUT)
+            .await;
+        let outlook = match answer {
+            Ok(Response::Outlook(outlook)) => outlook,
+            Ok(Response::NotOwner) => None,
+            Ok(other) => {
+                self.log_line(
+                    "admission",
+                    &format!("{address} gave no outlook: {other:?}"),
+                );
+                None
+            }
+            Err(error) => {
+                // An owner of an earlier build can't decode the question.
+                admissions.unsupported.set(fence);
+                self.log_line("admission", &format!("{address} gave no outlook: {error}"));
+                return;
+            }
+        };
+        let mut gate = admissions.gate.borrow_mut();
+        if gate.receive(self.mono(), fence, outlook) {
+            self.log_line(
+                "admission",
+                &format!("the outlook of {address} is of another owner or version"),
+            );
+        }
+    }
+
+    /// record_outlook_age records the age of the outlook in the metrics.
+    pub(crate) fn record_outlook_age(&self) {
+        let Some(admissions) = &self.admissions else {
+            return;
+        };
+        let age_ms = admissions.gate.borrow().age_ms(self.mono());
+        self.metrics.outlook_age.record(age_ms.unwrap_or(0), &[]);
+    }
+
+    /// adopt_rejections has the rejections of daemons that have ended removed later. A new owner
+    /// does so.
+    pub(crate) async fn adopt_rejections(&self) {
+        let Some(admissions) = &self.admissions else {
+            return;
+        };
+        match self.store_list(REJECTIONS).await {
+            Ok(listing) => {
+                let until = self.mono().plus(KEPT_MS);
+                let jobs = listing
+                    .items
+                    .iter()
+                    .filter_map(|item| keys::rejected(&item.key));
+                let mut kept = admissions.kept.borrow_mut();
+                kept.extend(jobs.map(|job| (until, job)));
+            }
+            Err(error) => {
+                let text = format!("rejections of earlier daemons stay in the store: {error}");
+                self.log_line("admission", &text);
+            }
+        }
+    }
+}
+
+/// clean removes old rejections from the store and records the age of the outlook, for the life of
+/// the process.
+pub(crate) async fn clean<P: Platform>(node: Node<P>) {
+    let Some(admissions) = &node.admissions else {
+        return;
+    };
+    loop {
+        pause(CLEAN_MS).await;
+        node.record_outlook_age();
+        let now = node.mono();
+        let due: Vec<key::Job> = {
+            let kept = admissions.kept.borrow();
+            let due = kept.iter().take_while(|(until, _)| *until <= now);
+            due.map(|(_, job)| *job).take(MAX_REMOVALS).collect()
+        };
+        if due.is_empty() {
+            continue;
+        }
+        let transaction = Transaction {
+            removals: due.iter().copied().map(keys::rejection).collect(),
+            ..Transaction::default()
+        };
+        if matches!(node.store_commit(&transaction).await, Committed::Done(_)) {
+            admissions.kept.borrow_mut().drain(..due.len());
+        }
+    }
+}
+
+fn build_rejection(job: key::Job) -> Transaction {
+    Transaction {
+        conditions: vec![Condition {
+            key: keys::job(job),
+            revision: 0,
+        }],
+        puts: vec![Put {
+            key: keys::rejection(job),
+            value: Vec::new(),
+        }],
+        removals: Vec::new(),
+    }
+}
--- a/crates/stackpier-scheduler/src/settings.rs
+++ b/crates/stackpier-scheduler/src/settings.rs
@@ -84,6 +84,8 @@
     worker_heartbeat_ms: u64,
     #[serde(default = "usual_over_target_ms")]
     max_over_target_ms: u64,
+    #[serde(default)]
+    admission_objectives: Option<f64>,
     /// Mechanisms of the scheduling decisions that are switched off.
     #[serde(default)]
     without: Vec<String>,
@@ -120,6 +122,8 @@
     pub link_kbps: u32,
     /// The costs of starts and renewals on the VM.
     pub costs: Costs,
+    /// By how many objectives a job may miss its time at most, if others are rejected.
+    pub admission_objectives: Option<f64>,
     /// The time from the signal to stop until the process is killed, in milliseconds.
     pub grace_ms: u64,
 }
@@ -222,6 +226,7 @@
                 max_starts: (cores * MAX_PROCESSING_MS / START_PROCESSOR_MS).ceil() as usize,
                 ..defaults
             },
+            admission_objectives: admission(raw.admission_objectives, &raw.without)?,
             grace_ms: (grace_s * 1_000.0) as u64,
             milli_cores: (cores * 1_000.0) as u32,
             link_kbps: (link_mbps * KBPS_PER_MBPS) as u32,
@@ -232,6 +237,15 @@
     }
 }
 
+/// admission returns the bound on what is accepted, unless the mechanism is switched off.
+fn admission(given: Option<f64>, without: &[String]) -> Checked<Option<f64>, Invalid> {
+    let checked = given
+        .map(|given| within("admission_objectives", given, 1.0..=100.0, "objectives"))
+        .transpose()?;
+    let off = mechanisms(without)?.contains(Mechanism::Admission);
+    Ok(checked.filter(|_| !off))
+}
+
 fn usual_mbps() -> f64 {
     DEFAULT_LINK_MBPS
 }
