Times to come back follow from the cause of a refusal

Cause: whatever the cause, a refused client account was told to come back after one second: into the same outage, and all of them together.

A planner tells the time for each cause: an outage of the store lasts as long as the longest of the latest ones, or else as long again as it has lasted; without an owner what is left of a takeover; without room when the work before the job is done. Those that are refused for one cause get places one after the other, at the pace at which jobs were accepted before. What was told and what turned out are histograms. The mechanism is called retry-times.

--- a/crates/stackpier-cell/src/mechanism.rs
+++ b/crates/stackpier-cell/src/mechanism.rs
@@ -72,11 +72,13 @@
     Votes,
     /// Jobs that can't be done in time are rejected as they come in.
     Admission,
+    /// The time after which a refused client account may come back follows from the cause.
+    RetryTimes,
 }
 
 impl Mechanism {
     /// ALL lists all mechanisms.
-    pub const ALL: [Mechanism; 29] = [
+    pub const ALL: [Mechanism; 30] = [
         Mechanism::Packing,
         Mechanism::SameImage,
         Mechanism::Exposure,
@@ -106,6 +108,7 @@
         Mechanism::Storeless,
         Mechanism::Votes,
         Mechanism::Admission,
+        Mechanism::RetryTimes,
     ];
 
     /// as_str returns the name of the mechanism in settings and tables.
@@ -140,6 +143,7 @@
             Mechanism::Storeless => "storeless",
             Mechanism::Votes => "votes",
             Mechanism::Admission => "admission",
+            Mechanism::RetryTimes => "retry-times",
         }
     }
 }
--- a/crates/stackpier-scheduler/src/cluster.rs
+++ b/crates/stackpier-scheduler/src/cluster.rs
@@ -7,6 +7,7 @@
     Platform,
     keys::{CLUSTER, MEMBERS, Member, OWNER, Ownership},
     node::{Node, Owned, Registered},
+    retry::Cause,
     store::{Change, Item},
     watch::{Follower, Update},
 };
@@ -110,6 +111,7 @@
             return;
         }
         self.detector.borrow_mut().record_takeover(self.mono());
+        self.end_cause(Cause::Owner);
         let may_act = |owned: &Owned| {
             let ownership = &owned.ownership;
             !ownership.released && ownership.boot != self.boot
--- a/crates/stackpier-scheduler/src/jobs.rs
+++ b/crates/stackpier-scheduler/src/jobs.rs
@@ -15,6 +15,8 @@
     keys::{self, OWNER},
     link::{Request, Response},
     node::{Node, Owned, pause},
+    refusal::refuse_here,
+    retry::Cause,
     store::{Committed, Condition, Item, Put, Transaction},
 };
 
@@ -42,9 +44,9 @@
 /// NOTIFY_TRIES is how many times a daemon tries to send the owner a message
 /// about a job. The owner also finds the job in the store.
 const NOTIFY_TRIES: usize = 2;
-/// RETRY_AFTER_MS is how long a client account should wait after a refusal until it tries again.
-/// A takeover or a short outage lasts about this long.
-const RETRY_AFTER_MS: u64 = 1_000;
+/// UNREADABLE_RETRY_MS is how long a client account should wait until it asks again for a job whose
+/// entry can't be read.
+const UNREADABLE_RETRY_MS: u64 = 1_000;
 
 /// Source tells how the owner learnt of a job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -67,7 +69,7 @@
     pub async fn submit(&self, job: key::Job, queue: &Queue, spec: Spec) -> Result<()> {
         let end = self.write_deadline();
         if Instant::now() >= end {
-            return Err(refusal("this daemon is about to end", false));
+            return Err(refuse_here("this daemon is about to end", false));
         }
         self.reject_hopeless(job, queue, &spec).await?;
         // The revision of the job's rejection, zero if there is none.
@@ -77,7 +79,8 @@
         while Instant::now() < end {
             let owned = self.owned.borrow().clone();
             let Some(owned) = owned else {
-                return Err(refusal("no owner of the cell is known", unconfirmed));
+                let why = "no owner of the cell is known";
+                return Err(self.refuse_for(Cause::Owner, job, why, unconfirmed));
             };
             let record = Record {
                 queue: queue.clone(),
@@ -91,6 +94,8 @@
             }
             match self.commit(&acceptance, end).await {
                 Committed::Done(_) => {
+                    let now = self.mono();
+                    self.planner.borrow_mut().record_accepted(now);
                     self.notify_accepted(job, record);
                     return Ok(());
                 }
@@ -100,15 +105,20 @@
                     }
                     rejection = find_revision(&items, &keys::rejection(job));
                     if !items.iter().any(|item| item.key == OWNER) {
-                        return Err(refusal("the cell has no owner", unconfirmed));
+                        let why = "the cell has no owner";
+                        return Err(self.refuse_for(Cause::Owner, job, why, unconfirmed));
                     }
                 }
                 Committed::Refused if unconfirmed => pause(RETRY_MS).await,
-                Committed::Refused => return Err(refusal("the write was not done", false)),
+                Committed::Refused => {
+                    let why = "the write was not done";
+                    return Err(self.refuse_for(Cause::Store, job, why, false));
+                }
                 Committed::Unknown => unconfirmed = true,
             }
         }
-        Err(refusal("the store did not answer in time", unconfirmed))
+        let why = "the store did not answer in time";
+        Err(self.refuse_for(Cause::Store, job, why, unconfirmed))
     }
 
     /// write_deadline returns the time until which attempts to write may begin. In a planned stop
@@ -354,10 +364,8 @@
             }
             pause(RETRY_MS).await;
         }
-        Err(refusal(
-            "the store did not confirm the cancellation in time",
-            unconfirmed,
-        ))
+        let why = "the store did not confirm the cancellation in time";
+        Err(self.refuse_for(Cause::Store, job, why, unconfirmed))
     }
 
     fn notify_cancelled(&self, job: key::Job) {
@@ -375,7 +383,7 @@
         }
         match self.ask_owner(&Request::Waiting(queue.to_owned())).await? {
             Response::Count(count) => Ok(count),
-            _ => Err(refusal("the owner of the cell gave no count", false)),
+            _ => Err(refuse_here("the owner of the cell gave no count", false)),
         }
     }
 }
@@ -426,17 +434,6 @@
     }
 }
 
-/// refusal builds the error for a write that was not done, or for one that may have been done
-/// if it is `unconfirmed`.
-fn refusal(why: &str, unconfirmed: bool) -> Error {
-    let kind = if unconfirmed {
-        Kind::WriteUnknown
-    } else {
-        Kind::StoreUnavailable
-    };
-    Error::new(kind, why).after(RETRY_AFTER_MS)
-}
-
 /// unreadable builds the error for a job's entry in the store that can't be decoded. The request
 /// itself is valid, so the answer tells the client account when to try again.
 fn unreadable(kind: Kind, error: &Error) -> Error {
@@ -444,5 +441,5 @@
         "the entry of the job in the store is not readable: {}",
         error.message
     );
-    Error::new(kind, why).after(RETRY_AFTER_MS)
+    Error::new(kind, why).after(UNREADABLE_RETRY_MS)
 }
--- a/crates/stackpier-scheduler/src/metrics.rs
+++ b/crates/stackpier-scheduler/src/metrics.rs
@@ -7,11 +7,16 @@
 };
 use stackpier_transport::instruments::Instruments;
 
+use crate::retry::Cause;
+
 /// LATENCY_BOUNDS lists the upper bounds of the latency buckets, in seconds.
 const LATENCY_BOUNDS: [f64; 13] = [
     0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0,
 ];
 
+/// RETRY_BOUNDS lists the upper bounds of the buckets of times to come back, in seconds.
+const RETRY_BOUNDS: [f64; 8] = [0.5, 1.0, 2.0, 3.0, 5.0, 8.0, 15.0, 30.0];
+
 /// Metrics holds the instruments of one daemon.
 pub struct Metrics {
     instruments: Instruments,
@@ -30,6 +35,10 @@
     pub decisions: Counter<u64>,
     /// Jobs that were handed in while room was short or not, by outcome and queue.
     pub admissions: Counter<u64>,
+    /// The times to come back that were told with refusals, in seconds, by cause.
+    pub retry_told: Histogram<f64>,
+    /// How long after each refusal its cause was over, in seconds, by cause.
+    pub retry_true: Histogram<f64>,
     /// The age of the owner's outlook, in milliseconds; zero if there is none.
     pub outlook_age: Gauge<u64>,
     /// Times that this daemon came to own the cell.
@@ -63,6 +72,8 @@
             forwarded_calls: count("stackpier_passed_calls"),
             decisions: count("stackpier_decisions"),
             admissions: count("stackpier_admissions"),
+            retry_told: instruments.seconds("stackpier_retry_told_seconds", &RETRY_BOUNDS),
+            retry_true: instruments.seconds("stackpier_retry_true_seconds", &RETRY_BOUNDS),
             outlook_age: gauge("stackpier_outlook_age_milliseconds"),
             ownerships: count("stackpier_ownerships"),
             running: gauge("stackpier_running"),
@@ -86,6 +97,11 @@
     ]
 }
 
+/// cause returns the label of a cause of refusals.
+pub fn cause(cause: Cause) -> [KeyValue; 1] {
+    [KeyValue::new("cause", cause.as_str())]
+}
+
 /// labels returns the labels of a counted call.
 pub fn labels(call: &'static str, outcome: &'static str) -> [KeyValue; 2] {
     [
--- a/crates/stackpier-scheduler/src/node.rs
+++ b/crates/stackpier-scheduler/src/node.rs
@@ -28,6 +28,7 @@
     owner::Owner,
     rejecting::Admissions,
     relay::Relays,
+    retry::{Cause, Planner},
     store::{Committed, Item, Listing, Transaction, Watched},
 };
 
@@ -115,6 +116,8 @@
     pub(crate) last_contact: Slot<Millis>,
     /// The fence of the owner that last answered a heartbeat.
     pub(crate) answered: Slot<u64>,
+    /// When client accounts that were refused may come back.
+    pub(crate) planner: RefCell<Planner>,
     /// What is needed to reject jobs, if the settings allow it.
     pub(crate) admissions: Option<Admissions>,
     pub(crate) stopping: Slot<bool>,
@@ -179,6 +182,7 @@
             store: StoreHealth::default(),
             last_contact: Slot::default(),
             answered: Slot::default(),
+            planner: RefCell::default(),
             admissions,
             stopping: Slot::default(),
             ends_at: Slot::default(),
@@ -302,6 +306,7 @@
             self.log_line("store", "the store answers again");
             self.store.regained.notify_waiters();
         }
+        self.end_cause(Cause::Store);
     }
 
     /// record_store_timeout records that a call was not answered in time. If a long answer
@@ -319,6 +324,7 @@
     fn record_store_failure(&self, call: &'static str, why: &str) {
         self.store.failed.set(self.mono());
         if !self.store.lost.replace(true) {
+            self.begin_cause(Cause::Store);
             let since = self.mono().since(self.store.answered.get());
             let text = format!("store call {call} failed: {why}; last answer {since} ms ago");
             self.log_line("store", &text);
--- a/crates/stackpier-scheduler/src/rejecting.rs
+++ b/crates/stackpier-scheduler/src/rejecting.rs
@@ -10,7 +10,10 @@
     collections::VecDeque,
 };
 
-use stackpier_cell::{Queue, outlook::Proposal};
+use stackpier_cell::{
+    Queue,
+    outlook::{Outlook, Proposal},
+};
 use stackpier_core::{Error, Kind, Millis, Result, key};
 use stackpier_state::job::Spec;
 
@@ -22,6 +25,7 @@
     metrics,
     monitor::HEARTBEAT_TIMEOUT,
     node::{Node, pause},
+    retry::Cause,
     store::{Committed, Condition, Put, Transaction},
 };
 
@@ -99,7 +103,8 @@
         let until = self.mono().plus(KEPT_MS);
         admissions.kept.borrow_mut().push_back((until, job));
         let text = format!("no room for {} ms at least", rejection.wait_ms);
-        Err(Error::new(Kind::Overloaded, text).after(rejection.retry_ms))
+        let retry_ms = self.plan_retry(Cause::Room, Some(rejection.retry_ms), job);
+        Err(Error::new(Kind::Overloaded, text).after(retry_ms))
     }
 
     fn log_rejection(&self, job: key::Job, proposal: &Proposal, rejection: Rejection, done: bool) {
@@ -133,8 +138,26 @@
             return;
         };
         let outlook = owner.cell.outlook().cloned();
+        let fence = owner.fence;
+        self.receive_outlook(admissions, fence, outlook);
+    }
+
+    /// receive_outlook passes an outlook to the gate, and reports whether it was dropped. Once room
+    /// is not short any more, those that were rejected may come back.
+    fn receive_outlook(
+        &self,
+        admissions: &Admissions,
+        fence: u64,
+        outlook: Option<Outlook>,
+    ) -> bool {
+        if outlook
+            .as_ref()
+            .is_some_and(|outlook| outlook.lanes.is_empty())
+        {
+            self.end_cause(Cause::Room);
+        }
         let mut gate = admissions.gate.borrow_mut();
-        gate.receive(self.mono(), owner.fence, outlook);
+        gate.receive(self.mono(), fence, outlook)
     }
 
     /// refresh_outlook asks the owner for its outlook, if jobs have come in lately.
@@ -175,8 +198,7 @@
                 return;
             }
         };
-        let mut gate = admissions.gate.borrow_mut();
-        if gate.receive(self.mono(), fence, outlook) {
+        if self.receive_outlook(admissions, fence, outlook) {
             self.log_line(
                 "admission",
                 &format!("the outlook of {address} is of another owner or version"),
