Predict what long-running tasks leave unused from their load

Cause: of a worker's long-running tasks a use of 45% of what they asked for was assumed, one constant for all, while the load of each step is learnt with its swing: in a crowd 246 of 350 workers counted as busy, and best-effort tasks waited beside idle processors.

The mechanism is called predicted-use.

--- a/crates/stackpier-cell/src/mechanism.rs
+++ b/crates/stackpier-cell/src/mechanism.rs
@@ -74,11 +74,13 @@
     Admission,
     /// The time after which a refused client account may come back follows from the cause.
     RetryTimes,
+    /// The processors that long-running tasks leave unused are predicted from their load.
+    PredictedUse,
 }
 
 impl Mechanism {
     /// ALL lists all mechanisms.
-    pub const ALL: [Mechanism; 30] = [
+    pub const ALL: [Mechanism; 31] = [
         Mechanism::Packing,
         Mechanism::SameImage,
         Mechanism::Exposure,
@@ -109,6 +111,7 @@
         Mechanism::Votes,
         Mechanism::Admission,
         Mechanism::RetryTimes,
+        Mechanism::PredictedUse,
     ];
 
     /// as_str returns the name of the mechanism in settings and tables.
@@ -144,6 +147,7 @@
             Mechanism::Votes => "votes",
             Mechanism::Admission => "admission",
             Mechanism::RetryTimes => "retry-times",
+            Mechanism::PredictedUse => "predicted-use",
         }
     }
 }
--- a/crates/stackpier-cell/src/outlook.rs
+++ b/crates/stackpier-cell/src/outlook.rs
@@ -240,7 +240,8 @@
         let taken = match best_effort {
             true => {
                 let short = u64::from(worker.allocated.milli_cores).saturating_sub(reserved);
-                short + reserved * u64::from(self.options.serving_usage_milli) / MILLI
+                let long_running = worker.long_running_use(self.options.serving_usage_milli);
+                short + u64::try_from(long_running).unwrap_or(0)
             }
             false => reserved,
         };
--- a/crates/stackpier-cell/src/prediction.rs
+++ b/crates/stackpier-cell/src/prediction.rs
@@ -5,7 +5,7 @@
 use stackpier_core::Millis;
 
 use crate::{
-    Cell,
+    Cell, Mechanism,
     arena::{ImageKey, RunKey, StepKey, WorkerKey},
     interference::{Estimate, Pressure, load_at},
     logistic,
@@ -68,6 +68,11 @@
 impl Cell {
     /// update_predictions recomputes the predictions for a worker's serving tasks.
     pub(crate) fn update_predictions(&mut self, key: WorkerKey) {
+        let use_milli = match self.is_enabled(Mechanism::PredictedUse) {
+            true => Some(self.predict_use(key)),
+            false => None,
+        };
+        self.worker_mut(key).long_running_use_milli = use_milli;
         let serving = self.serving_runs(key);
         let pressures = self.pressures(key);
         let steady = self.has_steady_pressure(key);
@@ -78,6 +83,25 @@
         self.worker_mut(key).predictions = predictions;
     }
 
+    /// predict_use returns the processors that the long-running runs on a worker will use over the
+    /// next seconds, in thousandths of a core. The own load of a serving task is the part of its
+    /// processors that it uses; tasks without a load curve are assumed to use the usual part.
+    fn predict_use(&mut self, key: WorkerKey) -> u32 {
+        let usual = f64::from(self.options.serving_usage_milli) / 1_000.0;
+        let mut use_milli = 0.0;
+        for run in self.worker(key).runs.clone() {
+            let Some(run) = self.runs.get(run).filter(|run| run.long_running) else {
+                continue;
+            };
+            let (step, asked) = (run.step, f64::from(run.size.milli_cores));
+            let own_load = self.forecast_own_load(step).map_or(usual, |loads| {
+                loads.iter().map(|load| load.mean).sum::<f64>() / HORIZON_COUNT as f64
+            });
+            use_milli += asked * own_load.clamp(0.0, 1.0);
+        }
+        use_milli as u32
+    }
+
     /// predict returns the prediction for one serving task, if its step has a load curve.
     fn predict(&mut self, key: RunKey, pressures: &[Pressure], steady: bool) -> Option<Prediction> {
         let run = self.runs.get(key)?;
--- a/crates/stackpier-cell/src/roster.rs
+++ b/crates/stackpier-cell/src/roster.rs
@@ -113,6 +113,7 @@
             unanswered: Vec::new(),
             allocated: Size::default(),
             long_running_milli: 0,
+            long_running_use_milli: None,
             other_milli: 0,
             clock: None,
             first_report_at: None,
--- a/crates/stackpier-cell/src/worker.rs
+++ b/crates/stackpier-cell/src/worker.rs
@@ -107,6 +107,8 @@
     pub allocated: Size,
     /// The processors that long-running runs asked for, in thousandths of a core.
     pub long_running_milli: u32,
+    /// The processors that long-running runs are predicted to use, in thousandths of a core.
+    pub long_running_use_milli: Option<u32>,
     /// The processors that all other runs asked for, in thousandths of a core.
     pub other_milli: u32,
     pub clock: Option<Clock>,
@@ -262,13 +264,20 @@
     }
 
     /// expected_unused_milli returns the processors that are expected to be unused, in
-    /// thousandths of a core, if long-running tasks use `use_milli` thousandths of what they
-    /// asked for.
+    /// thousandths of a core. See [`Worker::long_running_use`] for `use_milli`.
     pub(crate) fn expected_unused_milli(&self, use_milli: u32) -> i64 {
-        let long_running = i64::from(self.long_running_milli) * i64::from(use_milli) / 1_000;
+        let long_running = self.long_running_use(use_milli);
         i64::from(self.info.capacity.milli_cores) - long_running - i64::from(self.other_milli)
     }
 
+    /// long_running_use returns the processors that long-running runs are expected to use, in
+    /// thousandths of a core. Without a prediction they are assumed to use `use_milli`
+    /// thousandths of what they asked for.
+    pub(crate) fn long_running_use(&self, use_milli: u32) -> i64 {
+        let assumed = i64::from(self.long_running_milli) * i64::from(use_milli) / 1_000;
+        self.long_running_use_milli.map_or(assumed, i64::from)
+    }
+
     /// free returns the capacity that is not allocated.
     pub(crate) fn free(&self) -> Size {
         self.info.capacity.minus(&self.allocated)
