Shares: large jobs and expired ones get a part of what runs

Cause: jobs with few tasks left always go first, so in a crowd the same large jobs were overtaken until they were late; and expired best-effort jobs went last, so nothing of them ran beside free workers for as long as others came, which client accounts count as lost.

A size class of a queue (the largest tenth, the fifth below it) that is done in time less than 0.8 times as often as its queue gets a share: some of its jobs go first, up to the part of the queue's work that the class asks for. Two steps that have had nothing running for two seconds go first in each pass over best-effort tasks, within the limits that protect others. The mechanism of the former is called shares, that of the latter is starving, as before.

--- a/crates/stackpier-cell/src/cell.rs
+++ b/crates/stackpier-cell/src/cell.rs
@@ -22,6 +22,7 @@
     place::{BestEffortPass, Budget, GuaranteedPass},
     run::Run,
     save::Saver,
+    share::Shares,
     short_task_memory::ShortTaskMemory,
     takeover::Ownership,
     worker::Worker,
@@ -92,6 +93,8 @@
     pub(crate) ownership: Ownership,
     /// What the outlook is made of.
     pub(crate) forecaster: Forecaster,
+    /// How often jobs of each size are done in time.
+    pub(crate) shares: Shares,
     /// How run times differ from their estimates.
     pub(crate) durations: Durations,
     /// The starts that are not answered yet.
@@ -146,6 +149,7 @@
             saver: Saver::default(),
             ownership,
             forecaster: Forecaster::default(),
+            shares: Shares::default(),
             durations: Durations::default(),
             flow: Flow::new(&options),
             effects: Vec::new(),
@@ -422,6 +426,7 @@
             self.update_dedicated_workers();
             self.check_rotation();
             self.update_reservations();
+            self.update_shares();
             self.forget_jobs();
             self.prune_presumed_ended();
         }
--- a/crates/stackpier-cell/src/job.rs
+++ b/crates/stackpier-cell/src/job.rs
@@ -45,6 +45,16 @@
     pub forgotten: bool,
     /// Whether its expiry was logged.
     pub expiry_logged: bool,
+    /// The work of its tasks by their estimates, in core-milliseconds.
+    pub work: u64,
+    /// Its size class within its queue.
+    pub size_class: usize,
+    /// Whether it counts in the shares of its queue: it is due at once and ends.
+    pub has_share: bool,
+    /// Whether it is known whether it was done in time.
+    pub outcome_known: bool,
+    /// Whether it goes first, for the share of its size class.
+    pub goes_first: bool,
 }
 
 impl Job {
--- a/crates/stackpier-cell/src/lateness.rs
+++ b/crates/stackpier-cell/src/lateness.rs
@@ -4,7 +4,7 @@
 
 use std::fmt;
 
-use stackpier_state::job::{Spec, Step as StepSpec};
+use stackpier_state::job::Spec;
 
 use crate::{
     Cell,
@@ -13,7 +13,7 @@
     place::Rank,
 };
 
-/// MILLI is the number of thousandths in a core and of milliseconds in a second.
+/// MILLI is the number of milliseconds in a second.
 const MILLI: u64 = 1_000;
 
 /// Extent is the size of a job: what all its tasks ask for.
@@ -28,14 +28,10 @@
 impl Extent {
     fn of(spec: &Spec) -> Extent {
         let largest = spec.steps.iter().map(|step| step.size.milli_cores).max();
-        let work = |step: &StepSpec| {
-            let each = u64::from(step.size.milli_cores) * u64::from(step.estimate_ms);
-            each * u64::from(step.count)
-        };
         Extent {
             tasks: spec.width() * spec.rounds(),
             largest_milli: largest.unwrap_or(0),
-            core_seconds: spec.steps.iter().map(work).sum::<u64>() / (MILLI * MILLI),
+            core_seconds: spec.work() / MILLI,
         }
     }
 }
--- a/crates/stackpier-cell/src/lib.rs
+++ b/crates/stackpier-cell/src/lib.rs
@@ -53,6 +53,7 @@
 mod rotation;
 mod run;
 mod save;
+pub mod share;
 mod short_task_memory;
 mod silence;
 mod speculate;
--- a/crates/stackpier-cell/src/lifecycle.rs
+++ b/crates/stackpier-cell/src/lifecycle.rs
@@ -67,6 +67,13 @@
         self.short_task_memory.record(&spec);
         let chains = longest_chains(&spec);
         let chain = chains.iter().copied().max().unwrap_or(0);
+        let work = spec.work();
+        let long_running = spec.steps.iter().any(|step| step.long_running);
+        let has_share = !long_running && spec.schedule.is_none();
+        let size_class = match has_share {
+            true => self.shares.ledger(&record.queue.name).classify(work),
+            false => 0,
+        };
         let job = Job {
             id,
             queue: record.queue.name.clone(),
@@ -85,6 +92,11 @@
             ended_at: None,
             forgotten: false,
             expiry_logged: false,
+            work,
+            size_class,
+            has_share,
+            outcome_known: false,
+            goes_first: false,
             spec: Rc::clone(&spec),
         };
         self.jobs.push(job);
@@ -314,6 +326,7 @@
     /// end_job puts a job into a final state and stops its remaining runs.
     pub(crate) fn end_job(&mut self, key: JobKey, state: State) {
         let (mono, unix) = (self.now.mono, self.now.unix.0);
+        self.record_end(key, state);
         let job = self.job_mut(key);
         job.state = state;
         job.ended_at = Some(mono);
--- a/crates/stackpier-cell/src/mechanism.rs
+++ b/crates/stackpier-cell/src/mechanism.rs
@@ -76,11 +76,13 @@
     RetryTimes,
     /// The processors that long-running tasks leave unused are predicted from their load.
     PredictedUse,
+    /// The large jobs of a queue get a share of what runs while they are served less often in time.
+    Shares,
 }
 
 impl Mechanism {
     /// ALL lists all mechanisms.
-    pub const ALL: [Mechanism; 31] = [
+    pub const ALL: [Mechanism; 32] = [
         Mechanism::Packing,
         Mechanism::SameImage,
         Mechanism::Exposure,
@@ -112,6 +114,7 @@
         Mechanism::Admission,
         Mechanism::RetryTimes,
         Mechanism::PredictedUse,
+        Mechanism::Shares,
     ];
 
     /// as_str returns the name of the mechanism in settings and tables.
@@ -148,6 +151,7 @@
             Mechanism::Admission => "admission",
             Mechanism::RetryTimes => "retry-times",
             Mechanism::PredictedUse => "predicted-use",
+            Mechanism::Shares => "shares",
         }
     }
 }
--- a/crates/stackpier-cell/src/outlook.rs
+++ b/crates/stackpier-cell/src/outlook.rs
@@ -168,6 +168,37 @@
         self.forecaster.latest = is_known.then(|| self.make_outlook());
     }
 
+    /// log_outlook logs the lanes in which room is short.
+    pub(crate) fn log_outlook(&mut self) {
+        let lanes = self
+            .forecaster
+            .latest
+            .as_ref()
+            .map(|outlook| &outlook.lanes);
+        let describe = |lane: &Lane| {
+            let time_ms = |work: u64| lane.factor.expected(work * MILLI / lane.room_milli.max(1));
+            format!(
+                "service {} has no room for {} tasks of {} thousandths of a core and more; with {} \
+                 cores in all, new jobs of one task wait {} ms and of {} tasks {} ms",
+                lane.service,
+                if lane.best_effort {
+                    "best-effort"
+                } else {
+                    "short"
+                },
+                lane.short_from_milli,
+                lane.room_milli / MILLI,
+                time_ms(lane.work[0]),
+                1 << (SIZES - 1),
+                time_ms(lane.work[SIZES - 1])
+            )
+        };
+        let lines: Vec<String> = lanes.into_iter().flatten().map(describe).collect();
+        for line in lines {
+            self.log("outlook", None, line);
+        }
+    }
+
     fn knows_most_workers(&self) -> bool {
         let live = self.live_workers().map(|key| self.worker(key));
         let (mut known, mut all) = (0, 0);
--- a/crates/stackpier-cell/src/outlook/proposal.rs
+++ b/crates/stackpier-cell/src/outlook/proposal.rs
@@ -1,14 +1,11 @@
 // SPDX-License-Identifier: Apache-2.0
 //! A job that was handed in and is not accepted yet, as far as the decision to accept it needs it.
 
-use stackpier_state::job::{Queue, Spec};
+use stackpier_state::job::{Queue, Spec, Step};
 
 use super::size_class;
 use crate::lifecycle::longest_chains;
 
-/// MILLI is the number of thousandths in a whole.
-const MILLI: u64 = 1_000;
-
 /// Proposal is a job that was handed in, with what it asks for.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Proposal {
@@ -36,17 +33,11 @@
     /// single wait describes them.
     pub fn new(queue: &Queue, spec: &Spec) -> Option<Proposal> {
         let first = spec.steps.first()?;
-        let alike = |step: &stackpier_state::job::Step| {
-            !step.long_running && step.best_effort == first.best_effort
-        };
+        let alike = |step: &Step| !step.long_running && step.best_effort == first.best_effort;
         if spec.schedule.is_some() || !spec.steps.iter().all(alike) {
             return None;
         }
         let chain_ms = longest_chains(spec).into_iter().max().unwrap_or(0);
-        let work = spec.steps.iter().map(|step| {
-            let each = u64::from(step.size.milli_cores) * u64::from(step.estimate_ms) / MILLI;
-            each * u64::from(step.count)
-        });
         let largest = spec.steps.iter().map(|step| step.size.milli_cores).max();
         Some(Proposal {
             service: queue.service.clone(),
@@ -54,7 +45,7 @@
             priority: queue.priority,
             tasks: spec.width(),
             largest_milli: largest.unwrap_or(0),
-            work: work.sum(),
+            work: spec.work(),
             chain_ms,
             objective_ms: (chain_ms as f64 * queue.stretch) as u64 + queue.target_ms,
         })
--- a/crates/stackpier-cell/src/place.rs
+++ b/crates/stackpier-cell/src/place.rs
@@ -170,6 +170,7 @@
         }
         let latest_start = job.objective.0.saturating_sub(entry.chain_ms);
         let left = match self.is_enabled(Mechanism::FewestLeft) {
+            _ if job.goes_first => 0,
             true => u64::from(job.left),
             false => latest_start,
         };
--- a/crates/stackpier-cell/src/place/pass.rs
+++ b/crates/stackpier-cell/src/place/pass.rs
@@ -110,6 +110,8 @@
     rejected: Vec<Demand>,
     /// How many of these come from an earlier pass that ended before it had tried all kinds.
     carried_over: usize,
+    /// Idle steps that go before all others, the longest waiting last.
+    idle: Vec<StepKey>,
     /// Starving steps, the longest waiting last.
     starving: Vec<StepKey>,
     /// Demands of starving steps that found no worker: those that request at least as much find
@@ -168,6 +170,7 @@
             steps: Vec::new(),
             rejected: Vec::new(),
             carried_over: 0,
+            idle: Vec::new(),
             starving: Vec::new(),
             rejected_starving: Vec::new(),
             starving_listed: false,
@@ -306,7 +309,9 @@
         } else {
             self.collect_live_workers()
         };
+        let idle = self.find_idle(&steps);
         let pass = &mut self.best_effort_pass;
+        pass.idle = idle;
         pass.due = false;
         pass.under_way = true;
         pass.began = self.now.mono;
@@ -325,6 +330,8 @@
         while !self.best_effort_pass.budget.is_spent() && !self.flow.is_full() {
             if let Some(worker) = self.best_effort_pass.workers.pop() {
                 self.refresh_predictions(worker);
+            } else if let Some(step) = self.best_effort_pass.idle.pop() {
+                self.try_idle(step);
             } else if let Some(step) = self.best_effort_pass.steps.pop() {
                 self.try_best_effort(step);
             } else if !self.best_effort_pass.starving_listed {
@@ -372,6 +379,16 @@
         }
     }
 
+    /// try_idle starts one task of a step that has had nothing running for long, within the limits
+    /// that protect other tasks.
+    fn try_idle(&mut self, step: StepKey) {
+        if !self.has_nothing_to_place(step)
+            && let Some(demand) = self.demand(step)
+        {
+            self.place_one(&demand);
+        }
+    }
+
     fn try_starving(&mut self, step: StepKey) {
         if self.has_nothing_to_place(step) {
             return;
--- a/crates/stackpier-cell/src/place/starvation.rs
+++ b/crates/stackpier-cell/src/place/starvation.rs
@@ -29,6 +29,9 @@
 /// half second, so the effect of one start is seen before the next.
 const SETTLE_MS: u64 = 600;
 
+/// MAX_IDLE_FIRST is how many idle steps go before all others in a pass. At most 25 passes begin in
+/// a second, so 50 tasks a second start this way.
+const MAX_IDLE_FIRST: usize = 2;
 /// PRIOR_WAIT_MS is how long a task of an inherited job is assumed to have waited under a
 /// predecessor.
 const PRIOR_WAIT_MS: u64 = 3_000;
@@ -78,6 +81,21 @@
         idle
     }
 
+    /// find_idle returns the steps that have had nothing running for so long that client accounts
+    /// are about to count their jobs as lost, the longest waiting last. They go first, a few in each
+    /// pass: expired jobs would otherwise wait for as long as others come.
+    pub(super) fn find_idle(&self, steps: &[StepKey]) -> Vec<StepKey> {
+        if !self.is_enabled(Mechanism::Starving) {
+            return Vec::new();
+        }
+        let mut idle: Vec<StepKey> = steps.to_vec();
+        idle.retain(|step| self.idle_ms(*step) >= STARVED_MS);
+        idle.sort_by_key(|step| self.step_of(*step).idle_since);
+        idle.truncate(MAX_IDLE_FIRST);
+        idle.reverse();
+        idle
+    }
+
     /// idle_ms returns how long a step with tasks to place has had nothing running, zero if
     /// something runs. Long-running tasks are counted one by one, so for these it is the
     /// longest wait.
--- a/crates/stackpier-cell/src/summary.rs
+++ b/crates/stackpier-cell/src/summary.rs
@@ -86,6 +86,8 @@
         self.log_stranded();
         self.log_uncontacted();
         self.log_model();
+        self.log_outlook();
+        self.log_shares();
     }
 
     /// log_short logs how large the waiting short steps are, and how the capacity that they may
--- a/crates/stackpier-state/src/job.rs
+++ b/crates/stackpier-state/src/job.rs
@@ -15,6 +15,8 @@
 pub const MAX_TASKS: u64 = 200_000;
 /// MAX_STEPS is the maximum number of steps of a job.
 pub const MAX_STEPS: usize = 1_000;
+/// MILLI is the number of thousandths in a core.
+const MILLI: u64 = 1_000;
 /// WORD_BITS is the number of bits in a word of [`Progress::done`].
 const WORD_BITS: u32 = 64;
 
@@ -113,6 +115,16 @@
         u32::try_from(total).unwrap_or(u32::MAX)
     }
 
+    /// work returns the processors that all tasks of one round ask for times their estimated run
+    /// times, in core-milliseconds.
+    pub fn work(&self) -> u64 {
+        let work = |step: &Step| {
+            let each = u64::from(step.size.milli_cores) * u64::from(step.estimate_ms);
+            each * u64::from(step.count) / MILLI
+        };
+        self.steps.iter().map(work).sum()
+    }
+
     /// due_ms returns when a round is due, in milliseconds since 1970, or `None`
     /// for a job without a schedule.
     pub fn due_ms(&self, round: u32) -> Option<u64> {
