Steps that go first don't count as starts without limits; starvation assumes the usual use again

A start within the limits was recorded as one without, so a worker beside a stream of idle steps never took a wide one; and with the predicted use of serving tasks a service counted as more than half in use, where a wide task of an unknown pair waited for 20 s instead of two.

--- a/crates/stackpier-cell/src/place/starvation.rs
+++ b/crates/stackpier-cell/src/place/starvation.rs
@@ -177,11 +177,12 @@
     /// used_milli returns the processors that the runs on a worker are assumed to use, in
     /// thousandths of a core.
     fn used_milli(&self, worker: &Worker) -> i64 {
-        let serving = worker.long_running_use(self.options.serving_usage_milli);
+        let serving =
+            u64::from(worker.long_running_milli) * u64::from(self.options.serving_usage_milli);
         let runs = worker.runs.iter().filter_map(|key| self.runs.get(*key));
         let others = runs.filter(|run| !run.long_running);
         let cores: f64 = others.map(|run| run.cores(self.now.mono)).sum();
-        serving + (cores * MILLI as f64) as i64
+        (serving / MILLI) as i64 + (cores * MILLI as f64) as i64
     }
 
     /// is_settled reports whether the last start on a worker regardless of the limits is long
@@ -209,7 +210,9 @@
             return Outcome::NoWorker;
         };
         self.unqueue(task);
-        self.worker_mut(worker).relaxed_start_at = Some(now);
+        if demand.relaxed {
+            self.worker_mut(worker).relaxed_start_at = Some(now);
+        }
         self.start(task, worker);
         Outcome::Placed
     }
