--- a/crates/stackpier-fuzz/src/lib.rs
+++ b/crates/stackpier-fuzz/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod counts;
 pub mod once;
 pub mod placement;
+pub mod submission;
 pub mod time;
--- a/crates/stackpier-scheduler/src/jobs.rs
+++ b/crates/stackpier-scheduler/src/jobs.rs
@@ -6,7 +6,7 @@
 
 use stackpier_cell::{Event, Queue};
 use stackpier_core::{Error, Kind, Result, key};
-use stackpier_protocol::codec::{decode, encode};
+use stackpier_protocol::codec::decode;
 use stackpier_state::job::{Progress, Record, Spec, State};
 use tokio::time::Instant;
 
@@ -14,10 +14,11 @@
     Platform,
     keys::{self, OWNER},
     link::{Request, Response},
-    node::{Node, Owned, pause},
+    node::{Node, pause},
     refusal::refuse_here,
     retry::Cause,
-    store::{Committed, Condition, Item, Put, Transaction},
+    store::{Committed, Item, Transaction},
+    submission,
 };
 
 /// SUBMIT_LIMIT is how long a daemon tries to write a job to the store. Client accounts wait
@@ -88,9 +89,9 @@
                 fence: owned.ownership.fence,
                 accepted_ms: self.now().unix.0,
             };
-            let mut acceptance = build_acceptance(job, &record, &owned)?;
+            let mut acceptance = submission::acceptance(job, &record, owned.revision)?;
             if self.is_rejecting() {
-                withdraw_rejection(&mut acceptance, job, rejection);
+                submission::withdraw_rejection(&mut acceptance, job, rejection);
             }
             match self.commit(&acceptance, end).await {
                 Committed::Done(_) => {
@@ -103,7 +104,7 @@
                     if self.apply_conflict(job, &items)? {
                         return Ok(());
                     }
-                    rejection = find_revision(&items, &keys::rejection(job));
+                    rejection = submission::rejection_revision(&items, job);
                     if !items.iter().any(|item| item.key == OWNER) {
                         let why = "the cell has no owner";
                         return Err(self.refuse_for(Cause::Owner, job, why, unconfirmed));
@@ -354,7 +355,7 @@
         }
         let mut unconfirmed = false;
         while Instant::now() < end {
-            match self.commit(&build_cancellation(job), end).await {
+            match self.commit(&submission::cancellation(job), end).await {
                 Committed::Done(_) => {
                     self.notify_cancelled(job);
                     return Ok(true);
@@ -388,52 +389,6 @@
     }
 }
 
-fn build_acceptance(job: key::Job, record: &Record, owned: &Owned) -> Result<Transaction> {
-    let key = keys::job(job);
-    let conditions = vec![
-        Condition {
-            key: key.clone(),
-            revision: 0,
-        },
-        Condition {
-            key: OWNER.to_owned(),
-            revision: owned.revision,
-        },
-    ];
-    let value = encode(record)?;
-    Ok(Transaction {
-        conditions,
-        puts: vec![Put { key, value }],
-        removals: Vec::new(),
-    })
-}
-
-/// withdraw_rejection makes an acceptance depend on the job's rejection being at a revision, zero
-/// for none, and removes it.
-fn withdraw_rejection(acceptance: &mut Transaction, job: key::Job, revision: u64) {
-    let key = keys::rejection(job);
-    if revision > 0 {
-        acceptance.removals.push(key.clone());
-    }
-    acceptance.conditions.push(Condition { key, revision });
-}
-
-/// find_revision returns the revision of a key among items, zero if it is not there.
-fn find_revision(items: &[Item], key: &str) -> u64 {
-    let found = items.iter().find(|item| item.key == key);
-    found.map_or(0, |item| item.revision)
-}
-
-fn build_cancellation(job: key::Job) -> Transaction {
-    Transaction {
-        puts: vec![Put {
-            key: keys::cancel(job),
-            value: Vec::new(),
-        }],
-        ..Transaction::default()
-    }
-}
-
 /// unreadable builds the error for a job's entry in the store that can't be decoded. The request
 /// itself is valid, so the answer tells the client account when to try again.
 fn unreadable(kind: Kind, error: &Error) -> Error {
--- a/crates/stackpier-scheduler/src/lib.rs
+++ b/crates/stackpier-scheduler/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod settings;
 mod socket;
 pub mod store;
+pub mod submission;
 mod watch;
 
 pub use catalog::Catalog;
--- a/crates/stackpier-scheduler/src/rejecting.rs
+++ b/crates/stackpier-scheduler/src/rejecting.rs
@@ -26,7 +26,8 @@
     monitor::HEARTBEAT_TIMEOUT,
     node::{Node, pause},
     retry::Cause,
-    store::{Committed, Condition, Put, Transaction},
+    store::{Committed, Transaction},
+    submission,
 };
 
 /// KEPT_MS is how long a rejection stays in the store. A write without an answer may be done
@@ -87,7 +88,7 @@
                 .add(1, &metrics::admission("accepted", &queue.name));
             return Ok(());
         };
-        let outcome = self.store_commit(&build_rejection(job)).await;
+        let outcome = self.store_commit(&submission::rejection(job)).await;
         let rejected = matches!(outcome, Committed::Done(_));
         self.log_rejection(job, &proposal, rejection, rejected);
         if !rejected {
@@ -266,17 +267,3 @@
         }
     }
 }
-
-fn build_rejection(job: key::Job) -> Transaction {
-    Transaction {
-        conditions: vec![Condition {
-            key: keys::job(job),
-            revision: 0,
-        }],
-        puts: vec![Put {
-            key: keys::rejection(job),
-            value: Vec::new(),
-        }],
-        removals: Vec::new(),
-    }
-}
