Rejections are removed at their revision; an outlook is asked for again after a lost answer

Found on reading: one answer that was lost ended the questions to an owner for good; a rejection that was renewed by another daemon was removed with the first one; the owner's gate forgot what it had let in at each tick.

--- a/crates/stackpier-cell/src/outlook.rs
+++ b/crates/stackpier-cell/src/outlook.rs
@@ -75,10 +75,10 @@
 }
 
 impl Outlook {
-    /// lane returns the lane of a proposed job, if room is short there for the job.
-    pub fn lane(&self, proposal: &Proposal) -> Option<&Lane> {
-        let mut lanes = self.lanes.iter();
-        lanes.find(|lane| {
+    /// find_lane returns the position of the lane of a proposed job, if room is short there for the
+    /// job.
+    pub fn find_lane(&self, proposal: &Proposal) -> Option<usize> {
+        self.lanes.iter().position(|lane| {
             lane.service == proposal.service
                 && lane.best_effort == proposal.best_effort
                 && lane.priority == proposal.priority
--- a/crates/stackpier-cell/tests/outlook.rs
+++ b/crates/stackpier-cell/tests/outlook.rs
@@ -59,7 +59,8 @@
 fn a_crowd_is_told_as_the_time_that_its_work_takes(#[case] jobs: u64) {
     let owner = crowd(jobs);
     let outlook = outlook(&owner);
-    let lane = outlook.lane(&proposal()).expect("room is short");
+    let position = outlook.find_lane(&proposal()).expect("room is short");
+    let lane = &outlook.lanes[position];
     let tasks_left = jobs * u64::from(JOB_TASKS) - CORES;
     // Of jobs of its own size, half go before the new one.
     let true_ms = tasks_left * 1_000 / CORES / 2;
@@ -78,16 +79,16 @@
     }
     owner.advance(SETTLED_MS);
     let outlook = outlook(&owner);
-    assert!(outlook.lane(&proposal()).is_none(), "{outlook:?}");
+    assert!(outlook.find_lane(&proposal()).is_none(), "{outlook:?}");
     let wide = spec(vec![common::sized(5_000, 8)]);
     let wide = Proposal::new(&queue(QUEUE, 0), &wide).expect("a job of short tasks");
-    assert!(outlook.lane(&wide).is_some());
+    assert!(outlook.find_lane(&wide).is_some());
 }
 
 #[test]
 fn room_is_not_short_any_more_once_the_crowd_is_over() {
     let mut owner = crowd(10);
-    assert!(outlook(&owner).lane(&proposal()).is_some());
+    assert!(outlook(&owner).find_lane(&proposal()).is_some());
     owner.advance(9_000);
     assert_eq!(outlook(&owner).lanes, []);
 }
--- a/crates/stackpier-scheduler/src/admission.rs
+++ b/crates/stackpier-scheduler/src/admission.rs
@@ -44,14 +44,18 @@
         }
     }
 
-    /// receive replaces the outlook by a later one. One of another version, or of an owner with
-    /// another fence than the known one, is dropped, and the gate reports whether it was.
+    /// receive replaces the outlook by the one that the owner with `fence` has now. One of another
+    /// version or fence is dropped, and the gate reports whether it was.
     pub fn receive(&mut self, now: Millis, fence: u64, outlook: Option<Outlook>) -> bool {
         let usable = |outlook: &Outlook| outlook.version == VERSION && outlook.fence == fence;
         let is_dropped = outlook.as_ref().is_some_and(|outlook| !usable(outlook));
-        self.outlook = outlook.filter(usable);
+        let outlook = outlook.filter(usable);
         self.received_at = now;
-        self.let_in = vec![0; self.lanes()];
+        if self.outlook != outlook {
+            let lanes = outlook.as_ref().map_or(0, |outlook| outlook.lanes.len());
+            self.let_in = vec![0; lanes];
+            self.outlook = outlook;
+        }
         is_dropped
     }
 
@@ -67,11 +71,10 @@
         let Some(outlook) = self.outlook.as_ref().filter(|_| age_ms < MAX_AGE_MS) else {
             return Ok(());
         };
-        let Some(lane) = outlook.lane(proposal) else {
+        let Some(position) = outlook.find_lane(proposal) else {
             return Ok(());
         };
-        let position = outlook.lanes.iter().position(|other| other == lane);
-        let let_in = &mut self.let_in[position.unwrap_or(0)];
+        let (lane, let_in) = (&outlook.lanes[position], &mut self.let_in[position]);
         let wait = lane.wait(proposal, *let_in * daemons);
         let allowed_ms = (proposal.objective_ms as f64 * self.objectives) as u64;
         if wait.least_ms + lane.factor.least(proposal.chain_ms) <= allowed_ms {
@@ -93,10 +96,4 @@
         let age_ms = now.since(self.received_at);
         self.outlook.as_ref().map(|_| age_ms)
     }
-
-    fn lanes(&self) -> usize {
-        self.outlook
-            .as_ref()
-            .map_or(0, |outlook| outlook.lanes.len())
-    }
 }
--- a/crates/stackpier-scheduler/src/jobs.rs
+++ b/crates/stackpier-scheduler/src/jobs.rs
@@ -72,7 +72,7 @@
         if Instant::now() >= end {
             return Err(refuse_here("this daemon is about to end", false));
         }
-        self.reject_hopeless(job, queue, &spec).await?;
+        self.check_admission(job, queue, &spec).await?;
         // The revision of the job's rejection, zero if there is none.
         let mut rejection = 0;
         // Whether an earlier attempt may have written the job.
--- a/crates/stackpier-scheduler/src/lib.rs
+++ b/crates/stackpier-scheduler/src/lib.rs
@@ -31,7 +31,7 @@
 mod node;
 mod owner;
 mod refusal;
-mod rejecting;
+mod rejection;
 pub mod relay;
 pub mod retry;
 mod saving;
--- a/crates/stackpier-scheduler/src/node.rs
+++ b/crates/stackpier-scheduler/src/node.rs
@@ -26,7 +26,7 @@
     log::{Admission, RateLimit},
     metrics::{Metrics, labels},
     owner::Owner,
-    rejecting::Admissions,
+    rejection::Admissions,
     relay::Relays,
     retry::{Cause, Planner},
     store::{Committed, Item, Listing, Transaction, Watched},
--- a/crates/stackpier-scheduler/src/rejecting.rs
+++ b/crates/stackpier-scheduler/src/rejection.rs
@@ -26,7 +26,7 @@
     monitor::HEARTBEAT_TIMEOUT,
     node::{Node, pause},
     retry::Cause,
-    store::{Committed, Transaction},
+    store::Committed,
     submission,
 };
 
@@ -35,20 +35,33 @@
 const KEPT_MS: u64 = 15_000;
 /// CLEAN_MS is the time between two removals of old rejections.
 const CLEAN_MS: u64 = 1_000;
-/// MAX_REMOVALS is how many keys a transaction may remove.
-const MAX_REMOVALS: usize = 32;
+/// MAX_REMOVALS is how many rejections one transaction removes. Each is a condition, too, and the store
+/// accepts 32 entries.
+const MAX_REMOVALS: usize = 15;
 /// ASKED_MS is how long after a job came in a follower asks for outlooks.
 const ASKED_MS: u64 = 3_000;
+/// MAX_FAILURES is after how many questions without an answer an owner is not asked any more: one of
+/// an earlier build can't decode them.
+const MAX_FAILURES: u32 = 3;
 
 /// Admissions holds what a daemon needs to decide on jobs.
 pub(crate) struct Admissions {
     gate: RefCell<Gate>,
     /// When a job last came in.
     asked_at: Cell<Millis>,
-    /// The fence of an owner that knows no outlooks.
-    unsupported: Cell<u64>,
-    /// The rejections in the store, with the time from which they may be removed.
-    kept: RefCell<VecDeque<(Millis, key::Job)>>,
+    /// The owner, by its fence, that did not answer the last questions, and how many.
+    failures: Cell<(u64, u32)>,
+    /// The rejections in the store, the oldest first.
+    kept: RefCell<VecDeque<Kept>>,
+}
+
+/// Kept is a rejection in the store.
+#[derive(Clone, Copy, Debug)]
+struct Kept {
+    job: key::Job,
+    revision: u64,
+    /// When it may be removed.
+    until: Millis,
 }
 
 impl Admissions {
@@ -57,16 +70,49 @@
         Admissions {
             gate: RefCell::new(Gate::new(objectives)),
             asked_at: Cell::default(),
-            unsupported: Cell::default(),
+            failures: Cell::default(),
             kept: RefCell::default(),
         }
     }
+
+    fn keep(&self, now: Millis, job: key::Job, revision: u64) {
+        let until = now.plus(KEPT_MS);
+        let kept = Kept {
+            job,
+            revision,
+            until,
+        };
+        self.kept.borrow_mut().push_back(kept);
+    }
+
+    /// due returns the rejections that may be removed now.
+    fn due(&self, now: Millis) -> Vec<Kept> {
+        let kept = self.kept.borrow();
+        let due = kept.iter().take_while(|kept| kept.until <= now);
+        due.take(MAX_REMOVALS).copied().collect()
+    }
+
+    /// forget drops rejections that are not in the store any more, or were renewed since.
+    fn forget(&self, is_gone: impl Fn(&Kept) -> bool) {
+        self.kept.borrow_mut().retain(|kept| !is_gone(kept));
+    }
+
+    fn record_failure(&self, fence: u64) {
+        let (failed, count) = self.failures.get();
+        let count = if failed == fence { count + 1 } else { 1 };
+        self.failures.set((fence, count));
+    }
+
+    fn has_given_up(&self, fence: u64) -> bool {
+        let (failed, count) = self.failures.get();
+        failed == fence && count >= MAX_FAILURES
+    }
 }
 
 impl<P: Platform> Node<P> {
-    /// reject_hopeless returns an error if a job can't be done in time and is rejected. It returns
+    /// check_admission returns an error if a job can't be done in time and is rejected. It returns
     /// `Ok` for a job that is to be accepted, or that an earlier try has written.
-    pub(crate) async fn reject_hopeless(
+    pub(crate) async fn check_admission(
         &self,
         job: key::Job,
         queue: &Queue,
@@ -89,20 +135,19 @@
             return Ok(());
         };
         let outcome = self.store_commit(&submission::rejection(job)).await;
-        let rejected = matches!(outcome, Committed::Done(_));
-        self.log_rejection(job, &proposal, rejection, rejected);
-        if !rejected {
+        let Committed::Done(revision) = outcome else {
             // The job is there already, or the store does not answer: accepting it shows which.
+            self.log_rejection(job, &proposal, rejection, false);
             self.metrics
                 .admissions
                 .add(1, &metrics::admission("not-rejected", &queue.name));
             return Ok(());
-        }
+        };
+        self.log_rejection(job, &proposal, rejection, true);
         self.metrics
             .admissions
             .add(1, &metrics::admission("rejected", &queue.name));
-        let until = self.mono().plus(KEPT_MS);
-        admissions.kept.borrow_mut().push_back((until, job));
+        admissions.keep(self.mono(), job, revision);
         let text = format!("no room for {} ms at least", rejection.wait_ms);
         let retry_ms = self.plan_retry(Cause::Room, Some(rejection.retry_ms), job);
         Err(Error::new(Kind::Overloaded, text).after(retry_ms))
@@ -167,7 +212,7 @@
             return;
         };
         let is_idle = self.mono().since(admissions.asked_at.get()) >= ASKED_MS;
-        if is_idle || admissions.unsupported.get() == fence {
+        if is_idle || admissions.has_given_up(fence) {
             return;
         }
         let (node, address) = (self.clone(), address.to_owned());
@@ -193,12 +238,12 @@
                 None
             }
             Err(error) => {
-                // An owner of an earlier build can't decode the question.
-                admissions.unsupported.set(fence);
+                admissions.record_failure(fence);
                 self.log_line("admission", &format!("{address} gave no outlook: {error}"));
                 return;
             }
         };
+        admissions.failures.set((fence, 0));
         if self.receive_outlook(admissions, fence, outlook) {
             self.log_line(
                 "admission",
@@ -224,13 +269,11 @@
         };
         match self.store_list(REJECTIONS).await {
             Ok(listing) => {
-                let until = self.mono().plus(KEPT_MS);
-                let jobs = listing
-                    .items
-                    .iter()
-                    .filter_map(|item| keys::rejected(&item.key));
-                let mut kept = admissions.kept.borrow_mut();
-                kept.extend(jobs.map(|job| (until, job)));
+                for item in &listing.items {
+                    if let Some(job) = keys::rejected(&item.key) {
+                        admissions.keep(self.mono(), job, item.revision);
+                    }
+                }
             }
             Err(error) => {
                 let text = format!("rejections of earlier daemons stay in the store: {error}");
@@ -249,21 +292,23 @@
     loop {
         pause(CLEAN_MS).await;
         node.record_outlook_age();
-        let now = node.mono();
-        let due: Vec<key::Job> = {
-            let kept = admissions.kept.borrow();
-            let due = kept.iter().take_while(|(until, _)| *until <= now);
-            due.map(|(_, job)| *job).take(MAX_REMOVALS).collect()
-        };
+        let due = admissions.due(node.mono());
         if due.is_empty() {
             continue;
         }
-        let transaction = Transaction {
-            removals: due.iter().copied().map(keys::rejection).collect(),
-            ..Transaction::default()
-        };
-        if matches!(node.store_commit(&transaction).await, Committed::Done(_)) {
-            admissions.kept.borrow_mut().drain(..due.len());
+        let jobs = due.iter().map(|kept| (kept.job, kept.revision));
+        match node.store_commit(&submission::removal(jobs)).await {
+            Committed::Done(_) => admissions.forget(|kept| {
+                due.iter()
+                    .any(|due| (due.job, due.revision) == (kept.job, kept.revision))
+            }),
+            Committed::Conflict(items) => admissions.forget(|kept| {
+                let shown = items
+                    .iter()
+                    .find(|item| item.key == keys::rejection(kept.job));
+                shown.is_some_and(|item| item.revision != kept.revision)
+            }),
+            Committed::Refused | Committed::Unknown => {}
         }
     }
 }
--- a/crates/stackpier-scheduler/src/relay.rs
+++ b/crates/stackpier-scheduler/src/relay.rs
@@ -270,8 +270,8 @@
         let Some(helper) = self.choose_helper(worker, &start.data_centre, busy_ms) else {
             return Route::Direct;
         };
-        let is_unknown = self.is_unknown_payload(&helper, start.order.task.job);
-        let carries_payload = is_unknown && payload > 0 && {
+        let is_new = self.record_payload(&helper, start.order.task.job);
+        let carries_payload = is_new && payload > 0 && {
             let busy_ms = self.settings.costs.link_ms(payload);
             let mut budget = self.relays.payload_budget.borrow_mut();
             budget.try_spend(self.mono(), busy_ms)
@@ -282,9 +282,9 @@
         }
     }
 
-    /// is_unknown_payload reports whether a helper was not told of a job before, and records that
-    /// it is now.
-    fn is_unknown_payload(&self, helper: &str, job: key::Job) -> bool {
+    /// record_payload records that a helper is sent a job's payload or told to read it, and reports
+    /// whether it was not before.
+    fn record_payload(&self, helper: &str, job: key::Job) -> bool {
         let mut known = self.relays.known_payloads.borrow_mut();
         let known = known
             .entry(helper.to_owned())
