--- a/crates/stackpier-cell/src/prediction.rs
+++ b/crates/stackpier-cell/src/prediction.rs
@@ -10,6 +10,7 @@
     interference::{Estimate, Pressure, load_at},
     logistic,
     run::{Phase, Run, cores},
+    worker::Worker,
 };
 
 /// HORIZONS_MS are the times ahead for which loads are predicted: a best-effort task of the
@@ -49,6 +50,10 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Prediction {
     pub image: ImageKey,
+    /// The processors that the task asked for, in thousandths of a core.
+    asked_milli: u32,
+    /// The mean of its own load over HORIZONS_MS, at most one.
+    own_load: f64,
     pub loads: LoadSeries,
     /// The probability that each of these is over the task's target.
     over_target: [f64; HORIZON_COUNT],
@@ -68,38 +73,33 @@
 impl Cell {
     /// update_predictions recomputes the predictions for a worker's serving tasks.
     pub(crate) fn update_predictions(&mut self, key: WorkerKey) {
-        let use_milli = match self.is_enabled(Mechanism::PredictedUse) {
-            true => Some(self.predict_use(key)),
-            false => None,
-        };
-        self.worker_mut(key).long_running_use_milli = use_milli;
         let serving = self.serving_runs(key);
         let pressures = self.pressures(key);
         let steady = self.has_steady_pressure(key);
         let predictions = serving
             .into_iter()
             .filter_map(|run| self.predict(run, &pressures, steady));
-        let predictions = predictions.collect();
-        self.worker_mut(key).predictions = predictions;
+        let predictions: Vec<Prediction> = predictions.collect();
+        let use_milli = self
+            .is_enabled(Mechanism::PredictedUse)
+            .then(|| self.predict_use(self.worker(key), &predictions));
+        let worker = self.worker_mut(key);
+        worker.long_running_use_milli = use_milli;
+        worker.predictions = predictions;
     }
 
     /// predict_use returns the processors that the long-running runs on a worker will use over the
     /// next seconds, in thousandths of a core. The own load of a serving task is the part of its
-    /// processors that it uses; tasks without a load curve are assumed to use the usual part.
-    fn predict_use(&mut self, key: WorkerKey) -> u32 {
+    /// processors that it uses; tasks without a prediction are assumed to use the usual part.
+    fn predict_use(&self, worker: &Worker, predictions: &[Prediction]) -> u32 {
         let usual = f64::from(self.options.serving_usage_milli) / 1_000.0;
-        let mut use_milli = 0.0;
-        for run in self.worker(key).runs.clone() {
-            let Some(run) = self.runs.get(run).filter(|run| run.long_running) else {
-                continue;
-            };
-            let (step, asked) = (run.step, f64::from(run.size.milli_cores));
-            let own_load = self.forecast_own_load(step).map_or(usual, |loads| {
-                loads.iter().map(|load| load.mean).sum::<f64>() / HORIZON_COUNT as f64
-            });
-            use_milli += asked * own_load.clamp(0.0, 1.0);
+        let (mut predicted, mut asked) = (0.0, 0);
+        for prediction in predictions {
+            predicted += f64::from(prediction.asked_milli) * prediction.own_load;
+            asked += prediction.asked_milli;
         }
-        use_milli as u32
+        let others = worker.long_running_milli.saturating_sub(asked);
+        (predicted + f64::from(others) * usual) as u32
     }
 
     /// predict returns the prediction for one serving task, if its step has a load curve.
@@ -107,6 +107,7 @@
         let run = self.runs.get(key)?;
         let last_reported = run.load.filter(|_| steady);
         let (step, image, deviation) = (run.step, run.image, run.deviation);
+        let asked_milli = run.size.milli_cores;
         let own_load = self.forecast_own_load(step)?;
         let added = self.model.added_load(image, pressures);
         let mut loads = own_load;
@@ -114,8 +115,11 @@
             load.mean += added.mean + decay * deviation;
             load.variance += added.variance + DEVIATION_VARIANCE;
         }
+        let own_sum: f64 = own_load.iter().map(|load| load.mean).sum();
         Some(Prediction {
             image,
+            asked_milli,
+            own_load: (own_sum / HORIZON_COUNT as f64).clamp(0.0, 1.0),
             loads,
             over_target: loads.map(|load| probability_over_target(&load)),
             last_reported,
