--- a/crates/stackpier-cell/src/place/starvation.rs
+++ b/crates/stackpier-cell/src/place/starvation.rs
@@ -83,13 +83,19 @@
 
     /// find_idle returns the steps that have had nothing running for so long that client accounts
     /// are about to count their jobs as lost, the longest waiting last. They go first, a few in each
-    /// pass: expired jobs would otherwise wait for as long as others come.
-    pub(super) fn find_idle(&self, steps: &[StepKey]) -> Vec<StepKey> {
+    /// pass: expired jobs would otherwise wait for as long as others come. Where more than half of a
+    /// service is in use, its steps don't: there a start of an expired job takes the room of others.
+    pub(super) fn find_idle(&mut self, steps: &[StepKey]) -> Vec<StepKey> {
         if !self.is_enabled(Mechanism::Starving) {
             return Vec::new();
         }
         let mut idle: Vec<StepKey> = steps.to_vec();
         idle.retain(|step| self.idle_ms(*step) >= STARVED_MS);
+        let mut services: Vec<Service> = Vec::new();
+        idle.retain(|step| {
+            let demand = self.demand(*step);
+            demand.is_some_and(|demand| self.is_half_free(demand.service, &mut services))
+        });
         idle.sort_by_key(|step| self.step_of(*step).idle_since);
         idle.truncate(MAX_IDLE_FIRST);
         idle.reverse();
--- a/crates/stackpier-cell/src/share.rs
+++ b/crates/stackpier-cell/src/share.rs
@@ -27,7 +27,7 @@
 const HALF_LIFE_MS: f64 = 10_000.0;
 /// MIN_RATIO is how often a class is served in time at least, compared with its queue. Client
 /// accounts ask for half; a class falls further while its jobs that go first still run.
-const MIN_RATIO: f64 = 0.8;
+const MIN_RATIO: f64 = 0.6;
 
 /// Account sums up the work of jobs with a known outcome.
 #[derive(Clone, Copy, Debug, Default)]
