Log late answers to watches, and what runs of a job when its cancellation arrives

The log now tells when an answer to a watch took longer than its wait allows, and how many runs a job has when its cancellation arrives and how long ago the latest of them started. A histogram, stackpier_known_age_seconds, counts how old the state is at most that listings and watches show.

No decision changes.

--- a/crates/stackpier-cell/src/lifecycle.rs
+++ b/crates/stackpier-cell/src/lifecycle.rs
@@ -351,11 +351,31 @@
             return;
         };
         if !self.job(key).state.is_final() {
+            let runs = self.describe_runs(key);
             self.end_job(key, State::Cancelled);
-            let text = "job cancelled by its client account".to_owned();
+            let text = format!("job cancelled by its client account, {runs}");
             self.log("job", Some(first_task(id)), text);
         }
     }
+
+    /// describe_runs returns how many runs a job has and when the latest of them started. A start
+    /// shortly before the owner learns of a cancellation shows that it learnt of it late.
+    fn describe_runs(&self, key: JobKey) -> String {
+        let job = self.job(key);
+        let tasks = (job.first_task.0..job.first_task.0 + job.tasks).map(TaskKey);
+        let runs = tasks.flat_map(|task| self.task(task).runs.iter());
+        let since: Vec<Millis> = runs
+            .filter_map(|run| Some(self.runs.get(*run)?.since))
+            .collect();
+        match since.iter().max() {
+            None => "nothing runs".to_owned(),
+            Some(latest) => format!(
+                "{} runs, the latest since {} ms",
+                since.len(),
+                self.now.mono.since(*latest)
+            ),
+        }
+    }
 }
 
 /// first_task names a job's first task, for log lines about the whole job.
--- a/crates/stackpier-scheduler/src/metrics.rs
+++ b/crates/stackpier-scheduler/src/metrics.rs
@@ -41,6 +41,8 @@
     pub retry_true: Histogram<f64>,
     /// The age of the owner's outlook, in milliseconds; zero if there is none.
     pub outlook_age: Gauge<u64>,
+    /// How old what a listing or watch of the store shows is at most, in seconds, by prefix.
+    pub known_age: Histogram<f64>,
     /// Times that this daemon came to own the cell.
     pub ownerships: Counter<u64>,
     /// Runs that occupy capacity on workers; zero on followers.
@@ -75,6 +77,7 @@
             retry_told: instruments.seconds("stackpier_retry_told_seconds", &RETRY_BOUNDS),
             retry_true: instruments.seconds("stackpier_retry_true_seconds", &RETRY_BOUNDS),
             outlook_age: gauge("stackpier_outlook_age_milliseconds"),
+            known_age: instruments.seconds("stackpier_known_age_seconds", &LATENCY_BOUNDS),
             ownerships: count("stackpier_ownerships"),
             running: gauge("stackpier_running"),
             waiting: gauge("stackpier_waiting"),
--- a/crates/stackpier-scheduler/src/watch.rs
+++ b/crates/stackpier-scheduler/src/watch.rs
@@ -2,7 +2,8 @@
 //! Follows a prefix of the store: a listing first, then its changes, for as long as the
 //! follower is wanted.
 
-use stackpier_core::Result;
+use opentelemetry::KeyValue;
+use stackpier_core::{Millis, Result};
 
 use crate::{
     Platform,
@@ -23,6 +24,8 @@
 const BUSY_CHANGES: usize = 200;
 /// RETRY_MS is the pause after a failed call.
 const RETRY_MS: u64 = 250;
+/// LATE_MS is how much later than its wait allows an answer to a watch has to come to be logged.
+const LATE_MS: u64 = 300;
 
 /// Update is what a follower receives.
 #[derive(Clone, Debug)]
@@ -91,9 +94,11 @@
 }
 
 async fn list<P: Platform, F: Follower>(node: &Node<P>, follower: &mut F) -> Result<Option<u64>> {
+    let sent = node.mono();
     let listing = node.store_list(follower.prefix()).await?;
     if follower.is_wanted() {
         follower.apply(Update::All(listing.items));
+        record_answer(node, follower.prefix(), sent);
     }
     Ok(Some(listing.at))
 }
@@ -103,6 +108,7 @@
     follower: &mut F,
     after: u64,
 ) -> Result<Option<u64>> {
+    let sent = node.mono();
     let watched = tokio::select! {
         watched = node.store_watch(follower.prefix(), after, WAIT_MS) => watched?,
         // A watch sent while the store was unreachable may never be answered.
@@ -123,6 +129,7 @@
             let behind = follower.wants_latest_only() && has_repeats(&changes);
             let count = changes.len();
             let has_changes = count > 0;
+            record_answer(node, follower.prefix(), sent);
             if has_changes && follower.is_wanted() {
                 follower.apply(Update::Changes(changes));
                 if count < BUSY_CHANGES {
@@ -134,6 +141,19 @@
     }
 }
 
+/// record_answer records how old the state of a prefix is, at most, that an answer shows: the answer
+/// to a call that was sent at `sent`.
+fn record_answer<P: Platform>(node: &Node<P>, prefix: &str, sent: Millis) {
+    let age_ms = node.mono().since(sent);
+    let label = [KeyValue::new("prefix", prefix.to_owned())];
+    let age_s = age_ms as f64 / 1_000.0;
+    node.metrics.known_age.record(age_s, &label);
+    if age_ms >= WAIT_MS + LATE_MS {
+        let text = format!("the answer about {prefix} took {age_ms} ms");
+        node.log_line("watch", &text);
+    }
+}
+
 /// has_repeats reports whether several changes concern the same key, a sign that the watch
 /// lags behind.
 fn has_repeats(changes: &[Change]) -> bool {
