Start tasks only with recent knowledge of the jobs in the store

Callers saw work that nobody had sent (UNASKED): tasks of cancelled jobs started more than three seconds after the cancellation had been acknowledged.

Cause: a new owner lists the jobs first, and then reads the rest of the cell, for three to six seconds on a link of 10 Mbit/s. It started tasks from that list as soon as it had read the rest. The answer to its first watch, with the cancellations since, came another 2.7 to 4.1 s later, and the daemons that had written them had given up telling it. Nothing bounded how old the knowledge may be on which a start relies; any owner with a late watch does the same.

Now the owner's followers report up to when the jobs are known: to the time at which a listing or watch was sent that has been answered. The cell starts nothing, sends no deferred start, no copy, and gives no time slice while this is older than cancel_ms less 700 ms. The watch of jobs waits 400 ms instead of 2,200 and pauses 300 instead of 700, so that in calm it stays below that age even if one answer is lost. While the store answers no call, starts go on until the authority ends, as before. cancel_ms comes from the settings; 3,000 ms if left out.

--- a/crates/stackpier-cell/src/cell.rs
+++ b/crates/stackpier-cell/src/cell.rs
@@ -24,6 +24,7 @@
     save::Saver,
     share::Shares,
     short_task_memory::ShortTaskMemory,
+    staleness::Staleness,
     takeover::Ownership,
     worker::Worker,
 };
@@ -91,6 +92,7 @@
     pub(crate) polled_for_suspects: Millis,
     pub(crate) saver: Saver,
     pub(crate) ownership: Ownership,
+    pub(crate) staleness: Staleness,
     /// What the outlook is made of.
     pub(crate) forecaster: Forecaster,
     /// How often jobs of each size are done in time.
@@ -148,6 +150,7 @@
             polled_for_suspects: Millis(0),
             saver: Saver::default(),
             ownership,
+            staleness: Staleness::default(),
             forecaster: Forecaster::default(),
             shares: Shares::default(),
             durations: Durations::default(),
@@ -172,6 +175,8 @@
                 cancelled,
             } => self.accept(job, &record, progress.as_deref(), cancelled),
             Event::Cancelled(job) => self.cancel(job),
+            Event::JobsKnown(at) => self.set_jobs_known(at),
+            Event::StoreAnswers(answers) => self.set_store_answers(answers),
             Event::Forwarded(starts) => starts
                 .iter()
                 .for_each(|start| self.flow.record_forwarded(start.run, start.bytes)),
--- a/crates/stackpier-cell/src/crash/deferred.rs
+++ b/crates/stackpier-cell/src/crash/deferred.rs
@@ -94,7 +94,9 @@
         run.progressed_at = now;
         let (task, worker, held) = (run.task, run.worker, run.held_since.is_some());
         let lease_ms = self.options.lease_ms;
-        let refusal = if !self.may_still_take(worker, key) {
+        let refusal = if !self.knows_jobs() {
+            "its job may have been cancelled meanwhile"
+        } else if !self.may_still_take(worker, key) {
             "its worker may not take it any more"
         } else if !self.may_still_start(key, task) {
             "a run or an end that this owner does not know of is possible"
--- a/crates/stackpier-cell/src/event.rs
+++ b/crates/stackpier-cell/src/event.rs
@@ -75,6 +75,10 @@
     },
     /// The store holds a cancellation of this job.
     Cancelled(key::Job),
+    /// All changes to the jobs in the store up to this time have been passed on.
+    JobsKnown(Millis),
+    /// Whether the store answers this daemon has changed.
+    StoreAnswers(bool),
     /// These starts were sent by way of other daemons.
     Forwarded(Vec<Forwarded>),
     /// A start was answered, or got no answer.
--- a/crates/stackpier-cell/src/lib.rs
+++ b/crates/stackpier-cell/src/lib.rs
@@ -57,6 +57,7 @@
 mod short_task_memory;
 mod silence;
 mod speculate;
+mod staleness;
 mod summary;
 mod takeover;
 mod unanswered;
--- a/crates/stackpier-cell/src/obstacle.rs
+++ b/crates/stackpier-cell/src/obstacle.rs
@@ -157,6 +157,9 @@
         if !self.knows_cordons() {
             return Cause::Unread;
         }
+        if !self.knows_jobs() {
+            return Cause::Stale(self.jobs_age_ms());
+        }
         if !self.may_start_any(step) {
             return Cause::Predecessor;
         }
--- a/crates/stackpier-cell/src/options.rs
+++ b/crates/stackpier-cell/src/options.rs
@@ -41,6 +41,9 @@
     pub save_retry_ms: u64,
     /// How long an idle owner waits until it asks the store again who owns the cell.
     pub confirm_ms: u64,
+    /// How old the owner's knowledge of the jobs in the store may be when it starts tasks: less
+    /// than the time after which client accounts expect no more starts of a cancelled job.
+    pub max_jobs_age_ms: u64,
     /// How long a finished job is shown.
     pub show_ms: u64,
     /// How long a worker that is no longer listed may still get starts.
@@ -101,6 +104,7 @@
             save_gap_ms: 40,
             save_retry_ms: 200,
             confirm_ms: 1_000,
+            max_jobs_age_ms: 2_300,
             show_ms: 150_000,
             unlisted_ms: 2_500,
             stale_entry_ms: 6_000,
--- a/crates/stackpier-cell/src/place.rs
+++ b/crates/stackpier-cell/src/place.rs
@@ -86,7 +86,7 @@
     /// place starts waiting tasks that find a worker. It continues the passes that are under
     /// way, or begins new ones.
     pub(crate) fn place(&mut self) {
-        if !self.has_authority() || !self.knows_cordons() {
+        if !self.may_place() {
             return;
         }
         let is_due = std::mem::take(&mut self.placement_due);
--- a/crates/stackpier-cell/src/rotation.rs
+++ b/crates/stackpier-cell/src/rotation.rs
@@ -60,7 +60,7 @@
     /// check_rotation preempts the tasks that have run longest in favour of those that have
     /// waited longest.
     pub(crate) fn check_rotation(&mut self) {
-        if !self.is_enabled(Mechanism::Rotation) || !self.has_authority() || self.flow.is_full() {
+        if !self.is_enabled(Mechanism::Rotation) || !self.may_place() || self.flow.is_full() {
             return;
         }
         let waiting = self.waiting_long_running();
--- a/crates/stackpier-cell/src/speculate.rs
+++ b/crates/stackpier-cell/src/speculate.rs
@@ -74,6 +74,9 @@
 
     /// check_copies starts a second run of lagging tasks, where copies are allowed.
     pub(crate) fn check_copies(&mut self) {
+        if !self.may_place() {
+            return;
+        }
         for key in self.collect_runs() {
             if let Some(task) = self.lagging_task(key) {
                 self.start_copy(task);
--- a/crates/stackpier-cell/tests/cancelling.rs
+++ b/crates/stackpier-cell/tests/cancelling.rs
@@ -8,9 +8,10 @@
 
 mod common;
 
-use common::{Owner, spec, step};
-use stackpier_cell::Event;
-use stackpier_core::key;
+use common::{Owner, name, spec, step};
+use rstest::rstest;
+use stackpier_cell::{Event, Options};
+use stackpier_core::{Millis, key};
 use stackpier_state::job::State;
 
 #[test]
@@ -32,3 +33,68 @@
     owner.advance(500);
     assert_eq!(owner.state(1), None);
 }
+
+/// Guards against starts of a cancelled job by an owner that has not learnt of the cancellation: its
+/// knowledge of the jobs in the store is too old.
+#[test]
+fn nothing_starts_while_the_jobs_are_not_known_up_to_a_recent_time() {
+    let mut owner = Owner::new(2);
+    let known_ms = owner.now_ms;
+    owner.feed(Event::JobsKnown(Millis(known_ms)));
+    owner.advance(Options::default().max_jobs_age_ms);
+    owner.submit(1, spec(vec![step(2)]));
+    owner.submit(2, spec(vec![step(2)]));
+    owner.advance(3_000);
+    assert!(owner.starts.is_empty(), "{:?}", owner.starts);
+    owner.feed(Event::Cancelled(key::Job(1)));
+    owner.feed(Event::JobsKnown(Millis(owner.now_ms)));
+    owner.advance(1_500);
+    assert_eq!(owner.places(1, 0), Vec::<usize>::new());
+    assert_eq!(owner.state(2), Some(State::Completed));
+}
+
+/// Guards against an owner that stops starting tasks during an outage of the store, in which nothing
+/// can be cancelled.
+#[test]
+fn tasks_start_while_the_store_does_not_answer() {
+    let mut owner = Owner::new(2);
+    owner.feed(Event::JobsKnown(Millis(owner.now_ms)));
+    owner.store = false;
+    owner.feed(Event::StoreAnswers(false));
+    owner.advance(Options::default().max_jobs_age_ms);
+    owner.submit(1, spec(vec![step(2)]));
+    owner.advance(200);
+    assert_eq!(owner.places(1, 0).len(), 2);
+}
+
+/// Guards against a start that is decided in time and sent after a slow save, when its job may have
+/// been cancelled meanwhile.
+#[rstest]
+#[case::known(true)]
+#[case::not_known(false)]
+fn a_start_that_waited_for_a_slow_save_needs_recent_knowledge(#[case] known: bool) {
+    let mut owner = Owner::new(2);
+    owner.crashing.insert(name(1, 0, 0));
+    owner.submit(1, spec(vec![step(1)]));
+    while owner.starts.is_empty() {
+        owner.advance(1);
+    }
+    // The task has crashed its worker, so that its next start is saved first.
+    owner.save_ms = 4_000;
+    advance_known(&mut owner, 3_000);
+    assert_eq!(owner.starts.len(), 1, "it waits for the save");
+    match known {
+        true => advance_known(&mut owner, 6_000),
+        false => owner.advance(6_000),
+    }
+    assert_eq!(owner.starts.len() > 1, known);
+}
+
+/// advance_known moves the clock forward, with reports that the jobs in the store are known.
+fn advance_known(owner: &mut Owner, ms: u64) {
+    let end = owner.now_ms + ms;
+    while owner.now_ms < end {
+        owner.feed(Event::JobsKnown(Millis(owner.now_ms)));
+        owner.advance(100);
+    }
+}
--- a/crates/stackpier-scheduler/src/following.rs
+++ b/crates/stackpier-scheduler/src/following.rs
@@ -4,7 +4,7 @@
 use std::collections::HashMap;
 
 use stackpier_cell::Event;
-use stackpier_core::{Result, key};
+use stackpier_core::{Millis, Result, key};
 use stackpier_protocol::codec::decode;
 use stackpier_state::job::Progress;
 
@@ -19,7 +19,11 @@
 
 /// JOBS_PAUSE_MS is the pause between two watches for new jobs. Daemons also send each job
 /// to the owner, so the watch only finds jobs whose message was lost.
-const JOBS_PAUSE_MS: u64 = 700;
+const JOBS_PAUSE_MS: u64 = 300;
+/// JOBS_WAIT_MS is how long a watch for new jobs waits. Its answer tells that there is none, and
+/// starts depend on that (see `stackpier_cell::Options::max_jobs_age_ms`). With the pause it
+/// keeps the knowledge of the jobs below that age even if one answer is lost.
+const JOBS_WAIT_MS: u64 = 400;
 /// WORKERS_PAUSE_MS is the pause between two watches of the list of workers. Each worker
 /// writes its entry every 1.5 s, and without the pause every entry would cost a call. The
 /// pause can be this long because a worker stays for two seconds or more after it announces
@@ -89,6 +93,14 @@
         JOBS_PAUSE_MS
     }
 
+    fn wait_ms(&self) -> u64 {
+        JOBS_WAIT_MS
+    }
+
+    fn apply_known(&mut self, at: Millis) {
+        self.node.feed(self.fence, Event::JobsKnown(at));
+    }
+
     fn apply(&mut self, update: Update) {
         for item in update.into_items() {
             self.apply_item(&item);
--- a/crates/stackpier-scheduler/src/loading.rs
+++ b/crates/stackpier-scheduler/src/loading.rs
@@ -5,7 +5,7 @@
 
 use serde::de::DeserializeOwned;
 use stackpier_cell::{Cell, ModelSnapshot, RosterEntry, maintenance};
-use stackpier_core::Result;
+use stackpier_core::{Millis, Result};
 use stackpier_protocol::codec::decode;
 
 use crate::{
@@ -30,6 +30,8 @@
 
 /// Loaded holds everything that the store keeps of a cell.
 struct Loaded {
+    /// When the jobs were requested.
+    requested: Millis,
     jobs: Listing,
     progress: Listing,
     roster: Option<Item>,
@@ -97,8 +99,10 @@
     /// so that heartbeats pass in between. Otherwise it reads them concurrently, so that a
     /// slow store delays the load by one call instead of by six.
     async fn read(&self) -> Result<Loaded> {
+        let requested = self.mono();
         if self.settings.link_kbps < SLOW_KBPS {
             return Ok(Loaded {
+                requested,
                 jobs: self.store_list(JOBS).await?,
                 progress: self.store_list(PROGRESS).await?,
                 roster: self.store_get(ROSTER).await?,
@@ -116,6 +120,7 @@
             self.store_list(self.platform.workers_prefix()),
         );
         Ok(Loaded {
+            requested,
             jobs: jobs?,
             progress: progress?,
             roster: roster?,
@@ -138,6 +143,7 @@
         cell.await_cordons();
         // Reading may have taken seconds, and a successor may have taken over meanwhile.
         cell.set_confirmed(self.owned_since(fence));
+        cell.set_jobs_known(loaded.requested);
         self.restore(&mut cell, &mut revisions, &loaded);
         let mut progress = HashMap::new();
         for item in &loaded.progress.items {
--- a/crates/stackpier-scheduler/src/settings.rs
+++ b/crates/stackpier-scheduler/src/settings.rs
@@ -51,6 +51,11 @@
 /// crashed: its entry expires after three, and the changed list reaches the owner in less
 /// than one more.
 const ENTRY_HEARTBEATS: u64 = 4;
+/// START_TRANSIT_MS is how long a start may be under way to its worker.
+const START_TRANSIT_MS: u64 = 700;
+/// DEFAULT_CANCEL_MS is the time within which a cancellation has to be in force if the settings
+/// don't give it.
+const DEFAULT_CANCEL_MS: u64 = 3_000;
 /// MAX_TIME_MS bounds every time in the settings.
 const MAX_TIME_MS: u64 = 600_000;
 
@@ -82,6 +87,8 @@
     link_mbps: f64,
     #[serde(default = "usual_beat_ms")]
     worker_heartbeat_ms: u64,
+    #[serde(default = "usual_cancel_ms")]
+    cancel_ms: u64,
     #[serde(default = "usual_over_target_ms")]
     max_over_target_ms: u64,
     #[serde(default)]
@@ -193,6 +200,12 @@
             1..=MAX_TIME_MS,
             "ms",
         )?;
+        let cancel_ms = within(
+            "cancel_ms",
+            raw.cancel_ms,
+            2 * START_TRANSIT_MS..=MAX_TIME_MS,
+            "ms",
+        )?;
         let peers = address("peers", &raw.peers)?;
         let defaults = stackpier_cell::Options::default();
         Ok(Settings {
@@ -218,6 +231,7 @@
                     1..=MAX_TIME_MS,
                     "ms",
                 )?,
+                max_jobs_age_ms: cancel_ms - START_TRANSIT_MS,
                 stale_entry_ms: heartbeat_ms * ENTRY_HEARTBEATS,
                 show_ms: shown_s * 1_000 + defaults.lease_ms,
                 without: mechanisms(&raw.without)?,
@@ -254,6 +268,10 @@
     DEFAULT_HEARTBEAT_MS
 }
 
+fn usual_cancel_ms() -> u64 {
+    DEFAULT_CANCEL_MS
+}
+
 fn usual_over_target_ms() -> u64 {
     stackpier_cell::Options::default().max_over_target_ms
 }
--- a/crates/stackpier-scheduler/src/watch.rs
+++ b/crates/stackpier-scheduler/src/watch.rs
@@ -67,6 +67,14 @@
         false
     }
 
+    /// apply_known handles that all changes up to `at` have been passed to `apply`.
+    fn apply_known(&mut self, _at: Millis) {}
+
+    /// wait_ms returns how long a watch waits for changes.
+    fn wait_ms(&self) -> u64 {
+        WAIT_MS
+    }
+
     /// pause_ms returns the pause between two watches, which lets changes arrive in
     /// batches.
     fn pause_ms(&self) -> u64 {
@@ -98,7 +106,8 @@
     let listing = node.store_list(follower.prefix()).await?;
     if follower.is_wanted() {
         follower.apply(Update::All(listing.items));
-        record_answer(node, follower.prefix(), sent);
+        follower.apply_known(sent);
+        record_answer(node, follower, sent);
     }
     Ok(Some(listing.at))
 }
@@ -110,7 +119,7 @@
 ) -> Result<Option<u64>> {
     let sent = node.mono();
     let watched = tokio::select! {
-        watched = node.store_watch(follower.prefix(), after, WAIT_MS) => watched?,
+        watched = node.store_watch(follower.prefix(), after, follower.wait_ms()) => watched?,
         // A watch sent while the store was unreachable may never be answered.
         () = node.wait_for_store() => return Ok(Some(after)),
     };
@@ -129,12 +138,13 @@
             let behind = follower.wants_latest_only() && has_repeats(&changes);
             let count = changes.len();
             let has_changes = count > 0;
-            record_answer(node, follower.prefix(), sent);
+            record_answer(node, follower, sent);
             if has_changes && follower.is_wanted() {
                 follower.apply(Update::Changes(changes));
-                if count < BUSY_CHANGES {
-                    pause(follower.pause_ms()).await;
-                }
+            }
+            follower.apply_known(sent);
+            if has_changes && count < BUSY_CHANGES {
+                pause(follower.pause_ms()).await;
             }
             Ok((!behind).then_some(at.max(after)))
         }
@@ -143,12 +153,13 @@
 
 /// record_answer records how old the state of a prefix is, at most, that an answer shows: the answer
 /// to a call that was sent at `sent`.
-fn record_answer<P: Platform>(node: &Node<P>, prefix: &str, sent: Millis) {
+fn record_answer<P: Platform, F: Follower>(node: &Node<P>, follower: &F, sent: Millis) {
+    let prefix = follower.prefix();
     let age_ms = node.mono().since(sent);
     let label = [KeyValue::new("prefix", prefix.to_owned())];
     let age_s = age_ms as f64 / 1_000.0;
     node.metrics.known_age.record(age_s, &label);
-    if age_ms >= WAIT_MS + LATE_MS {
+    if age_ms >= follower.wait_ms() + LATE_MS {
         let text = format!("the answer about {prefix} took {age_ms} ms");
         node.log_line("watch", &text);
     }
