Read the time of a cancellation also as a fraction

The platform's bounds may be fractions, and cancel_ms came from there as a whole number only: a daemon with 4000.0 would have refused its settings and not started. Found by reading; the case fails on the code before.

--- a/crates/stackpier-scheduler/src/settings.rs
+++ b/crates/stackpier-scheduler/src/settings.rs
@@ -55,7 +55,7 @@
 const START_TRANSIT_MS: u64 = 700;
 /// DEFAULT_CANCEL_MS is the time within which a cancellation has to be in force if the settings
 /// don't give it.
-const DEFAULT_CANCEL_MS: u64 = 3_000;
+const DEFAULT_CANCEL_MS: f64 = 3_000.0;
 /// MAX_TIME_MS bounds every time in the settings.
 const MAX_TIME_MS: u64 = 600_000;
 
@@ -88,7 +88,7 @@
     #[serde(default = "usual_beat_ms")]
     worker_heartbeat_ms: u64,
     #[serde(default = "usual_cancel_ms")]
-    cancel_ms: u64,
+    cancel_ms: f64,
     #[serde(default = "usual_over_target_ms")]
     max_over_target_ms: u64,
     #[serde(default)]
@@ -200,12 +200,6 @@
             1..=MAX_TIME_MS,
             "ms",
         )?;
-        let cancel_ms = within(
-            "cancel_ms",
-            raw.cancel_ms,
-            2 * START_TRANSIT_MS..=MAX_TIME_MS,
-            "ms",
-        )?;
         let peers = address("peers", &raw.peers)?;
         let defaults = stackpier_cell::Options::default();
         Ok(Settings {
@@ -231,7 +225,7 @@
                     1..=MAX_TIME_MS,
                     "ms",
                 )?,
-                max_jobs_age_ms: cancel_ms - START_TRANSIT_MS,
+                max_jobs_age_ms: max_age_ms("cancel_ms", raw.cancel_ms)?,
                 stale_entry_ms: heartbeat_ms * ENTRY_HEARTBEATS,
                 show_ms: shown_s * 1_000 + defaults.lease_ms,
                 without: mechanisms(&raw.without)?,
@@ -251,6 +245,13 @@
     }
 }
 
+/// max_age_ms returns how old the owner's knowledge of a change may be when it starts tasks, if the
+/// change has to be in force within `bound_ms`.
+fn max_age_ms(field: &str, bound_ms: f64) -> Checked<u64, Invalid> {
+    let bounds = 2 * START_TRANSIT_MS..=MAX_TIME_MS;
+    Ok(within(field, bound_ms as u64, bounds, "ms")? - START_TRANSIT_MS)
+}
+
 /// admission returns the bound on what is accepted, unless the mechanism is switched off.
 fn admission(given: Option<f64>, without: &[String]) -> Checked<Option<f64>, Invalid> {
     let checked = given
@@ -268,7 +269,7 @@
     DEFAULT_HEARTBEAT_MS
 }
 
-fn usual_cancel_ms() -> u64 {
+fn usual_cancel_ms() -> f64 {
     DEFAULT_CANCEL_MS
 }
 
--- a/crates/stackpier-scheduler/tests/settings.rs
+++ b/crates/stackpier-scheduler/tests/settings.rs
@@ -54,6 +54,33 @@
     assert_eq!(settings.cell.ratings_per_ms, RATINGS_PER_CORE / 4);
 }
 
+/// with_cancel_ms returns settings with a time within which a cancellation has to be in force.
+fn with_cancel_ms(cancel_ms: &str) -> String {
+    let usual = text("1", "[]");
+    let (head, _) = usual.rsplit_once('}').expect("an object");
+    format!("{head},\"cancel_ms\":{cancel_ms}}}")
+}
+
+#[rstest]
+#[case::whole("4000", 3_300)]
+#[case::fraction("4000.0", 3_300)]
+#[case::least("1400", 700)]
+fn starts_need_knowledge_that_is_younger_than_the_time_of_a_cancellation(
+    #[case] cancel_ms: &str,
+    #[case] max_age_ms: u64,
+) {
+    let settings = Settings::parse(with_cancel_ms(cancel_ms).as_bytes()).unwrap();
+    assert_eq!(settings.cell.max_jobs_age_ms, max_age_ms);
+}
+
+#[rstest]
+#[case::too_short("1399")]
+#[case::negative("-1")]
+fn times_of_a_cancellation_out_of_bounds_are_refused(#[case] cancel_ms: &str) {
+    let error = Settings::parse(with_cancel_ms(cancel_ms).as_bytes()).unwrap_err();
+    assert!(error.to_string().contains("cancel_ms"), "{error}");
+}
+
 /// with_heartbeat returns settings whose workers write their entries every so many milliseconds.
 fn with_heartbeat(heartbeat_ms: &str) -> String {
     let usual = text("1", "[]");
