Start tasks only with recent knowledge of the workers' entries

The same class of fault as the starts of cancelled jobs, sought elsewhere: workers announce in the store that they drain, and the owner learns of it from a watch. Nothing bounded how late its answer may be, so an owner with a slow link, or one that has just read the cell for seconds, starts tasks on workers that announced it longer ago than allowed (DRAIN).

Now the cell also knows up to when it knows the workers' entries, and starts nothing while that is older than drain_ms less the time for a start on its way.

--- a/crates/stackpier-cell/src/cell.rs
+++ b/crates/stackpier-cell/src/cell.rs
@@ -176,6 +176,7 @@
             } => self.accept(job, &record, progress.as_deref(), cancelled),
             Event::Cancelled(job) => self.cancel(job),
             Event::JobsKnown(at) => self.set_jobs_known(at),
+            Event::WorkersKnown(at) => self.set_workers_known(at),
             Event::StoreAnswers(answers) => self.set_store_answers(answers),
             Event::Forwarded(starts) => starts
                 .iter()
--- a/crates/stackpier-cell/src/crash/deferred.rs
+++ b/crates/stackpier-cell/src/crash/deferred.rs
@@ -96,6 +96,8 @@
         let lease_ms = self.options.lease_ms;
         let refusal = if !self.knows_jobs() {
             "its job may have been cancelled meanwhile"
+        } else if !self.knows_workers() {
+            "its worker may have begun to drain meanwhile"
         } else if !self.may_still_take(worker, key) {
             "its worker may not take it any more"
         } else if !self.may_still_start(key, task) {
--- a/crates/stackpier-cell/src/event.rs
+++ b/crates/stackpier-cell/src/event.rs
@@ -77,6 +77,8 @@
     Cancelled(key::Job),
     /// All changes to the jobs in the store up to this time have been passed on.
     JobsKnown(Millis),
+    /// All changes to the workers' entries up to this time have been passed on.
+    WorkersKnown(Millis),
     /// Whether the store answers this daemon has changed.
     StoreAnswers(bool),
     /// These starts were sent by way of other daemons.
--- a/crates/stackpier-cell/src/obstacle.rs
+++ b/crates/stackpier-cell/src/obstacle.rs
@@ -158,7 +158,10 @@
             return Cause::Unread;
         }
         if !self.knows_jobs() {
-            return Cause::Stale(self.jobs_age_ms());
+            return Cause::StaleJobs(self.jobs_age_ms());
+        }
+        if !self.knows_workers() {
+            return Cause::StaleWorkers(self.workers_age_ms());
         }
         if !self.may_start_any(step) {
             return Cause::Predecessor;
--- a/crates/stackpier-cell/src/options.rs
+++ b/crates/stackpier-cell/src/options.rs
@@ -44,6 +44,8 @@
     /// How old the owner's knowledge of the jobs in the store may be when it starts tasks: less
     /// than the time after which client accounts expect no more starts of a cancelled job.
     pub max_jobs_age_ms: u64,
+    /// The same for the workers' entries, in which workers announce that they drain.
+    pub max_workers_age_ms: u64,
     /// How long a finished job is shown.
     pub show_ms: u64,
     /// How long a worker that is no longer listed may still get starts.
@@ -105,6 +107,7 @@
             save_retry_ms: 200,
             confirm_ms: 1_000,
             max_jobs_age_ms: 2_300,
+            max_workers_age_ms: 1_300,
             show_ms: 150_000,
             unlisted_ms: 2_500,
             stale_entry_ms: 6_000,
--- a/crates/stackpier-cell/src/staleness.rs
+++ b/crates/stackpier-cell/src/staleness.rs
@@ -1,11 +1,11 @@
 // SPDX-License-Identifier: Apache-2.0
-//! Bounded staleness: how old the owner's knowledge of the jobs in the store may be when it starts
-//! tasks.
+//! Bounded staleness: how old the owner's knowledge of the store may be when it starts tasks.
 //!
 //! Client accounts cancel jobs by way of any daemon, which writes the cancellation to the store. The
-//! owner learns of it from its watch of the jobs; a message that may arrive earlier can be lost. An
-//! answer to the watch may be late, and a new owner listed the jobs before it read the rest of the
-//! cell. Meanwhile it may know a job but not its cancellation, so it starts nothing.
+//! owner learns of it from its watch of the jobs; a message that may arrive earlier can be lost. In the
+//! same way workers announce in the store that they drain. An answer to a watch may be late, and a new
+//! owner listed jobs and workers before it had read the rest of the cell. Meanwhile it may know a job
+//! but not its cancellation, so it starts nothing.
 //!
 //! While the store does not answer, its state can't be known, and starts go on for as long as the
 //! owner has authority.
@@ -14,11 +14,13 @@
 
 use crate::Cell;
 
-/// Staleness is what bounds the age of the owner's knowledge of the jobs.
+/// Staleness is what bounds the age of the owner's knowledge of the store.
 #[derive(Debug)]
 pub(crate) struct Staleness {
     /// Up to when the owner knows all changes to the jobs, if that is reported to the cell.
     jobs_known_at: Option<Millis>,
+    /// The same for the workers' entries.
+    workers_known_at: Option<Millis>,
     /// Whether the store answers this daemon.
     store_answers: bool,
 }
@@ -27,6 +29,7 @@
     fn default() -> Staleness {
         Staleness {
             jobs_known_at: None,
+            workers_known_at: None,
             store_answers: true,
         }
     }
@@ -37,7 +40,14 @@
     /// cancellations among them.
     pub fn set_jobs_known(&mut self, at: Millis) {
         let known_at = &mut self.staleness.jobs_known_at;
-        *known_at = Some(known_at.map_or(at, |known_at| known_at.max(at)));
+        *known_at = Some(at).max(*known_at);
+        self.placement_due = true;
+    }
+
+    /// set_workers_known sets up to when the owner knows all changes to the workers' entries.
+    pub fn set_workers_known(&mut self, at: Millis) {
+        let known_at = &mut self.staleness.workers_known_at;
+        *known_at = Some(at).max(*known_at);
         self.placement_due = true;
     }
 
@@ -48,7 +58,15 @@
 
     /// jobs_age_ms returns how old the owner's knowledge of the jobs is.
     pub(crate) fn jobs_age_ms(&self) -> u64 {
-        let known_at = self.staleness.jobs_known_at;
+        self.age_ms(self.staleness.jobs_known_at)
+    }
+
+    /// workers_age_ms returns how old the owner's knowledge of the workers' entries is.
+    pub(crate) fn workers_age_ms(&self) -> u64 {
+        self.age_ms(self.staleness.workers_known_at)
+    }
+
+    fn age_ms(&self, known_at: Option<Millis>) -> u64 {
         known_at.map_or(0, |known_at| self.now.mono.since(known_at))
     }
 
@@ -57,8 +75,13 @@
         !self.staleness.store_answers || self.jobs_age_ms() < self.options.max_jobs_age_ms
     }
 
+    /// knows_workers reports whether its knowledge of the workers' entries is.
+    pub(crate) fn knows_workers(&self) -> bool {
+        !self.staleness.store_answers || self.workers_age_ms() < self.options.max_workers_age_ms
+    }
+
     /// may_place reports whether this owner may start tasks at all now.
     pub(crate) fn may_place(&self) -> bool {
-        self.has_authority() && self.knows_cordons() && self.knows_jobs()
+        self.has_authority() && self.knows_cordons() && self.knows_jobs() && self.knows_workers()
     }
 }
--- a/crates/stackpier-scheduler/src/following.rs
+++ b/crates/stackpier-scheduler/src/following.rs
@@ -29,6 +29,9 @@
 /// pause can be this long because a worker stays for two seconds or more after it announces
 /// that it leaves.
 const WORKERS_PAUSE_MS: u64 = 250;
+/// WORKERS_WAIT_MS is how long a watch of the list of workers waits: see [`JOBS_WAIT_MS`] and
+/// `stackpier_cell::Options::max_workers_age_ms`.
+const WORKERS_WAIT_MS: u64 = 300;
 
 /// Jobs follows jobs and their cancellations for the owner.
 pub(crate) struct Jobs<P> {
@@ -171,6 +174,14 @@
         WORKERS_PAUSE_MS
     }
 
+    fn wait_ms(&self) -> u64 {
+        WORKERS_WAIT_MS
+    }
+
+    fn apply_known(&mut self, at: Millis) {
+        self.node.feed(self.fence, Event::WorkersKnown(at));
+    }
+
     fn apply(&mut self, update: Update) {
         match update {
             Update::All(items) => self.apply_all(&items),
--- a/crates/stackpier-scheduler/src/loading.rs
+++ b/crates/stackpier-scheduler/src/loading.rs
@@ -144,6 +144,7 @@
         // Reading may have taken seconds, and a successor may have taken over meanwhile.
         cell.set_confirmed(self.owned_since(fence));
         cell.set_jobs_known(loaded.requested);
+        cell.set_workers_known(loaded.requested);
         self.restore(&mut cell, &mut revisions, &loaded);
         let mut progress = HashMap::new();
         for item in &loaded.progress.items {
--- a/crates/stackpier-scheduler/src/settings.rs
+++ b/crates/stackpier-scheduler/src/settings.rs
@@ -56,6 +56,9 @@
 /// DEFAULT_CANCEL_MS is the time within which a cancellation has to be in force if the settings
 /// don't give it.
 const DEFAULT_CANCEL_MS: f64 = 3_000.0;
+/// DEFAULT_DRAIN_MS is the time within which a worker that drains gets no more starts if the
+/// settings don't give it.
+const DEFAULT_DRAIN_MS: f64 = 2_000.0;
 /// MAX_TIME_MS bounds every time in the settings.
 const MAX_TIME_MS: u64 = 600_000;
 
@@ -89,6 +92,8 @@
     worker_heartbeat_ms: u64,
     #[serde(default = "usual_cancel_ms")]
     cancel_ms: f64,
+    #[serde(default = "usual_drain_ms")]
+    drain_ms: f64,
     #[serde(default = "usual_over_target_ms")]
     max_over_target_ms: u64,
     #[serde(default)]
@@ -226,6 +231,7 @@
                     "ms",
                 )?,
                 max_jobs_age_ms: max_age_ms("cancel_ms", raw.cancel_ms)?,
+                max_workers_age_ms: max_age_ms("drain_ms", raw.drain_ms)?,
                 stale_entry_ms: heartbeat_ms * ENTRY_HEARTBEATS,
                 show_ms: shown_s * 1_000 + defaults.lease_ms,
                 without: mechanisms(&raw.without)?,
@@ -273,6 +279,10 @@
     DEFAULT_CANCEL_MS
 }
 
+fn usual_drain_ms() -> f64 {
+    DEFAULT_DRAIN_MS
+}
+
 fn usual_over_target_ms() -> u64 {
     stackpier_cell::Options::default().max_over_target_ms
 }
--- a/crates/stackpier-state/src/explain.rs
+++ b/crates/stackpier-state/src/explain.rs
@@ -111,7 +111,9 @@
     Unread,
     /// The owner's knowledge of the jobs in the store, and so of cancellations, is too old: this
     /// many milliseconds.
-    Stale(u64),
+    StaleJobs(u64),
+    /// The same for the workers' entries.
+    StaleWorkers(u64),
     /// The configuration lacks the job's queue, which has this name.
     UnknownQueue(String),
     /// The workers, counted by what prevents a start on them.
@@ -252,7 +254,12 @@
             Cause::Unconfirmed => f.write_str("the store has not confirmed the ownership lately"),
             Cause::Predecessor => f.write_str("runs of an earlier owner are possible"),
             Cause::Unread => f.write_str("the operators' entries are not read yet"),
-            Cause::Stale(ms) => write!(f, "the jobs in the store were last known {ms} ms ago"),
+            Cause::StaleJobs(ms) => {
+                write!(f, "the jobs in the store were last known {ms} ms ago")
+            }
+            Cause::StaleWorkers(ms) => {
+                write!(f, "the workers in the store were last known {ms} ms ago")
+            }
             Cause::UnknownQueue(queue) => write!(f, "queue {queue} is not known"),
             Cause::Workers(tally) => tally.fmt(f),
         }
