Take a store that only this daemon does not reach for no outage

In an outage of the store the owner starts tasks without recent knowledge of the jobs: nothing can be cancelled then. It took one second without an answer for an outage. A congested link does the same.

Now the owner asks up to eight peers, four of its own data centre and four others, whether the store answers them (a message that they know). It is an outage if some say that it does not and none says that it does. An owner that no peer answers is cut off itself, and starts nothing once its knowledge is too old; a cluster of one daemon has nobody to ask.

--- a/crates/stackpier-cell/src/event.rs
+++ b/crates/stackpier-cell/src/event.rs
@@ -79,7 +79,8 @@
     JobsKnown(Millis),
     /// All changes to the workers' entries up to this time have been passed on.
     WorkersKnown(Millis),
-    /// Whether the store answers this daemon has changed.
+    /// An outage of the store, in which it answers neither this daemon nor others, has begun (false)
+    /// or ended (true).
     StoreAnswers(bool),
     /// These starts were sent by way of other daemons.
     Forwarded(Vec<Forwarded>),
--- a/crates/stackpier-cell/src/staleness.rs
+++ b/crates/stackpier-cell/src/staleness.rs
@@ -7,8 +7,8 @@
 //! owner listed jobs and workers before it had read the rest of the cell. Meanwhile it may know a job
 //! but not its cancellation, so it starts nothing.
 //!
-//! While the store does not answer, its state can't be known, and starts go on for as long as the
-//! owner has authority.
+//! In an outage of the store nothing can be cancelled, and starts go on for as long as the owner has
+//! authority.
 
 use stackpier_core::Millis;
 
@@ -21,7 +21,7 @@
     jobs_known_at: Option<Millis>,
     /// The same for the workers' entries.
     workers_known_at: Option<Millis>,
-    /// Whether the store answers this daemon.
+    /// Whether the store answers this daemon or others.
     store_answers: bool,
 }
 
@@ -51,7 +51,7 @@
         self.placement_due = true;
     }
 
-    /// set_store_answers sets whether the store answers this daemon.
+    /// set_store_answers sets whether the store answers this daemon or others.
     pub(crate) fn set_store_answers(&mut self, answers: bool) {
         self.staleness.store_answers = answers;
     }
--- a/crates/stackpier-scheduler/src/lib.rs
+++ b/crates/stackpier-scheduler/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod metrics;
 mod monitor;
 mod node;
+pub mod outage;
 mod owner;
 mod refusal;
 mod rejection;
--- a/crates/stackpier-scheduler/src/loading.rs
+++ b/crates/stackpier-scheduler/src/loading.rs
@@ -175,6 +175,7 @@
         };
         self.start_followers(jobs, loaded.jobs, workers, loaded.workers);
         tokio::task::spawn_local(tick(self.clone(), fence));
+        tokio::task::spawn_local(self.clone().follow_outages(fence));
     }
 
     /// restore passes to the cell what predecessors saved: the roster of workers, the
--- /dev/null
+++ b/crates/stackpier-scheduler/src/outage.rs
@@ -0,0 +1,111 @@
+// SPDX-License-Identifier: Apache-2.0
+//! Tells an outage of the store from a store that only this daemon does not reach.
+//!
+//! In an outage nothing can be cancelled, and the owner goes on starting tasks. An owner whose link is
+//! congested, or that was held up, gets no answers either, while client accounts cancel jobs by way of
+//! other daemons. So the owner asks some of them whether the store answers them.
+
+use std::time::Duration;
+
+use stackpier_cell::Event;
+use stackpier_core::key;
+
+use crate::{
+    Platform,
+    keys::Member,
+    link::{Request, Response},
+    node::{Node, pause},
+};
+
+/// CHECK_MS is the pause between two checks.
+const CHECK_MS: u64 = 100;
+/// ASK_LIMIT bounds the wait for a peer's answer. It allows for several round trips between data
+/// centres.
+const ASK_LIMIT: Duration = Duration::from_millis(150);
+/// ASKED_NEAR is how many peers of the own data centre are asked, which can still be reached if it is
+/// cut off.
+const ASKED_NEAR: usize = 4;
+/// ASKED_FAR is how many peers of other data centres are asked.
+const ASKED_FAR: usize = 4;
+
+/// Answer is what a peer says about the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// The store answers the peer.
+    Reached,
+    /// The store does not answer the peer.
+    Unreached,
+    /// The peer did not answer.
+    Silent,
+}
+
+/// is_outage reports whether the answers of all peers that were asked show an outage, for a daemon
+/// that does not reach the store. If none of them answers, this daemon itself may be cut off.
+pub fn is_outage(answers: &[Answer]) -> bool {
+    let is_unreached = answers.contains(&Answer::Unreached);
+    let is_reached = answers.contains(&Answer::Reached);
+    answers.is_empty() || is_unreached && !is_reached
+}
+
+impl<P: Platform> Node<P> {
+    /// follow_outages tells the cell of the begin and end of outages, for as long as this daemon owns
+    /// it with `fence`.
+    pub(crate) async fn follow_outages(self, fence: u64) {
+        let mut is_out = false;
+        while self.owns_with(fence) {
+            let found = !self.store_answers() && is_outage(&self.ask_for_store().await);
+            if found != is_out {
+                is_out = found;
+                let text = match is_out {
+                    true => "the store answers neither this daemon nor the peers that were asked",
+                    false => "the store answers this daemon or a peer, or no peer answers",
+                };
+                self.log_line("store", text);
+                self.feed(fence, Event::StoreAnswers(!is_out));
+            }
+            pause(CHECK_MS).await;
+        }
+    }
+
+    /// ask_for_store asks some peers whether the store answers them.
+    async fn ask_for_store(&self) -> Vec<Answer> {
+        let asked: Vec<_> = self
+            .peers_to_ask()
+            .into_iter()
+            .map(|address| {
+                let node = self.clone();
+                tokio::task::spawn_local(async move { node.ask_peer_for_store(&address).await })
+            })
+            .collect();
+        let mut answers = Vec::new();
+        for answer in asked {
+            answers.push(answer.await.unwrap_or(Answer::Silent));
+        }
+        answers
+    }
+
+    async fn ask_peer_for_store(&self, address: &str) -> Answer {
+        match self.links.call(address, &Request::Store, ASK_LIMIT).await {
+            Ok(Response::Flag(true)) => Answer::Reached,
+            Ok(Response::Flag(false)) => Answer::Unreached,
+            // It is asked again, and tells nothing until then.
+            Ok(_) | Err(_) => Answer::Silent,
+        }
+    }
+
+    /// peers_to_ask returns the addresses of some peers, in the own data centre and elsewhere.
+    fn peers_to_ask(&self) -> Vec<String> {
+        let members = self.members.borrow();
+        let others = members.values().map(|entry| &entry.member);
+        let mut others: Vec<&Member> = others
+            .filter(|member| member.vm != self.settings.vm)
+            .collect();
+        others.sort_by_key(|member| key::weight(member.vm.as_bytes(), self.boot.0));
+        let (near, far): (Vec<&Member>, Vec<&Member>) = others
+            .into_iter()
+            .partition(|member| member.data_centre == self.settings.data_centre);
+        let near = near.into_iter().take(ASKED_NEAR);
+        let chosen = near.chain(far.into_iter().take(ASKED_FAR));
+        chosen.map(|member| member.address.clone()).collect()
+    }
+}
--- a/crates/stackpier-scheduler/src/owner.rs
+++ b/crates/stackpier-scheduler/src/owner.rs
@@ -192,12 +192,7 @@
 /// tick feeds the cell a tick every [`TICK_MS`] for as long as this daemon owns it with
 /// `fence`.
 pub(crate) async fn tick<P: Platform>(node: Node<P>, fence: u64) {
-    let mut store_answers = true;
     while node.owns_with(fence) {
-        if store_answers != node.store_answers() {
-            store_answers = !store_answers;
-            node.feed(fence, Event::StoreAnswers(store_answers));
-        }
         node.feed(fence, Event::Tick);
         node.update_gate();
         node.record_gauges();
