Refused calls and lost writes do not make daemons abandon their watches

Watches that were sent while the store gave no answers may never be answered, so they are sent again once it answers. A refused call counted as such a silence, too: with writes refused (503 or 429) and reads answered, each refusal and the read after it abandoned the watches.

Now only reads without an answer count.

--- a/crates/stackpier-scheduler/src/node.rs
+++ b/crates/stackpier-scheduler/src/node.rs
@@ -133,6 +133,9 @@
     answered: Slot<Millis>,
     failed: Slot<Millis>,
     lost: Slot<bool>,
+    /// Whether a read got no answer since the store last answered. Watches that were sent meanwhile
+    /// may never be answered. Refused calls and lost writes say nothing about them.
+    silent: Slot<bool>,
     regained: Notify,
 }
 
@@ -293,6 +296,7 @@
         match &result {
             Ok(_) => self.record_store_answer(),
             Err(error) if error.kind == Kind::Unreachable => {
+                self.store.silent.set(!self.platform.is_receiving());
                 self.record_store_timeout(call, &error.message)
             }
             Err(error) => self.record_store_failure(call, &error.message),
@@ -304,6 +308,8 @@
         self.store.answered.set(self.mono());
         if self.store.lost.replace(false) {
             self.log_line("store", "the store answers again");
+        }
+        if self.store.silent.replace(false) {
             self.store.regained.notify_waiters();
         }
         self.end_cause(Cause::Store);
@@ -331,7 +337,7 @@
         }
     }
 
-    /// wait_for_store waits until the store answers again after a failure.
+    /// wait_for_store waits until the store answers again after a read without an answer.
     pub(crate) async fn wait_for_store(&self) {
         self.store.regained.notified().await;
     }
