Stop nothing to make room while nothing may start

An owner whose knowledge of the store is too old starts nothing, but it went on to stop long-running tasks for short ones on dedicated workers, and serving tasks for best-effort ones on evacuated workers.

Both now need what starts need. Stops that protect serving tasks, and those for maintenance and for workers that drain, go on.

--- a/crates/stackpier-cell/src/dedicated.rs
+++ b/crates/stackpier-cell/src/dedicated.rs
@@ -69,7 +69,7 @@
     /// workers to short tasks that do not fit, and preempts long-running tasks on dedicated
     /// workers.
     pub(crate) fn update_dedicated_workers(&mut self) {
-        if !self.is_enabled(Mechanism::Dedicated) || !self.has_authority() {
+        if !self.is_enabled(Mechanism::Dedicated) || !self.may_place() {
             return;
         }
         self.release_unused();
--- a/crates/stackpier-cell/src/evacuation.rs
+++ b/crates/stackpier-cell/src/evacuation.rs
@@ -78,7 +78,7 @@
     /// update_evacuations evacuates workers for best-effort tasks, or lets them run serving
     /// tasks again.
     pub(crate) fn update_evacuations(&mut self) {
-        if !self.is_enabled(Mechanism::Spare) || !self.has_authority() {
+        if !self.is_enabled(Mechanism::Spare) || !self.may_place() {
             return;
         }
         let now = self.now.mono;
--- a/crates/stackpier-cell/tests/dedicated.rs
+++ b/crates/stackpier-cell/tests/dedicated.rs
@@ -10,6 +10,7 @@
 use common::{Owner, QUEUE, queue, sized, spec};
 use rstest::rstest;
 use stackpier_cell::{Event, Mechanism, Options, Queue, TaskName};
+use stackpier_core::Millis;
 
 const WORKERS: usize = 10;
 /// LONG_RUNNING is the job that fills all workers, two tasks on each; WAITING fits nowhere.
@@ -162,3 +163,15 @@
     let tasks = worker.runs.iter().map(|run| run.task);
     tasks.filter(|task| task.job.0 < SHORT)
 }
+
+/// Guards against stops of long-running tasks by an owner that may start nothing, as its knowledge of
+/// the jobs is too old: the capacity would stay unused.
+#[test]
+fn nothing_is_stopped_for_short_tasks_that_may_not_start() {
+    let mut owner = start_full_cell(None);
+    owner.feed(Event::JobsKnown(Millis(owner.now_ms)));
+    owner.advance(Options::default().max_jobs_age_ms);
+    assert_eq!(submit_short_jobs(&mut owner, 12, WIDE).len(), 0);
+    let is_stop = |line: &&String| line.contains("stopped: its worker is dedicated");
+    assert_eq!(owner.log_lines.iter().find(is_stop), None);
+}
