Workers refuse starts that arrive too late for the owner's knowledge

It was valid until the end of its lease, six seconds, so a worker could carry it out long after its job had been cancelled or the worker had announced that it drains.

A start now brings a lease that ends, by its worker's clock, when a change that the owner did not know may have to be in force; the worker refuses it after that, whoever sent it. The renewal that follows each start extends the lease as before. The time allowed for the way is 900 ms instead of 700.

Test: a_start_that_is_under_way_for_long_is_refused failed before.

--- a/crates/stackpier-cell/src/options.rs
+++ b/crates/stackpier-cell/src/options.rs
@@ -41,8 +41,12 @@
     pub save_retry_ms: u64,
     /// How long an idle owner waits until it asks the store again who owns the cell.
     pub confirm_ms: u64,
-    /// How old the owner's knowledge of the jobs in the store may be when it starts tasks: less
-    /// than the time after which client accounts expect no more starts of a cancelled job.
+    /// How long a start may be under way to its worker: one that a helper sends takes up to this
+    /// long.
+    pub start_transit_ms: u64,
+    /// How old the owner's knowledge of the jobs in the store may be when it starts tasks: the time
+    /// after which client accounts expect no more starts of a cancelled job, less
+    /// `start_transit_ms`.
     pub max_jobs_age_ms: u64,
     /// The same for the workers' entries, in which workers announce that they drain.
     pub max_workers_age_ms: u64,
@@ -106,8 +110,9 @@
             save_gap_ms: 40,
             save_retry_ms: 200,
             confirm_ms: 1_000,
-            max_jobs_age_ms: 2_300,
-            max_workers_age_ms: 1_300,
+            start_transit_ms: 900,
+            max_jobs_age_ms: 2_100,
+            max_workers_age_ms: 1_100,
             show_ms: 150_000,
             unlisted_ms: 2_500,
             stale_entry_ms: 6_000,
--- a/crates/stackpier-cell/src/order.rs
+++ b/crates/stackpier-cell/src/order.rs
@@ -51,10 +51,14 @@
         self.renew_with_wait(worker);
     }
 
-    /// send_start sends the order to start a run.
+    /// send_start sends the order to start a run. The run's lease may end before `deadline_ms`, so
+    /// that a late start is refused; renewals extend it.
     pub(crate) fn send_start(&mut self, key: RunKey, deadline_ms: u64) {
         let run = self.runs.get(key).expect("the run exists");
         let (task, worker) = (run.task, run.worker);
+        let limit_ms = self.start_limit_ms();
+        let latest_ms = limit_ms.and_then(|ms| self.worker(worker).clock_in(self.now.mono, ms));
+        let deadline_ms = latest_ms.map_or(deadline_ms, |latest_ms| latest_ms.min(deadline_ms));
         let start = Start {
             order: self.order_for(key),
             data_centre: self.worker(worker).info.data_centre.clone(),
--- a/crates/stackpier-cell/src/staleness.rs
+++ b/crates/stackpier-cell/src/staleness.rs
@@ -7,6 +7,9 @@
 //! owner listed jobs and workers before it had read the rest of the cell. Meanwhile it may know a job
 //! but not its cancellation, so it starts nothing.
 //!
+//! A start may be under way for long, by way of a helper or on a congested link. Its worker refuses it
+//! once a change that the owner did not know may have to be in force.
+//!
 //! In an outage of the store nothing can be cancelled, and starts go on for as long as the owner has
 //! authority.
 
@@ -80,6 +83,24 @@
         !self.staleness.store_answers || self.workers_age_ms() < self.options.max_workers_age_ms
     }
 
+    /// start_limit_ms returns for how long a start that is sent now may still be carried out, if that
+    /// is limited: until a change that the owner did not know has to be in force.
+    pub(crate) fn start_limit_ms(&self) -> Option<u64> {
+        if !self.staleness.store_answers {
+            return None;
+        }
+        let left = |known_at: Option<Millis>, max_age_ms: u64| {
+            let bound_ms = max_age_ms + self.options.start_transit_ms;
+            Some(bound_ms.saturating_sub(self.now.mono.since(known_at?)))
+        };
+        let jobs = left(self.staleness.jobs_known_at, self.options.max_jobs_age_ms);
+        let workers = left(
+            self.staleness.workers_known_at,
+            self.options.max_workers_age_ms,
+        );
+        jobs.into_iter().chain(workers).min()
+    }
+
     /// may_place reports whether this owner may start tasks at all now.
     pub(crate) fn may_place(&self) -> bool {
         self.has_authority() && self.knows_cordons() && self.knows_jobs() && self.knows_workers()
--- a/crates/stackpier-cell/src/worker.rs
+++ b/crates/stackpier-cell/src/worker.rs
@@ -233,6 +233,14 @@
         Some(deadline)
     }
 
+    /// clock_in returns what the worker's clock shows in `ms` milliseconds at the earliest, if it
+    /// ever answered.
+    pub(crate) fn clock_in(&self, now: Millis, ms: u64) -> Option<u64> {
+        let clock = self.clock?;
+        let passed = now.since(clock.at) + ms;
+        Some(clock.ms + passed - passed * CLOCK_ERROR_MILLI / 1_000)
+    }
+
     /// add records that a run holds capacity.
     pub(crate) fn add(&mut self, key: RunKey, run: &Run) {
         self.runs.push(key);
--- a/crates/stackpier-cell/tests/cancelling.rs
+++ b/crates/stackpier-cell/tests/cancelling.rs
@@ -12,7 +12,7 @@
 use rstest::rstest;
 use stackpier_cell::{Event, Options};
 use stackpier_core::{Millis, key};
-use stackpier_state::job::State;
+use stackpier_state::job::{State, Step};
 
 #[test]
 fn a_job_cancelled_before_it_arrives_starts_nothing() {
@@ -98,3 +98,28 @@
         owner.advance(100);
     }
 }
+
+/// Guards against a start that is under way for long, by way of a helper or on a congested link, and
+/// is carried out when its job may long have been cancelled.
+#[test]
+fn a_start_that_is_under_way_for_long_is_refused() {
+    let mut owner = Owner::new(1);
+    let known_ms = owner.now_ms;
+    owner.feed(Event::JobsKnown(Millis(known_ms)));
+    owner.advance(1_000);
+    let long = Step {
+        estimate_ms: 8_000,
+        ..step(1)
+    };
+    owner.submit(1, spec(vec![long]));
+    let (start, place) = owner.starts[0].clone();
+    let options = Options::default();
+    let bound_ms = known_ms + options.max_jobs_age_ms + options.start_transit_ms;
+    assert!(start.deadline_ms <= owner.workers[place].clock(bound_ms));
+    owner.advance(8_500);
+    assert_eq!(
+        owner.state(1),
+        Some(State::Completed),
+        "renewals extend the lease"
+    );
+}
--- a/crates/stackpier-scheduler/src/following.rs
+++ b/crates/stackpier-scheduler/src/following.rs
@@ -21,8 +21,7 @@
 /// to the owner, so the watch only finds jobs whose message was lost.
 const JOBS_PAUSE_MS: u64 = 300;
 /// JOBS_WAIT_MS is how long a watch for new jobs waits. Its answer tells that there is none, and
-/// starts depend on that (see `stackpier_cell::Options::max_jobs_age_ms`). With the pause it
-/// keeps the knowledge of the jobs below that age even if one answer is lost.
+/// starts depend on that: see `stackpier_cell::Options::max_jobs_age_ms`.
 const JOBS_WAIT_MS: u64 = 400;
 /// WORKERS_PAUSE_MS is the pause between two watches of the list of workers. Each worker
 /// writes its entry every 1.5 s, and without the pause every entry would cost a call. The
--- a/crates/stackpier-scheduler/src/settings.rs
+++ b/crates/stackpier-scheduler/src/settings.rs
@@ -51,14 +51,15 @@
 /// crashed: its entry expires after three, and the changed list reaches the owner in less
 /// than one more.
 const ENTRY_HEARTBEATS: u64 = 4;
-/// START_TRANSIT_MS is how long a start may be under way to its worker.
-const START_TRANSIT_MS: u64 = 700;
 /// DEFAULT_CANCEL_MS is the time within which a cancellation has to be in force if the settings
 /// don't give it.
 const DEFAULT_CANCEL_MS: f64 = 3_000.0;
 /// DEFAULT_DRAIN_MS is the time within which a worker that drains gets no more starts if the
 /// settings don't give it.
 const DEFAULT_DRAIN_MS: f64 = 2_000.0;
+/// MIN_BOUND_MS is the shortest time that a change of the store may be required to be in force in.
+/// Below it the pauses between two watches alone would keep tasks from starting.
+const MIN_BOUND_MS: u64 = 1_800;
 /// MAX_TIME_MS bounds every time in the settings.
 const MAX_TIME_MS: u64 = 600_000;
 
@@ -207,6 +208,7 @@
         )?;
         let peers = address("peers", &raw.peers)?;
         let defaults = stackpier_cell::Options::default();
+        let transit_ms = defaults.start_transit_ms;
         Ok(Settings {
             callers: address("callers", &raw.callers)?,
             readiness: address("readiness", &raw.readiness)?,
@@ -230,8 +232,8 @@
                     1..=MAX_TIME_MS,
                     "ms",
                 )?,
-                max_jobs_age_ms: max_age_ms("cancel_ms", raw.cancel_ms)?,
-                max_workers_age_ms: max_age_ms("drain_ms", raw.drain_ms)?,
+                max_jobs_age_ms: max_age_ms("cancel_ms", raw.cancel_ms, transit_ms)?,
+                max_workers_age_ms: max_age_ms("drain_ms", raw.drain_ms, transit_ms)?,
                 stale_entry_ms: heartbeat_ms * ENTRY_HEARTBEATS,
                 show_ms: shown_s * 1_000 + defaults.lease_ms,
                 without: mechanisms(&raw.without)?,
@@ -252,10 +254,10 @@
 }
 
 /// max_age_ms returns how old the owner's knowledge of a change may be when it starts tasks, if the
-/// change has to be in force within `bound_ms`.
-fn max_age_ms(field: &str, bound_ms: f64) -> Checked<u64, Invalid> {
-    let bounds = 2 * START_TRANSIT_MS..=MAX_TIME_MS;
-    Ok(within(field, bound_ms as u64, bounds, "ms")? - START_TRANSIT_MS)
+/// change has to be in force within `bound_ms` and starts are under way for up to `transit_ms`.
+fn max_age_ms(field: &str, bound_ms: f64, transit_ms: u64) -> Checked<u64, Invalid> {
+    let bounds = MIN_BOUND_MS..=MAX_TIME_MS;
+    Ok(within(field, bound_ms as u64, bounds, "ms")? - transit_ms)
 }
 
 /// admission returns the bound on what is accepted, unless the mechanism is switched off.
--- a/crates/stackpier-scheduler/tests/settings.rs
+++ b/crates/stackpier-scheduler/tests/settings.rs
@@ -62,9 +62,9 @@
 }
 
 #[rstest]
-#[case::whole("4000", 3_300)]
-#[case::fraction("4000.0", 3_300)]
-#[case::least("1400", 700)]
+#[case::whole("4000", 3_100)]
+#[case::fraction("4000.0", 3_100)]
+#[case::least("1800", 900)]
 fn starts_need_knowledge_that_is_younger_than_the_time_of_a_cancellation(
     #[case] cancel_ms: &str,
     #[case] max_age_ms: u64,
@@ -74,7 +74,7 @@
 }
 
 #[rstest]
-#[case::too_short("1399")]
+#[case::too_short("1799")]
 #[case::negative("-1")]
 fn times_of_a_cancellation_out_of_bounds_are_refused(#[case] cancel_ms: &str) {
     let error = Settings::parse(with_cancel_ms(cancel_ms).as_bytes()).unwrap_err();
