Never pass on a job whose cancellation the store holds

A daemon that was asked for a job which the owner does not know told the owner of the job before it read the job's cancellation, and never told it of the cancellation. So a client account's GET of a cancelled job made a new owner learn the job alone and start it. A repeated submission did the same: the write found the job in the store, and the owner was told of it without a look at the cancellation.

Now the cancellation is read first, and the owner is told of it in place of the job. If it can't be read, the owner is told nothing, and learns of both from its watch. After a conflicting write this read does not hold up the answer.

--- a/crates/stackpier-scheduler/src/jobs.rs
+++ b/crates/stackpier-scheduler/src/jobs.rs
@@ -135,7 +135,7 @@
         now + SUBMIT_LIMIT.min(Duration::from_millis(left_ms))
     }
 
-    /// apply_conflict records the ownership and the job that a conflicting write
+    /// apply_conflict records the ownership that a conflicting write found, passes on a job that it
     /// found, and returns whether the job is in the store already.
     fn apply_conflict(&self, job: key::Job, items: &[Item]) -> Result<bool> {
         if let Some(item) = items.iter().find(|item| item.key == OWNER) {
@@ -148,11 +148,36 @@
         if let Some(item) = stored {
             let record =
                 decode(&item.value).map_err(|error| unreadable(Kind::WriteUnknown, &error))?;
-            self.notify_accepted(job, record);
+            self.report_conflicting(job, record);
         }
         Ok(stored.is_some())
     }
 
+    /// report_conflicting passes a job that a conflicting write found to the owner. If its
+    /// cancellation can't be read, the owner learns of both from its watch.
+    fn report_conflicting(&self, job: key::Job, record: Record) {
+        let node = self.clone();
+        tokio::task::spawn_local(async move {
+            if let Err(error) = node.report_stored(job, record).await {
+                let text = format!("not passed on, its cancellation is not readable: {error}");
+                node.log_about("job", Some(keys::hex(job)), &text);
+            }
+        });
+    }
+
+    /// report_stored passes a job that was found in the store to the owner, or only its
+    /// cancellation if the store holds one: the job alone would start. It returns whether the job is
+    /// cancelled.
+    async fn report_stored(&self, job: key::Job, record: Record) -> Result<bool> {
+        let cancelled = self.store_get(&keys::cancel(job)).await?.is_some();
+        if cancelled {
+            self.notify_cancelled(job);
+        } else {
+            self.notify_accepted(job, record);
+        }
+        Ok(cancelled)
+    }
+
     /// commit commits a transaction, through a peer if this daemon can't reach the
     /// store. The transaction's conditions must make it safe to be done twice. No
     /// further peer is tried from `end` on: all of them together may take three
@@ -335,8 +360,8 @@
         let Some(item) = self.store_get(&keys::job(job)).await? else {
             return Ok(None);
         };
-        self.notify_accepted(job, decode(&item.value).map_err(unknown)?);
-        let cancelled = self.store_get(&keys::cancel(job)).await?.is_some();
+        let record = decode(&item.value).map_err(unknown)?;
+        let cancelled = self.report_stored(job, record).await?;
         Ok(Some(if cancelled {
             State::Cancelled
         } else {
