Repeat cancellations until an owner accepts them

A cancellation that had been acknowledged was told to the owner twice at most, 50 ms apart if the owner answered, and was forgotten after that. An owner that still read the cell turned both messages away. It had listed the jobs before, so only its watch could tell it of the cancellation, seconds later on a small link.

Now cancellations wait in a backlog until an owner accepts them or cancel_ms has passed; each message goes to the owner that is known at that time. One message at a time is under way from a daemon. It carries up to 128 cancellations, in a new message at the end of the enum: one at first, twice as many after each one that was accepted, and a single one after a failure, in the message that owners of earlier builds understand. The pause after a failure grows from 50 to 400 ms, so that a small VM that reads the cell is not flooded. A daemon that stops waits for its backlog as it does for unsaved progress. An owner that gives up the cell while it takes cancellations answers that it is not the owner. Messages about accepted jobs keep their two tries.

The code of cancellations moves from jobs.rs to cancellation.rs; `cancel` itself is unchanged.

Tests: a_new_owner_is_told_of_cancellations_that_were_acknowledged_while_it_read_the_cell failed before (not cancelled after 60 s, with the owner's watch held back); backlog.rs has the pure ones.

a_job_cancelled_while_a_new_owner_reads_the_cell_does_not_start relied on a daemon that gives up telling the owner of the cancellation. It now writes the cancellation to the store as a daemon does that ends before it tells anyone, so that the message does not do what the bound on the age of the knowledge has to. Without that bound (max_jobs_age_ms set to 3,000 s) it still fails: "a cancelled job has started".

--- a/crates/stackpier-scheduler/src/daemon.rs
+++ b/crates/stackpier-scheduler/src/daemon.rs
@@ -107,8 +107,9 @@
         pause(STOP_POLL_MS).await;
     }
     close.send_replace(true);
-    let has_work =
-        || open.get() > 0 || node.open_requests.get() > 0 || !node.unsaved.borrow().is_empty();
+    let has_messages =
+        || !node.unsaved.borrow().is_empty() || !node.cancellations.borrow().is_empty();
+    let has_work = || open.get() > 0 || node.open_requests.get() > 0 || has_messages();
     while has_work() && node.mono().since(start) < limit_ms {
         pause(STOP_POLL_MS).await;
     }
@@ -181,10 +182,8 @@
                 self.add_job(fence, Source::Message, job, record, None);
                 Response::Flag(true)
             }
-            Request::Cancelled(job) => {
-                self.feed(fence, Event::Cancelled(job));
-                Response::Flag(true)
-            }
+            Request::Cancelled(job) => self.take_cancelled(fence, &[job]),
+            Request::CancelledJobs(jobs) => self.take_cancelled(fence, &jobs),
             Request::HandOver(unsaved) => {
                 self.feed(fence, Event::HandedOver(unsaved));
                 Response::Flag(true)
--- a/crates/stackpier-scheduler/src/jobs.rs
+++ b/crates/stackpier-scheduler/src/jobs.rs
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
-//! Requests of client accounts: submitting a job, its state, cancelling it, and
-//! the number of waiting jobs. Any daemon answers them.
+//! Requests of client accounts: submitting a job, its state, and the number of waiting jobs. Any
+//! daemon answers them.
 
 use std::time::Duration;
 
@@ -36,14 +36,14 @@
 /// MAX_FORWARDS is how many peers a write may be forwarded to.
 const MAX_FORWARDS: usize = 4;
 /// RETRY_MS is the pause between two attempts.
-const RETRY_MS: u64 = 50;
+pub(crate) const RETRY_MS: u64 = 50;
 /// ASK_LIMIT bounds a message to the owner.
 const ASK_LIMIT: Duration = Duration::from_millis(350);
 /// PAYLOAD_LINK_KBPS is the bandwidth of the owner's link, in kbit/s, from which it is sent the
 /// payloads of new jobs: thirty jobs a second with 4,000 bytes each take a fifth of it.
 const PAYLOAD_LINK_KBPS: u32 = 5_000;
 /// NOTIFY_TRIES is how many times a daemon tries to send the owner a message
-/// about a job. The owner also finds the job in the store.
+/// about an accepted job. The owner also finds the job in the store.
 const NOTIFY_TRIES: usize = 2;
 /// UNREADABLE_RETRY_MS is how long a client account should wait until it asks again for a job whose
 /// entry can't be read.
@@ -126,7 +126,7 @@
     /// it lies before the daemon's end: requests may arrive until the end, on connections that
     /// were opened before the port was closed, and the end would cut off attempts that went on
     /// for as long as usual. A request that arrives after the deadline is refused at once.
-    fn write_deadline(&self) -> Instant {
+    pub(crate) fn write_deadline(&self) -> Instant {
         let now = Instant::now();
         let Some(ends_at) = self.ends_at.get() else {
             return now + SUBMIT_LIMIT;
@@ -182,7 +182,7 @@
     /// store. The transaction's conditions must make it safe to be done twice. No
     /// further peer is tried from `end` on: all of them together may take three
     /// seconds, which is longer than client accounts wait and may pass the end of a planned stop.
-    async fn commit(&self, transaction: &Transaction, end: Instant) -> Committed {
+    pub(crate) async fn commit(&self, transaction: &Transaction, end: Instant) -> Committed {
         let mut unconfirmed = false;
         if self.store_answers() {
             match self.store_commit(transaction).await {
@@ -369,39 +369,6 @@
         }))
     }
 
-    /// cancel writes the cancellation of a job to the store and notifies the owner.
-    /// It returns whether there is such a job.
-    pub async fn cancel(&self, job: key::Job) -> Result<bool> {
-        let end = self.write_deadline();
-        match self.state(job).await? {
-            None => return Ok(false),
-            Some(state) if state.is_final() => return Ok(true),
-            Some(_) => {}
-        }
-        let mut unconfirmed = false;
-        while Instant::now() < end {
-            match self.commit(&submission::cancellation(job), end).await {
-                Committed::Done(_) => {
-                    self.notify_cancelled(job);
-                    return Ok(true);
-                }
-                Committed::Unknown => unconfirmed = true,
-                Committed::Conflict(_) | Committed::Refused => {}
-            }
-            pause(RETRY_MS).await;
-        }
-        let why = "the store did not confirm the cancellation in time";
-        Err(self.refuse_for(Cause::Store, job, why, unconfirmed))
-    }
-
-    fn notify_cancelled(&self, job: key::Job) {
-        let own = self.owner.borrow().as_ref().map(|owner| owner.fence);
-        match own {
-            Some(fence) => self.feed(fence, Event::Cancelled(job)),
-            None => self.notify_owner(Request::Cancelled(job)),
-        }
-    }
-
     /// waiting returns how many jobs of a queue have not begun.
     pub async fn waiting(&self, queue: &str) -> Result<u64> {
         if let Some(owner) = self.owner.borrow().as_ref() {
--- a/crates/stackpier-scheduler/src/lib.rs
+++ b/crates/stackpier-scheduler/src/lib.rs
@@ -10,7 +10,9 @@
 
 pub mod admission;
 pub mod authority;
+pub mod backlog;
 mod calls;
+mod cancellation;
 pub mod catalog;
 mod cluster;
 mod configs;
--- a/crates/stackpier-scheduler/src/link.rs
+++ b/crates/stackpier-scheduler/src/link.rs
@@ -85,6 +85,8 @@
     Announced(key::Job, Box<Record>),
     /// Asks the owner for its outlook.
     Outlook,
+    /// Reports jobs whose cancellations are in the store.
+    CancelledJobs(Vec<key::Job>),
 }
 
 impl Request {
--- a/crates/stackpier-scheduler/src/node.rs
+++ b/crates/stackpier-scheduler/src/node.rs
@@ -19,6 +19,7 @@
 use crate::{
     Platform, Settings,
     authority::{Authorities, Holder},
+    backlog::Backlog,
     catalog::Config,
     detector::Detector,
     keys::{Member, Ownership},
@@ -116,6 +117,8 @@
     pub(crate) last_contact: Slot<Millis>,
     /// The fence of the owner that last answered a heartbeat.
     pub(crate) answered: Slot<u64>,
+    /// The cancellations of which no owner has been told yet.
+    pub(crate) cancellations: RefCell<Backlog>,
     /// When client accounts that were refused may come back.
     pub(crate) planner: RefCell<Planner>,
     /// What is needed to reject jobs, if the settings allow it.
@@ -185,6 +188,7 @@
             store: StoreHealth::default(),
             last_contact: Slot::default(),
             answered: Slot::default(),
+            cancellations: RefCell::default(),
             planner: RefCell::default(),
             admissions,
             stopping: Slot::default(),
--- a/crates/stackpier-scheduler/src/settings.rs
+++ b/crates/stackpier-scheduler/src/settings.rs
@@ -139,6 +139,8 @@
     pub admission_objectives: Option<f64>,
     /// The time from the signal to stop until the process is killed, in milliseconds.
     pub grace_ms: u64,
+    /// How long after its acknowledgement a cancellation has to be in force, in milliseconds.
+    pub cancel_ms: u64,
 }
 
 /// Costs computes how long a call to a worker keeps the VM's link or processor busy.
@@ -244,6 +246,7 @@
             },
             admission_objectives: admission(raw.admission_objectives, &raw.without)?,
             grace_ms: (grace_s * 1_000.0) as u64,
+            cancel_ms: raw.cancel_ms as u64,
             milli_cores: (cores * 1_000.0) as u32,
             link_kbps: (link_mbps * KBPS_PER_MBPS) as u32,
             costs: Costs { cores, link_mbps },
