Hand cancellations over to the successor

A daemon that does not know yet that it was replaced passes a cancellation to its own cell only. Its successor listed the jobs before and learns of it from its watch, which may be late; until then the job's runs go on, and its tasks start while that watch is recent enough.

The handover of unsaved progress already carried the cancelled job, as the save of it fails under a successor. But the successor took only the done tasks, checkpoints, suspects and failures from it, and not that the job is cancelled. A cancellation of a job that the predecessor did not know was not handed over at all.

Now unsaved progress whose state is Cancelled ends the job, or is kept until the job is known, and the cancellations of unknown jobs are handed over as such progress. The messages do not change.

Tests: all four cases of a_cancellation_that_an_earlier_owner_took_is_handed_over, and a_cancellation_that_is_handed_over_late_stops_the_runs, failed before: four starts, and four runs that went on.

--- a/crates/stackpier-cell/src/handover.rs
+++ b/crates/stackpier-cell/src/handover.rs
@@ -1,12 +1,16 @@
 // SPDX-License-Identifier: Apache-2.0
-//! Progress that a predecessor knows of and the store lacks.
+//! Progress that a predecessor knows of and the store lacks, and the cancellations that it took.
 //!
 //! An owner keeps recording ends while the store is unavailable. If a worker leaves or crashes in
 //! that time, its list of ends is lost, and only that owner can tell its successor which tasks are
 //! done. The end of a run remains valid whoever owns the cell, so the successor applies this
 //! progress at any time and in any order.
+//!
+//! An owner that does not know yet that it was replaced may take a cancellation which the successor
+//! has not seen in the store: it listed the jobs before.
 
-use stackpier_state::job::{Checkpoint, Failures, Progress};
+use stackpier_core::key;
+use stackpier_state::job::{Checkpoint, Failures, Progress, State};
 
 use crate::{
     Cell, Unsaved,
@@ -14,13 +18,24 @@
 };
 
 impl Cell {
-    /// unsaved returns the progress that the store is not known to have.
+    /// unsaved returns the progress that the store is not known to have. Jobs that were cancelled
+    /// before this owner knew them are among it.
     pub fn unsaved(&self) -> Vec<Unsaved> {
         let unsaved = |key: JobKey| Unsaved {
             job: self.job(key).id,
             progress: self.progress(key),
         };
-        self.saver.unsaved().into_iter().map(unsaved).collect()
+        let mut all: Vec<Unsaved> = self.saver.unsaved().into_iter().map(unsaved).collect();
+        let mut cancelled: Vec<key::Job> = self.cancelled.iter().copied().collect();
+        cancelled.sort_unstable();
+        all.extend(cancelled.into_iter().map(|job| Unsaved {
+            job,
+            progress: Progress {
+                state: State::Cancelled,
+                ..Progress::default()
+            },
+        }));
+        all
     }
 
     /// await_handover makes inherited tasks wait until the predecessor has been asked for progress
@@ -37,20 +52,24 @@
         self.apply_handover(unsaved);
     }
 
-    /// apply_handover applies progress that a predecessor could not save.
+    /// apply_handover applies progress that a predecessor could not save, and the cancellations
+    /// among it.
     pub(crate) fn apply_handover(&mut self, unsaved: &[Unsaved]) {
-        let mut done = 0;
+        let (mut done, mut cancelled) = (0, 0);
         for Unsaved { job, progress } in unsaved {
             let known = self.job_keys.get(job).copied();
-            let Some(key) = known.filter(|key| !self.job(*key).state.is_final()) else {
-                continue;
-            };
-            done += self.merge_progress(key, progress);
+            if let Some(key) = known.filter(|key| !self.job(*key).state.is_final()) {
+                done += self.merge_progress(key, progress);
+            }
+            if progress.state == State::Cancelled {
+                cancelled += 1;
+                self.cancel(*job);
+            }
         }
         if !unsaved.is_empty() {
             let text = format!(
                 "a predecessor had unsaved progress of {} jobs, which shows {done} more \
-                 tasks as done",
+                 tasks as done and {cancelled} jobs as cancelled",
                 unsaved.len()
             );
             self.log("takeover", None, text);
--- a/crates/stackpier-cell/tests/handover.rs
+++ b/crates/stackpier-cell/tests/handover.rs
@@ -26,14 +26,20 @@
 
 /// successor returns the next owner, with restarted workers and the saved progress.
 fn successor(steps: Vec<Step>, saved: Option<Progress>) -> Owner {
+    let mut owner = empty_successor();
+    owner.submit_to(JOB, QUEUE, spec(steps), 1, saved);
+    owner.advance(300);
+    owner
+}
+
+/// empty_successor returns the next owner, with restarted workers and without a job.
+fn empty_successor() -> Owner {
     let mut owner = Owner::with_options(2, 2, false, Options::default());
     owner.cell.await_handover();
     owner.feed(Event::Queues(vec![queue(QUEUE, 0)]));
     for place in 0..2 {
         owner.feed(Event::Listed(info(place)));
     }
-    owner.submit_to(JOB, QUEUE, spec(steps), 1, saved);
-    owner.advance(300);
     owner
 }
 
@@ -124,6 +130,59 @@
     assert_eq!(later.state(JOB), Some(state));
 }
 
+/// Guards against a cancelled job that starts under the next owner: the cancellation was passed to its
+/// predecessor, which did not know yet that it was replaced.
+#[rstest]
+fn a_cancellation_that_an_earlier_owner_took_is_handed_over(
+    #[values(false, true)] is_known_earlier: bool,
+    #[values(false, true)] is_known_later: bool,
+) {
+    let steps = vec![step(TASKS)];
+    let mut earlier = Owner::new(2);
+    earlier.store = false;
+    if is_known_earlier {
+        earlier.submit(JOB, spec(steps.clone()));
+    }
+    earlier.advance(100);
+    earlier.feed(Event::Cancelled(key::Job(JOB)));
+    earlier.advance(100);
+    let mut later = empty_successor();
+    if is_known_later {
+        later.submit_to(JOB, QUEUE, spec(steps.clone()), 1, None);
+    }
+    later.feed(Event::PredecessorAnswered(earlier.cell.unsaved()));
+    if !is_known_later {
+        later.submit_to(JOB, QUEUE, spec(steps), 1, None);
+    }
+    later.advance(3_000);
+    assert_eq!(later.starts.len(), 0);
+    assert_eq!(later.state(JOB), Some(State::Cancelled));
+}
+
+/// Guards against runs of a cancelled job that go on because the predecessor that took the
+/// cancellation could not reach its successor at first.
+#[rstest]
+fn a_cancellation_that_is_handed_over_late_stops_the_runs() {
+    let long = Step {
+        estimate_ms: 60_000,
+        ..step(TASKS)
+    };
+    let mut later = successor(vec![long], None);
+    later.feed(Event::PredecessorAnswered(Vec::new()));
+    later.advance(300);
+    assert_eq!(later.starts.len(), TASKS as usize);
+    let progress = Progress {
+        state: State::Cancelled,
+        ..Progress::default()
+    };
+    later.feed(Event::HandedOver(unsaved_of(progress)));
+    later.advance(1_500);
+    let running: usize = later.workers.iter().map(|worker| worker.runs.len()).sum();
+    assert_eq!(running, 0);
+    let saved = later.saved(JOB).map(|saved| saved.state);
+    assert_eq!(saved, Some(State::Cancelled));
+}
+
 /// Guards against work that is repeated from the start, and against a run that is set back to the
 /// checkpoint that a predecessor received from the run before it.
 #[rstest]
