Cancel by way of a peer when this daemon can't reach the store

A daemon without the store hands in jobs by way of a peer, but refused to cancel them: unless the owner knew the job and answered, the daemon read the job's state from the store itself, and gave up when that failed (503).

Now a peer looks the job up. The lookup is a transaction without writes, on the condition that the store holds nothing about the job: it is done if there is no such job (410 as before), and conflicts with the job's entries otherwise. It goes as the message that forwards a write, so that peers of earlier builds carry it out. The cancellation itself went by way of a peer already.

Test: a_daemon_without_the_store_cancels_by_way_of_a_peer failed before (503 in place of 200).

--- a/crates/stackpier-scheduler/src/cancellation.rs
+++ b/crates/stackpier-scheduler/src/cancellation.rs
@@ -2,16 +2,19 @@
 //! Cancels jobs for client accounts, and tells the owner of the cell of cancellations.
 
 use stackpier_cell::Event;
-use stackpier_core::{Result, key};
+use stackpier_core::{Kind, Result, key};
+use stackpier_protocol::codec::decode;
+use stackpier_state::job::{Progress, State};
 use tokio::time::Instant;
 
 use crate::{
     Platform,
-    jobs::RETRY_MS,
+    jobs::{RETRY_MS, unreadable},
+    keys,
     link::{Request, Response},
     node::{Node, pause},
     retry::Cause,
-    store::Committed,
+    store::{Committed, Item},
     submission,
 };
 
@@ -20,7 +23,7 @@
     /// It returns whether there is such a job.
     pub async fn cancel(&self, job: key::Job) -> Result<bool> {
         let end = self.write_deadline();
-        match self.state(job).await? {
+        match self.reachable_state(job, end).await? {
             None => return Ok(false),
             Some(state) if state.is_final() => return Ok(true),
             Some(_) => {}
@@ -41,6 +44,48 @@
         Err(self.refuse_for(Cause::Store, job, why, unconfirmed))
     }
 
+    /// reachable_state returns the state of a job, or `None` if there is no such job. A peer reads it
+    /// if this daemon can't reach the store.
+    async fn reachable_state(&self, job: key::Job, end: Instant) -> Result<Option<State>> {
+        if let Some(state) = self.owner_state(job).await {
+            return Ok(Some(state));
+        }
+        if self.store_answers()
+            && let Ok(state) = self.stored_state(job).await
+        {
+            return Ok(state);
+        }
+        let inquiry = submission::inquiry(job);
+        match self.commit_through_peer(&inquiry, end).await {
+            Committed::Done(_) => Ok(None),
+            Committed::Conflict(items) => self.found_state(job, &items),
+            Committed::Refused | Committed::Unknown => {
+                let why = "neither this daemon nor a peer can read the job's state";
+                Err(self.refuse_for(Cause::Store, job, why, false))
+            }
+        }
+    }
+
+    /// found_state returns the state of a job by what the store holds about it, and passes its
+    /// cancellation to the owner if that is there.
+    fn found_state(&self, job: key::Job, items: &[Item]) -> Result<Option<State>> {
+        if let Some(item) = submission::find(items, &keys::progress(job)) {
+            let progress: Progress =
+                decode(&item.value).map_err(|error| unreadable(Kind::StoreUnavailable, &error))?;
+            if progress.state != State::Pending {
+                return Ok(Some(progress.state));
+            }
+        }
+        if submission::find(items, &keys::job(job)).is_none() {
+            return Ok(None);
+        }
+        if submission::find(items, &keys::cancel(job)).is_none() {
+            return Ok(Some(State::Pending));
+        }
+        self.notify_cancelled(job);
+        Ok(Some(State::Cancelled))
+    }
+
     /// notify_cancelled passes a cancellation that is in the store to the owner, which may be this
     /// daemon. Messages to another one are repeated until an owner accepts one or `cancel_ms` has
     /// passed: after that no owner starts tasks without having seen the cancellation in the store.
--- a/crates/stackpier-scheduler/src/jobs.rs
+++ b/crates/stackpier-scheduler/src/jobs.rs
@@ -191,6 +191,19 @@
                 outcome => return outcome,
             }
         }
+        match self.commit_through_peer(transaction, end).await {
+            Committed::Refused if unconfirmed => Committed::Unknown,
+            outcome => outcome,
+        }
+    }
+
+    /// commit_through_peer commits a transaction through a peer that reaches the store.
+    pub(crate) async fn commit_through_peer(
+        &self,
+        transaction: &Transaction,
+        end: Instant,
+    ) -> Committed {
+        let mut unconfirmed = false;
         for peer in self.peers(MAX_FORWARDS) {
             if Instant::now() >= end {
                 break;
@@ -337,19 +350,26 @@
 
     /// state returns the state of a job, or `None` if there is no such job.
     pub async fn state(&self, job: key::Job) -> Result<Option<State>> {
-        if let Some(state) = self.job_state(job) {
-            return Ok(Some(state));
+        match self.owner_state(job).await {
+            Some(state) => Ok(Some(state)),
+            None => self.stored_state(job).await,
+        }
+    }
+
+    /// owner_state returns the state of a job as the owner has it, if it answers and knows the job.
+    pub(crate) async fn owner_state(&self, job: key::Job) -> Option<State> {
+        if self.is_owner() {
+            return self.job_state(job);
         }
-        if !self.is_owner()
-            && let Ok(Response::State(Some(state))) = self.ask_owner(&Request::State(job)).await
-        {
-            return Ok(Some(state));
+        match self.ask_owner(&Request::State(job)).await {
+            Ok(Response::State(state)) => state,
+            // The store holds the state, too.
+            Ok(_) | Err(_) => None,
         }
-        self.stored_state(job).await
     }
 
     /// stored_state returns the state of a job as the store has it.
-    async fn stored_state(&self, job: key::Job) -> Result<Option<State>> {
+    pub(crate) async fn stored_state(&self, job: key::Job) -> Result<Option<State>> {
         let unknown = |error| unreadable(Kind::StoreUnavailable, &error);
         if let Some(item) = self.store_get(&keys::progress(job)).await? {
             let progress: Progress = decode(&item.value).map_err(unknown)?;
@@ -383,7 +403,7 @@
 
 /// unreadable builds the error for a job's entry in the store that can't be decoded. The request
 /// itself is valid, so the answer tells the client account when to try again.
-fn unreadable(kind: Kind, error: &Error) -> Error {
+pub(crate) fn unreadable(kind: Kind, error: &Error) -> Error {
     let why = format!(
         "the entry of the job in the store is not readable: {}",
         error.message
--- a/crates/stackpier-scheduler/src/submission.rs
+++ b/crates/stackpier-scheduler/src/submission.rs
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
-//! The writes by which a job is accepted or rejected.
+//! The transactions by which a job is accepted, rejected, cancelled or looked up.
 //!
 //! A write without an answer may be done seconds later, so tries of one job at several daemons may
 //! meet in the store. A rejection holds against all earlier tries: the job is accepted only on the
@@ -99,7 +99,24 @@
     }
 }
 
+/// inquiry changes nothing. It is done if the store holds nothing about a job, and otherwise
+/// conflicts with what the store holds.
+pub fn inquiry(job: key::Job) -> Transaction {
+    let absent = |key| Condition { key, revision: 0 };
+    let keys = [keys::progress(job), keys::job(job), keys::cancel(job)];
+    Transaction {
+        conditions: keys.map(absent).to_vec(),
+        ..Transaction::default()
+    }
+}
+
+/// find returns the item of a key in the store among items.
+pub(crate) fn find<'a>(items: &'a [Item], key: &str) -> Option<&'a Item> {
+    items
+        .iter()
+        .find(|item| item.key == key && item.revision > 0)
+}
+
 fn find_revision(items: &[Item], key: &str) -> u64 {
-    let found = items.iter().find(|item| item.key == key);
-    found.map_or(0, |item| item.revision)
+    find(items, key).map_or(0, |item| item.revision)
 }
