Rank candidates for the cell by how soon they read it

Callers saw a VM with a link of 10 Mbit/s read the cell for three to six seconds, without service meanwhile. The rank of candidates considered processors only, while what made the owner slow was mostly its link.

Now the rank orders by an estimate of the time that reading a large cell takes: its bytes over the link plus 0.1 s of a whole core. The bytes are those that the detector already allows for. Ties are broken by the hash, as before.

--- a/crates/stackpier-scheduler/src/detector.rs
+++ b/crates/stackpier-scheduler/src/detector.rs
@@ -14,10 +14,10 @@
 pub(crate) const SILENT_MS: u64 = 900;
 /// CELL_BYTES is the size of a large cell in the store. A new owner reads all of it before it can
 /// act.
-const CELL_BYTES: u64 = 384 * 1024;
+pub(crate) const CELL_BYTES: u64 = 384 * 1024;
 /// WIRE_BITS_PER_BYTE is how many bits on the link a byte of a value takes: 8 bits times
 /// four thirds for base64, and a tenth for headers.
-const WIRE_BITS_PER_BYTE: u64 = 12;
+pub(crate) const WIRE_BITS_PER_BYTE: u64 = 12;
 /// SETTLING_MS is how long after a takeover the owner reads the cell, collects the reports of all
 /// workers and starts what has waited.
 const SETTLING_MS: u64 = 8_000;
--- a/crates/stackpier-scheduler/src/keys.rs
+++ b/crates/stackpier-scheduler/src/keys.rs
@@ -4,6 +4,8 @@
 use serde::{Deserialize, Serialize};
 use stackpier_core::key::{self, Boot};
 
+use crate::capacity::Capacity;
+
 /// CLUSTER is the prefix that all daemons follow.
 pub(crate) const CLUSTER: &str = "cluster/";
 /// OWNER is the key of the cell's ownership.
@@ -60,6 +62,16 @@
     pub link_kbps: u32,
 }
 
+impl Member {
+    /// capacity returns what limits the VM as an owner.
+    pub(crate) fn capacity(&self) -> Capacity {
+        Capacity {
+            milli_cores: self.milli_cores,
+            link_kbps: self.link_kbps,
+        }
+    }
+}
+
 /// Entry is what a key under [`JOBS`] stands for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Entry {
--- a/crates/stackpier-scheduler/src/lib.rs
+++ b/crates/stackpier-scheduler/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod backlog;
 mod calls;
 mod cancellation;
+pub mod capacity;
 pub mod catalog;
 mod cluster;
 mod configs;
--- a/crates/stackpier-scheduler/src/monitor.rs
+++ b/crates/stackpier-scheduler/src/monitor.rs
@@ -6,7 +6,7 @@
 //! first asks the others whether they still reach the owner. The store decides: the
 //! ownership is changed by compare-and-swap, and its fence rises with each change.
 
-use std::time::Duration;
+use std::{cmp::Reverse, time::Duration};
 
 use stackpier_cell::Mechanism;
 use stackpier_core::{Millis, key};
@@ -14,6 +14,7 @@
 
 use crate::{
     Platform,
+    capacity::Capacity,
     cluster::Cluster,
     detector::SILENT_MS,
     handover::Predecessor,
@@ -301,8 +302,8 @@
         }
     }
 
-    /// rank returns how many daemons would take over before this one. Larger VMs come
-    /// first, as an owner's work grows with its cell.
+    /// rank returns how many daemons would take over before this one. VMs that read the cell
+    /// sooner come first, as an owner's work grows with its cell.
     fn rank(&self, owned: Option<&Owned>) -> u64 {
         let owner = owned.map(|owned| &owned.ownership);
         if owner.is_some_and(|owner| owner.vm == self.node.settings.vm) {
@@ -310,14 +311,13 @@
         }
         let item = owner.map_or(0, |owner| owner.fence).to_le_bytes();
         let weight = |vm: &str| key::weight(&item, key::weight(vm.as_bytes(), 0));
-        let own = (
-            self.node.settings.milli_cores,
-            weight(&self.node.settings.vm),
-        );
+        let place = |capacity: Capacity, vm: &str| (capacity.reading_us(), Reverse(weight(vm)));
+        let settings = &self.node.settings;
+        let own = place(settings.capacity(), &settings.vm);
         let members = self.node.members.borrow();
         let before = |member: &&Member| {
-            let other = (member.milli_cores, weight(&member.vm));
-            owner.is_none_or(|owner| owner.vm != member.vm) && other > own
+            let other = place(member.capacity(), &member.vm);
+            owner.is_none_or(|owner| owner.vm != member.vm) && other < own
         };
         let members = members.values().map(|entry| &entry.member);
         members.filter(before).count() as u64
--- a/crates/stackpier-scheduler/src/settings.rs
+++ b/crates/stackpier-scheduler/src/settings.rs
@@ -12,6 +12,8 @@
 };
 use stackpier_protocol::codec::from_json;
 
+use crate::capacity::Capacity;
+
 /// MAX_LEASE_MS is the longest lease that is requested, even if workers would grant a
 /// longer one. The tasks of a worker that crashed wait for it to expire.
 const MAX_LEASE_MS: u64 = 6_000;
@@ -173,6 +175,14 @@
 }
 
 impl Settings {
+    /// capacity returns what limits the VM as an owner.
+    pub fn capacity(&self) -> Capacity {
+        Capacity {
+            milli_cores: self.milli_cores,
+            link_kbps: self.link_kbps,
+        }
+    }
+
     /// load reads and validates a settings file.
     pub fn load(path: &Path) -> Result<Settings> {
         let unreadable = |error| Error::new(Kind::BadInput, format!("{}: {error}", path.display()));
