Count waits by rank only while the store answers, and let small VMs ask larger ones

Callers lost nearly all service after an outage of the store in which the owner was lost: a VM of 0.12 cores and 10 Mbit/s took the cell and read it for three to six seconds, while VMs of 0.5 cores and 200 Mbit/s were up.

Cause: the waits by rank counted from the last contact with the owner. After an outage longer than the longest wait all daemons had waited long enough, and the first to notice the return of the store won.

Now only time counts in which the daemon could have acted: while the reason lasts and the store answers, and at most 700 ms between two checks, so that a process that stood still has not waited. An outage that comes and goes suspends the wait and does not begin it anew, so it stays bounded. The decision is in the pure module `candidate`.

Daemons notice the return up to 850 ms apart, more than the 250 ms between two ranks. So a candidate first asks the daemons on VMs that read the cell in half its time or less (at most eight, 150 ms) whether they can take over, and yields while one can; within 1.2 s of the return also while one answers but can't. It yields for 2 s at most. Large VMs that are gone cost nothing or the 150 ms; the first ranks wait as long as before. Stopping daemons answer that they can't. Questions to other daemons moved to the module `votes`.

--- a/crates/stackpier-scheduler/src/daemon.rs
+++ b/crates/stackpier-scheduler/src/daemon.rs
@@ -149,6 +149,7 @@
             Request::Heartbeat(heartbeat) => Response::Alive(self.alive(&heartbeat)),
             Request::Store => Response::Flag(self.store_answers()),
             Request::HasRecentContact(fence) => Response::Flag(self.has_owner_contact(fence)),
+            Request::CanTakeOver => Response::Flag(self.can_take_over()),
             Request::Config => match self.config_item.borrow().as_ref() {
                 Some(item) => Response::Config(item.value.clone(), item.revision),
                 None => Response::NotOwner,
@@ -202,6 +203,7 @@
             Request::Heartbeat(_)
             | Request::HasRecentContact(_)
             | Request::Store
+            | Request::CanTakeOver
             | Request::Config
             | Request::Metrics
             | Request::Unsaved(_)
--- a/crates/stackpier-scheduler/src/lib.rs
+++ b/crates/stackpier-scheduler/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod backlog;
 mod calls;
 mod cancellation;
+pub mod candidate;
 pub mod capacity;
 pub mod catalog;
 mod cluster;
@@ -43,6 +44,7 @@
 mod socket;
 pub mod store;
 pub mod submission;
+mod votes;
 mod watch;
 
 pub use catalog::Catalog;
--- a/crates/stackpier-scheduler/src/link.rs
+++ b/crates/stackpier-scheduler/src/link.rs
@@ -87,6 +87,8 @@
     Outlook,
     /// Reports jobs whose cancellations are in the store.
     CancelledJobs(Vec<key::Job>),
+    /// Asks whether the receiver could take the cell over now.
+    CanTakeOver,
 }
 
 impl Request {
--- a/crates/stackpier-scheduler/src/monitor.rs
+++ b/crates/stackpier-scheduler/src/monitor.rs
@@ -2,11 +2,12 @@
 //! Heartbeats to the cell's owner, and the takeover of the cell when the owner fails.
 //!
 //! Followers send heartbeats to the owner. When it does not answer, the daemons try to take
-//! over by rank: each waits a little longer than the one ranked before it. A candidate
-//! first asks the others whether they still reach the owner. The store decides: the
-//! ownership is changed by compare-and-swap, and its fence rises with each change.
+//! over by rank: each waits a little longer than the one ranked before it. A candidate first asks
+//! those on larger VMs whether they can take over, and all others whether they still reach the
+//! owner. The store decides: the ownership is changed by compare-and-swap, and its fence rises with
+//! each change.
 
-use std::{cmp::Reverse, time::Duration};
+use std::{cmp::Reverse, collections::BTreeMap, time::Duration};
 
 use stackpier_cell::Mechanism;
 use stackpier_core::{Millis, key};
@@ -14,13 +15,14 @@
 
 use crate::{
     Platform,
+    candidate::{Candidate, Observation, Rank, Reason, Step},
     capacity::Capacity,
     cluster::Cluster,
     detector::SILENT_MS,
     handover::Predecessor,
     keys::{self, Member, OWNER, Ownership},
     link::{Alive, Heartbeat, Request, Response},
-    node::{Node, Owned, pause},
+    node::{Node, Owned, Registered, pause},
     store::{Committed, Item, Put, Transaction},
     watch::follow,
 };
@@ -31,7 +33,7 @@
 /// heartbeat every [`HEARTBEAT_MS`]. The others wait for seconds before they take over, so
 /// faster detection does not help them, and answering 96 followers on one interval would take
 /// 390 heartbeats a second.
-const FREQUENT_FOLLOWERS: u64 = 8;
+const FREQUENT_FOLLOWERS: usize = 8;
 /// SLOW_HEARTBEAT_MS is the time between two heartbeats of all other followers. Heartbeats
 /// also bring the newest configuration to a daemon that can't reach the store.
 const SLOW_HEARTBEAT_MS: u64 = 1_500;
@@ -40,33 +42,20 @@
 /// STORELESS_MS is how long the owner may be without the store, while this daemon reaches it,
 /// before a takeover.
 const STORELESS_MS: u64 = 1_000;
-/// RANK_MS is how much longer each daemon waits than the one ranked before it.
-const RANK_MS: u64 = 250;
-/// VOTE_TIMEOUT bounds the wait for another daemon's vote: its answer to whether it reaches
-/// the owner.
-const VOTE_TIMEOUT: Duration = Duration::from_millis(150);
 /// REGISTER_RETRY_MS is the pause before registering is retried.
 const REGISTER_RETRY_MS: u64 = 200;
+/// MAX_ASKED is how many daemons on larger VMs a candidate asks whether they can take over.
+const MAX_ASKED: usize = 8;
 /// PROBE_MS is the time between two cheap reads that check whether the store answers.
 const PROBE_MS: u64 = 400;
 
-/// Reason is why a daemon would take the cell over.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Reason {
-    /// Nobody owns the cell, or its owner released it or was restarted, so that no owner
-    /// sends orders.
-    Vacant,
-    /// The owner does not answer.
-    Silent,
-    /// The owner can't reach the store.
-    Storeless,
-}
+/// Members holds the daemons' entries by VM.
+type Members = BTreeMap<String, Registered>;
 
 /// Monitor sends heartbeats to the owner and takes the cell over when the owner fails.
 struct Monitor<P> {
     node: Node<P>,
-    /// The reason to take over, if there is one, and since when it has lasted.
-    reason: Option<(Reason, Millis)>,
+    candidate: Candidate,
     /// When this daemon last sent a heartbeat.
     sent: Millis,
     /// Since when the owner has been without the store while this daemon reaches it.
@@ -81,7 +70,7 @@
     tokio::task::spawn_local(probe(node.clone()));
     let mut monitor = Monitor {
         node: node.clone(),
-        reason: None,
+        candidate: Candidate::default(),
         sent: Millis(0),
         storeless_since: None,
     };
@@ -158,6 +147,11 @@
             || known == fence && self.mono().since(self.last_contact.get()) < SILENT_MS / 2
     }
 
+    /// can_take_over reports whether this daemon could take the cell over now.
+    pub(crate) fn can_take_over(&self) -> bool {
+        self.store_answers() && !self.stopping.get()
+    }
+
     /// unloaded returns the ownership if the store shows it as this daemon's but the cell
     /// was not loaded. This happens when the answer to the swap was lost and the daemon
     /// learnt of its success later.
@@ -186,23 +180,40 @@
             return;
         }
         let owned = self.node.owned.borrow().clone();
-        let now = self.node.mono();
+        let began = self.node.mono();
         let reason = match &owned {
             _ if self.node.members.borrow().is_empty() => None,
             None => Some(Reason::Vacant),
             Some(owned) => self.check(owned).await,
         };
-        self.reason = match (reason, self.reason) {
-            (Some(new), Some((old, since))) if new == old => Some((old, since)),
-            (Some(new), _) => Some((new, now)),
-            (None, _) => None,
-        };
-        let Some((reason, since)) = self.reason else {
+        self.candidate.observe(Observation {
+            began,
+            now: self.node.mono(),
+            reason,
+            store_answers: self.node.store_answers(),
+        });
+        self.advance(owned).await;
+    }
+
+    /// advance does what the candidate has to do after a check.
+    async fn advance(&mut self, owned: Option<Owned>) {
+        let Some(reason) = self.candidate.reason() else {
             return;
         };
-        let delay = self.rank(owned.as_ref()) * RANK_MS;
-        if self.node.mono().since(since) >= delay && self.node.store_answers() {
-            self.take_over(reason, owned).await;
+        let (rank, larger) = {
+            let members = self.node.members.borrow();
+            let before = self.before(&members, owned.as_ref());
+            let larger = self.addresses_of_larger(&before);
+            let rank = Rank {
+                before: before.len() as u64,
+                has_larger: !larger.is_empty(),
+            };
+            (rank, larger)
+        };
+        match self.candidate.step(rank) {
+            Step::Wait => {}
+            Step::AskLarger if self.is_left_to(larger).await => {}
+            Step::AskLarger | Step::TakeOver => self.take_over(reason, owned).await,
         }
     }
 
@@ -235,9 +246,9 @@
     /// is_heartbeat_due reports whether to send a heartbeat now.
     fn is_heartbeat_due(&self, owned: &Owned) -> bool {
         let waited_ms = self.node.mono().since(self.sent);
-        self.reason.is_some()
+        self.candidate.reason().is_some()
             || waited_ms >= SLOW_HEARTBEAT_MS
-            || self.rank(Some(owned)) < FREQUENT_FOLLOWERS
+            || self.before(&self.node.members.borrow(), Some(owned)).len() < FREQUENT_FOLLOWERS
     }
 
     fn is_silent(&self) -> bool {
@@ -302,25 +313,45 @@
         }
     }
 
-    /// rank returns how many daemons would take over before this one. VMs that read the cell
+    /// before returns the members that would take over before this daemon. VMs that read the cell
     /// sooner come first, as an owner's work grows with its cell.
-    fn rank(&self, owned: Option<&Owned>) -> u64 {
+    fn before<'a>(&self, members: &'a Members, owned: Option<&Owned>) -> Vec<&'a Member> {
+        let settings = &self.node.settings;
         let owner = owned.map(|owned| &owned.ownership);
-        if owner.is_some_and(|owner| owner.vm == self.node.settings.vm) {
-            return 0;
+        if owner.is_some_and(|owner| owner.vm == settings.vm) {
+            return Vec::new();
         }
         let item = owner.map_or(0, |owner| owner.fence).to_le_bytes();
         let weight = |vm: &str| key::weight(&item, key::weight(vm.as_bytes(), 0));
         let place = |capacity: Capacity, vm: &str| (capacity.reading_us(), Reverse(weight(vm)));
-        let settings = &self.node.settings;
         let own = place(settings.capacity(), &settings.vm);
-        let members = self.node.members.borrow();
-        let before = |member: &&Member| {
+        let is_before = |member: &&Member| {
             let other = place(member.capacity(), &member.vm);
             owner.is_none_or(|owner| owner.vm != member.vm) && other < own
         };
         let members = members.values().map(|entry| &entry.member);
-        members.filter(before).count() as u64
+        members.filter(is_before).collect()
+    }
+
+    /// addresses_of_larger returns the addresses of the largest of these members, as far as they
+    /// are on clearly larger VMs than this daemon.
+    fn addresses_of_larger(&self, members: &[&Member]) -> Vec<String> {
+        let own = self.node.settings.capacity();
+        let is_larger = |member: &&&Member| member.capacity().is_clearly_larger(own);
+        let mut larger: Vec<_> = members.iter().filter(is_larger).collect();
+        larger.sort_by_key(|member| member.capacity().reading_us());
+        let addresses = larger.iter().map(|member| member.address.clone());
+        addresses.take(MAX_ASKED).collect()
+    }
+
+    /// is_left_to asks the daemons at these addresses, all on clearly larger VMs, and reports
+    /// whether to leave the takeover to them for now.
+    async fn is_left_to(&mut self, addresses: Vec<String>) -> bool {
+        let larger = self.node.ask_larger(addresses).await;
+        let is_left = self.candidate.yields_to(larger);
+        let text = format!("daemons on larger VMs are {larger:?}; waiting for them: {is_left}");
+        self.node.log_line("member", &text);
+        is_left
     }
 
     /// take_over tries to become the owner, unless other daemons still reach the present
@@ -329,7 +360,7 @@
         let fence = owned.as_ref().map_or(0, |owned| owned.ownership.fence);
         let needs_votes = reason == Reason::Silent && !self.is_switched_off(Mechanism::Votes);
         if needs_votes && self.is_reachable_by_others(&owned, fence).await {
-            self.reason = None;
+            self.candidate.restart();
             self.node.last_contact.set(self.node.mono());
             return;
         }
@@ -338,7 +369,7 @@
             self.node.mono().since(self.node.last_contact.get())
         );
         self.node.log_line("member", &text);
-        self.reason = None;
+        self.candidate.restart();
         self.swap(reason, owned, fence).await;
     }
 
@@ -348,27 +379,14 @@
 
     async fn is_reachable_by_others(&self, owned: &Option<Owned>, fence: u64) -> bool {
         let own = &self.node.settings.vm;
-        let owner = owned.as_ref().map(|owned| owned.ownership.vm.clone());
-        let members = self.node.members.borrow().clone();
-        let others = members
-            .into_values()
-            .map(|entry| entry.member)
-            .filter(|member| member.vm != *own && Some(&member.vm) != owner.as_ref());
-        let votes: Vec<_> = others
-            .map(|member| {
-                let node = self.node.clone();
-                tokio::task::spawn_local(async move {
-                    let request = Request::HasRecentContact(fence);
-                    let vote = node.links.call(&member.address, &request, VOTE_TIMEOUT);
-                    matches!(vote.await, Ok(Response::Flag(true)))
-                })
-            })
-            .collect();
-        let mut reachable = false;
-        for answer in votes {
-            reachable |= answer.await.unwrap_or(false);
-        }
-        reachable
+        let owner = owned.as_ref().map(|owned| &owned.ownership.vm);
+        let others: Vec<String> = {
+            let members = self.node.members.borrow();
+            let members = members.values().map(|entry| &entry.member);
+            let others = members.filter(|member| member.vm != *own && Some(&member.vm) != owner);
+            others.map(|member| member.address.clone()).collect()
+        };
+        self.node.is_owner_reachable_by(others, fence).await
     }
 
     /// swap changes the ownership in the store by compare-and-swap, and loads the cell on
