One way to ask other daemons questions of yes or no

The check for an outage of the store and the votes of candidates were built apart and sent their questions in the same way.

--- a/crates/stackpier-scheduler/src/lib.rs
+++ b/crates/stackpier-scheduler/src/lib.rs
@@ -44,7 +44,7 @@
 mod socket;
 pub mod store;
 pub mod submission;
-mod votes;
+pub mod votes;
 mod watch;
 
 pub use catalog::Catalog;
--- a/crates/stackpier-scheduler/src/outage.rs
+++ b/crates/stackpier-scheduler/src/outage.rs
@@ -5,45 +5,30 @@
 //! congested, or that was held up, gets no answers either, while client accounts cancel jobs by way of
 //! other daemons. So the owner asks some of them whether the store answers them.
 
-use std::time::Duration;
-
 use stackpier_cell::Event;
 use stackpier_core::key;
 
 use crate::{
     Platform,
     keys::Member,
-    link::{Request, Response},
+    link::Request,
     node::{Node, pause},
+    votes::Answered,
 };
 
 /// CHECK_MS is the pause between two checks.
 const CHECK_MS: u64 = 100;
-/// ASK_LIMIT bounds the wait for a peer's answer. It allows for several round trips between data
-/// centres.
-const ASK_LIMIT: Duration = Duration::from_millis(150);
 /// ASKED_NEAR is how many peers of the own data centre are asked, which can still be reached if it is
 /// cut off.
 const ASKED_NEAR: usize = 4;
 /// ASKED_FAR is how many peers of other data centres are asked.
 const ASKED_FAR: usize = 4;
 
-/// Answer is what a peer says about the store.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Answer {
-    /// The store answers the peer.
-    Reached,
-    /// The store does not answer the peer.
-    Unreached,
-    /// The peer did not answer.
-    Silent,
-}
-
-/// is_outage reports whether the answers of all peers that were asked show an outage, for a daemon
-/// that does not reach the store. If none of them answers, this daemon itself may be cut off.
-pub fn is_outage(answers: &[Answer]) -> bool {
-    let is_unreached = answers.contains(&Answer::Unreached);
-    let is_reached = answers.contains(&Answer::Reached);
+/// is_outage reports whether the answers of peers, asked whether the store answers them, show an
+/// outage to a daemon that does not reach it. If none of them answers, this daemon itself may be cut off.
+pub fn is_outage(answers: &[Answered]) -> bool {
+    let is_unreached = answers.contains(&Answered::No);
+    let is_reached = answers.contains(&Answered::Yes);
     answers.is_empty() || is_unreached && !is_reached
 }
 
@@ -53,7 +38,7 @@
     pub(crate) async fn follow_outages(self, fence: u64) {
         let mut is_out = false;
         while self.owns_with(fence) {
-            let found = !self.store_answers() && is_outage(&self.ask_for_store().await);
+            let found = !self.store_answers() && self.sees_outage().await;
             if found != is_out {
                 is_out = found;
                 let text = match is_out {
@@ -67,30 +52,9 @@
         }
     }
 
-    /// ask_for_store asks some peers whether the store answers them.
-    async fn ask_for_store(&self) -> Vec<Answer> {
-        let asked: Vec<_> = self
-            .peers_to_ask()
-            .into_iter()
-            .map(|address| {
-                let node = self.clone();
-                tokio::task::spawn_local(async move { node.ask_peer_for_store(&address).await })
-            })
-            .collect();
-        let mut answers = Vec::new();
-        for answer in asked {
-            answers.push(answer.await.unwrap_or(Answer::Silent));
-        }
-        answers
-    }
-
-    async fn ask_peer_for_store(&self, address: &str) -> Answer {
-        match self.links.call(address, &Request::Store, ASK_LIMIT).await {
-            Ok(Response::Flag(true)) => Answer::Reached,
-            Ok(Response::Flag(false)) => Answer::Unreached,
-            // It is asked again, and tells nothing until then.
-            Ok(_) | Err(_) => Answer::Silent,
-        }
+    async fn sees_outage(&self) -> bool {
+        let answers = self.ask_all(self.peers_to_ask(), &Request::Store).await;
+        is_outage(&answers)
     }
 
     /// peers_to_ask returns the addresses of some peers, in the own data centre and elsewhere.
--- a/crates/stackpier-scheduler/src/votes.rs
+++ b/crates/stackpier-scheduler/src/votes.rs
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
-//! Questions that a candidate asks the other daemons before it takes the cell over.
+//! Questions with the answer yes or no that a daemon asks others.
 
 use std::time::Duration;
 
@@ -15,9 +15,12 @@
 
 /// Answered is a daemon's answer to a question.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Answered {
+pub enum Answered {
+    /// It answered yes.
     Yes,
+    /// It answered no, or does not know the question.
     No,
+    /// It did not answer.
     Nothing,
 }
 
@@ -42,7 +45,7 @@
     }
 
     /// ask_all sends a question to all addresses at once and returns the answers.
-    async fn ask_all(&self, addresses: Vec<String>, request: &Request) -> Vec<Answered> {
+    pub(crate) async fn ask_all(&self, addresses: Vec<String>, request: &Request) -> Vec<Answered> {
         let ask = |address: String| {
             let (node, request) = (self.clone(), request.clone());
             tokio::task::spawn_local(async move { node.ask_one(&address, &request).await })
