Fuzz owners that learn late of cancellations

The fuzz of the cell did not find the incident of the tasks that started after their job's cancellation (docs/incidents/unasked-after-a-slow-takeover.md): its owners know all changes at once.

A new kind of fault, late_watches, makes them follow the jobs as the daemon does. A new owner lists the jobs, and installs the cell when it has read the rest, for seconds at this rate; whatever arrives meanwhile is lost on it. Then it watches: 400 ms, with a pause of 300 after changes, and answers that are 1 to 6 s late at this rate. Jobs and cancellations are written to the store, and half of the messages about them are lost. The cell is told up to when the jobs are known and, from the same 1,000 ms as in the daemon, whether the store answers. The draws have a stream of their own.

The oracle reports a start that a worker carries out in time more than 3,000 ms after the cancellation was acknowledged. Excepted are orders that are carried out late, and owners that could not reach the store at some time in the last 3,000 ms, as the users' rules have it (In touch).

It finds the fault.

Whether an outage is one that peers see is simulated as in the daemon.

Sums in the age limit saturate, so that it can be switched off by the highest value.

--- a/crates/stackpier-cell/src/staleness.rs
+++ b/crates/stackpier-cell/src/staleness.rs
@@ -90,7 +90,7 @@
             return None;
         }
         let left = |known_at: Option<Millis>, max_age_ms: u64| {
-            let bound_ms = max_age_ms + self.options.start_transit_ms;
+            let bound_ms = max_age_ms.saturating_add(self.options.start_transit_ms);
             Some(bound_ms.saturating_sub(self.now.mono.since(known_at?)))
         };
         let jobs = left(self.staleness.jobs_known_at, self.options.max_jobs_age_ms);
--- a/crates/stackpier-cell/src/worker.rs
+++ b/crates/stackpier-cell/src/worker.rs
@@ -237,8 +237,9 @@
     /// ever answered.
     pub(crate) fn clock_in(&self, now: Millis, ms: u64) -> Option<u64> {
         let clock = self.clock?;
-        let passed = now.since(clock.at) + ms;
-        Some(clock.ms + passed - passed * CLOCK_ERROR_MILLI / 1_000)
+        let passed = now.since(clock.at).saturating_add(ms);
+        let slowed = passed - passed / 1_000 * CLOCK_ERROR_MILLI;
+        Some(clock.ms.saturating_add(slowed))
     }
 
     /// add records that a run holds capacity.
--- a/crates/stackpier-fuzz/src/cell.rs
+++ b/crates/stackpier-fuzz/src/cell.rs
@@ -5,8 +5,9 @@
 //!
 //! The oracle checks the workers: no task has two runs at once. No task starts
 //! after its end was acknowledged, before the steps that it depends on have
-//! ended, after as many failed runs as its queue allows, or on a worker that
-//! already runs as many tasks of its step as allowed.
+//! ended, after as many failed runs as its queue allows, on a worker that
+//! already runs as many tasks of its step as allowed, or long after its job was
+//! cancelled.
 
 mod oracle;
 mod simulation;
--- a/crates/stackpier-fuzz/src/cell/oracle.rs
+++ b/crates/stackpier-fuzz/src/cell/oracle.rs
@@ -60,6 +60,9 @@
 /// without an answer times out after 700 ms, and the save takes some more time.
 const DETECTION_MS: u64 = 1_000;
 
+/// CANCEL_MS is how long after its acknowledgement a cancellation has to be in force.
+const CANCEL_MS: u64 = 3_000;
+
 /// LATE_COPY_MS is how long after the end of a task, or of its job, copies of it may still
 /// start, because their start orders were already sent.
 const LATE_COPY_MS: u64 = 1_000;
@@ -99,6 +102,8 @@
     unrelated_crashes: BTreeMap<TaskName, u32>,
     /// The time of each takeover.
     takeovers: Vec<u64>,
+    /// When the cancellation of each job was acknowledged.
+    cancelled: BTreeMap<key::Job, u64>,
     /// Whether crashes count even if their owner was replaced before it could detect them.
     pub strict: bool,
     /// The first violation.
@@ -222,6 +227,31 @@
         spec.is_some_and(|spec| spec.steps[usize::from(task.step)].speculative)
     }
 
+    /// record_cancelled records that the cancellation of a job was acknowledged.
+    pub fn record_cancelled(&mut self, at_ms: u64, job: key::Job) {
+        self.cancelled.entry(job).or_insert(at_ms);
+    }
+
+    /// cancelled_since returns how long ago the cancellation of a job was acknowledged.
+    pub fn cancelled_since(&self, at_ms: u64, job: key::Job) -> Option<u64> {
+        self.cancelled.get(&job).map(|acked_ms| at_ms - acked_ms)
+    }
+
+    /// check_unasked detects the start of a task whose job was cancelled too long ago. `watched`
+    /// tells whether the owner has had an answer to a watch since it took over.
+    pub fn check_unasked(&mut self, at_ms: u64, task: TaskName, age_ms: u64, watched: bool) {
+        if age_ms > CANCEL_MS {
+            let owner = match watched {
+                true => "an owner that watches the jobs",
+                false => "a new owner that has only listed the jobs",
+            };
+            let what = format!(
+                "{owner} starts {task} {age_ms} ms after the cancellation was acknowledged"
+            );
+            self.report_violation(at_ms, what);
+        }
+    }
+
     /// check_ended detects the start of a task that by `until_ms` had completed, had failed as
     /// often as its queue allows, or belonged to a job that was reported as completed.
     fn check_ended(&mut self, until_ms: u64, at_ms: u64, start: &Start) {
--- a/crates/stackpier-fuzz/src/cell/simulation.rs
+++ b/crates/stackpier-fuzz/src/cell/simulation.rs
@@ -2,15 +2,18 @@
 //! The simulation: time, owners, workers, the store, and scheduled messages.
 
 mod calls;
+mod cancelling;
 mod cordons;
 mod draw;
 mod faults;
+mod following;
 mod handover;
 mod jobs;
 mod listing;
 mod query;
 mod saves;
 mod series;
+mod takeover;
 
 use std::{
     cmp::Reverse,
@@ -27,7 +30,10 @@
     job::{Progress, Record, State},
 };
 
-use self::calls::Reply;
+use self::{
+    calls::Reply,
+    following::{Change, View, Watch},
+};
 use super::Oracle;
 
 pub use self::faults::Faults;
@@ -53,6 +59,8 @@
 const ATTEMPTS: u16 = 3;
 /// EXTRA_STREAM is the number of the second random stream of the seed.
 const EXTRA_STREAM: u64 = 1;
+/// WATCH_STREAM is the number of the random stream for how owners follow the store.
+const WATCH_STREAM: u64 = 2;
 /// QUEUE is the name of the only queue.
 const QUEUE: &str = "queue";
 /// SERVICE is the name of the only service.
@@ -106,6 +114,17 @@
     Query(usize),
     /// An owner reads which data centres are cordoned.
     Cordons(usize),
+    /// A new owner reads the cell.
+    Load(usize),
+    /// An owner has read the cell, and had requested the jobs at this time.
+    Loaded(usize, Millis),
+    /// An owner watches the jobs in the store.
+    Watch(usize),
+    /// The store answers an owner's watch, sent at this time, that has waited for changes.
+    WatchEnds(usize, Millis),
+    /// The answer to a watch, sent at this time, reaches an owner, with that many changes of the
+    /// store's history.
+    Watched(usize, Millis, usize),
 }
 
 struct Owner {
@@ -125,6 +144,7 @@
     ended: bool,
     /// The cordoned data centres that it knows of.
     cordons: Option<BTreeSet<usize>>,
+    view: View,
 }
 
 #[derive(Default)]
@@ -135,6 +155,9 @@
     progress: BTreeMap<key::Job, Progress>,
     roster: Vec<RosterEntry>,
     unavailable_until: u64,
+    /// All writes to the jobs.
+    history: Vec<Change>,
+    watches: Vec<Watch>,
 }
 
 /// Simulation is one run of the fuzz: all processes, the messages between them, and the oracle.
@@ -143,6 +166,8 @@
     random: ChaCha8Rng,
     /// A second random stream of the seed: its draws don't change the other faults of a seed.
     extra_random: ChaCha8Rng,
+    /// A third random stream of the seed, for how owners follow the store.
+    watch_random: ChaCha8Rng,
     faults: Faults,
     faults_until: u64,
     deliveries: BinaryHeap<Reverse<(u64, u64)>>,
@@ -176,12 +201,25 @@
 impl Simulation {
     /// new returns a simulation with faults in the first `length_ms`.
     pub fn new(seed: u64, faults: Faults, length_ms: u64) -> Simulation {
-        let mut extra_random = ChaCha8Rng::seed_from_u64(seed);
-        extra_random.set_stream(EXTRA_STREAM);
+        let options = Options {
+            max_lease_ms: 6_000,
+            ..Options::default()
+        };
+        Simulation::with_options(seed, faults, length_ms, options)
+    }
+
+    /// with_options is [`Self::new`] with other options of the cell.
+    pub fn with_options(seed: u64, faults: Faults, length_ms: u64, options: Options) -> Simulation {
+        let stream = |number| {
+            let mut random = ChaCha8Rng::seed_from_u64(seed);
+            random.set_stream(number);
+            random
+        };
         let mut simulation = Simulation {
             now_ms: 0,
             random: ChaCha8Rng::seed_from_u64(seed),
-            extra_random,
+            extra_random: stream(EXTRA_STREAM),
+            watch_random: stream(WATCH_STREAM),
             faults,
             faults_until: length_ms,
             deliveries: BinaryHeap::new(),
@@ -199,10 +237,7 @@
             behaviours: BTreeMap::new(),
             store: Store::default(),
             cordons: BTreeSet::new(),
-            options: Options {
-                max_lease_ms: 6_000,
-                ..Options::default()
-            },
+            options,
             oracle: Oracle::new(usize::from(ATTEMPTS)),
             counts: BTreeMap::new(),
         };
@@ -276,63 +311,10 @@
         }
     }
 
-    /// take_over starts a new owner in a data centre; the owner reads the store.
-    /// Earlier owners continue until they learn of it.
-    fn take_over(&mut self, data_centre: usize) {
-        self.count("takeover");
-        self.oracle.record_takeover(self.now_ms);
-        // Owners before the predecessor were replaced earlier, so their authority ends earlier.
-        let acting_ms = match self.store.fence {
-            0 => 0,
-            _ => self.options.authority_ms,
-        };
-        self.store.fence += 1;
-        let fence = self.store.fence;
-        let mut cell = Cell::new(self.options, fence, self.now(), acting_ms);
-        let index = self.owners.len();
-        self.store
-            .roster
-            .iter()
-            .for_each(|entry| cell.add_roster(entry));
-        self.owners.push(Owner {
-            cell,
-            fence,
-            data_centre,
-            confirmed_ms: self.now_ms,
-            last_contact: BTreeMap::new(),
-            frozen_until: 0,
-            began_ms: self.now_ms,
-            stopped: BTreeSet::new(),
-            ended: false,
-            cordons: None,
-        });
-        self.delay_cordons(index);
-        self.poll_predecessor();
-        self.deliver(index, Event::Queues(vec![queue()]));
-        for (job, record) in self.store.jobs.clone() {
-            let event = Event::Accepted {
-                job,
-                record: Box::new(record),
-                progress: self.store.progress.get(&job).cloned().map(Box::new),
-                cancelled: self.store.cancelled.contains_key(&job),
-            };
-            self.deliver(index, event);
-        }
-        for worker in 0..WORKERS {
-            if !self.down[worker] {
-                let info = self.workers[worker].info.clone();
-                self.deliver(index, Event::Listed(info));
-            }
-        }
-        self.send(TICK_MS, Message::Tick(index));
-        if self.faults.queries > 0 {
-            self.query_earlier_owners(index);
-        }
-    }
-
-    /// deliver passes an event to an owner and executes the effects that it returns.
+    /// deliver passes an event to an owner and executes the effects that it returns. An owner that
+    /// is still reading the cell ignores it.
     fn deliver(&mut self, index: usize, event: Event) {
-        if self.owners[index].ended {
+        if self.owners[index].ended || !self.owners[index].view.installed {
             return;
         }
         if self.now_ms < self.owners[index].frozen_until {
@@ -385,7 +367,7 @@
     /// replaced and does not know it yet.
     fn check_reported_states(&mut self, index: usize) {
         let owner = &self.owners[index];
-        if owner.ended || self.now_ms < owner.frozen_until {
+        if owner.ended || !owner.view.installed || self.now_ms < owner.frozen_until {
             return;
         }
         for job in self.store.jobs.keys() {
@@ -421,6 +403,7 @@
             Message::Arrive(index, order, reply, sent) => self.arrive(index, *order, reply, sent),
             Message::Event(index, event) => self.deliver(index, *event),
             Message::Tick(index) => {
+                self.check_store(index);
                 self.deliver(index, Event::Tick);
                 self.check_reported_states(index);
                 self.count_outlived_leases(index);
@@ -454,6 +437,11 @@
             Message::HandOver(unsaved) => self.deliver_handover(unsaved),
             Message::Query(index) => self.query_earlier_owners(index),
             Message::Cordons(index) => self.read_cordons(index),
+            Message::Load(index) => self.load(index),
+            Message::Loaded(index, requested) => self.finish_load(index, requested),
+            Message::Watch(index) => self.watch(index),
+            Message::WatchEnds(index, sent) => self.end_watch(index, sent),
+            Message::Watched(index, sent, until) => self.finish_watch(index, sent, until),
         }
     }
 
--- a/crates/stackpier-fuzz/src/cell/simulation/calls.rs
+++ b/crates/stackpier-fuzz/src/cell/simulation/calls.rs
@@ -101,7 +101,7 @@
         let event = match order {
             Effect::Start(start) => Event::Started {
                 run: start.order.key,
-                outcome: self.start_run(target, start),
+                outcome: self.start_run(target, start, sent),
             },
             Effect::Stop(stop) => Event::Stopped {
                 run: stop.order.key,
@@ -143,7 +143,7 @@
     }
 
     /// start_run starts a run on a worker and has the oracle check it.
-    fn start_run(&mut self, target: usize, start: &Start) -> Started {
+    fn start_run(&mut self, target: usize, start: &Start, sent: Millis) -> Started {
         let task = start.order.task;
         let steps = &self.behaviours[&task.job];
         let behaviour = steps[usize::from(task.step)][task.index as usize];
@@ -154,6 +154,7 @@
         let outcome = self.workers[target].start(self.now_ms, start, behaviour);
         if self.workers[target].runs.len() > before {
             self.count("start");
+            self.check_cancelled(start, sent);
             let up: Vec<Worker> = (0..WORKERS)
                 .filter(|index| !self.down[*index])
                 .map(|index| self.workers[index].clone())
--- a/crates/stackpier-fuzz/src/cell/simulation/draw.rs
+++ b/crates/stackpier-fuzz/src/cell/simulation/draw.rs
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
-//! Random draws from the two streams of a seed.
+//! Random draws from the three streams of a seed.
 
 use rand::RngExt;
 
@@ -22,6 +22,16 @@
             && self.extra_random.random_range(0..1_000) < thousandths
     }
 
+    /// draw_watch_fault is [`Self::draw_fault`] on the third random stream.
+    pub(super) fn draw_watch_fault(&mut self, thousandths: u32) -> bool {
+        self.now_ms < self.faults_until && self.watch_random.random_range(0..1_000) < thousandths
+    }
+
+    /// draw_watch_range is [`Self::draw_range`] on the third random stream.
+    pub(super) fn draw_watch_range(&mut self, low: u64, high: u64) -> u64 {
+        self.watch_random.random_range(low..=high)
+    }
+
     /// draw_extra_range is [`Self::draw_range`] on the second random stream.
     pub(super) fn draw_extra_range(&mut self, low: u64, high: u64) -> u64 {
         self.extra_random.random_range(low..=high)
--- a/crates/stackpier-fuzz/src/cell/simulation/faults.rs
+++ b/crates/stackpier-fuzz/src/cell/simulation/faults.rs
@@ -76,6 +76,9 @@
     /// Seconds in which operators cordon or uncordon a data centre. If this rate is zero, owners
     /// do not wait for the operators' entries.
     pub cordons: u32,
+    /// Watches of the jobs in the store that are answered seconds later, and new owners that take
+    /// seconds to read the cell. If this rate is zero, owners know all changes at once.
+    pub late_watches: u32,
 }
 
 impl Faults {
@@ -108,6 +111,7 @@
             handovers: 0,
             queries: 0,
             cordons: 0,
+            late_watches: 0,
         }
     }
 }
--- a/crates/stackpier-fuzz/src/cell/simulation/handover.rs
+++ b/crates/stackpier-fuzz/src/cell/simulation/handover.rs
@@ -14,9 +14,8 @@
 const UNPOLLED_MS: (u64, u64) = (50, 12_000);
 
 impl Simulation {
-    /// poll_predecessor has the newest owner poll its predecessor.
-    pub(super) fn poll_predecessor(&mut self) {
-        let newest = self.owners.len() - 1;
+    /// poll_predecessor has a new owner poll its predecessor.
+    pub(super) fn poll_predecessor(&mut self, newest: usize) {
         let Some(predecessor) = newest.checked_sub(1) else {
             return;
         };
--- a/crates/stackpier-fuzz/src/cell/simulation/jobs.rs
+++ b/crates/stackpier-fuzz/src/cell/simulation/jobs.rs
@@ -8,7 +8,7 @@
 use stackpier_standin::fleet::Behaviour;
 use stackpier_state::job::{Record, Spec, Step};
 
-use super::{Faults, Message, START_UNIX_MS, Simulation, queue};
+use super::{Faults, Message, START_UNIX_MS, Simulation, following::Change, queue};
 
 impl Simulation {
     /// plan_jobs draws all jobs, and when each is submitted and cancelled.
@@ -104,6 +104,9 @@
 
     /// submit stores a job and reports it to the newest owner.
     pub(super) fn submit(&mut self, job: key::Job) {
+        if self.wait_for_store(Message::Submit(job)) {
+            return;
+        }
         let record = Record {
             queue: queue(),
             spec: self.oracle.specs[&job].clone(),
@@ -119,7 +122,11 @@
         };
         let index = self.owners.len() - 1;
         self.watch_stale(&event);
-        self.deliver(index, event);
+        if self.follows_store() {
+            self.write_change(Change::Accepted(job));
+        } else {
+            self.deliver(index, event);
+        }
     }
 
     /// watch_stale reports a job to some of the replaced owners through their watch of the store,
@@ -140,9 +147,16 @@
 
     /// cancel cancels a job, if it was submitted.
     pub(super) fn cancel(&mut self, job: key::Job) {
+        if self.wait_for_store(Message::Cancel(job)) {
+            return;
+        }
         if self.store.jobs.contains_key(&job) {
             self.count("cancel");
             self.store.cancelled.insert(job, ());
+            if self.follows_store() {
+                self.write_change(Change::Cancelled(job));
+                return;
+            }
             let index = self.owners.len() - 1;
             self.deliver(index, Event::Cancelled(job));
         }
--- a/crates/stackpier-fuzz/tests/cell.rs
+++ b/crates/stackpier-fuzz/tests/cell.rs
@@ -3,6 +3,7 @@
 //! `FUZZ_SEEDS=FROM..TO` sets others.
 
 use rstest::rstest;
+use stackpier_cell::Options;
 use stackpier_fuzz::cell::{Faults, Simulation};
 
 /// FAULTS_MS is the period in which faults begin.
@@ -300,3 +301,61 @@
     ];
     require_reached(&counts, &reached);
 }
+
+/// UNBOUNDED_SEEDS is how many seeds are tried until one shows what owners do whose knowledge of the
+/// jobs may be of any age.
+const UNBOUNDED_SEEDS: u64 = 30;
+
+/// late_watches returns the faults that delay what owners learn of cancelled jobs, beside others.
+fn late_watches(faults: Faults) -> Faults {
+    Faults {
+        late_watches: 300,
+        cancels: 500,
+        ..faults
+    }
+}
+
+/// Guards against an owner that starts tasks of a job long after its cancellation was acknowledged:
+/// it listed the jobs before that, and the answers to its watches are late.
+#[rstest]
+#[case::alone(Faults::default())]
+#[case::takeovers(Faults { takeovers: 150, ..Faults::default() })]
+#[case::outages(Faults { outages: 120, takeovers: 100, ..Faults::default() })]
+#[case::late(Faults { late: 30, takeovers: 60, ..Faults::default() })]
+#[case::lost(Faults { lost: 30, unanswered: 30, takeovers: 60, ..Faults::default() })]
+#[case::freezes(Faults { freezes: 150, takeovers: 80, ..Faults::default() })]
+#[case::series(Faults { series: 100, crashes: 30, ..Faults::default() })]
+#[case::crashing(Faults { crashing: 10, takeovers: 60, ..Faults::default() })]
+#[case::handovers(Faults { handovers: 500, queries: 500, cordons: 100, takeovers: 150, outages: 60, ..Faults::default() })]
+#[case::all(Faults::all(15))]
+fn cancelled_jobs_start_no_more_tasks(#[case] faults: Faults) {
+    let counts = run_seeds(late_watches(faults), seeds(6));
+    let reached = ["late watch", "slow load", "start of a cancelled job"];
+    require_reached(&counts, &reached);
+}
+
+/// The simulation shows that owners have to know the jobs in the store lately: without a bound of
+/// the age of that knowledge, some seeds break the rule.
+#[rstest]
+#[case::alone(Faults::default(), "an owner that watches the jobs")]
+#[case::takeovers(Faults { takeovers: 300, ..Faults::default() }, "a new owner that has only listed")]
+fn cancelled_jobs_would_start_tasks_without_recent_knowledge(
+    #[case] faults: Faults,
+    #[case] owner: &str,
+) {
+    let options = Options {
+        max_lease_ms: 6_000,
+        max_jobs_age_ms: u64::MAX,
+        ..Options::default()
+    };
+    let violation = |seed| {
+        let faults = late_watches(faults);
+        let mut simulation = Simulation::with_options(seed, faults, FAULTS_MS, options);
+        simulation.run();
+        let violation = simulation.oracle.violation?;
+        println!("seed {seed}: {violation}");
+        Some(violation.what)
+    };
+    let mut broken = seeds(UNBOUNDED_SEEDS).filter_map(violation);
+    assert!(broken.any(|what| what.starts_with(owner)));
+}
