Fuzz owners that learn late that workers drain

With late_watches and drains, each owner reads the list of workers again and again, 250 ms after each answer, and answers are as late as those about the jobs; the cell is told up to when it knows the list. The oracle reports a start that an owner in touch sends in time, more than 2,000 ms after the entry changed.

The cases of cancelled jobs without drains keep their draws.

--- a/crates/stackpier-fuzz/src/cell/oracle.rs
+++ b/crates/stackpier-fuzz/src/cell/oracle.rs
@@ -62,6 +62,8 @@
 
 /// CANCEL_MS is how long after its acknowledgement a cancellation has to be in force.
 const CANCEL_MS: u64 = 3_000;
+/// DRAIN_MS is how long after a worker's entry shows that it drains it may still get starts.
+const DRAIN_MS: u64 = 2_000;
 
 /// LATE_COPY_MS is how long after the end of a task, or of its job, copies of it may still
 /// start, because their start orders were already sent.
@@ -252,6 +254,14 @@
         }
     }
 
+    /// check_draining detects a start on a worker whose entry has shown for too long that it drains.
+    pub fn check_draining(&mut self, at_ms: u64, task: TaskName, age_ms: u64) {
+        if age_ms > DRAIN_MS {
+            let what = format!("{task} starts on a worker that has been draining for {age_ms} ms");
+            self.report_violation(at_ms, what);
+        }
+    }
+
     /// check_ended detects the start of a task that by `until_ms` had completed, had failed as
     /// often as its queue allows, or belonged to a job that was reported as completed.
     fn check_ended(&mut self, until_ms: u64, at_ms: u64, start: &Start) {
--- a/crates/stackpier-fuzz/src/cell/simulation.rs
+++ b/crates/stackpier-fuzz/src/cell/simulation.rs
@@ -4,6 +4,7 @@
 mod calls;
 mod cancelling;
 mod cordons;
+mod draining;
 mod draw;
 mod faults;
 mod following;
@@ -125,6 +126,10 @@
     /// The answer to a watch, sent at this time, reaches an owner, with that many changes of the
     /// store's history.
     Watched(usize, Millis, usize),
+    /// An owner reads the list of workers.
+    ReadWorkers(usize),
+    /// An owner learns, from a list requested at this time, that the workers with these ids drain.
+    Draining(usize, Millis, Vec<String>),
 }
 
 struct Owner {
@@ -186,6 +191,8 @@
     /// assumes, so that each is counted once.
     outlived_leases: BTreeSet<(usize, String)>,
     down: Vec<bool>,
+    /// When each worker last announced that it drains.
+    drains_since: [u64; WORKERS],
     incarnations: u64,
     behaviours: BTreeMap<key::Job, Vec<Vec<Behaviour>>>,
     store: Store,
@@ -233,6 +240,7 @@
             series_until: 0,
             outlived_leases: BTreeSet::new(),
             down: vec![false; WORKERS],
+            drains_since: [0; WORKERS],
             incarnations: 0,
             behaviours: BTreeMap::new(),
             store: Store::default(),
@@ -442,6 +450,8 @@
             Message::Watch(index) => self.watch(index),
             Message::WatchEnds(index, sent) => self.end_watch(index, sent),
             Message::Watched(index, sent, until) => self.finish_watch(index, sent, until),
+            Message::ReadWorkers(index) => self.read_workers(index),
+            Message::Draining(index, sent, draining) => self.show_draining(index, sent, draining),
         }
     }
 
--- a/crates/stackpier-fuzz/src/cell/simulation/calls.rs
+++ b/crates/stackpier-fuzz/src/cell/simulation/calls.rs
@@ -155,6 +155,7 @@
         if self.workers[target].runs.len() > before {
             self.count("start");
             self.check_cancelled(start, sent);
+            self.check_draining(target, start, sent);
             let up: Vec<Worker> = (0..WORKERS)
                 .filter(|index| !self.down[*index])
                 .map(|index| self.workers[index].clone())
--- a/crates/stackpier-fuzz/src/cell/simulation/cancelling.rs
+++ b/crates/stackpier-fuzz/src/cell/simulation/cancelling.rs
@@ -33,12 +33,12 @@
         }
     }
 
-    fn owner_with(&self, fence: u64) -> Option<usize> {
+    pub(super) fn owner_with(&self, fence: u64) -> Option<usize> {
         self.owners.iter().position(|owner| owner.fence == fence)
     }
 
     /// is_in_touch reports whether an owner could reach the store all the time lately.
-    fn is_in_touch(&self, index: usize) -> bool {
+    pub(super) fn is_in_touch(&self, index: usize) -> bool {
         let owner = &self.owners[index];
         let disturbed_until = [
             self.store.unavailable_until,
--- a/crates/stackpier-fuzz/src/cell/simulation/faults.rs
+++ b/crates/stackpier-fuzz/src/cell/simulation/faults.rs
@@ -182,6 +182,10 @@
         info.remaining_ms = Some(leaves_ms);
         let info = info.clone();
         self.send(leaves_ms, Message::Leave(index, info.id.clone()));
+        self.drains_since[index] = self.now_ms;
+        if self.follows_drains() {
+            return;
+        }
         let owner = self.owners.len() - 1;
         self.deliver(owner, Event::Listed(info));
     }
--- a/crates/stackpier-fuzz/src/cell/simulation/following.rs
+++ b/crates/stackpier-fuzz/src/cell/simulation/following.rs
@@ -5,6 +5,8 @@
 //!
 //! If watches are never late, owners know all changes at once.
 
+use std::collections::BTreeSet;
+
 use stackpier_cell::Event;
 use stackpier_core::{Millis, key};
 
@@ -70,6 +72,8 @@
     pub(super) watched: bool,
     /// When the store last answered it.
     answered_ms: u64,
+    /// The draining workers that it knows of from the list of workers.
+    pub(super) draining: BTreeSet<String>,
     /// Whether the cell counts the store as reachable.
     store_answers: bool,
 }
@@ -80,6 +84,7 @@
             installed: false,
             seen: 0,
             watched: false,
+            draining: BTreeSet::new(),
             answered_ms: now_ms,
             store_answers: true,
         }
@@ -127,13 +132,19 @@
             self.owners[index].view.answered_ms = self.now_ms;
             self.install(index, &jobs, &cancelled);
             self.deliver(index, Event::JobsKnown(requested));
+            if self.follows_drains() {
+                self.deliver(index, Event::WorkersKnown(requested));
+            }
             self.watch(index);
+            if self.follows_drains() {
+                self.read_workers(index);
+            }
         }
     }
 
     /// postpone sends a message again for when a frozen owner continues, and reports whether the
     /// message must not be handled now.
-    fn postpone(&mut self, index: usize, message: Message) -> bool {
+    pub(super) fn postpone(&mut self, index: usize, message: Message) -> bool {
         let owner = &self.owners[index];
         let wait_ms = owner.frozen_until.saturating_sub(self.now_ms);
         if !owner.ended && wait_ms > 0 {
@@ -276,7 +287,7 @@
     }
 
     /// draw_answer_ms draws how long an answer takes, and counts `what` if that is long.
-    fn draw_answer_ms(&mut self, what: &'static str) -> u64 {
+    pub(super) fn draw_answer_ms(&mut self, what: &'static str) -> u64 {
         let late = self.draw_watch_fault(self.faults.late_watches);
         let (low, high) = if late { LATE_MS } else { ANSWER_MS };
         if late {
--- a/crates/stackpier-fuzz/tests/cell.rs
+++ b/crates/stackpier-fuzz/tests/cell.rs
@@ -359,3 +359,13 @@
     let mut broken = seeds(UNBOUNDED_SEEDS).filter_map(violation);
     assert!(broken.any(|what| what.starts_with(owner)));
 }
+
+/// Guards against starts on workers that have been draining for long, by owners that learn of it late.
+#[rstest]
+#[case::alone(Faults { drains: 60, ..Faults::default() })]
+#[case::takeovers(Faults { drains: 60, takeovers: 60, ..Faults::default() })]
+fn draining_workers_get_no_starts_for_long(#[case] faults: Faults) {
+    let counts = run_seeds(late_watches(faults), seeds(4));
+    let reached = ["late list of workers", "start on a draining worker"];
+    require_reached(&counts, &reached);
+}
