What an outage permits ends when the daemon stands still

The cell now notices that it has had no event for 500 ms, where ticks come every 50 ms. From then on starts need recent knowledge again, until an outage is reported anew. An owner that stands still in an outage starts nothing for the rest of it once its knowledge is too old.

--- a/crates/stackpier-cell/src/cell.rs
+++ b/crates/stackpier-cell/src/cell.rs
@@ -161,6 +161,7 @@
 
     /// step handles one event and returns the effects to carry out.
     pub fn step(&mut self, now: Now, event: Event) -> Vec<Effect> {
+        self.detect_stall(now.mono);
         self.now = now;
         match event {
             Event::Queues(queues) => self.apply_queues(queues),
--- a/crates/stackpier-cell/src/staleness.rs
+++ b/crates/stackpier-cell/src/staleness.rs
@@ -17,6 +17,10 @@
 
 use crate::Cell;
 
+/// STALL_MS is the time without any event from which on the daemon has stood still: ticks come every
+/// 50 ms.
+const STALL_MS: u64 = 500;
+
 /// Staleness is what bounds the age of the owner's knowledge of the store.
 #[derive(Debug)]
 pub(crate) struct Staleness {
@@ -59,6 +63,14 @@
         self.staleness.store_answers = answers;
     }
 
+    /// detect_stall ends what an outage permits if the daemon may have stood still until `now`: the
+    /// store may have returned meanwhile.
+    pub(crate) fn detect_stall(&mut self, now: Millis) {
+        if now.since(self.now.mono) >= STALL_MS {
+            self.staleness.store_answers = true;
+        }
+    }
+
     /// jobs_age_ms returns how old the owner's knowledge of the jobs is.
     pub(crate) fn jobs_age_ms(&self) -> u64 {
         self.age_ms(self.staleness.jobs_known_at)
--- a/crates/stackpier-cell/tests/cancelling.rs
+++ b/crates/stackpier-cell/tests/cancelling.rs
@@ -123,3 +123,16 @@
         "renewals extend the lease"
     );
 }
+
+/// Guards against starts of cancelled jobs by a daemon that stood still in an outage of the store, and
+/// does not know yet that the store has returned.
+#[test]
+fn a_daemon_that_stood_still_in_an_outage_starts_nothing_until_it_knows_the_jobs() {
+    let mut owner = Owner::new(2);
+    owner.feed(Event::JobsKnown(Millis(owner.now_ms)));
+    owner.feed(Event::StoreAnswers(false));
+    owner.now_ms += Options::default().max_jobs_age_ms;
+    owner.submit(1, spec(vec![step(2)]));
+    owner.advance(200);
+    assert!(owner.starts.is_empty(), "{:?}", owner.starts);
+}
