Count 500 ms for a start on its way: later ones are refused by the workers

Since workers refuse starts that come too late for the owner's knowledge, the time allowed for the way no longer has to cover the longest one.

--- a/crates/stackpier-cell/src/options.rs
+++ b/crates/stackpier-cell/src/options.rs
@@ -41,8 +41,8 @@
     pub save_retry_ms: u64,
     /// How long an idle owner waits until it asks the store again who owns the cell.
     pub confirm_ms: u64,
-    /// How long a start may be under way to its worker: one that a helper sends takes up to this
-    /// long.
+    /// How long a start is usually under way to its worker at most. The worker refuses one that
+    /// takes longer if it comes too late (see `max_jobs_age_ms`).
     pub start_transit_ms: u64,
     /// How old the owner's knowledge of the jobs in the store may be when it starts tasks: the time
     /// after which client accounts expect no more starts of a cancelled job, less
@@ -110,9 +110,9 @@
             save_gap_ms: 40,
             save_retry_ms: 200,
             confirm_ms: 1_000,
-            start_transit_ms: 900,
-            max_jobs_age_ms: 2_100,
-            max_workers_age_ms: 1_100,
+            start_transit_ms: 500,
+            max_jobs_age_ms: 2_500,
+            max_workers_age_ms: 1_500,
             show_ms: 150_000,
             unlisted_ms: 2_500,
             stale_entry_ms: 6_000,
