Name the event of an outage for what it tells

StoreAnswers(false) meant an outage that peers see, while the daemon's own store_answers means an answer to itself. The event is Outage(true) now; no behaviour changes.

--- a/crates/stackpier-cell/src/cell.rs
+++ b/crates/stackpier-cell/src/cell.rs
@@ -178,7 +178,7 @@
             Event::Cancelled(job) => self.cancel(job),
             Event::JobsKnown(at) => self.set_jobs_known(at),
             Event::WorkersKnown(at) => self.set_workers_known(at),
-            Event::StoreAnswers(answers) => self.set_store_answers(answers),
+            Event::Outage(is_out) => self.set_outage(is_out),
             Event::Forwarded(starts) => starts
                 .iter()
                 .for_each(|start| self.flow.record_forwarded(start.run, start.bytes)),
--- a/crates/stackpier-cell/src/event.rs
+++ b/crates/stackpier-cell/src/event.rs
@@ -79,9 +79,8 @@
     JobsKnown(Millis),
     /// All changes to the workers' entries up to this time have been passed on.
     WorkersKnown(Millis),
-    /// An outage of the store, in which it answers neither this daemon nor others, has begun (false)
-    /// or ended (true).
-    StoreAnswers(bool),
+    /// Whether there is an outage of the store, in which it answers neither this daemon nor others.
+    Outage(bool),
     /// These starts were sent by way of other daemons.
     Forwarded(Vec<Forwarded>),
     /// A start was answered, or got no answer.
--- a/crates/stackpier-cell/src/staleness.rs
+++ b/crates/stackpier-cell/src/staleness.rs
@@ -22,24 +22,14 @@
 const STALL_MS: u64 = 500;
 
 /// Staleness is what bounds the age of the owner's knowledge of the store.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub(crate) struct Staleness {
     /// Up to when the owner knows all changes to the jobs, if that is reported to the cell.
     jobs_known_at: Option<Millis>,
     /// The same for the workers' entries.
     workers_known_at: Option<Millis>,
-    /// Whether the store answers this daemon or others.
-    store_answers: bool,
-}
-
-impl Default for Staleness {
-    fn default() -> Staleness {
-        Staleness {
-            jobs_known_at: None,
-            workers_known_at: None,
-            store_answers: true,
-        }
-    }
+    /// Whether there is an outage of the store.
+    is_out: bool,
 }
 
 impl Cell {
@@ -58,16 +48,16 @@
         self.placement_due = true;
     }
 
-    /// set_store_answers sets whether the store answers this daemon or others.
-    pub(crate) fn set_store_answers(&mut self, answers: bool) {
-        self.staleness.store_answers = answers;
+    /// set_outage sets whether there is an outage of the store.
+    pub(crate) fn set_outage(&mut self, is_out: bool) {
+        self.staleness.is_out = is_out;
     }
 
     /// detect_stall ends what an outage permits if the daemon may have stood still until `now`: the
     /// store may have returned meanwhile.
     pub(crate) fn detect_stall(&mut self, now: Millis) {
         if now.since(self.now.mono) >= STALL_MS {
-            self.staleness.store_answers = true;
+            self.staleness.is_out = false;
         }
     }
 
@@ -87,18 +77,19 @@
 
     /// knows_jobs reports whether the owner's knowledge of the jobs is recent enough to start tasks.
     pub(crate) fn knows_jobs(&self) -> bool {
-        !self.staleness.store_answers || self.jobs_age_ms() < self.options.max_jobs_age_ms
+        self.staleness.is_out || self.jobs_age_ms() < self.options.max_jobs_age_ms
     }
 
-    /// knows_workers reports whether its knowledge of the workers' entries is.
+    /// knows_workers reports whether the owner's knowledge of the workers' entries is recent enough to
+    /// start tasks.
     pub(crate) fn knows_workers(&self) -> bool {
-        !self.staleness.store_answers || self.workers_age_ms() < self.options.max_workers_age_ms
+        self.staleness.is_out || self.workers_age_ms() < self.options.max_workers_age_ms
     }
 
     /// start_limit_ms returns for how long a start that is sent now may still be carried out, if that
     /// is limited: until a change that the owner did not know has to be in force.
     pub(crate) fn start_limit_ms(&self) -> Option<u64> {
-        if !self.staleness.store_answers {
+        if self.staleness.is_out {
             return None;
         }
         let left = |known_at: Option<Millis>, max_age_ms: u64| {
--- a/crates/stackpier-cell/tests/cancelling.rs
+++ b/crates/stackpier-cell/tests/cancelling.rs
@@ -60,7 +60,7 @@
     let mut owner = Owner::new(2);
     owner.feed(Event::JobsKnown(Millis(owner.now_ms)));
     owner.store = false;
-    owner.feed(Event::StoreAnswers(false));
+    owner.feed(Event::Outage(true));
     owner.advance(Options::default().max_jobs_age_ms);
     owner.submit(1, spec(vec![step(2)]));
     owner.advance(200);
@@ -130,7 +130,7 @@
 fn a_daemon_that_stood_still_in_an_outage_starts_nothing_until_it_knows_the_jobs() {
     let mut owner = Owner::new(2);
     owner.feed(Event::JobsKnown(Millis(owner.now_ms)));
-    owner.feed(Event::StoreAnswers(false));
+    owner.feed(Event::Outage(true));
     owner.now_ms += Options::default().max_jobs_age_ms;
     owner.submit(1, spec(vec![step(2)]));
     owner.advance(200);
--- a/crates/stackpier-fuzz/src/cell/simulation/following.rs
+++ b/crates/stackpier-fuzz/src/cell/simulation/following.rs
@@ -282,7 +282,7 @@
             view.answered_ms = now_ms;
         }
         if changed {
-            self.deliver(index, Event::StoreAnswers(answers));
+            self.deliver(index, Event::Outage(!answers));
         }
     }
 
--- a/crates/stackpier-scheduler/src/outage.rs
+++ b/crates/stackpier-scheduler/src/outage.rs
@@ -42,11 +42,15 @@
             if found != is_out {
                 is_out = found;
                 let text = match is_out {
-                    true => "the store answers neither this daemon nor the peers that were asked",
-                    false => "the store answers this daemon or a peer, or no peer answers",
+                    true => {
+                        "an outage: the store answers neither this daemon nor any peer that was asked"
+                    }
+                    false => {
+                        "no outage: the store answers this daemon or a peer, or no peer answers"
+                    }
                 };
                 self.log_line("store", text);
-                self.feed(fence, Event::StoreAnswers(!is_out));
+                self.feed(fence, Event::Outage(is_out));
             }
             pause(CHECK_MS).await;
         }
