Forget rejections that are gone from the store

What operators saw: nothing yet; found while reading how traces of decisions are removed. A daemon that rejected a job keeps the rejection's key for 15 s and then removes it, on the condition that it is unchanged. An acceptance elsewhere may have removed it before.

Cause: a conflict shows the items that exist. A key that is gone is not among them, and was kept: its removal was tried every second for the life of the process, and the 14 keys in the same transaction, and all later ones, stayed in the store.

Fix: a key whose revision a conflict does not confirm is dropped. The list of keys to remove is a module of its own, expiry.rs, without the store's calls.

--- a/crates/stackpier-scheduler/src/daemon.rs
+++ b/crates/stackpier-scheduler/src/daemon.rs
@@ -19,13 +19,13 @@
 use crate::{
     Platform,
     configs::Configs,
+    expiry,
     http::{Handler, answer, listen, serve},
     jobs::Source,
     keys::OWNER,
     link::{self, Request, Response},
     monitor,
     node::{Node, pause},
-    rejection,
     store::{Committed, Transaction},
     watch::follow,
 };
@@ -73,7 +73,7 @@
     tokio::task::spawn_local(link::serve(peers, node.clone(), other_open));
     tokio::task::spawn_local(follow(node.clone(), Configs::new(node.clone()), None));
     tokio::task::spawn_local(monitor::run(node.clone()));
-    tokio::task::spawn_local(rejection::clean(node.clone()));
+    tokio::task::spawn_local(expiry::run(node.clone()));
     node.log_line("daemon", &format!("started: {settings:?}"));
     wait_for_stop(&node).await?;
     stop(&node, &close, &open).await;
--- a/crates/stackpier-scheduler/src/lib.rs
+++ b/crates/stackpier-scheduler/src/lib.rs
@@ -20,6 +20,7 @@
 mod configs;
 pub mod daemon;
 pub mod detector;
+pub mod expiry;
 mod explain;
 pub mod fleet;
 mod following;
--- a/crates/stackpier-scheduler/src/rejection.rs
+++ b/crates/stackpier-scheduler/src/rejection.rs
@@ -5,10 +5,7 @@
 //! the store, on the condition that the job is not there; and a job is accepted on the condition that
 //! there is no rejection, or none but the one that the acceptance removes.
 
-use std::{
-    cell::{Cell, RefCell},
-    collections::VecDeque,
-};
+use std::cell::{Cell, RefCell};
 
 use stackpier_cell::{
     Queue,
@@ -20,11 +17,12 @@
 use crate::{
     Platform,
     admission::{Gate, Rejection},
+    expiry::Expiry,
     keys::{self, REJECTIONS},
     link::{Request, Response},
     metrics,
     monitor::HEARTBEAT_TIMEOUT,
-    node::{Node, pause},
+    node::Node,
     retry::Cause,
     store::Committed,
     submission,
@@ -33,11 +31,6 @@
 /// KEPT_MS is how long a rejection stays in the store. A write without an answer may be done
 /// seconds later.
 const KEPT_MS: u64 = 15_000;
-/// CLEAN_MS is the time between two removals of old rejections.
-const CLEAN_MS: u64 = 1_000;
-/// MAX_REMOVALS is how many rejections one transaction removes. Each is a condition, too, and the store
-/// accepts 32 entries.
-const MAX_REMOVALS: usize = 15;
 /// ASKED_MS is how long after a job came in a follower asks for outlooks.
 const ASKED_MS: u64 = 3_000;
 /// MAX_FAILURES is after how many questions without an answer an owner is not asked any more: one of
@@ -51,17 +44,8 @@
     asked_at: Cell<Millis>,
     /// The owner, by its fence, that did not answer the last questions, and how many.
     failures: Cell<(u64, u32)>,
-    /// The rejections in the store, the oldest first.
-    kept: RefCell<VecDeque<Kept>>,
-}
-
-/// Kept is a rejection in the store.
-#[derive(Clone, Copy, Debug)]
-struct Kept {
-    job: key::Job,
-    revision: u64,
-    /// When it may be removed.
-    until: Millis,
+    /// The rejections in the store.
+    kept: RefCell<Expiry>,
 }
 
 impl Admissions {
@@ -71,30 +55,13 @@
             gate: RefCell::new(Gate::new(objectives)),
             asked_at: Cell::default(),
             failures: Cell::default(),
-            kept: RefCell::default(),
+            kept: RefCell::new(Expiry::new(KEPT_MS)),
         }
     }
 
     fn keep(&self, now: Millis, job: key::Job, revision: u64) {
-        let until = now.plus(KEPT_MS);
-        let kept = Kept {
-            job,
-            revision,
-            until,
-        };
-        self.kept.borrow_mut().push_back(kept);
-    }
-
-    /// due returns the rejections that may be removed now.
-    fn due(&self, now: Millis) -> Vec<Kept> {
-        let kept = self.kept.borrow();
-        let due = kept.iter().take_while(|kept| kept.until <= now);
-        due.take(MAX_REMOVALS).copied().collect()
-    }
-
-    /// forget drops rejections that are not in the store any more, or were renewed since.
-    fn forget(&self, is_gone: impl Fn(&Kept) -> bool) {
-        self.kept.borrow_mut().retain(|kept| !is_gone(kept));
+        let key = keys::rejection(job);
+        self.kept.borrow_mut().add(now, key, revision);
     }
 
     fn record_failure(&self, fence: u64) {
@@ -281,34 +248,16 @@
             }
         }
     }
-}
 
-/// clean removes old rejections from the store and records the age of the outlook, for the life of
-/// the process.
-pub(crate) async fn clean<P: Platform>(node: Node<P>) {
-    let Some(admissions) = &node.admissions else {
-        return;
-    };
-    loop {
-        pause(CLEAN_MS).await;
-        node.record_outlook_age();
-        let due = admissions.due(node.mono());
-        if due.is_empty() {
-            continue;
-        }
-        let jobs = due.iter().map(|kept| (kept.job, kept.revision));
-        match node.store_commit(&submission::removal(jobs)).await {
-            Committed::Done(_) => admissions.forget(|kept| {
-                due.iter()
-                    .any(|due| (due.job, due.revision) == (kept.job, kept.revision))
-            }),
-            Committed::Conflict(items) => admissions.forget(|kept| {
-                let shown = items
-                    .iter()
-                    .find(|item| item.key == keys::rejection(kept.job));
-                shown.is_some_and(|item| item.revision != kept.revision)
-            }),
-            Committed::Refused | Committed::Unknown => {}
+    /// remove_rejections removes the oldest rejections that have expired.
+    pub(crate) async fn remove_rejections(&self) {
+        let Some(admissions) = &self.admissions else {
+            return;
+        };
+        let removal = admissions.kept.borrow().removal(self.mono());
+        if let Some(removal) = removal {
+            let outcome = self.store_commit(&removal).await;
+            admissions.kept.borrow_mut().record(&removal, &outcome);
         }
     }
 }
--- a/crates/stackpier-scheduler/src/submission.rs
+++ b/crates/stackpier-scheduler/src/submission.rs
@@ -72,22 +72,6 @@
     }
 }
 
-/// removal removes rejections, on the condition that each is at its revision: not withdrawn, and not
-/// renewed by another daemon.
-pub fn removal(rejections: impl Iterator<Item = (key::Job, u64)>) -> Transaction {
-    let conditions = rejections.map(|(job, revision)| Condition {
-        key: keys::rejection(job),
-        revision,
-    });
-    let conditions: Vec<Condition> = conditions.collect();
-    let keys = conditions.iter().map(|condition| condition.key.clone());
-    Transaction {
-        removals: keys.collect(),
-        conditions,
-        puts: Vec::new(),
-    }
-}
-
 /// cancellation writes that a job is cancelled.
 pub fn cancellation(job: key::Job) -> Transaction {
     Transaction {
