Keep jobs from being accepted after their cancellation found none

Cause: a cancellation of a job that neither the owner nor the store nor a peer knew returned without a trace. Acceptances that were already on their way knew nothing of it: a write whose answer was lost and that is done seconds later, or a submission that waits in the socket buffer of a daemon that stands still. Three paths ended like this (owner, store, by way of a peer); a job rejected with 429 whose acceptance withdraws the rejection was a fourth.

Fix: such a cancellation writes a tombstone under the key of the job itself, on the condition that the key is absent. Every acceptance has had this condition from the first build on, so the store does one of the two, whatever the order, the daemon or its build. If the job is there, it is cancelled as before. A cancellation that finds an older tombstone replaces it, as that one may be removed at any time. Submitting the job again gets 503 (kind `cancelled`, no time to come back), GET gets 410.

Tombstones stay as long as ended jobs are shown (status_s, 120 s), against late writes of 6 s and stops of 5 s. The owner removes them, from its listing and its watch, on the condition of their revision. The state that a cancellation acted on, how long reading it took, and what became of the tombstone are logged and counted (stackpier_tombstones).

--- a/crates/stackpier-core/src/error.rs
+++ b/crates/stackpier-core/src/error.rs
@@ -60,6 +60,8 @@
     Unreachable,
     /// A bug in the program.
     Internal,
+    /// The job was cancelled before it was submitted, and is not accepted.
+    Cancelled,
 }
 
 /// Ran reports whether the work of a failed operation was done.
@@ -89,7 +91,7 @@
 }
 
 /// ANSWERS holds the answer for each kind, in the order of the kinds.
-pub const ANSWERS: [Answer; 22] = [
+pub const ANSWERS: [Answer; 23] = [
     row(Kind::BadInput, 400, 2, Ran::No, None),
     row(Kind::TooLarge, 413, 2, Ran::No, None),
     row(Kind::TooSlow, 408, 6, Ran::No, None),
@@ -112,6 +114,7 @@
     row(Kind::WriteUnknown, 504, 7, Ran::Unknown, Some(5)),
     row(Kind::Unreachable, 503, 5, Ran::No, None),
     row(Kind::Internal, 500, 1, Ran::Unknown, None),
+    row(Kind::Cancelled, 503, 4, Ran::No, None),
 ];
 
 const fn row(kind: Kind, status: u16, exit: i32, ran: Ran, retry_after_s: Option<u32>) -> Answer {
@@ -155,6 +158,7 @@
             Kind::WriteUnknown => "write-unknown",
             Kind::Unreachable => "unreachable",
             Kind::Internal => "internal",
+            Kind::Cancelled => "cancelled",
         }
     }
 }
--- a/crates/stackpier-scheduler/src/cancellation.rs
+++ b/crates/stackpier-scheduler/src/cancellation.rs
@@ -2,38 +2,49 @@
 //! Cancels jobs for client accounts, and tells the owner of the cell of cancellations.
 
 use stackpier_cell::Event;
-use stackpier_core::{Kind, Result, key};
-use stackpier_protocol::codec::decode;
-use stackpier_state::job::{Progress, State};
+use stackpier_core::{Result, key};
+use stackpier_state::job::State;
 use tokio::time::Instant;
 
 use crate::{
     Platform,
-    jobs::{RETRY_MS, unreadable},
+    jobs::RETRY_MS,
     keys,
     link::{Request, Response},
     node::{Node, pause},
     retry::Cause,
-    store::{Committed, Item},
+    store::Committed,
     submission,
 };
 
 impl<P: Platform> Node<P> {
-    /// cancel writes the cancellation of a job to the store and notifies the owner.
-    /// It returns whether there is such a job.
+    /// cancel cancels a job, and returns whether there is such a job. If there is none, its tombstone
+    /// is in the store, so that a submission that is still on its way is not accepted.
     pub async fn cancel(&self, job: key::Job) -> Result<bool> {
-        let end = self.write_deadline();
-        match self.reachable_state(job, end).await? {
-            None => return Ok(false),
+        let (end, asked) = (self.write_deadline(), self.mono());
+        let state = self.known_state(job).await;
+        let read_ms = self.mono().since(asked);
+        let text = format!("cancelled in state {state:?}, which was read within {read_ms} ms");
+        self.log_about("cancellation", Some(keys::hex(job)), &text);
+        match state {
             Some(state) if state.is_final() => return Ok(true),
             Some(_) => {}
+            None if self.write_tombstone(job, end).await? => return Ok(false),
+            None => {}
         }
+        self.write_cancellation(job, end).await?;
+        Ok(true)
+    }
+
+    /// write_cancellation writes the cancellation of a job that is in the store, and notifies the
+    /// owner.
+    async fn write_cancellation(&self, job: key::Job, end: Instant) -> Result<()> {
         let mut unconfirmed = false;
         while Instant::now() < end {
             match self.commit(&submission::cancellation(job), end).await {
                 Committed::Done(_) => {
                     self.notify_cancelled(job);
-                    return Ok(true);
+                    return Ok(());
                 }
                 Committed::Unknown => unconfirmed = true,
                 Committed::Conflict(_) | Committed::Refused => {}
@@ -44,46 +55,23 @@
         Err(self.refuse_for(Cause::Store, job, why, unconfirmed))
     }
 
-    /// reachable_state returns the state of a job, or `None` if there is no such job. A peer reads it
-    /// if this daemon can't reach the store.
-    async fn reachable_state(&self, job: key::Job, end: Instant) -> Result<Option<State>> {
+    /// known_state returns the state of a job as the owner or the store has it, or `None` if neither
+    /// shows the job. The condition of its tombstone decides whether it is in the store.
+    async fn known_state(&self, job: key::Job) -> Option<State> {
         if let Some(state) = self.owner_state(job).await {
-            return Ok(Some(state));
+            return Some(state);
         }
-        if self.store_answers()
-            && let Ok(state) = self.stored_state(job).await
-        {
-            return Ok(state);
-        }
-        let inquiry = submission::inquiry(job);
-        match self.commit_through_peer(&inquiry, end).await {
-            Committed::Done(_) => Ok(None),
-            Committed::Conflict(items) => self.found_state(job, &items),
-            Committed::Refused | Committed::Unknown => {
-                let why = "neither this daemon nor a peer can read the job's state";
-                Err(self.refuse_for(Cause::Store, job, why, false))
-            }
+        if !self.store_answers() {
+            return None;
         }
-    }
-
-    /// found_state returns the state of a job by what the store holds about it, and passes its
-    /// cancellation to the owner if that is there.
-    fn found_state(&self, job: key::Job, items: &[Item]) -> Result<Option<State>> {
-        if let Some(item) = submission::find(items, &keys::progress(job)) {
-            let progress: Progress =
-                decode(&item.value).map_err(|error| unreadable(Kind::StoreUnavailable, &error))?;
-            if progress.state != State::Pending {
-                return Ok(Some(progress.state));
+        match self.stored_state(job).await {
+            Ok(state) => state,
+            Err(error) => {
+                let text = format!("its state can't be read: {error}");
+                self.log_about("cancellation", Some(keys::hex(job)), &text);
+                None
             }
         }
-        if submission::find(items, &keys::job(job)).is_none() {
-            return Ok(None);
-        }
-        if submission::find(items, &keys::cancel(job)).is_none() {
-            return Ok(Some(State::Pending));
-        }
-        self.notify_cancelled(job);
-        Ok(Some(State::Cancelled))
     }
 
     /// notify_cancelled passes a cancellation that is in the store to the owner, which may be this
--- a/crates/stackpier-scheduler/src/expiry.rs
+++ b/crates/stackpier-scheduler/src/expiry.rs
@@ -116,5 +116,6 @@
         pause(CLEAN_MS).await;
         node.record_outlook_age();
         node.remove_rejections().await;
+        node.remove_tombstones().await;
     }
 }
--- a/crates/stackpier-scheduler/src/following.rs
+++ b/crates/stackpier-scheduler/src/following.rs
@@ -14,6 +14,7 @@
     keys::{self, Entry, JOBS},
     node::Node,
     store::{Change, Item},
+    submission,
     watch::{Follower, Update},
 };
 
@@ -44,6 +45,10 @@
 
 impl<P: Platform> Jobs<P> {
     fn apply_item(&mut self, item: &Item) {
+        if submission::is_tombstone(item) {
+            self.node.keep_tombstone(self.fence, item);
+            return;
+        }
         match keys::entry(&item.key) {
             Some(Entry::Job(job)) => self.apply_job(job, item),
             Some(Entry::Cancel(job)) => self.node.feed(self.fence, Event::Cancelled(job)),
--- a/crates/stackpier-scheduler/src/jobs.rs
+++ b/crates/stackpier-scheduler/src/jobs.rs
@@ -18,7 +18,7 @@
     refusal::refuse_here,
     retry::Cause,
     store::{Committed, Item, Transaction},
-    submission,
+    submission::{self, Content},
 };
 
 /// SUBMIT_LIMIT is how long a daemon tries to write a job to the store. Client accounts wait
@@ -136,21 +136,26 @@
     }
 
     /// apply_conflict records the ownership that a conflicting write found, passes on a job that it
-    /// found, and returns whether the job is in the store already.
+    /// found, and returns whether the job is in the store already. It returns an error if the job was
+    /// cancelled before it was accepted.
     fn apply_conflict(&self, job: key::Job, items: &[Item]) -> Result<bool> {
         if let Some(item) = items.iter().find(|item| item.key == OWNER) {
             self.apply_ownership(item);
         }
-        let key = keys::job(job);
-        let stored = items
-            .iter()
-            .find(|item| item.key == key && item.revision > 0);
-        if let Some(item) = stored {
-            let record =
-                decode(&item.value).map_err(|error| unreadable(Kind::WriteUnknown, &error))?;
-            self.report_conflicting(job, record);
+        let Some(item) = submission::find(items, &keys::job(job)) else {
+            return Ok(false);
+        };
+        let content = Content::try_from(item);
+        match content.map_err(|error| unreadable(Kind::WriteUnknown, &error))? {
+            Content::Job(record) => {
+                self.report_conflicting(job, *record);
+                Ok(true)
+            }
+            Content::Tombstone => {
+                let why = "the job was cancelled before it was submitted";
+                Err(Error::new(Kind::Cancelled, why))
+            }
         }
-        Ok(stored.is_some())
     }
 
     /// report_conflicting passes a job that a conflicting write found to the owner. If its
@@ -380,8 +385,10 @@
         let Some(item) = self.store_get(&keys::job(job)).await? else {
             return Ok(None);
         };
-        let record = decode(&item.value).map_err(unknown)?;
-        let cancelled = self.report_stored(job, record).await?;
+        let Content::Job(record) = Content::try_from(&item).map_err(unknown)? else {
+            return Ok(None);
+        };
+        let cancelled = self.report_stored(job, *record).await?;
         Ok(Some(if cancelled {
             State::Cancelled
         } else {
--- a/crates/stackpier-scheduler/src/lib.rs
+++ b/crates/stackpier-scheduler/src/lib.rs
@@ -45,6 +45,7 @@
 mod socket;
 pub mod store;
 pub mod submission;
+pub mod tombstone;
 pub mod votes;
 mod watch;
 
--- a/crates/stackpier-scheduler/src/loading.rs
+++ b/crates/stackpier-scheduler/src/loading.rs
@@ -10,6 +10,7 @@
 
 use crate::{
     Platform,
+    expiry::Expiry,
     following::{Jobs, Workers},
     handover::Predecessor,
     jobs::Source,
@@ -158,6 +159,7 @@
             fence,
             revision: owned.revision,
             revisions: Rc::new(RefCell::new(revisions)),
+            tombstones: Expiry::new(self.settings.cell.show_ms),
         }));
         self.feed_queues();
         self.feed_plans();
--- a/crates/stackpier-scheduler/src/metrics.rs
+++ b/crates/stackpier-scheduler/src/metrics.rs
@@ -35,6 +35,8 @@
     pub decisions: Counter<u64>,
     /// Jobs that were handed in while room was short or not, by outcome and queue.
     pub admissions: Counter<u64>,
+    /// Tombstones of unknown jobs that were cancelled, by outcome of their writes.
+    pub tombstones: Counter<u64>,
     /// The times to come back that were told with refusals, in seconds, by cause.
     pub retry_told: Histogram<f64>,
     /// How long after each refusal its cause was over, in seconds, by cause.
@@ -74,6 +76,7 @@
             forwarded_calls: count("stackpier_passed_calls"),
             decisions: count("stackpier_decisions"),
             admissions: count("stackpier_admissions"),
+            tombstones: count("stackpier_tombstones"),
             retry_told: instruments.seconds("stackpier_retry_told_seconds", &RETRY_BOUNDS),
             retry_true: instruments.seconds("stackpier_retry_true_seconds", &RETRY_BOUNDS),
             outlook_age: gauge("stackpier_outlook_age_milliseconds"),
--- a/crates/stackpier-scheduler/src/node.rs
+++ b/crates/stackpier-scheduler/src/node.rs
@@ -31,6 +31,7 @@
     relay::Relays,
     retry::{Cause, Planner},
     store::{Committed, Item, Listing, Transaction, Watched},
+    tombstone::Tombstones,
 };
 
 /// STORE_FRESH_MS is how long after its last answer the store counts as reachable.
@@ -123,6 +124,8 @@
     pub(crate) planner: RefCell<Planner>,
     /// What is needed to reject jobs, if the settings allow it.
     pub(crate) admissions: Option<Admissions>,
+    /// The tombstones that this daemon has to write.
+    pub(crate) tombstones: Tombstones,
     pub(crate) stopping: Slot<bool>,
     /// When this daemon exits at the latest, set once it is stopping.
     pub(crate) ends_at: Slot<Option<Millis>>,
@@ -163,6 +166,7 @@
     pub fn new(settings: Settings, platform: P, log: Logger) -> anyhow::Result<Node<P>> {
         let limit = RateLimit::new(settings.milli_cores);
         let admissions = settings.admission_objectives.map(Admissions::new);
+        let tombstones = Tombstones::new(settings.cell.show_ms);
         let inner = Inner {
             settings,
             platform,
@@ -191,6 +195,7 @@
             cancellations: RefCell::default(),
             planner: RefCell::default(),
             admissions,
+            tombstones,
             stopping: Slot::default(),
             ends_at: Slot::default(),
             open_requests: Slot::default(),
--- a/crates/stackpier-scheduler/src/owner.rs
+++ b/crates/stackpier-scheduler/src/owner.rs
@@ -11,6 +11,7 @@
 
 use crate::{
     Platform,
+    expiry::Expiry,
     keys::OWNER,
     node::{Node, pause},
     saving::Revisions,
@@ -25,6 +26,8 @@
     pub fence: u64,
     pub revision: u64,
     pub revisions: Rc<RefCell<Revisions>>,
+    /// The tombstones in the store.
+    pub tombstones: Expiry,
 }
 
 impl<P: Platform> Node<P> {
--- a/crates/stackpier-scheduler/src/submission.rs
+++ b/crates/stackpier-scheduler/src/submission.rs
@@ -1,20 +1,46 @@
 // SPDX-License-Identifier: Apache-2.0
-//! The transactions by which a job is accepted, rejected, cancelled or looked up.
+//! The transactions by which a job is accepted, rejected or cancelled.
 //!
 //! A write without an answer may be done seconds later, so tries of one job at several daemons may
 //! meet in the store. A rejection holds against all earlier tries: the job is accepted only on the
 //! condition that its rejection is the one that the acceptance knows and removes, or that there is
 //! none.
+//!
+//! A job that is cancelled before it was accepted gets a tombstone under its own key. All acceptances
+//! depend on that key being absent, those of earlier builds, too.
 
-use stackpier_core::{Result, key};
-use stackpier_protocol::codec::encode;
+use stackpier_core::{Error, Result, key};
+use stackpier_protocol::codec::{decode, encode};
 use stackpier_state::job::Record;
 
 use crate::{
-    keys::{self, OWNER},
+    keys::{self, Entry, OWNER},
     store::{Condition, Item, Put, Transaction},
 };
 
+/// TOMBSTONE is the value of a tombstone. No record is encoded like this.
+const TOMBSTONE: &[u8] = b"";
+
+/// Content is what the key of a job holds.
+#[derive(Clone, Debug)]
+pub enum Content {
+    /// The job.
+    Job(Box<Record>),
+    /// The mark that the job was cancelled before it was accepted.
+    Tombstone,
+}
+
+impl TryFrom<&Item> for Content {
+    type Error = Error;
+
+    fn try_from(item: &Item) -> Result<Content> {
+        if is_tombstone(item) {
+            return Ok(Content::Tombstone);
+        }
+        Ok(Content::Job(Box::new(decode(&item.value)?)))
+    }
+}
+
 /// acceptance writes a job, on the condition that it is not there and that the ownership of the cell
 /// is at a revision.
 pub fn acceptance(job: key::Job, record: &Record, ownership: u64) -> Result<Transaction> {
@@ -54,7 +80,7 @@
 
 /// is_accepted reports whether items show that a job is in the store.
 pub fn is_accepted(items: &[Item], job: key::Job) -> bool {
-    find_revision(items, &keys::job(job)) > 0
+    find(items, &keys::job(job)).is_some_and(|item| !is_tombstone(item))
 }
 
 /// rejection writes that a job is rejected, on the condition that it is not there.
@@ -83,17 +109,34 @@
     }
 }
 
-/// inquiry changes nothing. It is done if the store holds nothing about a job, and otherwise
-/// conflicts with what the store holds.
-pub fn inquiry(job: key::Job) -> Transaction {
-    let absent = |key| Condition { key, revision: 0 };
-    let keys = [keys::progress(job), keys::job(job), keys::cancel(job)];
+/// tombstones writes the tombstones of jobs, on the condition that none of the jobs is in the store.
+/// Each row is a job with the revision of its present tombstone, zero if there is none.
+pub fn tombstones(rows: &[(key::Job, u64)]) -> Transaction {
+    let condition = |(job, revision): &(key::Job, u64)| Condition {
+        key: keys::job(*job),
+        revision: *revision,
+    };
+    let put = |(job, _): &(key::Job, u64)| Put {
+        key: keys::job(*job),
+        value: TOMBSTONE.to_vec(),
+    };
     Transaction {
-        conditions: keys.map(absent).to_vec(),
-        ..Transaction::default()
+        conditions: rows.iter().map(condition).collect(),
+        puts: rows.iter().map(put).collect(),
+        removals: Vec::new(),
     }
 }
 
+/// is_tombstone reports whether an item is the tombstone of a job.
+pub fn is_tombstone(item: &Item) -> bool {
+    matches!(keys::entry(&item.key), Some(Entry::Job(_))) && item.value == TOMBSTONE
+}
+
+/// has_tombstone reports whether items show the tombstone of a job.
+pub fn has_tombstone(items: &[Item], job: key::Job) -> bool {
+    find(items, &keys::job(job)).is_some_and(is_tombstone)
+}
+
 /// find returns the item of a key in the store among items.
 pub(crate) fn find<'a>(items: &'a [Item], key: &str) -> Option<&'a Item> {
     items
