Remove ended jobs only while their progress is unchanged

What callers see: a job that was accepted is gone from the store, so that it is lost at the next takeover. It needs an id that is handed in again after the job that had it before was shown for status_s, and a lost answer to that job's removal. A tombstone can be removed in the same way.

Cause: the removal of an ended job only had the condition that the owner is unchanged. A removal without an answer is repeated, and the first one may be done seconds later, when the id is in use again. The same held for a save of which only a later part failed: all removals were sent again.

Fix: the removal depends on the revision of each job's progress, as all writes of the owner do. Jobs whose progress is gone were removed before. A transaction removes seven jobs instead of ten. Revisions of removed keys are not kept any more.

Found while looking for writes that may come after a cancellation.

--- a/crates/stackpier-scheduler/src/saving.rs
+++ b/crates/stackpier-scheduler/src/saving.rs
@@ -6,6 +6,7 @@
 use std::{cell::RefCell, collections::HashMap, rc::Rc};
 
 use stackpier_cell::{RosterEntry, Save, maintenance};
+use stackpier_core::key;
 use stackpier_protocol::codec::encode;
 use stackpier_state::job::Record;
 
@@ -19,6 +20,8 @@
 /// MAX_PUTS is how many keys a transaction writes. With a condition for each key and one
 /// for the ownership it stays within 32 entries.
 const MAX_PUTS: usize = 15;
+/// MAX_FORGOTTEN is how many jobs a transaction removes, with a condition and three keys for each.
+const MAX_FORGOTTEN: usize = 7;
 /// MAX_CONCURRENT is how many transactions of a save are sent concurrently. Ends of runs
 /// are acknowledged only after their save and are reported again until then, so a slow save
 /// adds work for a busy owner.
@@ -41,13 +44,26 @@
 }
 
 impl Revisions {
+    /// set sets the revision of a key, zero if it was removed.
     pub(crate) fn set(&mut self, key: &str, revision: u64) {
-        self.keys.insert(key.to_owned(), revision);
+        match revision {
+            0 => self.keys.remove(key),
+            _ => self.keys.insert(key.to_owned(), revision),
+        };
     }
 
     fn revision_of(&self, key: &str) -> u64 {
         self.keys.get(key).copied().unwrap_or(0)
     }
+
+    /// update sets the revision of a key to the one that a conflict shows, zero if it shows none, and
+    /// returns it. The conflict means that an earlier try, whose answer was lost, took effect.
+    fn update(&mut self, key: &str, items: &[Item]) -> u64 {
+        let present = items.iter().find(|item| item.key == key);
+        let revision = present.map_or(0, |item| item.revision);
+        self.set(key, revision);
+        revision
+    }
 }
 
 impl<P: Platform> Node<P> {
@@ -64,7 +80,8 @@
         }
         self.log_slow(puts.len(), self.mono().since(begun));
         self.log_stored(&save);
-        self.trim(fence, revision, &save).await && self.forget(fence, revision, &save).await
+        self.trim(fence, revision, &save).await
+            && self.forget(fence, revision, &revisions, &save).await
     }
 
     /// log_slow logs a save that took long.
@@ -195,7 +212,10 @@
                     if self.depose_if_replaced(fence, owner_revision, &items) {
                         return false;
                     }
-                    update_revisions(&mut revisions.borrow_mut(), puts, &items);
+                    let mut revisions = revisions.borrow_mut();
+                    puts.iter().for_each(|put| {
+                        revisions.update(&put.key, &items);
+                    });
                 }
                 Committed::Refused => return false,
                 Committed::Unknown => pause(RETRY_MS).await,
@@ -218,31 +238,58 @@
         true
     }
 
-    async fn forget(&self, fence: u64, owner_revision: u64, save: &Save) -> bool {
-        if save.forgotten.is_empty() {
-            return true;
-        }
-        let mut removals = Vec::new();
-        for job in &save.forgotten {
-            removals.extend([keys::job(*job), keys::cancel(*job), keys::progress(*job)]);
+    /// forget removes the jobs that were shown for long enough.
+    async fn forget(
+        &self,
+        fence: u64,
+        owner_revision: u64,
+        revisions: &RefCell<Revisions>,
+        save: &Save,
+    ) -> bool {
+        for jobs in save.forgotten.chunks(MAX_FORGOTTEN) {
+            if !self
+                .remove_jobs(fence, owner_revision, revisions, jobs)
+                .await
+            {
+                return false;
+            }
         }
-        // One of the 32 entries is needed for the condition on the ownership.
-        for chunk in removals.chunks(2 * MAX_PUTS) {
-            let transaction = Transaction {
-                conditions: vec![owner_condition(owner_revision)],
-                puts: Vec::new(),
-                removals: chunk.to_vec(),
-            };
+        true
+    }
+
+    async fn remove_jobs(
+        &self,
+        fence: u64,
+        owner_revision: u64,
+        revisions: &RefCell<Revisions>,
+        jobs: &[key::Job],
+    ) -> bool {
+        // Jobs without a known revision were removed by an earlier save, of which another part failed.
+        let is_known = |job: &key::Job| revisions.borrow().revision_of(&keys::progress(*job)) > 0;
+        let mut jobs: Vec<key::Job> = jobs.iter().copied().filter(is_known).collect();
+        for _ in 0..MAX_TRIES {
+            if jobs.is_empty() {
+                return true;
+            }
+            let transaction = removal(owner_revision, &revisions.borrow(), &jobs);
             match self.store_commit(&transaction).await {
-                Committed::Done(_) => {}
+                Committed::Done(_) => {
+                    let mut revisions = revisions.borrow_mut();
+                    let keys = jobs.iter().map(|job| keys::progress(*job));
+                    keys.for_each(|key| revisions.set(&key, 0));
+                    return true;
+                }
                 Committed::Conflict(items) => {
-                    self.depose_if_replaced(fence, owner_revision, &items);
-                    return false;
+                    if self.depose_if_replaced(fence, owner_revision, &items) {
+                        return false;
+                    }
+                    let mut revisions = revisions.borrow_mut();
+                    jobs.retain(|job| revisions.update(&keys::progress(*job), &items) > 0);
                 }
                 Committed::Refused | Committed::Unknown => return false,
             }
         }
-        true
+        false
     }
 }
 
@@ -282,11 +329,22 @@
     }
 }
 
-/// update_revisions sets the revisions to those that a conflict shows. The conflict means
-/// that an earlier try, whose answer was lost, took effect.
-fn update_revisions(revisions: &mut Revisions, puts: &[Put], items: &[Item]) {
-    for put in puts {
-        let present = items.iter().find(|item| item.key == put.key);
-        revisions.set(&put.key, present.map_or(0, |item| item.revision));
+/// removal removes all keys of jobs, on the condition that their progress is unchanged: a job that
+/// was submitted later under the same id stays.
+fn removal(owner_revision: u64, revisions: &Revisions, jobs: &[key::Job]) -> Transaction {
+    let mut conditions = vec![owner_condition(owner_revision)];
+    let mut removals = Vec::new();
+    for job in jobs {
+        let progress = keys::progress(*job);
+        conditions.push(Condition {
+            revision: revisions.revision_of(&progress),
+            key: progress.clone(),
+        });
+        removals.extend([keys::job(*job), keys::cancel(*job), progress]);
+    }
+    Transaction {
+        conditions,
+        puts: Vec::new(),
+        removals,
     }
 }
