Run a job that has the id of a forgotten one

What callers see: a job that is handed in again after the job with its id was shown for status_s is accepted with 200, shown as pending and never runs, until another daemon takes the cell over.

Cause: the owner keeps forgotten jobs by their ids and takes each later record under such an id for the one it knows.

Fix: a record that was accepted after the end of a forgotten job replaces it. One from before is ignored as before. Runs are numbered above those of the earlier job, as workers refuse the numbers of runs that have ended.

Found by asking what a client account hears that hands in a cancelled id again an hour later.

--- a/crates/stackpier-cell/src/lifecycle.rs
+++ b/crates/stackpier-cell/src/lifecycle.rs
@@ -19,7 +19,8 @@
 
 impl Cell {
     /// accept adds a job that is in the store, with the progress that a predecessor saved. A
-    /// job that is already known is left unchanged, but for a payload that was not known yet.
+    /// job that is already known is left unchanged, but for a payload that was not known yet. A job
+    /// that was submitted under the id of a forgotten one replaces it.
     pub(crate) fn accept(
         &mut self,
         id: key::Job,
@@ -34,12 +35,15 @@
             return;
         }
         let over = |progress: &Progress| progress.state.is_final();
-        if let Some(key) = self.job_keys.get(&id).copied()
-            && self.job(key).payload.is_empty()
-        {
-            self.job_mut(key).payload = Rc::from(record.spec.payload.as_str());
+        let known = self.job_keys.get(&id).copied();
+        let forgotten = known.filter(|key| self.is_replaced(*key, record));
+        if let Some(key) = known.filter(|_| forgotten.is_none()) {
+            if self.job(key).payload.is_empty() {
+                self.job_mut(key).payload = Rc::from(record.spec.payload.as_str());
+            }
+            return;
         }
-        if self.job_keys.contains_key(&id) || record.is_trimmed() && !progress.is_some_and(over) {
+        if record.is_trimmed() && !progress.is_some_and(over) {
             return;
         }
         // A later configuration may lack the queue, and this owner may never have seen it.
@@ -48,6 +52,9 @@
             self.queues.insert(queue.name.clone(), queue.clone());
         }
         let key = self.add_job(id, record);
+        if let Some(forgotten) = forgotten {
+            self.continue_runs(forgotten, key);
+        }
         if let Some(progress) = progress {
             self.restore(key, progress);
         }
@@ -60,6 +67,27 @@
         self.placement_due = true;
     }
 
+    /// is_replaced reports whether a record is that of a job which was submitted after the known job
+    /// with its id had been forgotten. The record of the known job may still be read late.
+    fn is_replaced(&self, known: JobKey, record: &Record) -> bool {
+        let known = self.job(known);
+        known.forgotten && !record.is_trimmed() && record.accepted_ms > known.ended_unix_ms
+    }
+
+    /// continue_runs numbers the runs of a job above those of an earlier job with the same id: workers
+    /// refuse the numbers of runs that have ended.
+    fn continue_runs(&mut self, earlier: JobKey, job: JobKey) {
+        let earlier = self.job(earlier);
+        let tasks = (earlier.first_task.0..earlier.first_task.0 + earlier.tasks).map(TaskKey);
+        let next_runs = tasks.map(|task| self.task(task).next_run);
+        let next_run = next_runs.max().unwrap_or(0);
+        let job = self.job(job);
+        for task in (job.first_task.0..job.first_task.0 + job.tasks).map(TaskKey) {
+            let task = self.task_mut(task);
+            task.next_run = task.next_run.max(next_run);
+        }
+    }
+
     /// add_job adds a job with the steps of all its rounds.
     fn add_job(&mut self, id: key::Job, record: &Record) -> JobKey {
         let key = JobKey(self.jobs.len() as u32);
--- a/crates/stackpier-cell/tests/jobs.rs
+++ b/crates/stackpier-cell/tests/jobs.rs
@@ -5,10 +5,10 @@
 mod common;
 
 use common::{Owner, QUEUE, UNIX, info, name, queue, spec, step};
-use stackpier_cell::Event;
+use stackpier_cell::{Event, Options};
 use stackpier_core::key;
 use stackpier_standin::fleet::Behaviour;
-use stackpier_state::job::{Schedule, Spec, State, Step};
+use stackpier_state::job::{Record, Schedule, Spec, State, Step};
 
 #[test]
 fn steps_run_in_their_order() {
@@ -356,3 +356,54 @@
     owner.advance(30_000);
     assert_eq!(owner.state(2), Some(State::Completed));
 }
+
+/// Guards against a job that is accepted and never runs, because its id is that of a job which was
+/// shown for long enough and removed.
+#[test]
+fn a_job_with_the_id_of_a_forgotten_one_runs() {
+    let mut owner = Owner::new(1);
+    owner.submit(1, spec(vec![step(2)]));
+    owner.advance(3_000);
+    assert_eq!(owner.state(1), Some(State::Completed));
+    owner.advance(Options::default().show_ms + 1_000);
+    assert_eq!(owner.state(1), None, "it was removed");
+    let earlier = owner.starts.len();
+    owner.submit(1, spec(vec![step(3)]));
+    owner.advance(3_000);
+    assert_eq!(owner.state(1), Some(State::Completed));
+    let runs = owner.starts.iter().map(|(start, _)| start.order.run);
+    let (before, after): (Vec<u32>, Vec<u32>) = (
+        runs.clone().take(earlier).collect(),
+        runs.skip(earlier).collect(),
+    );
+    assert_eq!(after.len(), 3);
+    assert!(
+        after.iter().min() > before.iter().max(),
+        "{before:?} {after:?}"
+    );
+}
+
+/// Guards against a removed job that runs again, because its record is read late.
+#[test]
+fn a_record_from_before_the_end_of_a_forgotten_job_is_ignored() {
+    let mut owner = Owner::new(1);
+    owner.submit(1, spec(vec![step(2)]));
+    owner.advance(Options::default().show_ms + 4_000);
+    assert_eq!(owner.state(1), None, "it was removed");
+    let starts = owner.starts.len();
+    let record = Record {
+        queue: queue(QUEUE, 0),
+        spec: spec(vec![step(2)]),
+        fence: 1,
+        accepted_ms: UNIX,
+    };
+    owner.feed(Event::Accepted {
+        job: key::Job(1),
+        record: Box::new(record),
+        progress: None,
+        cancelled: false,
+    });
+    owner.advance(3_000);
+    assert_eq!(owner.state(1), None);
+    assert_eq!(owner.starts.len(), starts);
+}
