Give tombstones a value of their own

A tombstone was an empty value, and an entry whose value got lost on the way reads as empty, too: an accepted job would have counted as cancelled and been removed. It is a word now that does not decode as a record, so earlier builds log it, ignore it as a job and never run it; an empty entry stays unreadable. Expired keys are only removed while the store answers.

--- a/crates/stackpier-scheduler/src/cancellation.rs
+++ b/crates/stackpier-scheduler/src/cancellation.rs
@@ -23,19 +23,27 @@
     pub async fn cancel(&self, job: key::Job) -> Result<bool> {
         let (end, asked) = (self.write_deadline(), self.mono());
         let state = self.known_state(job).await;
-        let read_ms = self.mono().since(asked);
-        let text = format!("cancelled in state {state:?}, which was read within {read_ms} ms");
-        self.log_about("cancellation", Some(keys::hex(job)), &text);
-        match state {
-            Some(state) if state.is_final() => return Ok(true),
-            Some(_) => {}
-            None if self.write_tombstone(job, end).await? => return Ok(false),
-            None => {}
+        self.log_state(job, state, self.mono().since(asked));
+        if state.is_some_and(State::is_final) {
+            return Ok(true);
+        }
+        if state.is_none() && self.write_tombstone(job, end).await? {
+            return Ok(false);
         }
         self.write_cancellation(job, end).await?;
         Ok(true)
     }
 
+    /// log_state logs the state on which a cancellation is decided.
+    fn log_state(&self, job: key::Job, state: Option<State>, took_ms: u64) {
+        let shown = match state {
+            Some(state) => format!("{state:?}"),
+            None => "known neither to the owner nor to the store".to_owned(),
+        };
+        let text = format!("cancelled by its client account: {shown}, read in {took_ms} ms");
+        self.log_about("cancellation", Some(keys::hex(job)), &text);
+    }
+
     /// write_cancellation writes the cancellation of a job that is in the store, and notifies the
     /// owner.
     async fn write_cancellation(&self, job: key::Job, end: Instant) -> Result<()> {
--- a/crates/stackpier-scheduler/src/expiry.rs
+++ b/crates/stackpier-scheduler/src/expiry.rs
@@ -115,7 +115,9 @@
     loop {
         pause(CLEAN_MS).await;
         node.record_outlook_age();
-        node.remove_rejections().await;
-        node.remove_tombstones().await;
+        if node.store_answers() {
+            node.remove_rejections().await;
+            node.remove_tombstones().await;
+        }
     }
 }
--- a/crates/stackpier-scheduler/src/submission.rs
+++ b/crates/stackpier-scheduler/src/submission.rs
@@ -18,8 +18,9 @@
     store::{Condition, Item, Put, Transaction},
 };
 
-/// TOMBSTONE is the value of a tombstone. No record is encoded like this.
-const TOMBSTONE: &[u8] = b"";
+/// TOMBSTONE is the value of a tombstone. It can't be decoded as a record: earlier builds log it and
+/// ignore it.
+const TOMBSTONE: &[u8] = b"tombstone";
 
 /// Content is what the key of a job holds.
 #[derive(Clone, Debug)]
