--- a/crates/stackpier-cell/src/cell.rs
+++ b/crates/stackpier-cell/src/cell.rs
@@ -19,7 +19,7 @@
     job::{Job, Step, Task},
     maintenance::{Record, Rollout},
     outlook::Forecaster,
-    place::{BestEffortPass, Budget, GuaranteedPass},
+    place::{BestEffortPass, Budget, GuaranteedPass, PlacementStats},
     run::Run,
     save::Saver,
     share::Shares,
@@ -69,6 +69,8 @@
     pub(crate) guaranteed_pass: GuaranteedPass,
     /// The placement passes over steps with best-effort tasks.
     pub(crate) best_effort_pass: BestEffortPass,
+    /// What placement did since the last summary.
+    pub(crate) placement: PlacementStats,
     pub(crate) summary_logged_at: Millis,
     /// When all runs were last checked.
     pub(crate) swept_at: Millis,
@@ -137,6 +139,7 @@
                 options.ratings_per_ms - guaranteed_ratings,
                 now.mono,
             )),
+            placement: PlacementStats::default(),
             summary_logged_at: now.mono,
             swept_at: now.mono,
             model: Model::default(),
@@ -166,6 +169,7 @@
     pub fn step(&mut self, now: Now, event: Event) -> Vec<Effect> {
         self.detect_stall(now.mono);
         self.now = now;
+        self.placement.events += 1;
         match event {
             Event::Queues(queues) => self.apply_queues(queues),
             Event::Cordons(data_centres) => self.apply_cordons(data_centres),
@@ -259,6 +263,11 @@
         self.guaranteed_pass.budget.done() + self.best_effort_pass.budget.done()
     }
 
+    /// tries returns how many steps placement tried so far, for measurements.
+    pub fn tries(&self) -> u64 {
+        self.placement.tries()
+    }
+
     /// queued returns the steps with tasks to place.
     pub(crate) fn queued(&self) -> impl Iterator<Item = StepKey> + '_ {
         let guaranteed = self
@@ -420,6 +429,7 @@
     }
 
     fn tick(&mut self) {
+        self.placement.ticks += 1;
         self.release_due();
         self.check_workers();
         self.send_deferred();
--- a/crates/stackpier-cell/src/crash/deferred.rs
+++ b/crates/stackpier-cell/src/crash/deferred.rs
@@ -104,7 +104,8 @@
             "a run or an end that this owner does not know of is possible"
         } else if let Some(deadline_ms) = self.worker_mut(worker).lease(now, lease_ms) {
             if held {
-                self.flow.record_sent(key, self.job_of(task).payload.len());
+                self.flow
+                    .record_sent(now, key, self.job_of(task).payload.len());
             }
             self.begin_isolation(key, task, worker);
             self.send_start(key, deadline_ms);
--- a/crates/stackpier-cell/src/flow.rs
+++ b/crates/stackpier-cell/src/flow.rs
@@ -10,12 +10,21 @@
 
 use std::collections::HashMap;
 
+use stackpier_core::Millis;
+
 use crate::{Options, arena::RunKey};
 
 /// OVERHEAD_BYTES is how many bytes a start takes on the wire besides its payload: its head, its
 /// other fields and the headers of its packets.
 const OVERHEAD_BYTES: u64 = 450;
 
+/// Sent is a start that awaits its answer.
+#[derive(Clone, Copy, Debug)]
+struct Sent {
+    at: Millis,
+    bytes: u64,
+}
+
 /// Flow counts the starts that await answers.
 #[derive(Debug)]
 pub(crate) struct Flow {
@@ -23,7 +32,7 @@
     max_bytes: u64,
     /// The maximum number of starts that may await answers.
     max_starts: usize,
-    unanswered: HashMap<RunKey, u64>,
+    unanswered: HashMap<RunKey, Sent>,
     bytes: u64,
     full: bool,
 }
@@ -41,20 +50,20 @@
     }
 
     /// record_sent records that a start with a payload of that many bytes was sent.
-    pub(crate) fn record_sent(&mut self, run: RunKey, payload: usize) {
+    pub(crate) fn record_sent(&mut self, at: Millis, run: RunKey, payload: usize) {
         let bytes = payload as u64 + OVERHEAD_BYTES;
         self.bytes += bytes;
-        self.unanswered.insert(run, bytes);
+        self.unanswered.insert(run, Sent { at, bytes });
         self.full |= self.bytes >= self.max_bytes || self.unanswered.len() >= self.max_starts;
     }
 
     /// record_forwarded records that another daemon sends a start, which put only `bytes` on the
     /// owner's link.
     pub(crate) fn record_forwarded(&mut self, run: RunKey, bytes: u64) {
-        if let Some(assumed) = self.unanswered.get_mut(&run) {
-            self.bytes -= *assumed;
+        if let Some(sent) = self.unanswered.get_mut(&run) {
+            self.bytes -= sent.bytes;
             self.bytes += bytes;
-            *assumed = bytes;
+            sent.bytes = bytes;
             self.release();
         }
     }
@@ -63,8 +72,8 @@
     /// reached, further starts wait until half of it is free again: a placement attempt rates
     /// all workers for a step, so it pays to place many tasks at a time.
     pub(crate) fn record_answered(&mut self, run: RunKey) {
-        if let Some(bytes) = self.unanswered.remove(&run) {
-            self.bytes -= bytes;
+        if let Some(sent) = self.unanswered.remove(&run) {
+            self.bytes -= sent.bytes;
         }
         self.release();
     }
@@ -73,6 +82,19 @@
         self.full &= self.bytes > self.max_bytes / 2 || self.unanswered.len() > self.max_starts / 2;
     }
 
+    /// describe returns how many starts await answers, and for how long the oldest has.
+    pub(crate) fn describe(&self, now: Millis) -> String {
+        let ages = self.unanswered.values().map(|sent| now.since(sent.at));
+        format!(
+            "{} starts of {} bytes in flight for up to {} ms, {} starts and {} bytes allowed",
+            self.unanswered.len(),
+            self.bytes,
+            ages.max().unwrap_or(0),
+            self.max_starts,
+            self.max_bytes
+        )
+    }
+
     /// is_full reports whether further starts have to wait.
     pub(crate) fn is_full(&self) -> bool {
         self.full
--- a/crates/stackpier-cell/src/order.rs
+++ b/crates/stackpier-cell/src/order.rs
@@ -32,6 +32,7 @@
         let mut run = self.new_run(task, worker);
         run.witnessed = run.long_running;
         let number = run.number;
+        self.placement.started += u32::from(run.best_effort);
         let key = self.insert_run(run);
         self.consume_reservation(worker, task);
         self.begin_isolation(key, task, worker);
@@ -39,7 +40,8 @@
         let entry = self.task_mut(task);
         entry.runs.push(key);
         entry.next_run = number + 1;
-        self.flow.record_sent(key, self.job_of(task).payload.len());
+        self.flow
+            .record_sent(now, key, self.job_of(task).payload.len());
         if self.is_sent(key) {
             self.send_start(key, deadline_ms);
         } else {
--- a/crates/stackpier-cell/src/place.rs
+++ b/crates/stackpier-cell/src/place.rs
@@ -11,6 +11,7 @@
 mod gang;
 mod pass;
 mod starvation;
+mod stats;
 
 use std::collections::BinaryHeap;
 
@@ -28,6 +29,7 @@
     budget::Budget,
     candidate::Demand,
     pass::{BestEffortPass, GuaranteedPass},
+    stats::Stats as PlacementStats,
 };
 
 /// BEST_EFFORT_GAP_MS is the shortest time between the starts of two passes over best-effort
--- a/crates/stackpier-cell/src/place/pass.rs
+++ b/crates/stackpier-cell/src/place/pass.rs
@@ -219,6 +219,7 @@
         self.guaranteed_pass.rejections.clear();
         self.guaranteed_pass.has_reservations = has_reservations;
         self.guaranteed_pass.headroom = headroom;
+        self.placement.guaranteed_began += 1;
     }
 
     /// compute_headroom returns the headroom of each service.
@@ -259,6 +260,7 @@
             self.best_effort_queue.extend(left);
             self.best_effort_pass.starving.clear();
             self.best_effort_pass.under_way = false;
+            self.placement.ended_early += 1;
             self.best_effort_pass.due = true;
         }
     }
@@ -282,6 +284,7 @@
     }
 
     fn try_guaranteed(&mut self, step: StepKey) {
+        self.placement.guaranteed_tried += 1;
         if self.has_nothing_to_place(step) {
             return;
         }
@@ -321,6 +324,7 @@
         pass.reset_rejected();
         pass.rejected_starving.clear();
         pass.starving_listed = false;
+        self.placement.began += 1;
     }
 
     /// continue_best_effort continues the pass until it is complete, the ratings are used up or
@@ -340,11 +344,24 @@
             } else if let Some(step) = self.best_effort_pass.starving.pop() {
                 self.try_starving(step);
             } else {
-                self.best_effort_pass.under_way = false;
+                self.complete_best_effort();
                 return;
             }
         }
-        self.best_effort_pass.awaits_answers |= self.flow.is_full();
+        let full = self.flow.is_full();
+        let spent = self.best_effort_pass.budget.is_spent();
+        self.best_effort_pass.awaits_answers |= full;
+        self.placement.full += u32::from(full);
+        self.placement.spent += u32::from(spent);
+    }
+
+    fn complete_best_effort(&mut self) {
+        let now = self.now.mono;
+        let pass = &mut self.best_effort_pass;
+        pass.under_way = false;
+        let took_ms = now.since(pass.began);
+        self.placement.completed += 1;
+        self.placement.longest_ms = self.placement.longest_ms.max(took_ms);
     }
 
     fn refresh_predictions(&mut self, key: WorkerKey) {
@@ -358,6 +375,7 @@
     }
 
     fn try_best_effort(&mut self, step: StepKey) {
+        self.placement.tried += 1;
         if !self.has_nothing_to_place(step)
             && !self.best_effort_pass.has_reached_limit()
             && let Some(demand) = self.demand(step)
@@ -382,6 +400,7 @@
     /// try_idle starts one task of a step that has had nothing running for long, within the limits
     /// that protect other tasks.
     fn try_idle(&mut self, step: StepKey) {
+        self.placement.idle_tried += 1;
         if !self.has_nothing_to_place(step)
             && let Some(demand) = self.demand(step)
         {
@@ -390,6 +409,7 @@
     }
 
     fn try_starving(&mut self, step: StepKey) {
+        self.placement.starving_tried += 1;
         if self.has_nothing_to_place(step) {
             return;
         }
--- a/crates/stackpier-cell/src/summary.rs
+++ b/crates/stackpier-cell/src/summary.rs
@@ -79,6 +79,7 @@
             ready(|step| step.best_effort)
         );
         self.log("summary", None, text);
+        self.log_passes();
         self.log_short();
         self.log_dedicated();
         self.log_expired();
@@ -90,6 +91,13 @@
         self.log_shares();
     }
 
+    /// log_passes logs what the passes over best-effort steps did since the last summary.
+    fn log_passes(&mut self) {
+        let stats = self.placement.take();
+        let text = format!("{stats}; {}", self.flow.describe(self.now.mono));
+        self.log("placement", None, text);
+    }
+
     /// log_short logs how large the waiting short steps are, and how the capacity that they may
     /// use is spread over workers.
     fn log_short(&mut self) {
