Tests of a slow owner at 540 workers, which fail

The owner has the limits of a VM of 0.12 cores; the clock is the test's, and in the second test each event, step tried and worker rated takes processor time.

- 300 best-effort steps wait beside serving tasks that reserve three quarters of 540 workers.

--- a/crates/stackpier-cell/tests/common/effects.rs
+++ b/crates/stackpier-cell/tests/common/effects.rs
@@ -11,6 +11,14 @@
 
     /// place returns the index of the worker at an address.
     pub(super) fn place(&self, address: &str) -> usize {
+        let has_address = |place: &usize| {
+            let worker = self.workers.get(*place);
+            worker.is_some_and(|worker| worker.info.address == address)
+        };
+        let (_, number) = address.rsplit_once('-').expect("a numbered address");
+        if let Some(place) = number.parse().ok().filter(has_address) {
+            return place;
+        }
         let found = self
             .workers
             .iter()
--- a/crates/stackpier-cell/tests/common/mod.rs
+++ b/crates/stackpier-cell/tests/common/mod.rs
@@ -7,6 +7,7 @@
 pub mod chain;
 mod crash;
 mod effects;
+pub mod processor;
 mod renewals;
 pub mod shapes;
 
@@ -328,10 +329,7 @@
         let end = self.now_ms + ms;
         while self.now_ms < end {
             self.now_ms += 1;
-            let due = |(at, _): &(u64, Event)| *at <= self.now_ms;
-            let (due, later): (Vec<_>, Vec<_>) = self.pending.drain(..).partition(due);
-            self.pending = later;
-            for (_, event) in due {
+            for event in self.take_due() {
                 self.feed(event);
             }
             self.restart_crashed();
@@ -342,6 +340,14 @@
         }
     }
 
+    /// take_due removes and returns the events that have arrived by now.
+    fn take_due(&mut self) -> Vec<Event> {
+        let due = |(at, _): &(u64, Event)| *at <= self.now_ms;
+        let (due, later): (Vec<_>, Vec<_>) = self.pending.drain(..).partition(due);
+        self.pending = later;
+        due.into_iter().map(|(_, event)| event).collect()
+    }
+
     /// starts_of returns how often workers accepted a start of a task.
     pub fn starts_of(&self, task: TaskName) -> usize {
         let of_task = |(start, _): &&(Start, usize)| start.order.task == task;
--- /dev/null
+++ b/crates/stackpier-cell/tests/slow_owner.rs
@@ -0,0 +1,203 @@
+// SPDX-License-Identifier: Apache-2.0
+//! Owners with little processor time, on cells of 540 workers where hundreds of steps wait.
+//!
+//! Guards against steps that could run and wait for seconds or for good beside free workers. Client
+//! accounts count a job as lost from three seconds on.
+
+mod common;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use common::{Owner, QUEUE, info, processor::Processor, spec, step};
+use rstest::rstest;
+use stackpier_cell::{Event, Info, Options, RosterEntry};
+use stackpier_core::{Size, key};
+use stackpier_state::job::{Record, Spec, State, Step};
+
+/// WORKERS is the number of workers.
+const WORKERS: usize = 540;
+/// SMALL_VM is the processor of a small VM, in thousandths of a core.
+const SMALL_VM: u64 = 120;
+/// LARGE_VM is the processor of a large VM, in thousandths of a core.
+const LARGE_VM: u64 = 500;
+/// RATINGS_PER_MS is how many ratings a small VM may make in a millisecond.
+const RATINGS_PER_MS: u32 = 960;
+/// MAX_STARTS is how many starts a small VM may have in flight.
+const MAX_STARTS: usize = 334;
+/// WAIT_MS is how long a step that fits may have nothing running.
+const WAIT_MS: u64 = 3_000;
+/// STEP_MS is the time between two looks at what runs.
+const STEP_MS: u64 = 50;
+/// SILENCE_MS is how long an owner may handle no tick: followers take an owner that answers
+/// nothing for two seconds as gone.
+const SILENCE_MS: u64 = 1_000;
+/// FIRST_WAITING is the first of the jobs that wait.
+const FIRST_WAITING: u64 = 1_000;
+
+fn options() -> Options {
+    Options {
+        max_lease_ms: 6_000,
+        ratings_per_ms: RATINGS_PER_MS,
+        max_starts: MAX_STARTS,
+        ..Options::default()
+    }
+}
+
+/// large returns a worker of 37 cores.
+fn large(place: usize) -> Info {
+    Info {
+        capacity: Size {
+            milli_cores: 37_000,
+            memory_mib: 148_000,
+            accelerators: 0,
+        },
+        ..info(place)
+    }
+}
+
+/// best_effort returns a step of best-effort tasks of three to four cores.
+fn best_effort(job: u64, count: u32) -> Step {
+    Step {
+        best_effort: true,
+        checkpointing: true,
+        image: format!("filling-{}", job % 30),
+        estimate_ms: 1_700,
+        size: Size {
+            milli_cores: 3_000 + (job % 300) as u32 * 3,
+            memory_mib: 6_400,
+            accelerators: 0,
+        },
+        ..step(count)
+    }
+}
+
+/// with_workers starts an owner of large workers, which have all answered.
+fn with_workers() -> Owner {
+    let mut owner = Owner::with_options(WORKERS, 1, false, options());
+    owner.renewals_wait = true;
+    for place in 0..WORKERS {
+        owner.workers[place].info = large(place);
+        owner.feed(Event::Listed(large(place)));
+    }
+    owner.advance(100);
+    owner
+}
+
+/// Waits measures for how long each of some jobs has had nothing running, from the workers.
+struct Waits {
+    since: BTreeMap<u64, u64>,
+    longest_ms: u64,
+}
+
+impl Waits {
+    fn new(owner: &Owner, jobs: impl Iterator<Item = u64>) -> Waits {
+        Waits {
+            since: jobs.map(|job| (job, owner.now_ms)).collect(),
+            longest_ms: 0,
+        }
+    }
+
+    fn observe(&mut self, owner: &Owner) {
+        let runs = owner.workers.iter().flat_map(|worker| &worker.runs);
+        let running: BTreeSet<u64> = runs.map(|run| run.task.job.0).collect();
+        self.since
+            .retain(|job, _| owner.state(*job) != Some(State::Completed));
+        for (job, since) in &mut self.since {
+            if running.contains(job) {
+                *since = owner.now_ms;
+            }
+            self.longest_ms = self.longest_ms.max(owner.now_ms - *since);
+        }
+    }
+}
+
+/// submit_serving submits serving tasks that reserve three quarters of all processors.
+fn submit_serving(owner: &mut Owner) {
+    for job in 0..100 {
+        let size = Size {
+            milli_cores: 6_400,
+            memory_mib: 13_000,
+            accelerators: 0,
+        };
+        let step = Step {
+            target_ms: 20,
+            image: format!("serving-{}", job % 16),
+            size,
+            ..step(24)
+        };
+        owner.submit_long_running(job, step);
+        let behaviour = owner.behaviours.get_mut(&(job, 0)).expect("just added");
+        behaviour.tail_ms = Some(8);
+    }
+    owner.advance(6_000);
+    assert_eq!(owner.cell.ready(), 0);
+}
+
+/// Guards against steps that no pass reaches: while the answers to starts take longer than a pass
+/// may wait for them, each pass ended early, and the next one began with the same steps.
+#[rstest]
+fn every_step_starts_in_time_however_late_starts_are_answered(
+    #[values(20, 150, 300)] start_ms: u64,
+) {
+    const STEPS: u64 = 300;
+    let mut owner = with_workers();
+    submit_serving(&mut owner);
+    owner.start_ms = start_ms;
+    for job in 0..STEPS {
+        owner.submit(FIRST_WAITING + job, spec(vec![best_effort(job, 40)]));
+    }
+    let mut waits = Waits::new(&owner, FIRST_WAITING..FIRST_WAITING + STEPS);
+    for _ in 0..10_000 / STEP_MS {
+        owner.advance(STEP_MS);
+        waits.observe(&owner);
+    }
+    assert!(waits.longest_ms <= WAIT_MS, "{} ms", waits.longest_ms);
+}
+
+/// Guards against successors that are replaced one after the other before they have read the
+/// cell: each job read began a pass over all steps read so far, none of which could start yet.
+#[rstest]
+fn a_new_owner_handles_ticks_while_it_reads_hundreds_of_jobs(
+    #[values(SMALL_VM, LARGE_VM)] milli_cores: u64,
+) {
+    const JOBS: u64 = 800;
+    let mut owner = Owner::with_options(WORKERS, 2, true, options());
+    owner.renewals_wait = true;
+    for place in 0..WORKERS {
+        let Info { id, address, .. } = large(place);
+        owner.workers[place].info = large(place);
+        owner.cell.add_roster(&RosterEntry { id, address });
+    }
+    let mut processor = Processor::new(milli_cores, owner.now_ms);
+    for job in 0..JOBS {
+        let step = match job % 3 {
+            0 => step(8),
+            _ => best_effort(job, 40),
+        };
+        processor.receive(inherited(&mut owner, FIRST_WAITING + job, spec(vec![step])));
+    }
+    for place in 0..WORKERS {
+        processor.receive(Event::Listed(large(place)));
+    }
+    owner.advance_on(&mut processor, 6_000);
+    let gap_ms = processor.longest_gap_ms;
+    assert!(gap_ms <= SILENCE_MS, "{gap_ms} ms");
+}
+
+/// inherited returns the event by which an owner learns of a job that was accepted under the first
+/// owner.
+fn inherited(owner: &mut Owner, job: u64, spec: Spec) -> Event {
+    owner.set_spec(job, spec.clone());
+    let record = Record {
+        queue: common::queue(QUEUE, 0),
+        spec,
+        fence: 1,
+        accepted_ms: common::UNIX,
+    };
+    Event::Accepted {
+        job: key::Job(job),
+        record: Box::new(record),
+        progress: None,
+        cancelled: false,
+    }
+}
