Start one task of each step that has waited for long, before other steps

Cause: passes try the jobs with the fewest tasks left first. While as many starts are in flight as the VM may have, a pass waits, and after 100 ms it ends early and the next one begins with the same steps. Where answers take longer than that, no pass ever reaches its end: neither the steps at the end of the order nor those that starve, which came last of all. Two idle steps per pass went first, one or two passes began in a second, and those that found no worker within the limits held up the others.

Now rounds over the idle steps come before both passes: one task each, the longest waiting first, within the limits that protect other tasks or, where a step starves, without them. A round is never begun anew before its end, covers guaranteed steps, too, and gets up to two thirds of the starts while others wait (a sixth of the starts in flight at least stays for them). A worker is chosen among 32 suitable ones, so that the work for a step does not grow with the cell.

--- a/crates/stackpier-cell/src/cell.rs
+++ b/crates/stackpier-cell/src/cell.rs
@@ -19,7 +19,7 @@
     job::{Job, Step, Task},
     maintenance::{Record, Rollout},
     outlook::Forecaster,
-    place::{BestEffortPass, Budget, GuaranteedPass, PlacementStats},
+    place::{BestEffortPass, Budget, GuaranteedPass, IdleRound, PlacementStats},
     run::Run,
     save::Saver,
     share::Shares,
@@ -36,6 +36,9 @@
 /// GUARANTEED_RATING_DIVISOR sets the share of the rating budget, one in this many, for
 /// guaranteed tasks: most of them are found not to fit before any worker is rated.
 const GUARANTEED_RATING_DIVISOR: u32 = 4;
+/// IDLE_RATING_DIVISOR sets the share of the ratings for best-effort tasks, one in this many, that
+/// rounds over idle steps may use.
+const IDLE_RATING_DIVISOR: u32 = 2;
 /// MAX_FAILED_ON bounds how many of the workers that a task failed on are remembered.
 const MAX_FAILED_ON: usize = 3;
 
@@ -69,6 +72,8 @@
     pub(crate) guaranteed_pass: GuaranteedPass,
     /// The placement passes over steps with best-effort tasks.
     pub(crate) best_effort_pass: BestEffortPass,
+    /// The rounds over steps that have had nothing running for long.
+    pub(crate) idle_round: IdleRound,
     /// What placement did since the last summary.
     pub(crate) placement: PlacementStats,
     pub(crate) summary_logged_at: Millis,
@@ -114,6 +119,7 @@
     pub fn new(options: Options, fence: u64, now: Now, acting_ms: u64) -> Cell {
         let ownership = Ownership::new(&options, now.mono, now.mono.plus(acting_ms));
         let guaranteed_ratings = options.ratings_per_ms / GUARANTEED_RATING_DIVISOR;
+        let idle_ratings = (options.ratings_per_ms - guaranteed_ratings) / IDLE_RATING_DIVISOR;
         Cell {
             options,
             fence,
@@ -139,6 +145,7 @@
                 options.ratings_per_ms - guaranteed_ratings,
                 now.mono,
             )),
+            idle_round: IdleRound::new(Budget::new(idle_ratings, now.mono), options.max_starts),
             placement: PlacementStats::default(),
             summary_logged_at: now.mono,
             swept_at: now.mono,
--- a/crates/stackpier-cell/src/place.rs
+++ b/crates/stackpier-cell/src/place.rs
@@ -9,6 +9,7 @@
 mod budget;
 mod candidate;
 mod gang;
+mod idle;
 mod pass;
 mod starvation;
 mod stats;
@@ -28,6 +29,7 @@
 pub(crate) use {
     budget::Budget,
     candidate::Demand,
+    idle::Round as IdleRound,
     pass::{BestEffortPass, GuaranteedPass},
     stats::Stats as PlacementStats,
 };
@@ -101,8 +103,10 @@
         if !self.flow.is_full() {
             self.end_stale_passes();
         }
-        self.place_guaranteed();
-        self.place_best_effort();
+        if !self.place_idle() {
+            self.place_guaranteed();
+            self.place_best_effort();
+        }
         if is_due {
             self.poll_for_suspects();
         }
@@ -124,6 +128,9 @@
             if !self.best_effort_pass.due || soon {
                 return;
             }
+            if self.place_idle_first() {
+                return;
+            }
             self.begin_best_effort();
         }
         self.continue_best_effort();
@@ -264,6 +271,7 @@
                 Some(worker) => {
                     self.task_mut(task).ready = false;
                     self.start(task, worker);
+                    self.idle_round.record_other_start();
                     outcome = Outcome::Placed;
                 }
                 None => {
--- a/crates/stackpier-cell/src/place/budget.rs
+++ b/crates/stackpier-cell/src/place/budget.rs
@@ -72,7 +72,12 @@
 
     /// is_spent reports whether further ratings have to wait.
     pub(crate) fn is_spent(&self) -> bool {
-        self.left_in_call.get() <= 0 || self.saved.get() <= 0
+        self.left_in_call.get() <= 0 || self.is_overdrawn()
+    }
+
+    /// is_overdrawn reports whether they have to wait for longer than until the next call.
+    pub(crate) fn is_overdrawn(&self) -> bool {
+        self.saved.get() <= 0
     }
 
     /// done returns how many ratings were done so far.
--- a/crates/stackpier-cell/src/place/candidate.rs
+++ b/crates/stackpier-cell/src/place/candidate.rs
@@ -37,6 +37,9 @@
 /// MIN_UNUSED_PERCENT is the share of a best-effort task's processors that must be unused: the task
 /// may run a little slower than requested.
 const MIN_UNUSED_PERCENT: i64 = 80;
+/// STEP_STRIDE is by how many workers the first one that is rated differs between successive steps,
+/// if not all are rated.
+const STEP_STRIDE: usize = 37;
 /// RACK_SCORE favours the rack of a step's data. It outweighs the packing score.
 const RACK_SCORE: f64 = 10.0;
 
@@ -101,6 +104,8 @@
     pub min_unused_percent: i64,
     /// Whether the limits that protect other tasks are lifted.
     pub relaxed: bool,
+    /// How many suitable workers are enough to choose from.
+    pub max_candidates: usize,
     /// Whether the tasks may use workers that are dedicated to short tasks.
     pub uses_dedicated: bool,
     /// How long the first of the tasks has waited; zero for best-effort tasks.
@@ -229,6 +234,7 @@
                 false => 0,
             },
             relaxed: false,
+            max_candidates: usize::MAX,
             uses_dedicated: step_spec.long_running && self.may_use_dedicated(step),
             waited_ms: match step_spec.best_effort {
                 true => 0,
@@ -241,13 +247,21 @@
         Some(demand)
     }
 
-    /// candidates rates all workers and returns those that may take a task of a step.
+    /// candidates rates the workers and returns those that may take a task of a step: all of them, or
+    /// as many as are enough. Each step begins with another worker.
     pub(crate) fn candidates(&self, demand: &Demand) -> BinaryHeap<Candidate> {
         let rate = |worker| {
             let score = self.rate_worker(demand, worker).ok()?;
             Some(Candidate { worker, score })
         };
-        self.live_workers().filter_map(rate).collect()
+        if demand.max_candidates == usize::MAX {
+            return self.live_workers().filter_map(rate).collect();
+        }
+        let workers = self.collect_live_workers();
+        let first = demand.step.0 as usize * STEP_STRIDE % workers.len().max(1);
+        let (before, after) = workers.split_at(first);
+        let suitable = after.iter().chain(before).copied().filter_map(rate);
+        suitable.take(demand.max_candidates).collect()
     }
 
     fn budget_of(&self, demand: &Demand) -> &Budget {
--- a/crates/stackpier-cell/src/place/pass.rs
+++ b/crates/stackpier-cell/src/place/pass.rs
@@ -110,15 +110,6 @@
     rejected: Vec<Demand>,
     /// How many of these come from an earlier pass that ended before it had tried all kinds.
     carried_over: usize,
-    /// Idle steps that go before all others, the longest waiting last.
-    idle: Vec<StepKey>,
-    /// Starving steps, the longest waiting last.
-    starving: Vec<StepKey>,
-    /// Demands of starving steps that found no worker: those that request at least as much find
-    /// none either.
-    rejected_starving: Vec<Demand>,
-    /// Whether this pass has looked up the starving steps.
-    starving_listed: bool,
 }
 
 impl GuaranteedPass {
@@ -170,10 +161,6 @@
             steps: Vec::new(),
             rejected: Vec::new(),
             carried_over: 0,
-            idle: Vec::new(),
-            starving: Vec::new(),
-            rejected_starving: Vec::new(),
-            starving_listed: false,
         }
     }
 
@@ -257,7 +244,6 @@
         {
             let left = std::mem::take(&mut self.best_effort_pass.steps);
             self.best_effort_queue.extend(left);
-            self.best_effort_pass.starving.clear();
             self.best_effort_pass.under_way = false;
             self.placement.ended_early += 1;
             self.best_effort_pass.due = true;
@@ -311,9 +297,7 @@
         } else {
             self.collect_live_workers()
         };
-        let idle = self.find_idle(&steps);
         let pass = &mut self.best_effort_pass;
-        pass.idle = idle;
         pass.due = false;
         pass.under_way = true;
         pass.began = self.now.mono;
@@ -321,8 +305,6 @@
         pass.workers = workers;
         pass.steps = steps;
         pass.reset_rejected();
-        pass.rejected_starving.clear();
-        pass.starving_listed = false;
         self.placement.began += 1;
     }
 
@@ -333,15 +315,8 @@
         while !self.best_effort_pass.budget.is_spent() && !self.flow.is_full() {
             if let Some(worker) = self.best_effort_pass.workers.pop() {
                 self.refresh_predictions(worker);
-            } else if let Some(step) = self.best_effort_pass.idle.pop() {
-                self.try_idle(step);
             } else if let Some(step) = self.best_effort_pass.steps.pop() {
                 self.try_best_effort(step);
-            } else if !self.best_effort_pass.starving_listed {
-                self.best_effort_pass.starving_listed = true;
-                self.best_effort_pass.starving = self.find_starving();
-            } else if let Some(step) = self.best_effort_pass.starving.pop() {
-                self.try_starving(step);
             } else {
                 self.complete_best_effort();
                 return;
@@ -360,6 +335,7 @@
         pass.under_way = false;
         let took_ms = now.since(pass.began);
         self.placement.completed += 1;
+        self.idle_round.record_no_contention();
         self.placement.longest_ms = self.placement.longest_ms.max(took_ms);
     }
 
@@ -396,38 +372,4 @@
             self.requeue_step(step, true);
         }
     }
-
-    /// try_idle starts one task of a step that has had nothing running for long, within the limits
-    /// that protect other tasks.
-    fn try_idle(&mut self, step: StepKey) {
-        self.placement.idle_tried += 1;
-        self.best_effort_pass.budget.spend_try();
-        if !self.has_nothing_to_place(step)
-            && let Some(demand) = self.demand(step)
-        {
-            self.place_one(&demand);
-        }
-    }
-
-    fn try_starving(&mut self, step: StepKey) {
-        self.placement.starving_tried += 1;
-        self.best_effort_pass.budget.spend_try();
-        if self.has_nothing_to_place(step) {
-            return;
-        }
-        let Some(demand) = self.demand(step) else {
-            return;
-        };
-        let demand = demand.relaxed();
-        let rejected_starving = &self.best_effort_pass.rejected_starving;
-        if rejected_starving
-            .iter()
-            .any(|earlier| demand.requests_at_least(earlier))
-        {
-            return;
-        }
-        if self.place_one(&demand) == Outcome::NoWorker && demand.needs_only_capacity() {
-            self.best_effort_pass.rejected_starving.push(demand);
-        }
-    }
 }
--- a/crates/stackpier-cell/src/place/starvation.rs
+++ b/crates/stackpier-cell/src/place/starvation.rs
@@ -8,8 +8,6 @@
 //! least harm is expected. From then on its pace protects the serving tasks, as that of any other
 //! best-effort run does.
 
-use std::cmp::Reverse;
-
 use crate::{
     Cell, Mechanism,
     arena::{StepKey, TaskKey},
@@ -29,13 +27,14 @@
 /// half second, so the effect of one start is seen before the next.
 const SETTLE_MS: u64 = 600;
 
-/// MAX_IDLE_FIRST is how many idle steps go before all others in a pass. At most 25 passes begin in
-/// a second, so 50 tasks a second start this way.
-const MAX_IDLE_FIRST: usize = 2;
 /// PRIOR_WAIT_MS is how long a task of an inherited job is assumed to have waited under a
 /// predecessor.
 const PRIOR_WAIT_MS: u64 = 3_000;
 
+/// MAX_IDLE_CANDIDATES is among how many suitable workers the one for an idle step is chosen: the work
+/// for each of hundreds of steps does not grow with the cell while most workers are free.
+const MAX_IDLE_CANDIDATES: usize = 32;
+
 /// MILLI is the number of thousandths in a whole.
 const MILLI: u64 = 1_000;
 
@@ -63,43 +62,38 @@
 }
 
 impl Cell {
-    /// find_starving returns the steps that starve, the longest waiting last. One task of each is
-    /// started if it finds a worker. They come after everything that the limits allow, as steps
-    /// that have waited for a long time are late in any case.
-    pub(super) fn find_starving(&mut self) -> Vec<StepKey> {
+    /// find_idle returns the steps that have had nothing running for so long that one of their tasks
+    /// goes first, the longest waiting last. Long-running tasks that serve have their own place in the
+    /// order: see `Rank::LongRunning`.
+    pub(super) fn find_idle(&mut self) -> Vec<StepKey> {
         if !self.is_enabled(Mechanism::Starving) {
             return Vec::new();
         }
+        let awaits_leases = !self.may_start_inherited();
         let mut services: Vec<Service> = Vec::new();
-        let mut idle = self.best_effort_queue.clone();
-        idle.retain(|step| self.idle_ms(*step) >= STARVED_MS);
+        let mut idle: Vec<StepKey> = self.queued().collect();
+        self.best_effort_pass.budget.spend(idle.len());
+        idle.retain(|step| self.is_idle(*step) && !(awaits_leases && self.awaits_leases(*step)));
         idle.retain(|step| {
             let demand = self.demand(*step);
-            demand.is_some_and(|demand| self.may_relax(&demand, &mut services))
+            demand.is_some_and(|demand| self.goes_first(&demand, &mut services))
         });
-        idle.sort_by_key(|step| Reverse(self.step_of(*step).idle_since));
+        idle.sort_by_key(|step| self.idle_ms(*step));
         idle
     }
 
-    /// find_idle returns the steps that have had nothing running for so long that client accounts
-    /// are about to count their jobs as lost, the longest waiting last. They go first, a few in each
-    /// pass: expired jobs would otherwise wait for as long as others come. Where more than half of a
-    /// service is in use, its steps don't: there a start of an expired job takes the room of others.
-    pub(super) fn find_idle(&mut self, steps: &[StepKey]) -> Vec<StepKey> {
-        if !self.is_enabled(Mechanism::Starving) {
-            return Vec::new();
+    /// is_idle reports whether a step has had nothing running for long.
+    pub(super) fn is_idle(&self, step: StepKey) -> bool {
+        self.idle_ms(step) >= STARVED_MS
+    }
+
+    /// goes_first reports whether one task of an idle step goes before other steps. While more than
+    /// half of a service is in use, that would take the capacity of others.
+    fn goes_first(&self, demand: &Demand, services: &mut Vec<Service>) -> bool {
+        if demand.best_effort {
+            return self.may_relax(demand, services);
         }
-        let mut idle: Vec<StepKey> = steps.to_vec();
-        idle.retain(|step| self.idle_ms(*step) >= STARVED_MS);
-        let mut services: Vec<Service> = Vec::new();
-        idle.retain(|step| {
-            let demand = self.demand(*step);
-            demand.is_some_and(|demand| self.is_half_free(demand.service, &mut services))
-        });
-        idle.sort_by_key(|step| self.step_of(*step).idle_since);
-        idle.truncate(MAX_IDLE_FIRST);
-        idle.reverse();
-        idle
+        !demand.long_running && self.is_half_free(demand.service, services)
     }
 
     /// idle_ms returns how long a step with tasks to place has had nothing running, zero if
@@ -208,10 +202,17 @@
         let Some(task) = ready.find(|task| self.may_start_now(*task)) else {
             return Outcome::Blocked;
         };
-        let Some(worker) = self.find_worker(task, demand) else {
+        // A task that may not go everywhere chooses among all workers.
+        let entry = self.task(task);
+        let special = !entry.failed_on.is_empty() || entry.suspect.is_some();
+        let mut demand = *demand;
+        if !special {
+            demand.max_candidates = MAX_IDLE_CANDIDATES;
+        }
+        let Some(worker) = self.find_worker(task, &demand) else {
             if demand.advised {
                 // The relaxed demand also asks about workers that the limits had excluded.
-                self.request_advice(demand);
+                self.request_advice(&demand);
             }
             return Outcome::NoWorker;
         };
