Count the runs of a cell without a scan

The daemon records the number of runs as a gauge after each tick, 20 times a second, and each time the cell counted all slots of its arena. The arena knows its length.

--- a/crates/stackpier-cell/src/cell.rs
+++ b/crates/stackpier-cell/src/cell.rs
@@ -255,7 +255,7 @@
 
     /// running returns how many runs hold capacity on workers.
     pub fn running(&self) -> usize {
-        self.runs.values().count()
+        self.runs.len()
     }
 
     /// workers returns how many workers are not known to be gone.
--- a/crates/stackpier-core/src/arena.rs
+++ b/crates/stackpier-core/src/arena.rs
@@ -122,6 +122,29 @@
         Some(value)
     }
 
+    /// iter returns all values in the arena with their indices, in slot order.
+    pub fn iter(&self) -> impl Iterator<Item = (Index<T>, &T)> {
+        let slots = self.slots.iter().enumerate();
+        slots.filter_map(|(slot, entry)| {
+            let index = Index {
+                slot: slot as u32,
+                generation: entry.generation,
+                kind: PhantomData,
+            };
+            Some((index, entry.value.as_ref()?))
+        })
+    }
+
+    /// len returns the number of values in the arena.
+    pub fn len(&self) -> usize {
+        self.slots.len() - self.free.len()
+    }
+
+    /// is_empty reports whether the arena has no values.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
     /// values returns all values in the arena, in slot order.
     pub fn values(&self) -> impl Iterator<Item = &T> {
         self.slots.iter().filter_map(|slot| slot.value.as_ref())
