Check only the runs that may have stalled or lag

Of 5,800 runs hardly any needs either. Now one pass in the order of memory picks those that are being stopped, stand still, or belong to a step that allows copies, from the run and its worker alone; the checks of these are as before, in the order of the workers as before. What the first check does to one run changes none of the conditions for another.

--- a/crates/stackpier-cell/src/order.rs
+++ b/crates/stackpier-cell/src/order.rs
@@ -94,6 +94,7 @@
             best_effort: spec.best_effort,
             long_running: spec.long_running,
             serving: spec.long_running && spec.target_ms > 0,
+            may_be_copied: spec.speculative && !spec.long_running && !spec.gang,
             image: self.step_of(step).image,
             since: self.now.mono,
             min_run_ms: MIN_RUN_MS,
--- a/crates/stackpier-cell/src/run.rs
+++ b/crates/stackpier-cell/src/run.rs
@@ -59,6 +59,8 @@
     pub(crate) best_effort: bool,
     pub(crate) long_running: bool,
     pub(crate) serving: bool,
+    /// Whether its step allows copies of lagging runs.
+    pub(crate) may_be_copied: bool,
     pub(crate) image: ImageKey,
     /// When it was started, or adopted from a predecessor.
     pub(crate) since: Millis,
--- a/crates/stackpier-cell/src/speculate.rs
+++ b/crates/stackpier-cell/src/speculate.rs
@@ -17,7 +17,7 @@
 impl Cell {
     /// check_runs moves stalled runs and sends unanswered stops again.
     pub(crate) fn check_runs(&mut self) {
-        for key in self.collect_runs() {
+        for key in self.collect_runs(|run| self.needs_check(run)) {
             let Some(run) = self.runs.get(key) else {
                 continue;
             };
@@ -29,10 +29,40 @@
         }
     }
 
-    /// collect_runs returns all runs as a list, for loops that change them.
-    fn collect_runs(&self) -> Vec<RunKey> {
-        let workers = self.workers.iter();
-        workers.flat_map(|worker| worker.runs.clone()).collect()
+    /// collect_runs returns some runs as a list, for loops that change them, in the order of the
+    /// workers. It scans the runs in the order of memory, as few of thousands are wanted.
+    fn collect_runs(&self, wanted: impl Fn(&Run) -> bool) -> Vec<RunKey> {
+        let found = self.runs.iter().filter(|(_, run)| wanted(run));
+        let place = |(key, run): (RunKey, &Run)| {
+            let runs = &self.worker(run.worker).runs;
+            (run.worker, runs.iter().position(|other| *other == key), key)
+        };
+        let mut found: Vec<_> = found.map(place).collect();
+        found.sort_by_key(|(worker, position, _)| (*worker, *position));
+        found.into_iter().map(|(_, _, key)| key).collect()
+    }
+
+    /// needs_check reports whether a run is being stopped or may have stalled. It looks at nothing
+    /// but the run and its worker, because almost no run needs a check.
+    fn needs_check(&self, run: &Run) -> bool {
+        match run.phase {
+            Phase::Stopping => true,
+            Phase::Running => {
+                let at_work = run.long_running && run.percent >= 100;
+                !at_work
+                    && run.pace == 100
+                    && self.still_ms(run) >= self.options.stall_ms.min(START_MS)
+            }
+            Phase::Starting | Phase::Unsure(_) => false,
+        }
+    }
+
+    /// still_ms returns for how long a run had made no progress at the last report of its worker.
+    fn still_ms(&self, run: &Run) -> u64 {
+        let reported = self.worker(run.worker).clock.map(|clock| clock.at);
+        reported
+            .unwrap_or(run.progressed_at)
+            .since(run.progressed_at)
     }
 
     /// check_stall moves a run that made no progress for a long time up to the last report of its
@@ -49,8 +79,7 @@
         let limit = self.options.stall_ms + estimate / 10;
         let limit = if run.long_running { START_MS } else { limit };
         let responsive = worker.is_responsive();
-        let reported = worker.clock.map_or(run.progressed_at, |clock| clock.at);
-        let still_ms = reported.since(run.progressed_at);
+        let still_ms = self.still_ms(run);
         let at_work = run.long_running && run.percent >= 100;
         if !self.is_enabled(Mechanism::Stall)
             || !responsive
@@ -74,10 +103,10 @@
 
     /// check_copies starts a second run of lagging tasks, where copies are allowed.
     pub(crate) fn check_copies(&mut self) {
-        if !self.may_place() {
+        if !self.may_place() || !self.is_enabled(Mechanism::Copies) {
             return;
         }
-        for key in self.collect_runs() {
+        for key in self.collect_runs(|run| run.may_be_copied) {
             if let Some(task) = self.lagging_task(key) {
                 self.start_copy(task);
             }
@@ -91,13 +120,7 @@
         let task = self.task(run.task);
         let alone = task.runs.len() == 1 && !task.done && !task.ready;
         let active = run.phase == Phase::Running && !self.job_of(run.task).state.is_final();
-        if !self.is_enabled(Mechanism::Copies)
-            || !spec.speculative
-            || !alone
-            || !active
-            || spec.long_running
-            || spec.gang
-        {
+        if !run.may_be_copied || !alone || !active {
             return None;
         }
         let estimate = u64::from(spec.estimate_ms);
