Find the runs in a report without looking up their jobs

A worker's report lists what runs there, and the owner found each run from the name of its task: by way of the table of jobs, the job, its description, the step, the task, and the task's runs. With thousands of runs hardly any of that is in the processor's caches. A run now knows the name of its task, and a status is compared with the runs of the worker, first with the one at the same position. The job is marked as running only by the first report of a run; no later one finds it pending, as no state leads back to that. Where a job was submitted again under the same id, the names of its earlier runs are those of the new tasks, so these runs are found in the former way.

--- a/crates/stackpier-cell/src/lifecycle.rs
+++ b/crates/stackpier-cell/src/lifecycle.rs
@@ -77,10 +77,10 @@
     /// continue_runs numbers the runs of a job above those of an earlier job with the same id: workers
     /// refuse the numbers of runs that have ended.
     fn continue_runs(&mut self, earlier: JobKey, job: JobKey) {
-        let earlier = self.job(earlier);
-        let tasks = (earlier.first_task.0..earlier.first_task.0 + earlier.tasks).map(TaskKey);
+        let tasks = self.tasks_of(earlier);
         let next_runs = tasks.map(|task| self.task(task).next_run);
         let next_run = next_runs.max().unwrap_or(0);
+        self.supersede_runs(earlier);
         let job = self.job(job);
         for task in (job.first_task.0..job.first_task.0 + job.tasks).map(TaskKey) {
             let task = self.task_mut(task);
@@ -88,6 +88,23 @@
         }
     }
 
+    /// supersede_runs records that the names of a job's tasks are now those of another job's.
+    fn supersede_runs(&mut self, job: JobKey) {
+        for task in self.tasks_of(job) {
+            for run in self.task(task).runs.clone() {
+                if let Some(run) = self.runs.get_mut(run) {
+                    run.superseded = true;
+                }
+            }
+        }
+    }
+
+    /// tasks_of returns the tasks of a job.
+    fn tasks_of(&self, job: JobKey) -> impl Iterator<Item = TaskKey> + use<> {
+        let job = self.job(job);
+        (job.first_task.0..job.first_task.0 + job.tasks).map(TaskKey)
+    }
+
     /// add_job adds a job with the steps of all its rounds.
     fn add_job(&mut self, id: key::Job, record: &Record) -> JobKey {
         let key = JobKey(self.jobs.len() as u32);
--- a/crates/stackpier-cell/src/order.rs
+++ b/crates/stackpier-cell/src/order.rs
@@ -86,6 +86,8 @@
         let spec = self.step_spec(step);
         Run {
             task,
+            name: self.name(task),
+            superseded: false,
             step,
             worker,
             number: self.task(task).next_run,
@@ -93,6 +95,7 @@
             size: spec.size,
             best_effort: spec.best_effort,
             long_running: spec.long_running,
+            target_ms: spec.target_ms,
             serving: spec.long_running && spec.target_ms > 0,
             may_be_copied: spec.speculative && !spec.long_running && !spec.gang,
             image: self.step_of(step).image,
--- a/crates/stackpier-cell/src/report.rs
+++ b/crates/stackpier-cell/src/report.rs
@@ -23,8 +23,8 @@
         self.record_contact(key, sent, report.clock_ms);
         self.apply_ends(key, sent, report.ended);
         let report_needed = self.update_inheritance(key, sent, report.whole);
-        for status in &report.running {
-            self.apply_run_status(key, sent, status);
+        for (position, status) in report.running.iter().enumerate() {
+            self.apply_run_status(key, sent, status, position);
         }
         if report.whole {
             self.handle_missing_runs(key, sent, &report.running);
@@ -88,21 +88,53 @@
         self.placement_due = true;
     }
 
-    /// apply_run_status applies the status of one run in a report.
-    fn apply_run_status(&mut self, key: WorkerKey, sent: Millis, status: &RunStatus) {
-        let Some(task) = self.find(status.task) else {
+    /// find_shown_run returns the run of a worker that a status is of, if it is known. `position` is
+    /// that of the status in its report: workers mostly list runs in the order of their starts. Most
+    /// of a report is of known runs, and job, step and task are not looked up for these.
+    fn find_shown_run(
+        &self,
+        worker: WorkerKey,
+        status: &RunStatus,
+        position: usize,
+    ) -> Option<RunKey> {
+        let runs = &self.worker(worker).runs;
+        let (before, after) = runs.split_at(position.min(runs.len()));
+        let is_shown = |key: &&RunKey| {
+            let run = self.runs.get(**key);
+            run.is_some_and(|run| {
+                run.number == status.run && run.name == status.task && !run.superseded
+            })
+        };
+        after.iter().chain(before).find(is_shown).copied()
+    }
+
+    /// find_or_adopt returns the run that a status is of, and adopts it if a predecessor started it.
+    /// There is none if its job is unknown.
+    fn find_or_adopt(&mut self, key: WorkerKey, status: &RunStatus) -> Option<RunKey> {
+        let task = self.find(status.task)?;
+        let known = self.find_run(task, key, status.run);
+        if known.is_some() {
+            return known;
+        }
+        self.unqueue(task);
+        let run = self.adopt(task, key, status.run);
+        self.check_adopted(task, run);
+        Some(run)
+    }
+
+    /// apply_run_status applies the status of one run at a position in a report.
+    fn apply_run_status(
+        &mut self,
+        key: WorkerKey,
+        sent: Millis,
+        status: &RunStatus,
+        position: usize,
+    ) {
+        let known = self.find_shown_run(key, status, position);
+        let Some(run) = known.or_else(|| self.find_or_adopt(key, status)) else {
             self.log_unknown_run(key, status.task);
             return;
         };
-        let run = match self.find_run(task, key, status.run) {
-            Some(run) => run,
-            None => {
-                self.unqueue(task);
-                let run = self.adopt(task, key, status.run);
-                self.check_adopted(task, run);
-                run
-            }
-        };
         let shown = self.runs.get(run);
         let witnessed = shown.is_some_and(|run| self.is_witnessed(key, run, sent));
         if let Some(run) = self.runs.get_mut(run) {
@@ -145,14 +177,10 @@
 
     fn update_run(&mut self, key: RunKey, status: &RunStatus) {
         let now = self.now.mono;
-        let Some(run) = self.runs.get(key) else {
-            return;
-        };
-        let (task, step) = (run.task, run.step);
-        let target_ms = self.step_spec(step).target_ms;
         let Some(run) = self.runs.get_mut(key) else {
             return;
         };
+        let (task, is_first) = (run.task, !run.reported);
         if matches!(run.phase, Phase::Starting | Phase::Unsure(_)) {
             run.phase = Phase::Running;
             run.confirmed = Some(now);
@@ -167,11 +195,13 @@
         }
         if run.serving {
             let tail = status.figure.filter(|_| status.percent == PERCENT_WORKING);
-            run.record_tail(now, tail, target_ms);
+            run.record_tail(now, tail, run.target_ms);
         } else {
             run.used_milli = status.figure;
         }
-        self.mark_running(task);
+        if is_first {
+            self.mark_running(task);
+        }
     }
 
     /// handle_missing_runs handles runs that a report lacks though it was requested after they
@@ -189,7 +219,7 @@
             let Some(entry) = self.runs.get(run) else {
                 continue;
             };
-            let name = self.name(entry.task);
+            let name = entry.name;
             let shown = |status: &RunStatus| status.task == name && status.run == entry.number;
             if statuses.iter().any(shown) {
                 continue;
--- a/crates/stackpier-cell/src/run.rs
+++ b/crates/stackpier-cell/src/run.rs
@@ -4,6 +4,7 @@
 use stackpier_core::{Millis, Size};
 
 use crate::{
+    TaskName,
     arena::{ImageKey, StepKey, TaskKey, WorkerKey},
     interference::{self, load_at},
 };
@@ -51,6 +52,10 @@
 #[derive(Debug)]
 pub struct Run {
     pub(crate) task: TaskKey,
+    /// The name of its task.
+    pub(crate) name: TaskName,
+    /// Whether its job was submitted again, so that the name is now that of another task.
+    pub(crate) superseded: bool,
     pub(crate) step: StepKey,
     pub(crate) worker: WorkerKey,
     pub(crate) number: u32,
@@ -59,6 +64,8 @@
     pub(crate) best_effort: bool,
     pub(crate) long_running: bool,
     pub(crate) serving: bool,
+    /// The target of a serving task's tail latency, in milliseconds.
+    pub(crate) target_ms: u32,
     /// Whether its step allows copies of lagging runs.
     pub(crate) may_be_copied: bool,
     pub(crate) image: ImageKey,
