Compare no worker with each other one before an evacuation

On a cell of 540 workers that are full of serving tasks, while best-effort tasks wait that disturb these, the owner looked every 150 ms for a worker whose tasks fit elsewhere. For each worker it listed all others and their free capacity anew, then looked at each for a place: 540 x 540 looks, and none was evacuated.

The list is now made once, and what a worker's tasks would take is put back before the next one. A task that is larger than the most that is free anywhere is not compared at all. What the model tells of an image is looked up once for all its steps: hundreds of steps share some tens of images.

--- a/crates/stackpier-cell/src/evacuation.rs
+++ b/crates/stackpier-cell/src/evacuation.rs
@@ -13,7 +13,7 @@
 use crate::{
     Cell, Mechanism,
     arena::{ImageKey, RunKey, StepKey, WorkerKey},
-    run::{Phase, cores},
+    run::{Phase, Run, cores},
     worker::Presence,
 };
 
@@ -52,6 +52,8 @@
     last_waiting_at: Millis,
     /// Evacuations that have not ended.
     in_progress: Vec<Evacuation>,
+    /// How many workers were looked at so far as destinations of tasks.
+    looked_at: u64,
 }
 
 /// Evacuation is a worker that is being evacuated, and since when.
@@ -68,13 +70,50 @@
     tasks: u32,
 }
 
+/// Disturbance tells how much one core of a best-effort image adds at least to the load of the
+/// serving tasks of each image.
+struct Disturbance {
+    best_effort: ImageKey,
+    /// The lower bound of the added load, with the number of serving tasks.
+    added: Vec<(f64, u32)>,
+}
+
+impl Disturbance {
+    /// affects_majority reports whether a task of some cores is known to disturb heavily at least
+    /// MAJORITY_PERCENT of the serving tasks.
+    fn affects_majority(&self, cores: f64) -> bool {
+        let heavily = self
+            .added
+            .iter()
+            .filter(|(load, _)| load * cores >= HEAVY_LOAD);
+        let disturbed: u32 = heavily.map(|(_, tasks)| tasks).sum();
+        let all: u32 = self.added.iter().map(|(_, tasks)| tasks).sum();
+        disturbed * 100 >= all * MAJORITY_PERCENT
+    }
+}
+
 /// Destination is a worker with its free capacity after the moves planned so far.
 struct Destination {
     worker: WorkerKey,
     free: Size,
 }
 
+/// Destinations are the workers that tasks may move to.
+struct Destinations {
+    workers: Vec<Destination>,
+    /// The maximum of each resource that is free on any of them.
+    max_free: Size,
+    /// How many of them were looked at.
+    looked_at: u64,
+}
+
 impl Cell {
+    /// destinations_looked_at returns how many workers were looked at so far as destinations of
+    /// tasks on workers that may be evacuated, for measurements.
+    pub fn destinations_looked_at(&self) -> u64 {
+        self.evacuations.looked_at
+    }
+
     /// update_evacuations evacuates workers for best-effort tasks, or lets them run serving
     /// tasks again.
     pub(crate) fn update_evacuations(&mut self) {
@@ -104,9 +143,10 @@
     /// workers.
     fn needs_evacuation(&self) -> bool {
         let served = self.count_served_images();
+        let mut known = Vec::new();
         let steps = self
             .queued()
-            .filter(|step| self.disturbs_majority(*step, &served));
+            .filter(|step| self.disturbs_majority(*step, &served, &mut known));
         let cores = |step: StepKey| {
             let tasks = self.step_of(step).ready.len() as u64;
             tasks * u64::from(self.step_spec(step).size.milli_cores)
@@ -139,26 +179,41 @@
     }
 
     /// disturbs_majority reports whether one task of a best-effort step is known to disturb
-    /// heavily at least MAJORITY_PERCENT of the serving tasks.
-    fn disturbs_majority(&self, step: StepKey, served: &[ServedImage]) -> bool {
+    /// heavily at least MAJORITY_PERCENT of the serving tasks. It keeps what the model tells of the
+    /// step's image in `known`: hundreds of steps share some tens of images.
+    fn disturbs_majority(
+        &self,
+        step: StepKey,
+        served: &[ServedImage],
+        known: &mut Vec<Disturbance>,
+    ) -> bool {
         let spec = self.step_spec(step);
         if !spec.best_effort {
             return false;
         }
         let image = self.step_of(step).image;
         let cores = cores(spec.size.milli_cores);
-        let is_disturbed = |served: &&ServedImage| {
-            let pair = self.model.pair(served.image, image);
+        let found = known.iter().find(|known| known.best_effort == image);
+        if let Some(disturbance) = found {
+            return disturbance.affects_majority(cores);
+        }
+        let disturbance = self.disturbance(image, served);
+        let affects = disturbance.affects_majority(cores);
+        known.push(disturbance);
+        affects
+    }
+
+    /// disturbance returns what the model tells of a best-effort image beside the serving ones.
+    fn disturbance(&self, best_effort: ImageKey, served: &[ServedImage]) -> Disturbance {
+        let lower_bound = |served: &ServedImage| {
+            let pair = self.model.pair(served.image, best_effort);
             let lower_bound = pair.mean - CONFIDENCE_DEVIATIONS * pair.variance.sqrt();
-            lower_bound * cores >= HEAVY_LOAD
+            (lower_bound, served.tasks)
         };
-        let all: u32 = served.iter().map(|served| served.tasks).sum();
-        let disturbed: u32 = served
-            .iter()
-            .filter(is_disturbed)
-            .map(|served| served.tasks)
-            .sum();
-        disturbed * 100 >= all * MAJORITY_PERCENT
+        Disturbance {
+            best_effort,
+            added: served.iter().map(lower_bound).collect(),
+        }
     }
 
     /// largest_worker_milli returns the processors of the largest worker, in thousandths of a
@@ -178,13 +233,14 @@
         }
         let mut candidates: Vec<(u32, WorkerKey)> = self
             .live_workers()
-            .filter(|key| self.may_be_evacuated(*key))
             .map(|key| (self.worker(key).long_running_milli, key))
             .collect();
         candidates.sort_unstable();
-        let found = candidates
-            .into_iter()
-            .find(|(_, key)| self.fits_elsewhere(*key));
+        let mut destinations = self.destinations();
+        let found = candidates.into_iter().find(|(_, key)| {
+            self.may_be_evacuated(*key) && self.fits_elsewhere(*key, &mut destinations)
+        });
+        self.evacuations.looked_at += destinations.looked_at;
         let Some((_, worker)) = found else {
             return;
         };
@@ -204,17 +260,19 @@
 
     fn may_be_evacuated(&self, key: WorkerKey) -> bool {
         let worker = self.worker(key);
+        if worker.evacuated
+            || worker.presence != Presence::Contacted
+            || !self.is_available(worker)
+            || worker.health.has_recent_faults()
+        {
+            return false;
+        }
         let long_running = self.long_running_on(key);
         let is_running = |run: &RunKey| {
             let run = self.runs.get(*run);
             run.is_some_and(|run| run.phase == Phase::Running)
         };
-        !worker.evacuated
-            && worker.presence == Presence::Contacted
-            && self.is_available(worker)
-            && !worker.health.has_recent_faults()
-            && long_running.len() <= MAX_MOVED_TASKS
-            && long_running.iter().all(is_running)
+        long_running.len() <= MAX_MOVED_TASKS && long_running.iter().all(is_running)
     }
 
     /// long_running_on returns the runs of long-running tasks on a worker.
@@ -225,52 +283,80 @@
         runs.filter(is_long_running).collect()
     }
 
-    /// fits_elsewhere reports whether all long-running tasks of a worker fit on other workers
-    /// that already have such tasks.
-    fn fits_elsewhere(&self, key: WorkerKey) -> bool {
-        let others = self.live_workers().filter(|other| *other != key);
-        let serves = |other: &WorkerKey| {
-            let worker = self.worker(*other);
+    /// destinations returns the workers that already have long-running tasks and may get others.
+    fn destinations(&self) -> Destinations {
+        let serves = |key: &WorkerKey| {
+            let worker = self.worker(*key);
             worker.long_running_milli > 0 && !worker.evacuated && self.is_available(worker)
         };
-        let mut destinations: Vec<Destination> = others
+        let destination = |worker| Destination {
+            worker,
+            free: self.worker(worker).free(),
+        };
+        let workers: Vec<Destination> = self
+            .live_workers()
             .filter(serves)
-            .map(|worker| Destination {
-                worker,
-                free: self.worker(worker).free(),
-            })
+            .map(destination)
             .collect();
-        self.long_running_on(key)
-            .into_iter()
-            .all(|run| self.assign_destination(run, &mut destinations))
+        let free = workers.iter().map(|destination| destination.free);
+        let max_free = free.fold(Size::default(), |max, free| max.max_each(&free));
+        Destinations {
+            looked_at: workers.len() as u64,
+            workers,
+            max_free,
+        }
     }
 
-    /// assign_destination takes the size of a run off the first destination on which it fits,
-    /// and reports whether there is one.
-    fn assign_destination(&self, key: RunKey, destinations: &mut [Destination]) -> bool {
-        let Some(run) = self.runs.get(key) else {
-            return true;
-        };
-        let spec = self.step_spec(run.step);
-        let limit = spec.most_per_worker.unwrap_or(u32::MAX);
-        let suits = |destination: &&mut Destination| {
-            let worker = self.worker(destination.worker);
-            let labelled = spec
-                .label
-                .as_ref()
-                .is_none_or(|label| worker.info.labels.contains(label));
-            let source = self.worker(run.worker);
-            worker.service == source.service
-                && labelled
-                && run.size.fits(&destination.free)
-                && self.count_runs_on(run.step, worker) < limit
-        };
-        let found = destinations.iter_mut().find(suits);
-        if let Some(destination) = found {
+    /// fits_elsewhere reports whether all long-running tasks of a worker fit on other workers
+    /// that already have such tasks. It leaves the destinations as they were.
+    fn fits_elsewhere(&self, key: WorkerKey, destinations: &mut Destinations) -> bool {
+        let mut moved = Vec::new();
+        let mut fits = true;
+        for run in self.long_running_on(key) {
+            let Some(run) = self.runs.get(run) else {
+                continue;
+            };
+            let Some(position) = self.find_destination(run, destinations) else {
+                fits = false;
+                break;
+            };
+            let destination = &mut destinations.workers[position];
+            moved.push((position, destination.free));
             destination.free = destination.free.minus(&run.size);
-            return true;
         }
-        false
+        for (position, free) in moved.into_iter().rev() {
+            destinations.workers[position].free = free;
+        }
+        fits
+    }
+
+    /// find_destination returns the position of the first destination on which a run fits.
+    fn find_destination(&self, run: &Run, destinations: &mut Destinations) -> Option<usize> {
+        // Where the cell is full, this spares a look at each worker for each run.
+        if !run.size.fits(&destinations.max_free) {
+            return None;
+        }
+        let spec = self.step_spec(run.step);
+        let limit = spec.most_per_worker.unwrap_or(u32::MAX);
+        let service = self.worker(run.worker).service;
+        let found = destinations.workers.iter().position(|destination| {
+            run.size.fits(&destination.free)
+                && destination.worker != run.worker
+                && self.worker(destination.worker).service == service
+                && self.has_label(spec, destination.worker)
+                && self.count_runs_on(run.step, self.worker(destination.worker)) < limit
+        });
+        let looked_at = found.map_or(destinations.workers.len(), |position| position + 1);
+        destinations.looked_at += looked_at as u64;
+        found
+    }
+
+    /// has_label reports whether a worker has the label that a step asks for, if any.
+    fn has_label(&self, spec: &stackpier_state::job::Step, key: WorkerKey) -> bool {
+        let labels = &self.worker(key).info.labels;
+        spec.label
+            .as_ref()
+            .is_none_or(|label| labels.contains(label))
     }
 
     /// continue_evacuations moves the long-running tasks that are left on workers being
--- a/crates/stackpier-cell/tests/evacuation.rs
+++ b/crates/stackpier-cell/tests/evacuation.rs
@@ -55,6 +55,16 @@
     }
 }
 
+fn best_effort_step(count: u32) -> Step {
+    Step {
+        best_effort: true,
+        image: "fills".to_owned(),
+        estimate_ms: 4_000,
+        checkpointing: true,
+        ..step(count)
+    }
+}
+
 /// start_owner starts a cell whose owner has learnt the same estimate for each pair of a serving
 /// image and the best-effort image. Each serving task is alone on its worker.
 fn start_owner(pair: SavedEstimate, may_miss: Option<u32>, options: Options) -> Owner {
@@ -82,13 +92,7 @@
         owner.submit(number, spec(vec![serving_step(number, may_miss)]));
     }
     owner.advance(SETTLE_MS);
-    let best_effort = Step {
-        best_effort: true,
-        image: "fills".to_owned(),
-        estimate_ms: 4_000,
-        checkpointing: true,
-        ..step(24)
-    };
+    let best_effort = best_effort_step(24);
     owner.submit_to(BEST_EFFORT, QUEUE, spec(vec![best_effort]), 1, None);
     owner.advance(WAIT_MS);
     owner
@@ -169,3 +173,39 @@
         "the evacuated worker {place} is not used again"
     );
 }
+
+/// Guards against owners on small VMs that are busy with evacuations on a full cell: where no worker
+/// could be evacuated, each was compared with each other one, every 150 ms.
+#[test]
+fn a_full_cell_looks_at_each_worker_once_to_find_that_none_can_be_evacuated() {
+    const FULL: u64 = 60;
+    const SWEEPS: u64 = 7;
+    let mut owner = Owner::new(FULL as usize);
+    owner.cell.restore_model(&ModelSnapshot {
+        serving: vec![ServingImage {
+            image: "serves".to_owned(),
+            pairs: vec![("fills".to_owned(), HEAVY)],
+        }],
+        periods: Vec::new(),
+    });
+    let size = Size {
+        milli_cores: 4_000,
+        ..serving_step(0, None).size
+    };
+    let serving = Step {
+        target_ms: 60,
+        image: "serves".to_owned(),
+        size,
+        ..step(2 * FULL as u32)
+    };
+    owner.submit_long_running(1, serving);
+    owner.advance(SETTLE_MS);
+    assert_eq!(owner.cell.running() as u64, 2 * FULL);
+    owner.submit(BEST_EFFORT, spec(vec![best_effort_step(600)]));
+    owner.advance(WAIT_MS);
+    let before = owner.cell.destinations_looked_at();
+    owner.advance(1_000);
+    let looked_at = owner.cell.destinations_looked_at() - before;
+    assert!(looked_at > 0, "workers were considered");
+    assert!(looked_at <= SWEEPS * FULL, "{looked_at} looks");
+}
