Leave out jobs that are over before looking up their queues

The outlook, made five times a second, sums up the work before new jobs over all jobs that the owner ever had, and looked up the queue of each by its name before it saw that most are over.

--- a/crates/stackpier-cell/src/outlook.rs
+++ b/crates/stackpier-cell/src/outlook.rs
@@ -283,16 +283,16 @@
     /// job is in a lane and goes before new jobs.
     fn work_before(&self, key: JobKey, lane: &Lane) -> Option<(u32, u64)> {
         let job = self.job(key);
-        let queue = self.queues.get(&job.queue)?;
-        let is_ahead = queue.service == lane.service && queue.priority <= lane.priority;
-        if job.state.is_final() || !is_ahead {
+        // Most jobs are over. They are kept, so this comes first.
+        if job.state.is_final() || self.now.mono >= job.expires_at {
             return None;
         }
         let first = job.spec.steps.first()?;
         if first.best_effort != lane.best_effort || first.long_running || job.spec.rounds() > 1 {
             return None;
         }
-        if self.now.mono >= job.expires_at {
+        let queue = self.queues.get(&job.queue)?;
+        if queue.service != lane.service || queue.priority > lane.priority {
             return None;
         }
         let steps = job.spec.steps.iter().enumerate();
