Rank no workers for short tasks once no more may be dedicated

While short tasks lacked room, the owner ranked all workers every 150 ms by what their long-running tasks would let go, even when a quarter of the service, the limit, was dedicated already and none could be chosen.

All starts of a run of 15 s and the log lines of its last 4 s are the same before and after.

--- a/crates/stackpier-cell/src/dedicated.rs
+++ b/crates/stackpier-cell/src/dedicated.rs
@@ -173,6 +173,9 @@
         let workers = self.live_workers().filter(of_service).count();
         let dedicated = self.dedicated_workers().into_iter().filter(of_service);
         let left = (workers / DEDICATED_DIVISOR).saturating_sub(dedicated.count());
+        if left == 0 {
+            return;
+        }
         let candidates = self
             .live_workers()
             .filter(|key| self.may_be_dedicated(*key, demand));
