--- a/crates/stackpier-cell/tests/slow_owner.rs
+++ b/crates/stackpier-cell/tests/slow_owner.rs
@@ -60,9 +60,9 @@
     }
 }
 
-/// best_effort returns a step of best-effort tasks. All of 12,000 such tasks use less than half of the
+/// waiting returns a step of best-effort tasks. All of 12,000 such tasks use less than half of the
 /// processors that serving tasks leave unused.
-fn best_effort(job: u64, count: u32) -> Step {
+fn waiting(job: u64, count: u32) -> Step {
     Step {
         best_effort: true,
         checkpointing: true,
@@ -159,13 +159,18 @@
 #[rstest]
 fn every_step_starts_in_time_however_late_starts_are_answered(
     #[values(20, 150, 300)] start_ms: u64,
+    #[values(true, false)] best_effort: bool,
 ) {
     const STEPS: u64 = 300;
     let mut owner = with_workers();
     submit_serving(&mut owner);
     owner.start_ms = start_ms;
     for job in 0..STEPS {
-        owner.submit(FIRST_WAITING + job, spec(vec![best_effort(job, 40)]));
+        let step = Step {
+            best_effort,
+            ..waiting(job, 40)
+        };
+        owner.submit(FIRST_WAITING + job, spec(vec![step]));
     }
     let mut waits = Waits::new(&owner, FIRST_WAITING..FIRST_WAITING + STEPS);
     for _ in 0..10_000 / STEP_MS {
@@ -196,7 +201,7 @@
     for job in 0..JOBS {
         let step = match job % 3 {
             0 => step(8),
-            _ => best_effort(job, 40),
+            _ => waiting(job, 40),
         };
         processor.receive(accepted(
             &mut owner,
@@ -210,7 +215,6 @@
     }
     owner.advance_on(&mut processor, 6_000);
     let gap_ms = processor.longest_gap_ms;
-    println!("{gap_ms} ms");
     assert!(gap_ms <= SILENCE_MS, "{gap_ms} ms");
 }
 
@@ -255,7 +259,7 @@
         processor.receive(Event::Listed(large(place)));
     }
     for job in FIRST_WAITING..FIRST_WAITING + JOBS {
-        let step = best_effort(job, 8);
+        let step = waiting(job, 8);
         processor.receive(accepted(&mut owner, job, spec(vec![step]), 1));
     }
     for job in 0..SERVING {
@@ -268,6 +272,5 @@
     let waiting = (FIRST_WAITING..FIRST_WAITING + JOBS)
         .filter(|job| owner.places(*job, 0).is_empty())
         .count();
-    println!("longest gap {} ms", processor.longest_gap_ms);
     assert_eq!(waiting, 0);
 }
