Fuzz a cell with serving tasks and late answers to starts

The new simulation has 16 to 40 workers with serving tasks, and batch jobs of up to four steps beside them. Owners are replaced; workers are lost or drain. The oracle measures, from the workers, for how long a job whose turn has come, or a long-running task, has had nothing running while client accounts would count that. The limit admits one start for each job in half a second, so all that waits could be started in time.

--- a/crates/stackpier-fuzz/src/lib.rs
+++ b/crates/stackpier-fuzz/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod counts;
 pub mod once;
 pub mod placement;
+pub mod starvation;
 pub mod submission;
 pub mod time;
