Keep rounds over idle steps from holding up what is not idle

- 400 short steps that find no worker (a label that none has) used up all ratings for guaranteed tasks, round after round: 24 long-running tasks and a short job that came later had not started after 3 s, with 540 workers mostly free.
The rounds have budgets of their own now, half of those of the passes; only a round that has just started something makes the others wait for the next call; and guaranteed steps are in it only while passes over them end early.
- Starts of gangs gave idle steps no turns back, so on an owner that completes no pass 30 of 40 idle steps never started while gangs kept coming.

From reading: a task that failed before or may crash workers is kept from workers for reasons of its own, so it rules out no other steps, and it chooses among all workers. The turns of idle steps follow the starts that may be in flight under lag.

--- a/crates/stackpier-cell/src/cell.rs
+++ b/crates/stackpier-cell/src/cell.rs
@@ -36,10 +36,7 @@
 const SWEEP_MS: u64 = 150;
 /// GUARANTEED_RATING_DIVISOR sets the share of the rating budget, one in this many, for
 /// guaranteed tasks: most of them are found not to fit before any worker is rated.
-const GUARANTEED_RATING_DIVISOR: u32 = 4;
-/// IDLE_RATING_DIVISOR sets the share of the ratings for best-effort tasks, one in this many, that
-/// rounds over idle steps may use.
-const IDLE_RATING_DIVISOR: u32 = 2;
+pub(crate) const GUARANTEED_RATING_DIVISOR: u32 = 4;
 /// MAX_FAILED_ON bounds how many of the workers that a task failed on are remembered.
 const MAX_FAILED_ON: usize = 3;
 
@@ -122,7 +119,6 @@
     pub fn new(options: Options, fence: u64, now: Now, acting_ms: u64) -> Cell {
         let ownership = Ownership::new(&options, now.mono, now.mono.plus(acting_ms));
         let guaranteed_ratings = options.ratings_per_ms / GUARANTEED_RATING_DIVISOR;
-        let idle_ratings = (options.ratings_per_ms - guaranteed_ratings) / IDLE_RATING_DIVISOR;
         Cell {
             options,
             fence,
@@ -148,7 +144,7 @@
                 options.ratings_per_ms - guaranteed_ratings,
                 now.mono,
             )),
-            idle_round: IdleRound::new(Budget::new(idle_ratings, now.mono), options.max_starts),
+            idle_round: IdleRound::new(&options, now.mono),
             placement: PlacementStats::default(),
             summary_logged_at: now.mono,
             swept_at: now.mono,
@@ -443,6 +439,7 @@
         self.placement.ticks += 1;
         self.lag.record_tick(self.now.mono);
         self.flow.set_lag(self.lag);
+        self.idle_round.set_start_limit(self.flow.start_limit());
         self.release_due();
         self.check_workers();
         self.send_deferred();
--- a/crates/stackpier-cell/src/flow.rs
+++ b/crates/stackpier-cell/src/flow.rs
@@ -95,7 +95,8 @@
         self.unanswered.len() as u64
     }
 
-    fn start_limit(&self) -> u64 {
+    /// start_limit returns how many starts may await answers.
+    pub(crate) fn start_limit(&self) -> u64 {
         self.lag.reduce(self.max_starts as u64)
     }
 
--- a/crates/stackpier-cell/src/place.rs
+++ b/crates/stackpier-cell/src/place.rs
@@ -103,7 +103,7 @@
         if !self.flow.is_full() {
             self.end_stale_passes();
         }
-        if !self.place_idle() {
+        if !self.continue_or_begin_round() {
             self.place_guaranteed();
             self.place_best_effort();
         }
@@ -128,7 +128,9 @@
             if !self.best_effort_pass.due || soon {
                 return;
             }
-            if self.place_idle_first() {
+            // Idle steps come first where capacity has come free.
+            self.begin_round();
+            if self.continue_round() {
                 return;
             }
             self.begin_best_effort();
@@ -145,12 +147,12 @@
             true => std::mem::take(&mut self.best_effort_queue),
             false => std::mem::take(&mut self.guaranteed_queue),
         };
-        let awaits_leases = !self.may_start_inherited();
+        let inherited_may_start = self.may_start_inherited();
         let mut keyed = Vec::with_capacity(queue.len());
         for step in queue {
             if self.has_nothing_to_place(step) {
                 self.step_mut(step).queued = false;
-            } else if awaits_leases && self.awaits_leases(step) {
+            } else if !inherited_may_start && self.awaits_leases(step) {
                 self.enqueue(step, best_effort);
             } else {
                 keyed.push((self.position_of(step), step));
@@ -271,7 +273,6 @@
                 Some(worker) => {
                     self.task_mut(task).ready = false;
                     self.start(task, worker);
-                    self.idle_round.record_other_start();
                     outcome = Outcome::Placed;
                 }
                 None => {
--- a/crates/stackpier-cell/src/place/idle.rs
+++ b/crates/stackpier-cell/src/place/idle.rs
@@ -9,22 +9,33 @@
 
 use stackpier_core::Millis;
 
-use crate::{Cell, arena::StepKey};
+use crate::{Cell, Options, arena::StepKey, cell::GUARANTEED_RATING_DIVISOR};
 
 use super::{Budget, Demand, Outcome};
 
 /// ROUND_GAP_MS is the time after which a round begins even if no pass over best-effort steps does.
 const ROUND_GAP_MS: u64 = 100;
-/// CREDIT_DIVISOR sets how many idle steps, one in this many of the starts that may be in flight, go
-/// before all others at a time. Starts are sent once half of those in flight have been answered, so
-/// the others get at least a third of them.
-const CREDIT_DIVISOR: usize = 3;
+/// CREDIT_DIVISOR sets how many starts idle steps get before others get some: one in this many of
+/// those that may be in flight. Starts are sent once half of these have been answered, so the others
+/// get a third of them.
+const CREDIT_DIVISOR: u64 = 3;
+
+/// RATING_DIVISOR sets the share of all ratings, one in this many, that rounds may use: where hundreds
+/// of idle steps find no worker, the passes go on with the rest.
+const RATING_DIVISOR: u32 = 2;
+
+/// max_credit returns how many starts idle steps get before others get some.
+fn max_credit(starts: u64) -> u64 {
+    (starts / CREDIT_DIVISOR).max(1)
+}
 
 /// Round holds the state of the rounds over idle steps.
 #[derive(Debug)]
 pub(crate) struct Round {
     /// The ratings that the rounds may use of those for best-effort tasks.
-    pub budget: Budget,
+    best_effort_budget: Budget,
+    /// The same of those for guaranteed tasks.
+    guaranteed_budget: Budget,
     /// When the last round began.
     began: Millis,
     /// Steps still to be tried, the longest waiting last.
@@ -34,35 +45,62 @@
     /// The same without the limits that protect other tasks.
     rejected_relaxed: Vec<Demand>,
     /// How many starts idle steps may still get before other steps get some.
-    credit: usize,
-    max_credit: usize,
+    credit: u64,
+    max_credit: u64,
+    /// Whether the starts that are sent now are those of an idle step.
+    placing: bool,
 }
 
 impl Round {
     /// new returns a round with nothing to try.
-    pub(crate) fn new(budget: Budget, max_starts: usize) -> Round {
-        let max_credit = (max_starts / CREDIT_DIVISOR).max(1);
+    pub(crate) fn new(options: &Options, now: Millis) -> Round {
+        let guaranteed = options.ratings_per_ms / GUARANTEED_RATING_DIVISOR;
+        let best_effort = options.ratings_per_ms - guaranteed;
+        let max_credit = max_credit(options.max_starts as u64);
         Round {
-            budget,
+            best_effort_budget: Budget::new(best_effort / RATING_DIVISOR, now),
+            guaranteed_budget: Budget::new(guaranteed / RATING_DIVISOR, now),
             began: Millis(0),
             steps: Vec::new(),
             rejected: Vec::new(),
             rejected_relaxed: Vec::new(),
             credit: max_credit,
             max_credit,
+            placing: false,
         }
     }
 
-    /// record_other_start records that a step which is not idle got a start.
-    pub(super) fn record_other_start(&mut self) {
-        self.credit = (self.credit + 1).min(self.max_credit);
+    /// set_start_limit sets how many starts may be in flight.
+    pub(crate) fn set_start_limit(&mut self, starts: u64) {
+        self.max_credit = max_credit(starts);
+        self.credit = self.credit.min(self.max_credit);
     }
 
-    /// record_no_contention records that all other steps were tried: none waits for its turn.
-    pub(super) fn record_no_contention(&mut self) {
+    /// record_start records a start of any task.
+    pub(crate) fn record_start(&mut self) {
+        self.credit = match self.placing {
+            true => self.credit.saturating_sub(1),
+            false => (self.credit + 1).min(self.max_credit),
+        };
+    }
+
+    /// record_complete_pass records that all best-effort steps were tried: none waits for its turn.
+    pub(super) fn record_complete_pass(&mut self) {
         self.credit = self.max_credit;
     }
 
+    /// has_spent reports whether the rounds have used up one of their budgets.
+    fn has_spent(&self) -> bool {
+        self.best_effort_budget.is_spent() || self.guaranteed_budget.is_spent()
+    }
+
+    fn budget_of(&self, demand: &Demand) -> &Budget {
+        match demand.best_effort {
+            true => &self.best_effort_budget,
+            false => &self.guaranteed_budget,
+        }
+    }
+
     fn rules_out(&self, demand: &Demand) -> bool {
         self.rejected.iter().any(|earlier| {
             demand.best_effort == earlier.best_effort && demand.is_ruled_out_by(earlier)
@@ -76,11 +114,13 @@
 }
 
 impl Cell {
-    /// place_idle continues the round that is under way, or begins one that is due. It reports whether
-    /// the round goes on in the next call, and other steps have to wait for it.
-    pub(super) fn place_idle(&mut self) -> bool {
+    /// continue_or_begin_round continues the round over idle steps that is under way, or begins one
+    /// that is due. It reports whether other steps have to wait for the next call, as idle steps have
+    /// got starts and are to get more.
+    pub(super) fn continue_or_begin_round(&mut self) -> bool {
         let now = self.now.mono;
-        self.idle_round.budget.begin_call(now);
+        self.idle_round.best_effort_budget.begin_call(now);
+        self.idle_round.guaranteed_budget.begin_call(now);
         if now.since(self.idle_round.began) >= ROUND_GAP_MS {
             self.begin_round();
         }
@@ -88,7 +128,7 @@
     }
 
     /// begin_round begins a round unless one is under way.
-    fn begin_round(&mut self) {
+    pub(super) fn begin_round(&mut self) {
         if self.idle_round.steps.is_empty() {
             self.idle_round.began = self.now.mono;
             self.idle_round.steps = self.find_idle();
@@ -97,62 +137,60 @@
         }
     }
 
-    /// place_idle_first does the same before a pass takes the capacity that has come free.
-    pub(super) fn place_idle_first(&mut self) -> bool {
-        self.begin_round();
-        self.continue_round()
-    }
-
-    fn continue_round(&mut self) -> bool {
-        while self.may_go_first()
-            && !self.any_budget(Budget::is_spent)
+    /// continue_round tries the steps of the round, and returns the same as
+    /// `continue_or_begin_round`.
+    pub(super) fn continue_round(&mut self) -> bool {
+        let mut has_placed = false;
+        while self.may_continue_round()
             && let Some(step) = self.idle_round.steps.pop()
         {
-            self.try_idle(step);
+            has_placed |= self.try_idle(step);
         }
-        self.may_go_first()
-            && !self.idle_round.steps.is_empty()
-            && !self.any_budget(Budget::is_overdrawn)
+        has_placed && self.has_turn() && !self.idle_round.steps.is_empty()
     }
 
-    fn may_go_first(&self) -> bool {
-        !self.flow.is_full() && self.idle_round.credit > 0
+    fn may_continue_round(&self) -> bool {
+        let spent = self.idle_round.has_spent()
+            || self.best_effort_pass.budget.is_spent()
+            || self.guaranteed_pass.budget.is_spent();
+        !spent && self.has_turn()
     }
 
-    fn any_budget(&self, holds: fn(&Budget) -> bool) -> bool {
-        holds(&self.idle_round.budget)
-            || holds(&self.best_effort_pass.budget)
-            || holds(&self.guaranteed_pass.budget)
+    /// has_turn reports whether an idle step may get the next start.
+    fn has_turn(&self) -> bool {
+        !self.flow.is_full() && self.idle_round.credit > 0
     }
 
-    /// try_idle starts one task of an idle step: within the limits that protect other tasks if any
-    /// worker allows it.
-    fn try_idle(&mut self, step: StepKey) {
+    /// try_idle starts one task of an idle step, and reports whether it did.
+    fn try_idle(&mut self, step: StepKey) -> bool {
         if self.has_nothing_to_place(step) || !self.is_idle(step) {
-            return;
+            return false;
         }
         let Some(demand) = self.demand(step) else {
-            return;
+            return false;
         };
-        let before = self.ratings();
         self.placement.idle_tried += 1;
-        let placed = self.place_idle_step(&demand);
-        self.idle_round.credit -= usize::from(placed);
+        let before = self.ratings();
+        self.idle_round.placing = true;
+        let placed = self.place_idle(&demand);
+        self.idle_round.placing = false;
         let ratings = self.ratings() - before;
-        self.idle_round.budget.spend_try();
-        self.idle_round.budget.spend(ratings as usize);
+        let budget = self.idle_round.budget_of(&demand);
+        budget.spend_try();
+        budget.spend(ratings as usize);
+        placed
     }
 
-    /// place_idle_step reports whether a task was started.
-    fn place_idle_step(&mut self, demand: &Demand) -> bool {
+    /// place_idle starts one task within the limits that protect other tasks if any worker allows it,
+    /// and else without these limits if the step is of best-effort tasks.
+    fn place_idle(&mut self, demand: &Demand) -> bool {
         if !self.idle_round.rules_out(demand) {
             match self.place_one(demand) {
                 Outcome::Placed => return true,
                 Outcome::NoWorker if demand.needs_only_capacity() => {
                     self.idle_round.rejected.push(*demand);
                 }
-                Outcome::NoWorker => {}
-                Outcome::Blocked => return false,
+                Outcome::NoWorker | Outcome::Blocked => {}
             }
         }
         if !demand.best_effort {
--- a/crates/stackpier-cell/src/place/pass.rs
+++ b/crates/stackpier-cell/src/place/pass.rs
@@ -78,6 +78,8 @@
     began: Millis,
     /// Whether the pass waits for answers to starts.
     awaits_answers: bool,
+    /// Whether passes end before they have tried all steps, as answers to starts take too long.
+    pub ends_early: bool,
     /// Steps still to be tried, the next one last.
     steps: Vec<StepKey>,
     /// What found no free capacity in this pass.
@@ -120,6 +122,7 @@
             due: false,
             began: Millis(0),
             awaits_answers: false,
+            ends_early: false,
             steps: Vec::new(),
             rejections: Vec::new(),
             has_reservations: false,
@@ -238,6 +241,7 @@
             let left = std::mem::take(&mut self.guaranteed_pass.steps);
             self.guaranteed_queue.extend(left);
             self.guaranteed_pass.due = true;
+            self.guaranteed_pass.ends_early = true;
         }
         if self.best_effort_pass.awaits_answers
             && now.since(self.best_effort_pass.began) >= STALE_MS
@@ -266,6 +270,7 @@
             }
         }
         self.guaranteed_pass.awaits_answers |= self.flow.is_full();
+        self.guaranteed_pass.ends_early &= !self.guaranteed_pass.steps.is_empty();
     }
 
     fn try_guaranteed(&mut self, step: StepKey) {
@@ -335,7 +340,7 @@
         pass.under_way = false;
         let took_ms = now.since(pass.began);
         self.placement.completed += 1;
-        self.idle_round.record_no_contention();
+        self.idle_round.record_complete_pass();
         self.placement.longest_ms = self.placement.longest_ms.max(took_ms);
     }
 
--- a/crates/stackpier-cell/src/place/starvation.rs
+++ b/crates/stackpier-cell/src/place/starvation.rs
@@ -63,17 +63,19 @@
 
 impl Cell {
     /// find_idle returns the steps that have had nothing running for so long that one of their tasks
-    /// goes first, the longest waiting last. Long-running tasks that serve have their own place in the
+    /// goes first, the longest waiting last. Guaranteed long-running tasks have their own place in the
     /// order: see `Rank::LongRunning`.
     pub(super) fn find_idle(&mut self) -> Vec<StepKey> {
         if !self.is_enabled(Mechanism::Starving) {
             return Vec::new();
         }
-        let awaits_leases = !self.may_start_inherited();
+        let inherited_may_start = self.may_start_inherited();
         let mut services: Vec<Service> = Vec::new();
         let mut idle: Vec<StepKey> = self.queued().collect();
         self.best_effort_pass.budget.spend(idle.len());
-        idle.retain(|step| self.is_idle(*step) && !(awaits_leases && self.awaits_leases(*step)));
+        idle.retain(|step| {
+            self.is_idle(*step) && (inherited_may_start || !self.awaits_leases(*step))
+        });
         idle.retain(|step| {
             let demand = self.demand(*step);
             demand.is_some_and(|demand| self.goes_first(&demand, &mut services))
@@ -88,12 +90,15 @@
     }
 
     /// goes_first reports whether one task of an idle step goes before other steps. While more than
-    /// half of a service is in use, that would take the capacity of others.
+    /// half of a service is in use, that would take the capacity of others. Passes over guaranteed
+    /// steps try all of these themselves unless they end early.
     fn goes_first(&self, demand: &Demand, services: &mut Vec<Service>) -> bool {
         if demand.best_effort {
             return self.may_relax(demand, services);
         }
-        !demand.long_running && self.is_half_free(demand.service, services)
+        self.guaranteed_pass.ends_early
+            && !demand.long_running
+            && self.is_half_free(demand.service, services)
     }
 
     /// idle_ms returns how long a step with tasks to place has had nothing running, zero if
@@ -204,7 +209,8 @@
         };
         // A task that may not go everywhere chooses among all workers.
         let entry = self.task(task);
-        let special = !entry.failed_on.is_empty() || entry.suspect.is_some();
+        let special =
+            !entry.failed_on.is_empty() || !entry.failed_runs.is_empty() || entry.suspect.is_some();
         let mut demand = *demand;
         if !special {
             demand.max_candidates = MAX_IDLE_CANDIDATES;
@@ -214,7 +220,11 @@
                 // The relaxed demand also asks about workers that the limits had excluded.
                 self.request_advice(&demand);
             }
-            return Outcome::NoWorker;
+            // What keeps such a task from workers keeps no other one from them.
+            return match special {
+                true => Outcome::Blocked,
+                false => Outcome::NoWorker,
+            };
         };
         self.unqueue(task);
         if demand.relaxed {
--- a/crates/stackpier-cell/tests/slow_owner.rs
+++ b/crates/stackpier-cell/tests/slow_owner.rs
@@ -274,3 +274,67 @@
         .count();
     assert_eq!(waiting, 0);
 }
+
+/// Guards against guaranteed tasks that no pass reaches: steps with nothing running that find no
+/// worker used up all ratings for guaranteed tasks, round after round.
+#[rstest]
+fn guaranteed_tasks_start_while_idle_steps_find_no_worker(#[values(100, 400)] idle: u64) {
+    const LATER: u64 = 10_000;
+    let mut owner = with_workers();
+    for job in FIRST_WAITING..FIRST_WAITING + idle {
+        let step = Step {
+            label: Some("absent".to_owned()),
+            ..step(8)
+        };
+        owner.submit(job, spec(vec![step]));
+    }
+    owner.advance(WAIT_MS);
+    set_tail(&mut owner, LATER);
+    owner.submit(LATER, spec(vec![serving(LATER)]));
+    owner.submit(LATER + 1, spec(vec![step(8)]));
+    owner.advance(WAIT_MS);
+    assert_eq!(owner.places(LATER, 0).len(), 24, "long-running tasks");
+    assert_ne!(owner.places(LATER + 1, 0).len(), 0, "short tasks");
+}
+
+/// Guards against idle steps that get no turn while gangs start: starts of gangs gave no turns back to
+/// idle steps, and no pass over best-effort steps was completed, which would have.
+#[test]
+fn idle_steps_start_while_gangs_keep_starting() {
+    const IDLE: u64 = 40;
+    const FIRST_GANG: u64 = 10_000;
+    let options = Options {
+        max_starts: 30,
+        ..options()
+    };
+    let mut owner = Owner::with_options(WORKERS, 1, false, options);
+    owner.renewals_wait = true;
+    owner.start_ms = 150;
+    for place in 0..WORKERS {
+        owner.workers[place].info = large(place);
+        owner.feed(Event::Listed(large(place)));
+    }
+    owner.advance(100);
+    for job in FIRST_WAITING..FIRST_WAITING + IDLE {
+        owner.submit(job, spec(vec![waiting(job, 40)]));
+    }
+    for gang in FIRST_GANG..FIRST_GANG + 20 {
+        let step = Step {
+            gang: true,
+            ..waiting(gang, 10)
+        };
+        owner.submit(gang, spec(vec![step]));
+    }
+    for gang in FIRST_GANG + 20..FIRST_GANG + 20 + 10_000 / STEP_MS {
+        let step = Step {
+            gang: true,
+            ..waiting(gang, 10)
+        };
+        owner.submit(gang, spec(vec![step]));
+        owner.advance(STEP_MS);
+    }
+    let waiting = (FIRST_WAITING..FIRST_WAITING + IDLE)
+        .filter(|job| owner.places(*job, 0).is_empty())
+        .count();
+    assert_eq!(waiting, 0);
+}
