Check long-running tasks beside idle steps, and owners that stop handling ticks

Long-running tasks that come while 300 steps have had nothing running for long all start within the 6 s of the rule, with answers to starts after 20, 150 and 300 ms. The longest time between ticks counts up to the end of a test, too: an owner that handles none any more passed.

--- a/crates/stackpier-cell/tests/common/processor.rs
+++ b/crates/stackpier-cell/tests/common/processor.rs
@@ -81,8 +81,13 @@
         self.busy_until_ns = began_ns + work_ns * MILLI / self.milli_cores;
     }
 
-    fn record_tick(&mut self, now_ms: u64) {
+    /// record_gap records that the last tick was handled some time ago.
+    fn record_gap(&mut self, now_ms: u64) {
         self.longest_gap_ms = self.longest_gap_ms.max(now_ms - self.ticked_at_ms);
+    }
+
+    fn record_tick(&mut self, now_ms: u64) {
+        self.record_gap(now_ms);
         self.ticked_at_ms = now_ms;
         self.tick_at_ms = self.busy_until_ns / NS_PER_MS + TICK_MS;
     }
@@ -108,5 +113,6 @@
                 }
             }
         }
+        processor.record_gap(self.now_ms);
     }
 }
--- a/crates/stackpier-cell/tests/slow_owner.rs
+++ b/crates/stackpier-cell/tests/slow_owner.rs
@@ -6,7 +6,10 @@
 
 mod common;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    ops::Range,
+};
 
 use common::{Owner, QUEUE, info, processor::Processor, spec, step};
 use rstest::rstest;
@@ -29,6 +32,8 @@
 const MAX_STARTS: usize = 334;
 /// WAIT_MS is how long a step that fits may have nothing running.
 const WAIT_MS: u64 = 3_000;
+/// LONG_RUNNING_WAIT_MS is how long a long-running task may wait for its first run.
+const LONG_RUNNING_WAIT_MS: u64 = 6_000;
 /// STEP_MS is the time between two looks at what runs.
 const STEP_MS: u64 = 50;
 /// SILENCE_MS is how long an owner may handle no tick: followers replace one that leaves heartbeats
@@ -338,3 +343,26 @@
         .count();
     assert_eq!(waiting, 0);
 }
+
+/// Guards against long-running tasks that pay for idle steps: these go first, and client accounts count
+/// a long-running task as lost from six seconds after its last run.
+#[rstest]
+fn long_running_tasks_start_in_time_beside_hundreds_of_idle_steps(
+    #[values(20, 150, 300)] start_ms: u64,
+) {
+    const STEPS: u64 = 300;
+    const LATER: Range<u64> = 10_000..10_010;
+    let mut owner = with_workers();
+    owner.start_ms = start_ms;
+    for job in FIRST_WAITING..FIRST_WAITING + STEPS {
+        owner.submit(job, spec(vec![waiting(job, 40)]));
+    }
+    owner.advance(2_500);
+    for job in LATER {
+        set_tail(&mut owner, job);
+        owner.submit(job, spec(vec![serving(job)]));
+    }
+    owner.advance(LONG_RUNNING_WAIT_MS);
+    let started: usize = LATER.map(|job| owner.places(job, 0).len()).sum();
+    assert_eq!(started, 240);
+}
