Name the passes over idle steps like the other passes

A round is a repetition of a scheduled job here, so the new passes are not called rounds. No change of behaviour: the tests of the passes and of starving steps hold.

--- a/crates/stackpier-cell/src/cell.rs
+++ b/crates/stackpier-cell/src/cell.rs
@@ -20,7 +20,7 @@
     lag::Lag,
     maintenance::{Record, Rollout},
     outlook::Forecaster,
-    place::{BestEffortPass, Budget, GuaranteedPass, IdleRound, PlacementStats},
+    place::{BestEffortPass, Budget, GuaranteedPass, IdlePass, PlacementStats},
     run::Run,
     save::Saver,
     share::Shares,
@@ -70,8 +70,8 @@
     pub(crate) guaranteed_pass: GuaranteedPass,
     /// The placement passes over steps with best-effort tasks.
     pub(crate) best_effort_pass: BestEffortPass,
-    /// The rounds over steps that have had nothing running for long.
-    pub(crate) idle_round: IdleRound,
+    /// The passes over steps that have had nothing running for long.
+    pub(crate) idle_pass: IdlePass,
     /// What placement did since the last summary.
     pub(crate) placement: PlacementStats,
     pub(crate) summary_logged_at: Millis,
@@ -144,7 +144,7 @@
                 options.ratings_per_ms - guaranteed_ratings,
                 now.mono,
             )),
-            idle_round: IdleRound::new(&options, now.mono),
+            idle_pass: IdlePass::new(&options, now.mono),
             placement: PlacementStats::default(),
             summary_logged_at: now.mono,
             swept_at: now.mono,
@@ -439,7 +439,7 @@
         self.placement.ticks += 1;
         self.lag.record_tick(self.now.mono);
         self.flow.set_lag(self.lag);
-        self.idle_round.set_start_limit(self.flow.start_limit());
+        self.idle_pass.set_start_limit(self.flow.start_limit());
         self.release_due();
         self.check_workers();
         self.send_deferred();
--- a/crates/stackpier-cell/src/order.rs
+++ b/crates/stackpier-cell/src/order.rs
@@ -37,7 +37,7 @@
         self.consume_reservation(worker, task);
         self.begin_isolation(key, task, worker);
         self.record_start(key, task);
-        self.idle_round.record_start();
+        self.idle_pass.record_start();
         let entry = self.task_mut(task);
         entry.runs.push(key);
         entry.next_run = number + 1;
--- a/crates/stackpier-cell/src/place.rs
+++ b/crates/stackpier-cell/src/place.rs
@@ -29,7 +29,7 @@
 pub(crate) use {
     budget::Budget,
     candidate::Demand,
-    idle::Round as IdleRound,
+    idle::Pass as IdlePass,
     pass::{BestEffortPass, GuaranteedPass},
     stats::Stats as PlacementStats,
 };
@@ -103,7 +103,7 @@
         if !self.flow.is_full() {
             self.end_stale_passes();
         }
-        if !self.continue_or_begin_round() {
+        if !self.place_idle() {
             self.place_guaranteed();
             self.place_best_effort();
         }
@@ -129,8 +129,8 @@
                 return;
             }
             // Idle steps come first where capacity has come free.
-            self.begin_round();
-            if self.continue_round() {
+            self.begin_idle();
+            if self.continue_idle() {
                 return;
             }
             self.begin_best_effort();
--- a/crates/stackpier-cell/src/place/idle.rs
+++ b/crates/stackpier-cell/src/place/idle.rs
@@ -1,11 +1,11 @@
 // SPDX-License-Identifier: Apache-2.0
-//! Rounds over steps that have had nothing running for long. Each of them gets one task started, the
+//! Passes over steps that have had nothing running for long. Each of them gets one task started, the
 //! longest waiting first.
 //!
-//! Passes try the jobs with the fewest tasks left first, and begin anew while starts await answers.
-//! On an owner that can send few starts a second, steps at the end of that order would wait for as
-//! long as others come, however many workers are free. A round is never begun anew before its end,
-//! and idle steps get up to two thirds of the starts.
+//! The other passes try the jobs with the fewest tasks left first, and begin anew while starts await
+//! answers. On an owner that can send few starts a second, steps at the end of that order would wait
+//! for as long as others come, however many workers are free. A pass over idle steps never begins anew
+//! before its end, and idle steps get up to two thirds of the starts.
 
 use stackpier_core::Millis;
 
@@ -13,15 +13,14 @@
 
 use super::{Budget, Demand, Outcome};
 
-/// ROUND_GAP_MS is the time after which a round begins even if no pass over best-effort steps does.
-const ROUND_GAP_MS: u64 = 100;
+/// GAP_MS is the time after which a pass begins even if none over best-effort steps does.
+const GAP_MS: u64 = 100;
 /// CREDIT_DIVISOR sets how many starts idle steps get before others get some: one in this many of
 /// those that may be in flight. Starts are sent once half of these have been answered, so the others
 /// get a third of them.
 const CREDIT_DIVISOR: u64 = 3;
-
-/// RATING_DIVISOR sets the share of all ratings, one in this many, that rounds may use: where hundreds
-/// of idle steps find no worker, the passes go on with the rest.
+/// RATING_DIVISOR sets the share of all ratings, one in this many, that these passes may use: where hundreds
+/// of idle steps find no worker, the other passes go on with the rest.
 const RATING_DIVISOR: u32 = 2;
 
 /// max_credit returns how many starts idle steps get before others get some.
@@ -29,35 +28,35 @@
     (starts / CREDIT_DIVISOR).max(1)
 }
 
-/// Round holds the state of the rounds over idle steps.
+/// Pass holds the state of the passes over idle steps.
 #[derive(Debug)]
-pub(crate) struct Round {
-    /// The ratings that the rounds may use of those for best-effort tasks.
+pub(crate) struct Pass {
+    /// The ratings that the passes may use of those for best-effort tasks.
     best_effort_budget: Budget,
     /// The same of those for guaranteed tasks.
     guaranteed_budget: Budget,
-    /// When the last round began.
+    /// When the last pass began.
     began: Millis,
     /// Steps still to be tried, the longest waiting last.
     steps: Vec<StepKey>,
-    /// Demands that found no worker in this round.
+    /// Demands that found no worker in this pass.
     rejected: Vec<Demand>,
     /// The same without the limits that protect other tasks.
     rejected_relaxed: Vec<Demand>,
     /// How many starts idle steps may still get before other steps get some.
     credit: u64,
     max_credit: u64,
-    /// Whether the starts that are sent now are those of an idle step.
+    /// Whether an idle step is being placed, so that starts are its own.
     placing: bool,
 }
 
-impl Round {
-    /// new returns a round with nothing to try.
-    pub(crate) fn new(options: &Options, now: Millis) -> Round {
+impl Pass {
+    /// new returns a pass with nothing to try.
+    pub(crate) fn new(options: &Options, now: Millis) -> Pass {
         let guaranteed = options.ratings_per_ms / GUARANTEED_RATING_DIVISOR;
         let best_effort = options.ratings_per_ms - guaranteed;
         let max_credit = max_credit(options.max_starts as u64);
-        Round {
+        Pass {
             best_effort_budget: Budget::new(best_effort / RATING_DIVISOR, now),
             guaranteed_budget: Budget::new(guaranteed / RATING_DIVISOR, now),
             began: Millis(0),
@@ -89,7 +88,7 @@
         self.credit = self.max_credit;
     }
 
-    /// has_spent reports whether the rounds have used up one of their budgets.
+    /// has_spent reports whether the passes have used up one of their budgets.
     fn has_spent(&self) -> bool {
         self.best_effort_budget.is_spent() || self.guaranteed_budget.is_spent()
     }
@@ -114,43 +113,41 @@
 }
 
 impl Cell {
-    /// continue_or_begin_round continues the round over idle steps that is under way, or begins one
-    /// that is due. It reports whether other steps have to wait for the next call, as idle steps have
+    /// place_idle continues the pass over idle steps that is under way, or begins one that is due. It reports whether other steps have to wait for the next call, as idle steps have
     /// got starts and are to get more.
-    pub(super) fn continue_or_begin_round(&mut self) -> bool {
+    pub(super) fn place_idle(&mut self) -> bool {
         let now = self.now.mono;
-        self.idle_round.best_effort_budget.begin_call(now);
-        self.idle_round.guaranteed_budget.begin_call(now);
-        if now.since(self.idle_round.began) >= ROUND_GAP_MS {
-            self.begin_round();
+        self.idle_pass.best_effort_budget.begin_call(now);
+        self.idle_pass.guaranteed_budget.begin_call(now);
+        if now.since(self.idle_pass.began) >= GAP_MS {
+            self.begin_idle();
         }
-        self.continue_round()
+        self.continue_idle()
     }
 
-    /// begin_round begins a round unless one is under way.
-    pub(super) fn begin_round(&mut self) {
-        if self.idle_round.steps.is_empty() {
-            self.idle_round.began = self.now.mono;
-            self.idle_round.steps = self.find_idle();
-            self.idle_round.rejected.clear();
-            self.idle_round.rejected_relaxed.clear();
+    /// begin_idle begins a pass unless one is under way.
+    pub(super) fn begin_idle(&mut self) {
+        if self.idle_pass.steps.is_empty() {
+            self.idle_pass.began = self.now.mono;
+            self.idle_pass.steps = self.find_idle();
+            self.idle_pass.rejected.clear();
+            self.idle_pass.rejected_relaxed.clear();
         }
     }
 
-    /// continue_round tries the steps of the round, and returns the same as
-    /// `continue_or_begin_round`.
-    pub(super) fn continue_round(&mut self) -> bool {
+    /// continue_idle tries the steps of the pass, and returns the same as `place_idle`.
+    pub(super) fn continue_idle(&mut self) -> bool {
         let mut has_placed = false;
-        while self.may_continue_round()
-            && let Some(step) = self.idle_round.steps.pop()
+        while self.may_continue_idle()
+            && let Some(step) = self.idle_pass.steps.pop()
         {
             has_placed |= self.try_idle(step);
         }
-        has_placed && self.has_turn() && !self.idle_round.steps.is_empty()
+        has_placed && self.has_turn() && !self.idle_pass.steps.is_empty()
     }
 
-    fn may_continue_round(&self) -> bool {
-        let spent = self.idle_round.has_spent()
+    fn may_continue_idle(&self) -> bool {
+        let spent = self.idle_pass.has_spent()
             || self.best_effort_pass.budget.is_spent()
             || self.guaranteed_pass.budget.is_spent();
         !spent && self.has_turn()
@@ -158,7 +155,7 @@
 
     /// has_turn reports whether an idle step may get the next start.
     fn has_turn(&self) -> bool {
-        !self.flow.is_full() && self.idle_round.credit > 0
+        !self.flow.is_full() && self.idle_pass.credit > 0
     }
 
     /// try_idle starts one task of an idle step, and reports whether it did.
@@ -171,24 +168,24 @@
         };
         self.placement.idle_tried += 1;
         let before = self.ratings();
-        self.idle_round.placing = true;
-        let placed = self.place_idle(&demand);
-        self.idle_round.placing = false;
+        self.idle_pass.placing = true;
+        let placed = self.start_idle(&demand);
+        self.idle_pass.placing = false;
         let ratings = self.ratings() - before;
-        let budget = self.idle_round.budget_of(&demand);
+        let budget = self.idle_pass.budget_of(&demand);
         budget.spend_try();
         budget.spend(ratings as usize);
         placed
     }
 
-    /// place_idle starts one task within the limits that protect other tasks if any worker allows it,
+    /// start_idle starts one task within the limits that protect other tasks if any worker allows it,
     /// and else without these limits if the step is of best-effort tasks.
-    fn place_idle(&mut self, demand: &Demand) -> bool {
-        if !self.idle_round.rules_out(demand) {
+    fn start_idle(&mut self, demand: &Demand) -> bool {
+        if !self.idle_pass.rules_out(demand) {
             match self.place_one(demand) {
                 Outcome::Placed => return true,
                 Outcome::NoWorker if demand.needs_only_capacity() => {
-                    self.idle_round.rejected.push(*demand);
+                    self.idle_pass.rejected.push(*demand);
                 }
                 Outcome::NoWorker | Outcome::Blocked => {}
             }
@@ -197,13 +194,13 @@
             return false;
         }
         let demand = demand.relaxed();
-        if self.idle_round.rules_out_relaxed(&demand) {
+        if self.idle_pass.rules_out_relaxed(&demand) {
             return false;
         }
         self.placement.starving_tried += 1;
         let outcome = self.place_one(&demand);
         if outcome == Outcome::NoWorker && demand.needs_only_capacity() {
-            self.idle_round.rejected_relaxed.push(demand);
+            self.idle_pass.rejected_relaxed.push(demand);
         }
         outcome == Outcome::Placed
     }
--- a/crates/stackpier-cell/src/place/pass.rs
+++ b/crates/stackpier-cell/src/place/pass.rs
@@ -340,7 +340,7 @@
         pass.under_way = false;
         let took_ms = now.since(pass.began);
         self.placement.completed += 1;
-        self.idle_round.record_complete_pass();
+        self.idle_pass.record_complete_pass();
         self.placement.longest_ms = self.placement.longest_ms.max(took_ms);
     }
 
--- a/crates/stackpier-cell/src/place/starvation.rs
+++ b/crates/stackpier-cell/src/place/starvation.rs
@@ -7,6 +7,8 @@
 //! nothing running for a long time gets one task started regardless of these limits, where the
 //! least harm is expected. From then on its pace protects the serving tasks, as that of any other
 //! best-effort run does.
+//!
+//! The passes over such steps are in `idle`.
 
 use crate::{
     Cell, Mechanism,
@@ -78,7 +80,7 @@
         });
         idle.retain(|step| {
             let demand = self.demand(*step);
-            demand.is_some_and(|demand| self.goes_first(&demand, &mut services))
+            demand.is_some_and(|demand| self.may_go_first(&demand, &mut services))
         });
         idle.sort_by_key(|step| self.idle_ms(*step));
         idle
@@ -89,10 +91,10 @@
         self.idle_ms(step) >= STARVED_MS
     }
 
-    /// goes_first reports whether one task of an idle step goes before other steps. While more than
+    /// may_go_first reports whether one task of an idle step goes before other steps. While more than
     /// half of a service is in use, that would take the capacity of others. Passes over guaranteed
     /// steps try all of these themselves unless they end early.
-    fn goes_first(&self, demand: &Demand, services: &mut Vec<Service>) -> bool {
+    fn may_go_first(&self, demand: &Demand, services: &mut Vec<Service>) -> bool {
         if demand.best_effort {
             return self.may_relax(demand, services);
         }
@@ -207,7 +209,8 @@
         let Some(task) = ready.find(|task| self.may_start_now(*task)) else {
             return Outcome::Blocked;
         };
-        // A task that may not go everywhere chooses among all workers.
+        // A task that may not go everywhere chooses among all workers, and what keeps it from them
+        // keeps no other one from them.
         let entry = self.task(task);
         let special =
             !entry.failed_on.is_empty() || !entry.failed_runs.is_empty() || entry.suspect.is_some();
@@ -220,7 +223,6 @@
                 // The relaxed demand also asks about workers that the limits had excluded.
                 self.request_advice(&demand);
             }
-            // What keeps such a task from workers keeps no other one from them.
             return match special {
                 true => Outcome::Blocked,
                 false => Outcome::NoWorker,
