Show inherited jobs as completed once earlier owners can start nothing of them

Traced: two workers are silent; the third owner has just taken over, they answer it, and it receives the end; the second owner has not learnt of it and starts the task again, relying on a confirmation of its ownership by the store that is less than 0.8 s old, as it may. Client accounts accept such a repeated run up to a second after the end, but not once the job is shown as completed.

A new owner now shows a job of its predecessors that ends under it as completed only a second after it took over: the age that a confirmation may have, and the way of a start. Jobs that had completed before are shown at once.

Progress in the store is not held back: a daemon that reads it there may still show the job earlier.

--- a/crates/stackpier-cell/src/cell.rs
+++ b/crates/stackpier-cell/src/cell.rs
@@ -230,7 +230,7 @@
     /// not known.
     pub fn state(&self, job: key::Job) -> Option<State> {
         let job = self.job(*self.job_keys.get(&job)?);
-        (!job.forgotten).then_some(job.visible_state())
+        (!job.forgotten).then_some(self.visible_state(job))
     }
 
     /// waiting returns how many jobs of a queue have not started.
--- a/crates/stackpier-cell/src/explain.rs
+++ b/crates/stackpier-cell/src/explain.rs
@@ -29,7 +29,7 @@
     /// unfinished tasks waits for the store.
     pub fn explain(&mut self, job: key::Job) -> Option<Job> {
         let job = self.job(*self.job_keys.get(&job)?);
-        let state = job.visible_state();
+        let state = self.visible_state(job);
         let keys = (job.first_task.0..job.first_task.0 + job.tasks).map(TaskKey);
         let mut causes = Causes::new();
         let mut tasks = Vec::new();
--- a/crates/stackpier-cell/src/job.rs
+++ b/crates/stackpier-cell/src/job.rs
@@ -33,6 +33,8 @@
     pub left: u32,
     /// Whether a predecessor may have started its tasks.
     pub inherited: bool,
+    /// Whether it ended under this owner.
+    pub ended_here: bool,
     /// When it should be done, by the owner's monotonic clock.
     pub objective: Millis,
     /// When it expires: from then on its result has no value.
--- a/crates/stackpier-cell/src/lifecycle.rs
+++ b/crates/stackpier-cell/src/lifecycle.rs
@@ -130,6 +130,7 @@
             tasks: spec.width() * spec.rounds(),
             left: spec.width() * spec.rounds(),
             inherited: record.fence < self.fence,
+            ended_here: false,
             objective: self.objective(record, chain, 1),
             expires_at: self.objective(record, chain, EXPIRY_OBJECTIVES),
             dirty: false,
@@ -374,6 +375,7 @@
         self.record_end(key, state);
         let job = self.job_mut(key);
         job.state = state;
+        job.ended_here = true;
         job.ended_at = Some(mono);
         job.ended_unix_ms = unix;
         let (first, count) = (job.first_task.0, job.tasks);
--- a/crates/stackpier-cell/src/takeover.rs
+++ b/crates/stackpier-cell/src/takeover.rs
@@ -16,10 +16,12 @@
 //! confirmation.
 
 use stackpier_core::Millis;
+use stackpier_state::job::State;
 
 use crate::{
     Cell, Effect, Options,
     arena::{JobKey, RunKey, StepKey, TaskKey, WorkerKey},
+    job::Job,
     run::Run,
     worker::{Inheritance, LEASE_END_MARGIN_MS, Presence, Worker, with_clock_error},
 };
@@ -35,6 +37,8 @@
 /// accept a repeated run up to one second after such an end, and a start takes up to 0.2 s to
 /// arrive.
 pub(crate) const MAX_CONFIRMATION_AGE_MS: u64 = 800;
+/// TRANSIT_MS is how long a start takes to arrive.
+const TRANSIT_MS: u64 = 200;
 /// RUNS_PER_OWNER is the distance between the run numbers of successive owners, so that the numbers
 /// of a new owner are above all those it can't know of.
 const RUNS_PER_OWNER: u64 = 200;
@@ -176,6 +180,22 @@
             && self.worker(worker).refused_others(sent)
     }
 
+    /// visible_state returns the state that client accounts are shown for a job. Just after a takeover
+    /// an earlier owner may still start tasks of its jobs, relying on its last confirmation, so none
+    /// that has ended since is shown as completed yet.
+    pub(crate) fn visible_state(&self, job: &Job) -> State {
+        let state = job.visible_state();
+        let settled_at = self
+            .ownership
+            .began
+            .plus(MAX_CONFIRMATION_AGE_MS + TRANSIT_MS);
+        let ended_since = job.inherited && job.ended_here && self.now.mono < settled_at;
+        match state {
+            State::Completed if ended_since => State::Running,
+            _ => state,
+        }
+    }
+
     /// may_start_any reports whether `may_start` holds for some waiting task of a step.
     pub(crate) fn may_start_any(&self, step: StepKey) -> bool {
         self.count_startable(step) > 0
