Look at what a successor saved, not at what it shows, in a test of late starts

a_task_started_after_the_leases_needs_a_recent_confirmation_for_each_start makes sure that a successor has received the end before the earlier owner could start the task again. It asked for the state that the successor shows 0.5 s after its takeover, which is shown half a second later now. The saved progress tells the same at the same time; the check on the earlier owner's starts is as it was.

--- a/crates/stackpier-cell/tests/earlier_owners.rs
+++ b/crates/stackpier-cell/tests/earlier_owners.rs
@@ -341,7 +341,8 @@
     next.feed(Event::Listed(info(0)));
     accept(&mut next, spec(vec![shape.clone()]));
     next.advance(500);
-    assert_eq!(next.state(JOB), Some(State::Completed));
+    let saved = next.saved(JOB).map(|saved| saved.state);
+    assert_eq!(saved, Some(State::Completed));
     owner.advance(4_500);
     assert_eq!(
         owner.starts_of(name(JOB, 0, 0)),
