Log what tasks of earlier jobs wait for, and how runs of long-running tasks ended

What callers saw: long-running tasks without a run after planned work. The log line of such a wait said only that runs of an earlier owner are possible. It now says what the task waits for: the predecessor's answer, how many workers may run any task, whether others may run this one, and for how long earlier owners may act. The end of a run that was stopped, or lapsed, is logged for long-running tasks; only failed ones were.

No change of decisions.

--- a/crates/stackpier-cell/src/ends.rs
+++ b/crates/stackpier-cell/src/ends.rs
@@ -100,6 +100,7 @@
             EndCause::Done => self.record_done(task, worker, end.run),
             EndCause::Failed => self.record_failed(task, worker, end.run),
             EndCause::Stopped | EndCause::Lapsed | EndCause::Broken | EndCause::Alone => {
+                self.log_early_end(task, worker, end);
                 self.record_early_end(task, end)
             }
         }
@@ -241,6 +242,20 @@
         queue.map_or(u16::MAX, |queue| queue.attempts.max(1))
     }
 
+    /// log_early_end logs that a run of a long-running task ended before its work was done. Client
+    /// accounts count such a task as lost if it does not run again in time.
+    fn log_early_end(&mut self, task: TaskKey, worker: WorkerKey, end: &End) {
+        if !self.step_spec(self.task(task).step).long_running {
+            return;
+        }
+        let id = &self.worker(worker).info.id;
+        let text = format!(
+            "run {} on worker {id} ended early: {:?}",
+            end.run, end.cause
+        );
+        self.log("end", Some(end.task), text);
+    }
+
     fn record_early_end(&mut self, task: TaskKey, end: &End) {
         if !end.checkpoint.is_empty() && !self.task(task).done {
             self.keep_checkpoint(task, &end.checkpoint);
--- a/crates/stackpier-cell/src/obstacle.rs
+++ b/crates/stackpier-cell/src/obstacle.rs
@@ -112,10 +112,13 @@
         let count = idle.len();
         for idle in idle.iter().take(MAX_LOGGED) {
             let why = self.obstacles(idle.step);
-            let text = format!(
+            let mut text = format!(
                 "{what} for {} ms, one of {count} such steps: {why}",
                 idle.waited_ms
             );
+            if why == Cause::Predecessor {
+                text = format!("{text}; {}", self.describe_inherited(idle.task));
+            }
             let name: TaskName = self.name(idle.task);
             self.log("wait", Some(name), text);
         }
--- a/crates/stackpier-cell/src/uncontacted.rs
+++ b/crates/stackpier-cell/src/uncontacted.rs
@@ -5,7 +5,11 @@
 //! A single lost answer would delay all these tasks. A worker that has not answered is therefore
 //! sent another renewal before the previous one times out.
 
-use crate::{Cell, arena::WorkerKey, worker::Worker};
+use crate::{
+    Cell,
+    arena::{TaskKey, WorkerKey},
+    worker::Worker,
+};
 
 /// POLL_AGAIN_MS is the time without an answer after which a worker is polled again.
 const POLL_AGAIN_MS: u64 = 150;
@@ -56,6 +60,22 @@
         self.log("takeover", None, text);
     }
 
+    /// describe_inherited returns what a task of an earlier job waits for, for the log.
+    pub(crate) fn describe_inherited(&self, task: TaskKey) -> String {
+        if self.ownership.awaits_handover {
+            return "the predecessor has not answered yet".to_owned();
+        }
+        let awaited = self.workers.iter().filter(|worker| self.is_awaited(worker));
+        let awaited = awaited.count();
+        let named = self.is_named(task) && self.awaits_suspended(task);
+        let left_ms = self.ownership.inherited_until.since(self.now.mono);
+        format!(
+            "any task may run on {awaited} workers, this one on others: {named}; earlier owners act for {} ms \
+             more at most, and their leases end in {left_ms} ms",
+            self.ownership.acting_until.since(self.now.mono)
+        )
+    }
+
     /// delays_inherited reports whether tasks of earlier jobs wait for answers of workers.
     fn delays_inherited(&self) -> bool {
         let leased = self.now.mono < self.ownership.inherited_until;
