Tests of tasks that wait for workers that leave around planned takeovers, which fail

What callers saw: long-running tasks without a run for over six seconds while daemons are restarted and workers leave.

--- a/crates/stackpier-cell/tests/common/chain.rs
+++ b/crates/stackpier-cell/tests/common/chain.rs
@@ -320,6 +320,13 @@
         self.replace_owner(vacant_ms, false);
     }
 
+    /// release_owner does the same with an owner that releases the cell before it ends. A successor
+    /// that has `seen` the earlier owners knows that none of them may act; one that has just started
+    /// does not.
+    pub fn release_owner(&mut self, vacant_ms: u64, seen: bool) {
+        self.replace_owner(vacant_ms, !seen);
+    }
+
     /// replace_owner does the same; `predecessor` tells whether the earlier owner may still act. Like
     /// a daemon, the next owner knows the latest end over all earlier owners. It returns the earlier
     /// owner with a copy of the workers.
