Tell the next owner at a planned stop which tasks may run where

Cause: what an owner knows of its workers ends with it. An owner that released the cell told its successor that it had stopped, and not what it had started. So the successor took any task of any earlier job for possibly running on each worker of the roster, until the worker had sent two reports or all leases had ended, 6.6 s after the takeover. A worker that left in between held up everything, and each further takeover began that anew. A daemon that had just started counted besides on 5 s of authority of owners that it never saw, though each of them had released the cell.

The owner now saves with its release which tasks may run on each worker, until when, and for how long owners before it may act, in the same transaction as the ownership and the roster. It sends nothing afterwards, so this stays true. The successor waits for a worker that it can't reach only with the tasks named there, and tells its own successor what still applies. The record counts only for the direct successor. No lease, authority or margin changed.

The oracle left out crashes of owners that were replaced within a second; a release ends an ownership in the same way and counts so now.

--- a/crates/stackpier-cell/src/ends.rs
+++ b/crates/stackpier-cell/src/ends.rs
@@ -5,7 +5,7 @@
 use stackpier_state::job::State;
 
 use crate::{
-    Cell, End, EndCause,
+    Cell, End, EndCause, TaskName,
     arena::{JobKey, TaskKey, WorkerKey},
     received::Skipped,
     run::Run,
@@ -26,6 +26,7 @@
             if self.worker_mut(worker).received.insert(end.number) {
                 has_new = true;
                 self.apply_end(worker, &end);
+                self.record_unstored(worker, end.task);
             }
         }
         let after = self.saver.next();
@@ -45,6 +46,15 @@
         }
     }
 
+    /// record_unstored records that the store may lack the end of a run of a task.
+    fn record_unstored(&mut self, worker: WorkerKey, name: TaskName) {
+        let task = self.find(name);
+        let long_running = |task| self.step_spec(self.task(task).step).long_running;
+        if task.is_some_and(|task| !long_running(task)) {
+            self.worker_mut(worker).unstored.push(name);
+        }
+    }
+
     /// log_skipped logs ends that count as received though no report listed them.
     fn log_skipped(&mut self, worker: WorkerKey, skipped: Skipped) {
         let Skipped { first, last } = skipped;
--- a/crates/stackpier-cell/src/lib.rs
+++ b/crates/stackpier-cell/src/lib.rs
@@ -45,6 +45,7 @@
 mod place;
 mod prediction;
 mod received;
+pub mod release;
 mod relief;
 mod renewal;
 mod report;
--- a/crates/stackpier-cell/src/roster.rs
+++ b/crates/stackpier-cell/src/roster.rs
@@ -132,6 +132,7 @@
             renew_after: Millis(0),
             silent_since: None,
             received: Received::default(),
+            unstored: Vec::new(),
             acked: 0,
             report_requested_at: Millis(0),
             ack_confirmed: 0,
--- a/crates/stackpier-cell/src/save.rs
+++ b/crates/stackpier-cell/src/save.rs
@@ -253,7 +253,7 @@
 
     /// roster returns the workers that a successor must wait for, because they may run something
     /// or list ends that the store lacks.
-    fn roster(&self) -> Vec<WorkerKey> {
+    pub(crate) fn roster(&self) -> Vec<WorkerKey> {
         let used = |worker: &Worker| match worker.presence {
             Presence::Contacted => !self.has_left(worker),
             Presence::New => worker.is_inherited(),
@@ -263,7 +263,7 @@
         self.live_workers().filter(known).collect()
     }
 
-    fn roster_entry(&self, key: WorkerKey) -> RosterEntry {
+    pub(crate) fn roster_entry(&self, key: WorkerKey) -> RosterEntry {
         let info = &self.worker(key).info;
         RosterEntry {
             id: info.id.clone(),
@@ -372,6 +372,9 @@
         for key in std::mem::take(&mut self.saver.unacked) {
             let stored = self.has_stored_ends(self.worker(key));
             let worker = self.worker_mut(key);
+            if stored {
+                worker.unstored.clear();
+            }
             if !worker.has_unacked_ends() {
                 continue;
             }
--- a/crates/stackpier-cell/src/suspension.rs
+++ b/crates/stackpier-cell/src/suspension.rs
@@ -38,7 +38,7 @@
 const INTERVAL_MS: u64 = 200;
 /// MAX_NAMED_TASKS is how many tasks a record names. It takes up to 100 kB then, which a link of
 /// 2 Mbit/s carries within the timeout of a save. Workers beyond that are not suspended.
-const MAX_NAMED_TASKS: usize = 6_000;
+pub(crate) const MAX_NAMED_TASKS: usize = 6_000;
 
 /// Record is the list of suspended workers as the store keeps it.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -164,12 +164,13 @@
         }
     }
 
-    /// move_suspension moves a suspension to the next incarnation of its worker: the record names
-    /// workers by their ids. Late orders may reach that incarnation, but only for named tasks.
+    /// move_suspension moves a suspension, and what predecessors may have left on a worker, to its next
+    /// incarnation: records name workers by their ids. Late orders may reach that incarnation, but
+    /// only for named tasks.
     pub(crate) fn move_suspension(&mut self, earlier: WorkerKey, later: WorkerKey) {
         let worker = self.worker_mut(earlier);
         let suspension = std::mem::take(&mut worker.suspension);
-        if suspension == Suspension::None {
+        if suspension == Suspension::None && worker.inherited_tasks.is_none() {
             return;
         }
         let (leased_until, tasks) = (worker.leased_until, worker.inherited_tasks.clone());
@@ -207,22 +208,24 @@
 
     /// leased_ms returns the longest time until everything leased on a silent worker has expired. A
     /// new incarnation may have got orders that were meant for the earlier one.
-    fn leased_ms(&self, worker: &Worker) -> u64 {
+    pub(crate) fn leased_ms(&self, worker: &Worker) -> u64 {
         let longest_ms = self.longest_lease_ms();
         let end = self.leases_end(worker);
         end.map_or(longest_ms, |end| end.since(self.now.mono))
     }
 
-    /// unseen_tasks returns the tasks that may run on a silent worker, or may have ended there
-    /// without this owner knowing. It returns nothing if any task may.
-    fn unseen_tasks(&self, key: WorkerKey) -> Option<Vec<TaskName>> {
+    /// unseen_tasks returns the tasks that may run on a worker, or may have ended there without the
+    /// store knowing. It returns nothing if any task may.
+    pub(crate) fn unseen_tasks(&self, key: WorkerKey) -> Option<Vec<TaskName>> {
         let worker = self.worker(key);
-        if worker.is_inherited() {
-            return worker.inherited_tasks.clone();
-        }
+        let mut tasks = match worker.is_inherited() {
+            true => worker.inherited_tasks.clone()?,
+            false => Vec::new(),
+        };
         let runs = worker.runs.iter().filter_map(|run| self.runs.get(*run));
-        let mut tasks: Vec<TaskName> = runs.map(|run| self.name(run.task)).collect();
+        tasks.extend(runs.map(|run| run.name));
         tasks.extend(worker.unanswered.iter().map(|start| start.task()));
+        tasks.extend(&worker.unstored);
         tasks.sort_unstable();
         tasks.dedup();
         Some(tasks)
--- a/crates/stackpier-cell/src/suspension/inherited.rs
+++ b/crates/stackpier-cell/src/suspension/inherited.rs
@@ -23,6 +23,12 @@
         self.named.entry(task).or_default().push(worker);
     }
 
+    fn remove(&mut self, task: &TaskName, worker: WorkerKey) {
+        if let Some(workers) = self.named.get_mut(task) {
+            workers.retain(|other| *other != worker);
+        }
+    }
+
     /// add_incarnation records that what may run on a worker may also run on its next incarnation.
     pub(super) fn add_incarnation(&mut self, earlier: WorkerKey, later: WorkerKey) {
         for workers in self.named.values_mut() {
@@ -60,19 +66,28 @@
     }
 
     fn restore_suspension(&mut self, entry: &Entry, age_ms: u64) {
-        let Some(key) = self.worker_keys.get(&entry.worker).copied() else {
-            return;
-        };
+        if let Some(key) = self.restore_entry(entry, age_ms) {
+            self.worker_mut(key).suspension = Suspension::Active;
+            self.saver.suspensions_changed = true;
+        }
+    }
+
+    /// restore_entry records which tasks predecessors may have left on a worker of the roster, and
+    /// until when. It replaces what an earlier record tells. It returns the worker, if it is known.
+    pub(crate) fn restore_entry(&mut self, entry: &Entry, age_ms: u64) -> Option<WorkerKey> {
+        let key = self.worker_keys.get(&entry.worker).copied()?;
         let left_ms = entry.remaining_ms.saturating_sub(age_ms);
         let leased_until = self.now.mono.plus(left_ms);
         let worker = self.worker_mut(key);
-        worker.suspension = Suspension::Active;
         worker.leased_until = Some(leased_until);
-        worker.inherited_tasks.clone_from(&entry.tasks);
+        let before = std::mem::replace(&mut worker.inherited_tasks, entry.tasks.clone());
+        for task in before.iter().flatten() {
+            self.suspensions.inherited.remove(task, key);
+        }
         for task in entry.tasks.iter().flatten() {
             self.suspensions.inherited.add(*task, key);
         }
-        self.saver.suspensions_changed = true;
+        Some(key)
     }
 
     /// is_named reports whether a task may have run on a worker that a predecessor suspended.
--- a/crates/stackpier-cell/src/takeover.rs
+++ b/crates/stackpier-cell/src/takeover.rs
@@ -126,10 +126,7 @@
     pub(crate) fn shorten_inherited(&mut self, acting_ms: u64) {
         let now = self.now.mono;
         let before = self.ownership.inherited_until;
-        let acting_until = self.ownership.acting_until.min(now.plus(acting_ms));
-        self.ownership.acting_until = acting_until;
-        self.ownership.inherited_until = inherited_until(&self.options, acting_until).min(before);
-        self.placement_due = true;
+        self.bound_acting(acting_ms);
         let text = format!(
             "an earlier owner has stopped acting, others may act for {acting_ms} ms more: leases \
              of earlier owners end in {} ms instead of {} ms",
@@ -139,6 +136,16 @@
         self.log("takeover", None, text);
     }
 
+    /// bound_acting does the same without a log line.
+    pub(crate) fn bound_acting(&mut self, acting_ms: u64) {
+        let before = self.ownership.inherited_until;
+        let end = self.now.mono.plus(acting_ms);
+        let acting_until = self.ownership.acting_until.min(end);
+        self.ownership.acting_until = acting_until;
+        self.ownership.inherited_until = inherited_until(&self.options, acting_until).min(before);
+        self.placement_due = true;
+    }
+
     /// first_run returns the number of the first run of a task under this owner.
     pub(crate) fn first_run(&self) -> u32 {
         let earlier = self.fence.saturating_sub(1);
--- a/crates/stackpier-cell/tests/common/chain.rs
+++ b/crates/stackpier-cell/tests/common/chain.rs
@@ -4,7 +4,11 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use stackpier_cell::{Cell, Event, Info, Options, Queue, RosterEntry, TaskName, suspension};
+use stackpier_cell::{
+    Cell, Event, Info, Options, Queue, RosterEntry, TaskName,
+    release::{self, Release},
+    suspension,
+};
 use stackpier_core::key;
 use stackpier_standin::fleet::{Behaviour, Run};
 use stackpier_state::{
@@ -72,6 +76,9 @@
     pub records: BTreeMap<u64, Record>,
     progress: BTreeMap<u64, Progress>,
     roster: Vec<RosterEntry>,
+    /// What the owner saves that is about to release the cell.
+    release: Option<release::Record>,
+    released_roster: Option<Vec<RosterEntry>>,
     pub suspensions: suspension::Record,
     /// When the suspended workers were saved.
     suspended_at: u64,
@@ -129,6 +136,8 @@
             records: BTreeMap::new(),
             progress: BTreeMap::new(),
             roster: Vec::new(),
+            release: None,
+            released_roster: None,
             suspensions: suspension::Record::default(),
             suspended_at: 0,
             saves_seen: 0,
@@ -324,6 +333,9 @@
     /// that has `seen` the earlier owners knows that none of them may act; one that has just started
     /// does not.
     pub fn release_owner(&mut self, vacant_ms: u64, seen: bool) {
+        let Release { record, roster } = self.owner.cell.release_cell();
+        self.release = Some(record);
+        self.released_roster = roster;
         self.replace_owner(vacant_ms, !seen);
     }
 
@@ -332,6 +344,9 @@
     /// owner with a copy of the workers.
     pub fn replace_owner(&mut self, vacant_ms: u64, predecessor: bool) -> Owner {
         self.store_saves();
+        if let Some(roster) = self.released_roster.take() {
+            self.roster = roster;
+        }
         self.log.push((self.owner.now_ms, "OWNER ends".to_owned()));
         let now_ms = self.owner.now_ms + vacant_ms;
         let options = options();
@@ -366,6 +381,10 @@
         self.owner
             .cell
             .restore_suspensions(&self.suspensions, age_ms);
+        if let Some(record) = self.release.take() {
+            // A daemon that has just started can't tell how old the record is.
+            self.owner.cell.restore_release(&record, 0);
+        }
         for info in self.listed.values().cloned().collect::<Vec<_>>() {
             self.owner.feed(Event::Listed(info));
         }
--- a/crates/stackpier-fuzz/src/cell/simulation.rs
+++ b/crates/stackpier-fuzz/src/cell/simulation.rs
@@ -12,6 +12,7 @@
 mod jobs;
 mod listing;
 mod query;
+mod release;
 mod saves;
 mod series;
 mod takeover;
@@ -24,7 +25,8 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use stackpier_cell::{
-    Cell, Effect, Event, Info, Now, Options, Queue, RosterEntry, Save, Unsaved, suspension,
+    Cell, Effect, Event, Info, Now, Options, Queue, RosterEntry, Save, Unsaved,
+    release::Record as Released, suspension,
 };
 use stackpier_core::{Millis, Size, Unix, key};
 use stackpier_standin::fleet::{Behaviour, Worker};
@@ -164,6 +166,9 @@
     suspensions: suspension::Record,
     /// When the suspended workers were saved.
     suspended_at: u64,
+    release: Option<Released>,
+    /// When the cell was released.
+    released_at: u64,
     unavailable_until: u64,
     /// All writes to the jobs.
     history: Vec<Change>,
--- a/crates/stackpier-fuzz/src/cell/simulation/faults.rs
+++ b/crates/stackpier-fuzz/src/cell/simulation/faults.rs
@@ -79,6 +79,8 @@
     /// Watches of the jobs in the store that are answered seconds later, and new owners that take
     /// seconds to read the cell. If this rate is zero, owners know all changes at once.
     pub late_watches: u32,
+    /// Seconds in which the newest owner releases the cell, and another one takes over later.
+    pub releases: u32,
 }
 
 impl Faults {
@@ -112,6 +114,7 @@
             queries: 0,
             cordons: 0,
             late_watches: 0,
+            releases: 0,
         }
     }
 }
@@ -128,6 +131,9 @@
                 self.take_over(data_centre);
             }
         }
+        if self.draw_extra_fault(self.faults.releases) {
+            self.release_cell();
+        }
         if self.draw_fault(self.faults.series) {
             self.begin_cut_series();
         }
--- a/crates/stackpier-fuzz/src/cell/simulation/takeover.rs
+++ b/crates/stackpier-fuzz/src/cell/simulation/takeover.rs
@@ -13,7 +13,7 @@
     /// Earlier owners continue until they learn of it.
     pub(super) fn take_over(&mut self, data_centre: usize) {
         self.count("takeover");
-        self.oracle.record_takeover(self.now_ms);
+        self.oracle.record_owner_end(self.now_ms);
         self.store.fence += 1;
         let fence = self.store.fence;
         let index = self.owners.len();
@@ -69,6 +69,7 @@
         let roster = self.store.roster.iter();
         roster.for_each(|entry| cell.add_roster(entry));
         self.restore_suspensions(&mut cell);
+        self.restore_release(&mut cell);
         self.owners[index].cell = cell;
         self.owners[index].view.installed = true;
         self.delay_cordons(index);
--- a/crates/stackpier-fuzz/tests/cell.rs
+++ b/crates/stackpier-fuzz/tests/cell.rs
@@ -231,6 +231,33 @@
     require_reached(&counts, &["suspension", "takeover with suspended workers"]);
 }
 
+/// Guards against a release that names too few tasks or too short a lease: the successor would start
+/// a task elsewhere that still runs on a worker which it does not reach, or has ended there.
+#[rstest]
+#[case::alone(Faults::default())]
+#[case::drains(Faults { drains: 100, ..Faults::default() })]
+#[case::cuts(Faults { cuts: 150, ..Faults::default() })]
+#[case::lost_calls(Faults { lost: 100, unanswered: 100, cuts: 80, ..Faults::default() })]
+#[case::late_orders(Faults { late: 60, unanswered: 30, cuts: 120, ..Faults::default() })]
+#[case::frozen_owners(Faults { freezes: 250, cuts: 150, takeovers: 150, late: 30, ..Faults::default() })]
+#[case::hanging(Faults { grey: 100, cuts: 120, ..Faults::default() })]
+#[case::restarts(Faults { restarts: 700, crashes: 60, cuts: 120, takeovers: 60, unanswered: 30, ..Faults::default() })]
+#[case::replaced(Faults { crashes: 80, cuts: 120, takeovers: 60, late: 30, ..Faults::default() })]
+#[case::outages(Faults { outages: 150, cuts: 150, unanswered: 30, crashes: 30, ..Faults::default() })]
+#[case::split_saves(Faults { splits: 700, cuts: 150, drains: 60, takeovers: 60, freezes: 60, ..Faults::default() })]
+#[case::short_lists(Faults { short_lists: 700, unordered: 500, late_ends: 300, cuts: 120, ..Faults::default() })]
+#[case::series(Faults { series: 150, cuts: 120, takeovers: 60, freezes: 60, ..Faults::default() })]
+#[case::copies(Faults { copies: 700, cuts: 120, takeovers: 60, late: 30, ..Faults::default() })]
+#[case::asked(Faults { queries: 500, handovers: 500, cuts: 150, takeovers: 100, freezes: 100, ..Faults::default() })]
+#[case::late_loads(Faults { late_watches: 300, cuts: 100, drains: 60, takeovers: 60, ..Faults::default() })]
+#[case::crashing(Faults { crashing: 10, crashes: 20, cuts: 60, ..Faults::default() })]
+#[case::all(Faults { restarts: 300, handovers: 500, queries: 500, takeovers: 60, cuts: 100, ..Faults::all(15) })]
+fn released_cells_run_nothing_that_starts_elsewhere(#[case] faults: Faults) {
+    let releases = 250;
+    let counts = run_seeds(Faults { releases, ..faults }, seeds(12));
+    require_reached(&counts, &["release", "takeover after a release"]);
+}
+
 /// SERIES_COUNTS lists the situations that a series of cuts must lead to.
 const SERIES_COUNTS: [&str; 3] = [
     "series",
--- a/crates/stackpier-scheduler/src/handover.rs
+++ b/crates/stackpier-scheduler/src/handover.rs
@@ -39,6 +39,8 @@
 pub(crate) struct Predecessor {
     /// Whether it may still act as the owner.
     pub may_act: bool,
+    /// Whether it released the cell.
+    pub released: bool,
     /// How long it, or an owner before it, may still act.
     pub acting_ms: u64,
     /// The address on which it takes messages, if known.
--- a/crates/stackpier-scheduler/src/keys.rs
+++ b/crates/stackpier-scheduler/src/keys.rs
@@ -23,6 +23,8 @@
 /// SUSPENSIONS is the key of the suspended workers, in which each owner also confirms those of its
 /// predecessor.
 pub(crate) const SUSPENSIONS: &str = "suspensions";
+/// RELEASE is the key of what the last owner that released the cell told its successor.
+pub(crate) const RELEASE: &str = "release";
 /// MEMORY is the key of the saved model: what the owners learnt of pairs of images and of the
 /// load of serving tasks.
 pub(crate) const MEMORY: &str = "memory";
--- a/crates/stackpier-scheduler/src/loading.rs
+++ b/crates/stackpier-scheduler/src/loading.rs
@@ -4,7 +4,7 @@
 use std::{cell::RefCell, collections::HashMap, rc::Rc};
 
 use serde::de::DeserializeOwned;
-use stackpier_cell::{Cell, ModelSnapshot, RosterEntry, maintenance, suspension};
+use stackpier_cell::{Cell, ModelSnapshot, RosterEntry, maintenance, release, suspension};
 use stackpier_core::{Millis, Result};
 use stackpier_protocol::codec::decode;
 
@@ -14,7 +14,7 @@
     following::{Jobs, Workers},
     handover::Predecessor,
     jobs::Source,
-    keys::{self, JOBS, MAINTENANCE, MEMORY, PROGRESS, ROSTER, SUSPENSIONS},
+    keys::{self, JOBS, MAINTENANCE, MEMORY, PROGRESS, RELEASE, ROSTER, SUSPENSIONS},
     node::{Node, Owned, pause},
     owner::{Owner, tick},
     saving::{Revisions, describe_roster},
@@ -37,6 +37,7 @@
     progress: Listing,
     roster: Option<Item>,
     suspensions: Option<Item>,
+    release: Option<Item>,
     memory: Option<Item>,
     maintenance: Option<Item>,
     workers: Listing,
@@ -47,7 +48,7 @@
     pub(crate) async fn load(&self, owned: Owned, predecessor: Predecessor) {
         let fence = owned.ownership.fence;
         self.loading.set(true);
-        let loaded = self.read_cell(fence).await;
+        let loaded = self.read_cell(fence, predecessor.released).await;
         self.loading.set(false);
         let Some(loaded) = loaded else {
             return;
@@ -74,9 +75,9 @@
 
     /// read_cell reads the cell and retries until it succeeds. It returns nothing if the
     /// ownership changed meanwhile.
-    async fn read_cell(&self, fence: u64) -> Option<Loaded> {
+    async fn read_cell(&self, fence: u64, released: bool) -> Option<Loaded> {
         loop {
-            match self.read().await {
+            match self.read(released).await {
                 Ok(loaded) => return (self.fence() == fence).then_some(loaded),
                 Err(error) => self.log_line(
                     "owner",
@@ -99,8 +100,9 @@
 
     /// read reads all parts of the cell. On a slow link it reads them one after the other,
     /// so that heartbeats pass in between. Otherwise it reads them concurrently, so that a
-    /// slow store delays the load by one call instead of by seven.
-    async fn read(&self) -> Result<Loaded> {
+    /// slow store delays the load by one call instead of by eight. `released` tells whether the
+    /// predecessor released the cell.
+    async fn read(&self, released: bool) -> Result<Loaded> {
         let requested = self.mono();
         if self.settings.link_kbps < SLOW_KBPS {
             return Ok(Loaded {
@@ -109,16 +111,18 @@
                 progress: self.store_list(PROGRESS).await?,
                 roster: self.store_get(ROSTER).await?,
                 suspensions: self.store_get(SUSPENSIONS).await?,
+                release: self.read_release(released).await?,
                 memory: self.store_get(MEMORY).await?,
                 maintenance: self.store_get(MAINTENANCE).await?,
                 workers: self.store_list(self.platform.workers_prefix()).await?,
             });
         }
-        let (jobs, progress, roster, suspensions, memory, maintenance, workers) = tokio::join!(
+        let (jobs, progress, roster, suspensions, release, memory, maintenance, workers) = tokio::join!(
             self.store_list(JOBS),
             self.store_list(PROGRESS),
             self.store_get(ROSTER),
             self.store_get(SUSPENSIONS),
+            self.read_release(released),
             self.store_get(MEMORY),
             self.store_get(MAINTENANCE),
             self.store_list(self.platform.workers_prefix()),
@@ -129,12 +133,22 @@
             progress: progress?,
             roster: roster?,
             suspensions: suspensions?,
+            release: release?,
             memory: memory?,
             maintenance: maintenance?,
             workers: workers?,
         })
     }
 
+    /// read_release reads what the predecessor saved with its release, if it released the cell. The
+    /// record takes up to 100 kB, and after any other takeover it is of no use.
+    async fn read_release(&self, released: bool) -> Result<Option<Item>> {
+        match released {
+            true => self.store_get(RELEASE).await,
+            false => Ok(None),
+        }
+    }
+
     /// install makes this daemon the cell's acting owner and starts following the cell's
     /// jobs and workers.
     fn install(&self, owned: Owned, predecessor: &Predecessor, loaded: Loaded) {
@@ -185,7 +199,7 @@
     }
 
     /// restore passes to the cell what predecessors saved: the roster of workers, the
-    /// suspended ones, the model and the state of maintenance.
+    /// suspended ones, what may run where, the model and the state of maintenance.
     fn restore(&self, cell: &mut Cell, revisions: &mut Revisions, loaded: &Loaded) {
         if let Some(item) = &loaded.roster {
             revisions.set(ROSTER, item.revision);
@@ -198,6 +212,9 @@
             revisions.set(SUSPENSIONS, item.revision);
             self.restore_suspensions(cell, item);
         }
+        if let Some(item) = &loaded.release {
+            self.restore_release(cell, item);
+        }
         if let Some(item) = &loaded.memory {
             revisions.set(MEMORY, item.revision);
             let memory = self.decode_or_log::<ModelSnapshot>(None, "the saved model", &item.value);
@@ -231,12 +248,24 @@
         let what = "the record of suspended workers";
         let record = self.decode_or_log::<suspension::Record>(None, what, &item.value);
         if let Some(record) = record {
-            let seen = self.history.borrow().seen(item.revision);
-            let age_ms = seen.map_or(0, |seen| self.mono().since(seen));
-            cell.restore_suspensions(&record, age_ms);
+            cell.restore_suspensions(&record, self.age_ms(item));
+        }
+    }
+
+    fn restore_release(&self, cell: &mut Cell, item: &Item) {
+        let what = "the record of the release";
+        let record = self.decode_or_log::<release::Record>(None, what, &item.value);
+        if let Some(record) = record {
+            cell.restore_release(&record, self.age_ms(item));
         }
     }
 
+    /// age_ms returns for how long an item has been in the store at least.
+    fn age_ms(&self, item: &Item) -> u64 {
+        let seen = self.history.borrow().seen(item.revision);
+        seen.map_or(0, |seen| self.mono().since(seen))
+    }
+
     /// decode_or_log decodes a value from the store and logs a failure. `what` names the
     /// value.
     pub(crate) fn decode_or_log<T: DeserializeOwned>(
--- a/crates/stackpier-scheduler/src/monitor.rs
+++ b/crates/stackpier-scheduler/src/monitor.rs
@@ -173,6 +173,7 @@
         if let Some(own) = self.node.unloaded() {
             let predecessor = Predecessor {
                 may_act: true,
+                released: false,
                 acting_ms: self.node.settings.cell.authority_ms,
                 address: None,
             };
@@ -403,6 +404,7 @@
         if let Some(won) = won.filter(own) {
             let predecessor = Predecessor {
                 may_act: reason != Reason::Vacant,
+                released: owned.as_ref().is_some_and(|owned| owned.ownership.released),
                 acting_ms: self.node.acting_ms(),
                 address: owned.map(|owned| owned.ownership.address),
             };
--- a/crates/stackpier-scheduler/src/saving.rs
+++ b/crates/stackpier-scheduler/src/saving.rs
@@ -304,14 +304,16 @@
     format!("{} workers: {}", roster.len(), first.join(" "))
 }
 
-fn put<T: serde::Serialize>(key: String, value: &T) -> Put {
+/// put returns the write of a value.
+pub(crate) fn put<T: serde::Serialize>(key: String, value: &T) -> Put {
     Put {
         key,
         value: encode(value).expect("a value of the crate's own types can be encoded"),
     }
 }
 
-fn owner_condition(revision: u64) -> Condition {
+/// owner_condition requires that the ownership is still at a revision.
+pub(crate) fn owner_condition(revision: u64) -> Condition {
     Condition {
         key: OWNER.to_owned(),
         revision,
