Release the cell also if told to stop while it is being read

What callers saw: long-running tasks without a run for seconds after restarts close together.

Cause: a planned stop releases the cell once, at its beginning. A daemon that had just become the owner and was still reading the cell had nothing to release then. It went on, acted as the owner while it stopped, and ended without a release. Its successor found it silent after another second, and had to count on its authority and on all its leases.

Evidence: test of real processes, with the store's answers delayed: the daemon logs "stopping", 290 ms later "owns the cell with fence 2", and after 2.3 s "stopped". The next one owns the cell 3.3 s after the first signal, with "predecessor may act: true, earlier owners act for 3000 ms more at most".

Now such a daemon releases the cell as soon as it has read it, with what the record of its own predecessor still says, and its stop waits for that. A daemon that is stopping does not begin a takeover.

--- a/crates/stackpier-scheduler/src/daemon.rs
+++ b/crates/stackpier-scheduler/src/daemon.rs
@@ -110,7 +110,8 @@
     close.send_replace(true);
     let has_messages =
         || !node.unsaved.borrow().is_empty() || !node.cancellations.borrow().is_empty();
-    let has_work = || open.get() > 0 || node.open_requests.get() > 0 || has_messages();
+    let has_requests = || open.get() > 0 || node.open_requests.get() > 0;
+    let has_work = || node.loading.get() || has_requests() || has_messages();
     while has_work() && node.mono().since(start) < limit_ms {
         pause(STOP_POLL_MS).await;
     }
@@ -121,7 +122,7 @@
 impl<P: Platform> Node<P> {
     /// release gives up the cell before a planned stop, so that another daemon can take it
     /// over at once.
-    async fn release(&self) {
+    pub(crate) async fn release(&self) {
         // From here on this daemon sends no orders.
         let Some(owner) = self.owner.replace(None) else {
             return;
--- a/crates/stackpier-scheduler/src/loading.rs
+++ b/crates/stackpier-scheduler/src/loading.rs
@@ -44,7 +44,8 @@
 }
 
 impl<P: Platform> Node<P> {
-    /// load reads the cell from the store and starts scheduling it.
+    /// load reads the cell from the store and starts scheduling it. A daemon that was told to stop
+    /// meanwhile releases the cell at once.
     pub(crate) async fn load(&self, owned: Owned, predecessor: Predecessor) {
         let fence = owned.ownership.fence;
         self.loading.set(true);
@@ -64,6 +65,13 @@
         self.log_line("owner", &text);
         self.metrics.ownerships.add(1, &[]);
         self.install(owned, &predecessor, loaded);
+        if self.stopping.get() {
+            // The stop waits for this, too.
+            self.loading.set(true);
+            self.release().await;
+            self.loading.set(false);
+            return;
+        }
         self.ask_earlier_owners(fence);
         let node = self.clone();
         tokio::task::spawn_local(async move { node.adopt_rejections().await });
--- a/crates/stackpier-scheduler/src/monitor.rs
+++ b/crates/stackpier-scheduler/src/monitor.rs
@@ -393,6 +393,9 @@
     /// swap changes the ownership in the store by compare-and-swap, and loads the cell on
     /// success.
     async fn swap(&mut self, reason: Reason, owned: Option<Owned>, fence: u64) {
+        if self.node.stopping.get() {
+            return;
+        }
         let revision = owned.as_ref().map_or(0, |owned| owned.revision);
         let Some(item) = self.write_ownership(revision, fence + 1).await else {
             return;
