Try a release again until the store has it

What callers saw: long waits of the tasks of earlier jobs after a planned stop, beside a store that refuses a call or whose answer is lost.

Cause: a planned stop told the store once that the cell is released. If that call failed, the successor took the owner for silent later, counted on its authority, and knew nothing of its runs.

The release is sent again until the store has it, another daemon owns the cell, or the daemon ends. The stop goes on meanwhile. A write that arrives late does no harm, as the daemon sends no orders any more.

a_release_that_the_store_refuses_is_tried_again failed before ("predecessor may act: true").

--- a/crates/stackpier-scheduler/src/daemon.rs
+++ b/crates/stackpier-scheduler/src/daemon.rs
@@ -22,12 +22,12 @@
     expiry,
     http::{Handler, answer, listen, serve},
     jobs::Source,
-    keys::{OWNER, RELEASE, ROSTER},
+    keys::{OWNER, Ownership, RELEASE, ROSTER},
     link::{self, Request, Response},
     monitor,
     node::{Node, pause},
     saving::{owner_condition, put},
-    store::{Committed, Transaction},
+    store::{Committed, Item, Transaction},
     watch::follow,
 };
 
@@ -37,6 +37,8 @@
 /// STOP_MARGIN_MS is how long before the kill deadline a stopping daemon exits, even with
 /// connections still open.
 const STOP_MARGIN_MS: u64 = 1_000;
+/// RELEASE_RETRY_MS is the pause before the store is told again that the cell is released.
+const RELEASE_RETRY_MS: u64 = 60;
 /// STOP_POLL_MS is the time between two checks of whether work is still open.
 const STOP_POLL_MS: u64 = 50;
 
@@ -102,7 +104,8 @@
     node.stopping.set(true);
     node.ends_at.set(Some(start.plus(limit_ms)));
     node.log_line("daemon", "stopping");
-    node.release().await;
+    let releasing = node.clone();
+    tokio::task::spawn_local(async move { releasing.release().await });
     let drain_ms = DRAIN_MS.min(limit_ms);
     while node.mono().since(start) < drain_ms {
         pause(STOP_POLL_MS).await;
@@ -111,7 +114,8 @@
     let has_messages =
         || !node.unsaved.borrow().is_empty() || !node.cancellations.borrow().is_empty();
     let has_requests = || open.get() > 0 || node.open_requests.get() > 0;
-    let has_work = || node.loading.get() || has_requests() || has_messages();
+    let has_cell = || node.loading.get() || node.releasing.get();
+    let has_work = || has_cell() || has_requests() || has_messages();
     while has_work() && node.mono().since(start) < limit_ms {
         pause(STOP_POLL_MS).await;
     }
@@ -145,14 +149,43 @@
             puts,
             removals: Vec::new(),
         };
-        let committed = self.store_commit(&transaction).await;
-        let done = matches!(committed, Committed::Done(_));
+        self.releasing.set(true);
+        let done = self.commit_release(&transaction).await;
+        self.releasing.set(false);
         let text = format!(
             "cell released, known to the store: {done}; {jobs} jobs are not saved; {} workers may run tasks",
             record.workers.len()
         );
         self.log_line("owner", &text);
     }
+
+    /// commit_release writes the release until the store has it, another daemon owns the cell, or
+    /// this daemon ends. It reports whether the store has it. A late write does no harm: this daemon
+    /// sends no orders in any case.
+    async fn commit_release(&self, transaction: &Transaction) -> bool {
+        loop {
+            match self.store_commit(transaction).await {
+                Committed::Done(_) => return true,
+                // The answer to an earlier try may have been lost.
+                Committed::Conflict(items) => return self.is_released(&items),
+                Committed::Refused | Committed::Unknown if self.is_over() => return false,
+                Committed::Refused | Committed::Unknown => pause(RELEASE_RETRY_MS).await,
+            }
+        }
+    }
+
+    /// is_released reports whether the ownership among some items is this daemon's, and released.
+    fn is_released(&self, items: &[Item]) -> bool {
+        let item = items.iter().find(|item| item.key == OWNER);
+        let ownership = item
+            .and_then(|item| self.decode_or_log::<Ownership>(None, "the ownership", &item.value));
+        ownership.is_some_and(|ownership| ownership.released && ownership.boot == self.boot)
+    }
+
+    /// is_over reports whether this daemon has to end now.
+    fn is_over(&self) -> bool {
+        self.ends_at.get().is_some_and(|end| self.mono() >= end)
+    }
 }
 
 impl<P: Platform> link::Service for Node<P> {
--- a/crates/stackpier-scheduler/src/loading.rs
+++ b/crates/stackpier-scheduler/src/loading.rs
@@ -66,10 +66,7 @@
         self.metrics.ownerships.add(1, &[]);
         self.install(owned, &predecessor, loaded);
         if self.stopping.get() {
-            // The stop waits for this, too.
-            self.loading.set(true);
             self.release().await;
-            self.loading.set(false);
             return;
         }
         self.ask_earlier_owners(fence);
--- a/crates/stackpier-scheduler/src/node.rs
+++ b/crates/stackpier-scheduler/src/node.rs
@@ -113,6 +113,8 @@
     pub(crate) swap: Slot<Swap>,
     /// Whether this daemon owns the cell and is still reading it from the store.
     pub(crate) loading: Slot<bool>,
+    /// Whether this daemon is releasing the cell.
+    pub(crate) releasing: Slot<bool>,
     /// The highest fence with which this daemon owned the cell and lost it to a later one.
     pub(crate) outdated: Slot<u64>,
     pub(crate) store: StoreHealth,
@@ -192,6 +194,7 @@
             unsaved: RefCell::default(),
             swap: Slot::default(),
             loading: Slot::default(),
+            releasing: Slot::default(),
             outdated: Slot::default(),
             store: StoreHealth::default(),
             last_contact: Slot::default(),
