Take daemons that are stopping out of the candidates

What callers saw: seconds without an owner while daemons are restarted one after the other; nothing starts, and no lease is renewed.

Cause: candidates wait by rank, 250 ms for each daemon before them. Daemons that were told to stop stayed in the list until their VM's next process replaced their entry, and the others waited for them, though they never take over.

Test of real processes: 1,081 ms from the release to the takeover by the last of six candidates, the other five of which are stopping.

A daemon that stops now removes its own entry, on the condition that it is still its own.

--- a/crates/stackpier-scheduler/src/daemon.rs
+++ b/crates/stackpier-scheduler/src/daemon.rs
@@ -106,6 +106,7 @@
     node.log_line("daemon", "stopping");
     let releasing = node.clone();
     tokio::task::spawn_local(async move { releasing.release().await });
+    tokio::task::spawn_local(monitor::deregister(node.clone()));
     let drain_ms = DRAIN_MS.min(limit_ms);
     while node.mono().since(start) < drain_ms {
         pause(STOP_POLL_MS).await;
--- a/crates/stackpier-scheduler/src/monitor.rs
+++ b/crates/stackpier-scheduler/src/monitor.rs
@@ -23,7 +23,7 @@
     keys::{self, Member, OWNER, Ownership},
     link::{Alive, Heartbeat, Request, Response},
     node::{Node, Owned, Registered, pause},
-    store::{Committed, Item, Put, Transaction},
+    store::{Committed, Condition, Item, Put, Transaction},
     watch::follow,
 };
 
@@ -105,6 +105,31 @@
     node.log_line("member", "registered in the store");
 }
 
+/// deregister removes this daemon's entry, so that no candidate waits for it to take the cell over. The
+/// entry of a later process on the same VM stays.
+pub(crate) async fn deregister<P: Platform>(node: Node<P>) {
+    let vm = &node.settings.vm;
+    let registered = node.members.borrow().get(vm).cloned();
+    let Some(own) = registered.filter(|entry| entry.member.boot == node.boot) else {
+        return;
+    };
+    let key = keys::member(vm);
+    let transaction = Transaction {
+        conditions: vec![Condition {
+            key: key.clone(),
+            revision: own.revision,
+        }],
+        removals: vec![key],
+        ..Transaction::default()
+    };
+    let committed = node.store_commit(&transaction).await;
+    let done = matches!(committed, Committed::Done(_));
+    node.log_line(
+        "member",
+        &format!("left the candidates, known to the store: {done}"),
+    );
+}
+
 async fn probe<P: Platform>(node: Node<P>) {
     loop {
         pause(PROBE_MS).await;
