Add the time for which a worker says that it stays without overflow

What callers saw, elsewhere: machines that read the list of workers ended again and again beside one odd entry with a number too large.

Cause: the time for which a draining worker says that it stays was added to the present time as it came. Where overflow is checked, the owner ends, as does each one after it; a release build wraps around and stops the runs there at once.

Evidence: a test of the cell with a worker that has runs and announces u64::MAX ms: "attempt to add with overflow" in drain.rs. Now the sum is capped, as all other times are.

runs_go_on_where_a_worker_says_that_it_stays_for_ever failed before, as did owners_go_on_beside_odd_entries: 256 drawn series of entries with any value in each field, beside the workers' own or in place of one, with runs there, also under a next owner; no other value overflows.

--- a/crates/stackpier-cell/src/drain.rs
+++ b/crates/stackpier-cell/src/drain.rs
@@ -41,7 +41,7 @@
             .remaining_ms
             .unwrap_or(LEAVE_MS)
             .max(LEAVE_MARGIN_MS);
-        let left = (seen.0 + stays - LEAVE_MARGIN_MS).saturating_sub(now.0);
+        let left = seen.plus(stays - LEAVE_MARGIN_MS).since(now);
         let Some(run) = self.runs.get(key) else {
             return;
         };
