--- a/crates/stackpier-cell/src/release.rs
+++ b/crates/stackpier-cell/src/release.rs
@@ -1,10 +1,10 @@
 // SPDX-License-Identifier: Apache-2.0
-//! What an owner that releases the cell tells its successor, by a record in the store: which tasks may
-//! run on each worker, until when, and for how long owners before it may still act.
+//! What an owner that releases the cell tells its successor, by a record in the store: which tasks
+//! may run on each worker, until when, and for how long owners before it may still act.
 //!
 //! An owner that has released the cell starts and leases nothing any more, so the record remains
-//! true. A successor that can't reach a worker, because it left meanwhile, waits for it only with the tasks
-//! that the record names there. A task that is named nowhere starts at once.
+//! true. A successor that can't reach a worker, because it left meanwhile, waits for it only with
+//! the tasks that the record names there. A task that is named nowhere starts at once.
 //!
 //! The record applies to the direct successor alone. An owner that is replaced in turn tells its
 //! successor what still applies of it, so that a wait does not begin anew with each owner.
@@ -88,8 +88,8 @@
         }
         let tasks = record.workers.iter().flat_map(|entry| &entry.tasks);
         let text = format!(
-            "the predecessor released the cell at least {age_ms} ms ago: {} tasks may run on {} workers, \
-             and any task on {}",
+            "the predecessor released the cell at least {age_ms} ms ago: {} tasks may run on {} \
+             workers, and any task on {}",
             tasks.clone().map(Vec::len).sum::<usize>(),
             tasks.clone().count(),
             record.workers.len() - tasks.count()
@@ -98,7 +98,8 @@
     }
 }
 
-/// may_leave_soon reports whether a worker has announced its end, left the list, or does not answer.
+/// may_leave_soon reports whether a worker has announced its end, left the list, or does not
+/// answer.
 fn may_leave_soon(worker: &Worker) -> bool {
     worker.info.draining || worker.unlisted_since.is_some() || worker.silent_since.is_some()
 }
--- a/crates/stackpier-cell/src/suspension.rs
+++ b/crates/stackpier-cell/src/suspension.rs
@@ -36,8 +36,9 @@
 const MAX_SAVE_MS: u64 = 800;
 /// INTERVAL_MS is the time between two checks for workers to suspend, which then share a save.
 const INTERVAL_MS: u64 = 200;
-/// MAX_NAMED_TASKS is how many tasks a record names. It takes up to 100 kB then, which a link of
-/// 2 Mbit/s carries within the timeout of a save. Workers beyond that are not suspended.
+/// MAX_NAMED_TASKS is how many tasks a record names. It takes up to 100 kB then, which a link of 2
+/// Mbit/s carries within the timeout of a save. Workers beyond that are not suspended, and in a
+/// release any task may run there.
 pub(crate) const MAX_NAMED_TASKS: usize = 6_000;
 
 /// Record is the list of suspended workers as the store keeps it.
@@ -164,9 +165,9 @@
         }
     }
 
-    /// move_suspension moves a suspension, and what predecessors may have left on a worker, to its next
-    /// incarnation: records name workers by their ids. Late orders may reach that incarnation, but
-    /// only for named tasks.
+    /// move_suspension moves a suspension, and what predecessors may have left on a worker, to its
+    /// next incarnation: records name workers by their ids. Late orders may reach that incarnation,
+    /// but only for named tasks.
     pub(crate) fn move_suspension(&mut self, earlier: WorkerKey, later: WorkerKey) {
         let worker = self.worker_mut(earlier);
         let suspension = std::mem::take(&mut worker.suspension);
--- a/crates/stackpier-cell/src/uncontacted.rs
+++ b/crates/stackpier-cell/src/uncontacted.rs
@@ -70,8 +70,8 @@
         let named = self.is_named(task) && self.awaits_suspended(task);
         let left_ms = self.ownership.inherited_until.since(self.now.mono);
         format!(
-            "any task may run on {awaited} workers, this one on others: {named}; earlier owners act for {} ms \
-             more at most, and their leases end in {left_ms} ms",
+            "any task may run on {awaited} workers, this one on others: {named}; earlier owners act \
+             for {} ms more at most, and their leases end in {left_ms} ms",
             self.ownership.acting_until.since(self.now.mono)
         )
     }
--- a/crates/stackpier-cell/src/worker.rs
+++ b/crates/stackpier-cell/src/worker.rs
@@ -139,8 +139,8 @@
     pub silent_since: Option<Millis>,
     /// The ends that were received from it.
     pub received: Received,
-    /// The tasks with ends that it listed and the store may lack. Those of long-running tasks are left
-    /// out: such a task is started again however its run ended.
+    /// The tasks with ends that it listed and the store may lack. Those of long-running tasks are
+    /// left out: such a task is started again however its run ended.
     pub unstored: Vec<TaskName>,
     /// The number up to which it may forget ends.
     pub acked: u64,
--- a/crates/stackpier-cell/tests/common/chain.rs
+++ b/crates/stackpier-cell/tests/common/chain.rs
@@ -330,8 +330,8 @@
     }
 
     /// release_owner does the same with an owner that releases the cell before it ends. A successor
-    /// that has `seen` the earlier owners knows that none of them may act; one that has just started
-    /// does not.
+    /// that has `seen` the earlier owners knows that none of them may act; one that has just
+    /// started does not.
     pub fn release_owner(&mut self, vacant_ms: u64, seen: bool) {
         let Release { record, roster } = self.owner.cell.release_cell();
         self.release = Some(record);
--- a/crates/stackpier-cell/tests/odd_entries.rs
+++ b/crates/stackpier-cell/tests/odd_entries.rs
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
-//! Entries of workers with values that no worker has, by another writer: beside those of the workers,
-//! or in place of one of them, also under the next owner. The owner goes on, and so do the other workers.
+//! Entries of workers with values that no worker has, by another writer: beside those of the
+//! workers, or in place of one of them, also under the next owner. The owner goes on, and so do the
+//! other workers.
 
 mod common;
 
@@ -120,8 +121,8 @@
     }
 }
 
-/// Guards against runs that are stopped at once on a worker that leaves, because the time for which it
-/// says that it stays is too large to add.
+/// Guards against runs that are stopped at once on a worker that leaves, because the time for which
+/// it says that it stays is too large to add.
 #[test]
 fn runs_go_on_where_a_worker_says_that_it_stays_for_ever() {
     let mut owner = Owner::new(1);
--- a/crates/stackpier-cell/tests/planned_takeovers.rs
+++ b/crates/stackpier-cell/tests/planned_takeovers.rs
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
-//! Owners that release the cell while workers leave: a task that runs nowhere does not wait for these
-//! workers under the next owner, however many owners follow.
+//! Owners that release the cell while workers leave: a task that runs nowhere does not wait for
+//! these workers under the next owner, however many owners follow.
 
 mod common;
 
@@ -102,8 +102,8 @@
     chain.check_within(FORCED_MS);
 }
 
-/// Guards against the opposite fault: a task that may still run on a worker that can't be reached is
-/// started elsewhere.
+/// Guards against the opposite fault: a task that may still run on a worker that can't be reached
+/// is started elsewhere.
 #[rstest]
 #[case::one_takeover(1)]
 #[case::three_takeovers(3)]
--- a/crates/stackpier-fuzz/tests/cell.rs
+++ b/crates/stackpier-fuzz/tests/cell.rs
@@ -231,8 +231,8 @@
     require_reached(&counts, &["suspension", "takeover with suspended workers"]);
 }
 
-/// Guards against a release that names too few tasks or too short a lease: the successor would start
-/// a task elsewhere that still runs on a worker which it does not reach, or has ended there.
+/// Guards against a release that names too few tasks or too short a lease: the successor would
+/// start a task elsewhere that still runs on a worker which it does not reach, or has ended there.
 #[rstest]
 #[case::alone(Faults::default())]
 #[case::drains(Faults { drains: 100, ..Faults::default() })]
--- a/crates/stackpier-scheduler/src/daemon.rs
+++ b/crates/stackpier-scheduler/src/daemon.rs
@@ -154,15 +154,16 @@
         let done = self.commit_release(&transaction).await;
         self.releasing.set(false);
         let text = format!(
-            "cell released, known to the store: {done}; {jobs} jobs are not saved; {} workers may run tasks",
+            "cell released, known to the store: {done}; {jobs} jobs are not saved; {} workers may \
+             run tasks",
             record.workers.len()
         );
         self.log_line("owner", &text);
     }
 
     /// commit_release writes the release until the store has it, another daemon owns the cell, or
-    /// this daemon ends. It reports whether the store has it. A late write does no harm: this daemon
-    /// sends no orders in any case.
+    /// this daemon ends. It reports whether the store has it. A late write does no harm: this
+    /// daemon sends no orders in any case.
     async fn commit_release(&self, transaction: &Transaction) -> bool {
         loop {
             match self.store_commit(transaction).await {
--- a/crates/stackpier-scheduler/src/monitor.rs
+++ b/crates/stackpier-scheduler/src/monitor.rs
@@ -105,8 +105,8 @@
     node.log_line("member", "registered in the store");
 }
 
-/// deregister removes this daemon's entry, so that no candidate waits for it to take the cell over. The
-/// entry of a later process on the same VM stays.
+/// deregister removes this daemon's entry, so that no candidate waits for it to take the cell over.
+/// The entry of a later process on the same VM stays.
 pub(crate) async fn deregister<P: Platform>(node: Node<P>) {
     let vm = &node.settings.vm;
     let registered = node.members.borrow().get(vm).cloned();
@@ -416,7 +416,7 @@
     }
 
     /// swap changes the ownership in the store by compare-and-swap, and loads the cell on
-    /// success.
+    /// success. A daemon that is stopping leaves the cell to others.
     async fn swap(&mut self, reason: Reason, owned: Option<Owned>, fence: u64) {
         if self.node.stopping.get() {
             return;
