Log the start of a long-running task whose last run ended unseen

Client accounts saw long-running tasks without a run for 9 to 19 s after owners had ended beside dead workers, and no line of the owners named them: the line of a start was written only if an owner had learnt how the last run ended, and that owner had ended with what it knew. The line and the histogram of downtimes now include these starts, as unknown, counted from when the owner knew of the task. Each line also says since when the task could start, and since when the owner owns the cell: this tells a wait for earlier owners, a wait for room and a series of takeovers apart. The test fails without the change.

--- a/crates/stackpier-cell/src/downtime.rs
+++ b/crates/stackpier-cell/src/downtime.rs
@@ -30,6 +30,10 @@
 /// MAX_RELEASED is the same at a release, up to 40 kB.
 const MAX_RELEASED: usize = 1_000;
 
+/// UNKNOWN_MS is the shortest downtime that is logged of a task whose last run is not known to have
+/// ended, such as one that has had no run yet.
+const UNKNOWN_MS: u64 = 1_000;
+
 /// Record is what the store keeps of the downtimes and time slices of long-running tasks, and of the
 /// workers that they make way on.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -164,29 +168,37 @@
 }
 
 impl Cell {
-    /// record_resumed logs and counts the downtime before a run of a long-running task.
+    /// record_resumed logs and counts the downtime before a run of a long-running task. If it is not
+    /// known how the last run ended, the downtime is what this owner knows of it.
     pub(crate) fn record_resumed(&mut self, key: RunKey) {
-        let run = self.runs.get(key).filter(|run| run.long_running);
-        let Some(task) = run.map(|run| run.task) else {
+        let Some(run) = self.runs.get(key).filter(|run| run.long_running) else {
             return;
         };
+        let (task, name, number) = (run.task, run.name, run.number);
+        let worker = self.worker(run.worker).info.id.clone();
         self.record_downtime();
+        let now = self.now.mono;
         let downtime = self.task(task).downtime;
         let downtime = downtime.filter(|downtime| downtime.cause != Cause::Unknown);
-        let Some((downtime, run)) = downtime.zip(self.runs.get(key)) else {
+        let (after_ms, cause) = match downtime {
+            Some(downtime) => (downtime.ms(now), downtime.cause),
+            None => (now.since(self.task(task).ready_since), Cause::Unknown),
+        };
+        if cause == Cause::Unknown && after_ms < UNKNOWN_MS {
             return;
+        }
+        let known = match downtime {
+            Some(downtime) => format!("known after {} ms", downtime.unseen_ms),
+            None => "counted from when this owner knew of the task".to_owned(),
         };
-        let after_ms = downtime.ms(self.now.mono);
         let text = format!(
-            "run {} on worker {} after {after_ms} ms without a run: {}, known after {} ms",
-            run.number,
-            self.worker(run.worker).info.id,
-            downtime.cause.label(),
-            downtime.unseen_ms
+            "run {number} on worker {worker} after {after_ms} ms without a run: {}, {known}; it could \
+             start since {} ms, this owner owns the cell since {} ms",
+            cause.label(),
+            self.task(task).startable_at.map_or(0, |at| now.since(at)),
+            now.since(self.ownership.began)
         );
-        let name = run.name;
         self.log("resume", Some(name), text);
-        let cause = downtime.cause;
         self.effects
             .push(Effect::Resumed(Resumed { cause, after_ms }));
     }
--- a/crates/stackpier-cell/src/job.rs
+++ b/crates/stackpier-cell/src/job.rs
@@ -147,4 +147,8 @@
     pub downtime: Option<Downtime>,
     /// Whether it is in its step's list of ready tasks.
     pub ready: bool,
+    /// When it was added to that list.
+    pub ready_since: Millis,
+    /// Since when it has waited for nothing that an earlier owner may have started.
+    pub startable_at: Option<Millis>,
 }
--- a/crates/stackpier-cell/src/lifecycle.rs
+++ b/crates/stackpier-cell/src/lifecycle.rs
@@ -217,6 +217,8 @@
                 not_before: Millis(0),
                 downtime: None,
                 ready: false,
+                ready_since: Millis(0),
+                startable_at: None,
             });
         }
     }
@@ -307,7 +309,11 @@
         if task.done || task.ready || !task.runs.is_empty() || self.job_of(key).state.is_final() {
             return;
         }
-        self.task_mut(key).ready = true;
+        let now = self.now.mono;
+        let task = self.task_mut(key);
+        task.ready = true;
+        task.ready_since = now;
+        task.startable_at = None;
         let best_effort = self.step_spec(step).best_effort;
         let entry = self.step_mut(step);
         entry.ready.push(key);
--- a/crates/stackpier-cell/src/place.rs
+++ b/crates/stackpier-cell/src/place.rs
@@ -266,6 +266,8 @@
                 left.push(task);
                 continue;
             }
+            let now = self.now.mono;
+            self.task_mut(task).startable_at.get_or_insert(now);
             if self.flow.is_full() {
                 lacks_worker = true;
                 outcome = outcome.max(Outcome::Blocked);
--- a/crates/stackpier-cell/tests/superseded.rs
+++ b/crates/stackpier-cell/tests/superseded.rs
@@ -390,3 +390,24 @@
     owner.advance(2_000);
     assert_eq!(owner.starts_of(name(1, 0, 0)), 2);
 }
+
+/// Guards against starts after a long wait that no log line shows: nobody had learnt how the last run
+/// ended.
+#[test]
+fn a_start_is_logged_whose_task_ended_unseen() {
+    let mut owner = Owner::with(2, 2, true);
+    owner.cut[1] = true;
+    for place in 0..2 {
+        owner.cell.add_roster(&RosterEntry {
+            id: format!("w{place}"),
+            address: format!("address-{place}"),
+        });
+        owner.feed(Event::Listed(info(place)));
+    }
+    owner.submit(1, spec(vec![long_running_step()]));
+    owner.advance(13_000);
+    let shown = |line: &&String| line.contains("without a run: unknown");
+    let lines: Vec<&String> = owner.log_lines.iter().filter(shown).collect();
+    assert_eq!(lines.len(), 1, "{lines:?}");
+    assert_eq!(owner.resumed.len(), 1);
+}
