Suspend workers a quarter of a second after they are found silent

What callers saw: tasks of workers that had died a second before their owner had no run for 14 to 18 s.

Cause: a worker was suspended a second after its last answer, although the owner knows within 20 ms that its connections are refused. An owner that ended in between left nothing in the store that bounds the lease of that worker, so its tasks waited for authority and lease.

Why this works: a worker whose connection broke has answered on another one within 250 ms; if not, it is suspended. One that was suspended needlessly gets starts and leases again one save later. Workers that merely don't answer are suspended as early as before.

--- a/crates/stackpier-cell/src/suspension.rs
+++ b/crates/stackpier-cell/src/suspension.rs
@@ -32,10 +32,13 @@
 /// SILENT_MS is the time since its last answer after which a silent worker is suspended. One whose
 /// answers get lost at times usually answers within it.
 const SILENT_MS: u64 = 1_000;
+/// UNREACHED_MS is the time since a worker was found silent after which it is suspended in any case:
+/// one whose connection broke has answered on another one by then.
+const UNREACHED_MS: u64 = 250;
 /// MAX_SAVE_MS is how long the last save may have taken when workers are suspended.
 const MAX_SAVE_MS: u64 = 800;
 /// INTERVAL_MS is the time between two checks for workers to suspend, which then share a save.
-const INTERVAL_MS: u64 = 200;
+const INTERVAL_MS: u64 = 50;
 /// MAX_NAMED_TASKS is how many tasks a record names. It takes up to 100 kB then, which a link of 2
 /// Mbit/s carries within the timeout of a save. Workers beyond that are not suspended, and in a
 /// release any task may run there.
@@ -112,7 +115,10 @@
     /// the store must have all ends that it listed, and none may be missing below them. Of a worker
     /// that has not answered this owner, the bound on its leases is known.
     fn may_suspend(&self, worker: &Worker) -> bool {
+        let now = self.now.mono;
         let answered = worker.clock.map_or(self.ownership.began, |clock| clock.at);
+        let is_unreached = |since: Millis| now.since(since) >= UNREACHED_MS;
+        let is_due = now.since(answered) >= SILENT_MS;
         let is_known = match worker.presence {
             Presence::Contacted => {
                 !worker.is_inherited() && !worker.received.has_gap() && self.has_stored_ends(worker)
@@ -122,8 +128,9 @@
         };
         worker.suspension == Suspension::None
             && worker.rostered
-            && worker.silent_since.is_some()
-            && self.now.mono.since(answered) >= SILENT_MS
+            && worker
+                .silent_since
+                .is_some_and(|since| is_due || is_unreached(since))
             && is_known
     }
 
