Tell the successor what a replaced owner has left on workers

What callers saw: tasks of workers that died beside an owner which was cut off had no run for 11 to 13 s.

Cause: an owner that is cut off or paused knows until when it leased what on each worker. Once it learnt that it had been replaced it said only that it had stopped, so its successor counted a whole lease from then on for workers that it had not reached.

Why this works: the record is the one that an owner saves when it releases the cell, less the time since, by the clock of its sender. It only ever shortens the wait for workers that have not answered the successor, and applies to the direct successor alone.

Evidence: a_predecessor_that_was_cut_off_tells_what_it_leased (cell).

--- a/crates/stackpier-cell/src/cell.rs
+++ b/crates/stackpier-cell/src/cell.rs
@@ -222,6 +222,7 @@
             Event::PredecessorAnswered(unsaved) => self.handle_predecessor_answer(&unsaved),
             Event::PredecessorStopped { acting_ms } => self.shorten_inherited(acting_ms),
             Event::HandedOver(unsaved) => self.apply_handover(&unsaved),
+            Event::RunsHandedOver(record) => self.apply_runs(&record),
             Event::Confirmed(sent) => self.apply_confirmation(sent),
             Event::Tick => self.tick(),
         }
--- a/crates/stackpier-cell/src/event.rs
+++ b/crates/stackpier-cell/src/event.rs
@@ -13,6 +13,7 @@
     downtime::{self, Resumed},
     maintenance::{self, Plan, TakeDown, TakenDown},
     model_snapshot::ModelSnapshot,
+    release,
     run::Run,
     suspension,
     worker::Info,
@@ -140,6 +141,8 @@
     },
     /// A predecessor sent, without being asked, the progress that it could not save.
     HandedOver(Vec<Unsaved>),
+    /// A predecessor that was replaced while it acted sent what it had left on workers.
+    RunsHandedOver(release::Record),
     /// Time has passed.
     Tick,
 }
--- a/crates/stackpier-cell/src/release.rs
+++ b/crates/stackpier-cell/src/release.rs
@@ -15,7 +15,7 @@
     Cell, RosterEntry,
     arena::WorkerKey,
     downtime,
-    suspension::{self, Entry, MAX_NAMED_TASKS},
+    suspension::{self, Entry, MAX_NAMED_TASKS, Suspension},
     worker::Worker,
 };
 
@@ -30,6 +30,21 @@
     pub workers: Vec<Entry>,
 }
 
+impl Record {
+    /// after returns the record as it is some time later, in milliseconds.
+    pub fn after(&self, ms: u64) -> Record {
+        let later = |entry: &Entry| Entry {
+            remaining_ms: entry.remaining_ms.saturating_sub(ms),
+            ..entry.clone()
+        };
+        Record {
+            fence: self.fence,
+            acting_ms: self.acting_ms.saturating_sub(ms),
+            workers: self.workers.iter().map(later).collect(),
+        }
+    }
+}
+
 /// Release is what an owner saves when it releases the cell.
 #[derive(Clone, Debug)]
 pub struct Release {
@@ -105,6 +120,48 @@
     }
 }
 
+impl Cell {
+    /// apply_runs applies the record of a predecessor that was replaced while it acted, and has given
+    /// up the cell since. Only what it tells of workers that have not answered this owner is of use.
+    pub(crate) fn apply_runs(&mut self, record: &Record) {
+        if record.fence + 1 != self.fence {
+            return;
+        }
+        self.bound_acting(record.acting_ms);
+        let mut count = 0;
+        for entry in &record.workers {
+            let key = self.worker_keys.get(&entry.worker).copied();
+            let unanswered = |key: &WorkerKey| {
+                let worker = self.worker(*key);
+                worker.is_inherited() && worker.clock.is_none()
+            };
+            if let Some(key) = key.filter(unanswered) {
+                self.bound_entry(key, entry);
+                count += 1;
+            }
+        }
+        let text = format!(
+            "the predecessor has given up the cell: what may run on {count} workers that have not \
+             answered is known"
+        );
+        self.log("takeover", None, text);
+    }
+
+    /// bound_entry applies what a predecessor tells of a worker. It never makes tasks wait longer.
+    fn bound_entry(&mut self, key: WorkerKey, entry: &Entry) {
+        if entry.tasks.is_none() {
+            return;
+        }
+        let inherited_until = self.ownership.inherited_until;
+        let before = self.worker(key).leased_until.unwrap_or(inherited_until);
+        self.restore_entry(entry, 0);
+        let worker = self.worker_mut(key);
+        worker.leased_until = worker.leased_until.map(|until| until.min(before));
+        self.saver.suspensions_changed |= worker.suspension == Suspension::Active;
+        self.placement_due = true;
+    }
+}
+
 /// may_leave_soon reports whether a worker has announced its end, left the list, or does not
 /// answer.
 fn may_leave_soon(worker: &Worker) -> bool {
--- a/crates/stackpier-cell/tests/common/shapes.rs
+++ b/crates/stackpier-cell/tests/common/shapes.rs
@@ -93,6 +93,21 @@
     chain
 }
 
+/// cut_off_worker returns a cell with a worker that runs the task and has just been cut off.
+pub fn cut_off_worker() -> (Chain, usize) {
+    let mut chain = Chain::new(3);
+    for place in 0..3 {
+        chain.list(info(place));
+    }
+    chain.advance(100);
+    chain.submit_long_running(LASTS, sized(6_000, 1));
+    chain.advance(500);
+    let place = chain.places()[0];
+    chain.cut.insert(place);
+    chain.advance(50);
+    (chain, place)
+}
+
 /// lose_store returns a cell whose third takeover is followed by a time without the store.
 pub fn lose_store(silent: bool) -> Chain {
     const OTHERS: usize = 10;
--- a/crates/stackpier-cell/tests/inherited.rs
+++ b/crates/stackpier-cell/tests/inherited.rs
@@ -15,11 +15,12 @@
 use common::{
     chain::{FIRST_RAN_ON, FORCED_MS, LASTS, LOST_MS, Mute, NEXT_OWNER_MS, VACANT_MS, options},
     shapes::{
-        assign_task, leave_before_save, lose_store, run_on_silent_worker, save_slowly,
-        stop_own_run, stop_task, stop_task_on_draining,
+        assign_task, cut_off_worker, leave_before_save, lose_store, run_on_silent_worker,
+        save_slowly, stop_own_run, stop_task, stop_task_on_draining,
     },
 };
 use rstest::rstest;
+use stackpier_cell::Event;
 
 /// Checks the tests themselves: with all workers answering, the task starts at once.
 #[test]
@@ -272,3 +273,25 @@
 fn a_worker_that_left_before_the_end_was_saved_holds_back_the_task_for_one_lease() {
     leave_before_save(1).check_within(FORCED_MS);
 }
+
+/// Guards against waiting for the authority and for a whole lease of a predecessor that was only cut
+/// off: once it is reached again, it tells how long it leased what on a worker that answers nobody.
+#[test]
+fn a_predecessor_that_was_cut_off_tells_what_it_leased() {
+    let (mut cell, place) = cut_off_worker();
+    let mut earlier = cell.replace_owner(VACANT_MS, true);
+    earlier.cut = vec![true; earlier.workers.len()];
+    earlier.store = false;
+    cell.advance(3_000);
+    earlier.advance(VACANT_MS + 3_000);
+    cell.stop_predecessor();
+    let record = earlier.cell.release_cell().record;
+    cell.owner.feed(Event::RunsHandedOver(record));
+    while !cell.places().is_empty() {
+        cell.advance(1);
+    }
+    cell.advance_until_run();
+    assert_ne!(cell.places(), [place]);
+    let (waited_ms, _) = cell.waits();
+    assert!(waited_ms < 1_500, "{waited_ms}: {}", cell.story());
+}
--- a/crates/stackpier-fuzz/src/cell/simulation.rs
+++ b/crates/stackpier-fuzz/src/cell/simulation.rs
@@ -122,6 +122,8 @@
     TakeOver(usize),
     /// The current owner receives what a predecessor could not save.
     HandOver(Vec<Unsaved>),
+    /// The current owner receives what a predecessor has left on workers.
+    HandOverRuns(Box<Released>),
     /// An owner asks earlier ones whether they have stopped acting.
     Query(usize),
     /// An owner reads which data centres are cordoned.
@@ -474,6 +476,7 @@
             }
             Message::TakeOver(data_centre) => self.take_over(data_centre),
             Message::HandOver(unsaved) => self.deliver_handover(unsaved),
+            Message::HandOverRuns(record) => self.deliver_runs(*record),
             Message::Query(index) => self.query_earlier_owners(index),
             Message::Cordons(index) => self.read_cordons(index),
             Message::Load(index) => self.load(index),
--- a/crates/stackpier-fuzz/src/cell/simulation/handover.rs
+++ b/crates/stackpier-fuzz/src/cell/simulation/handover.rs
@@ -2,7 +2,7 @@
 //! Handover: a replaced owner sends its successor what it could not save, at once if it is polled,
 //! else later.
 
-use stackpier_cell::{Event, Unsaved};
+use stackpier_cell::{Event, Unsaved, release::Record};
 
 use super::{Message, Simulation};
 
@@ -53,6 +53,18 @@
             self.count("handed over");
         }
         self.send(delay, Message::HandOver(unsaved));
+        let record = self.owners[index].cell.release_cell().record;
+        let record = record.after(delay);
+        self.send(delay, Message::HandOverRuns(Box::new(record)));
+    }
+
+    /// deliver_runs passes what a predecessor has left on workers to the newest owner.
+    pub(super) fn deliver_runs(&mut self, record: Record) {
+        let newest = self.owners.len() - 1;
+        if record.fence + 1 == self.owners[newest].fence {
+            self.count("runs handed over");
+        }
+        self.deliver(newest, Event::RunsHandedOver(record));
     }
 
     /// deliver_handover passes what a predecessor could not save to the newest owner.
--- a/crates/stackpier-scheduler/src/daemon.rs
+++ b/crates/stackpier-scheduler/src/daemon.rs
@@ -243,6 +243,10 @@
                 self.feed(fence, Event::HandedOver(unsaved));
                 Response::Flag(true)
             }
+            Request::HandOverRuns(record) => {
+                self.feed(fence, Event::RunsHandedOver(record));
+                Response::Flag(true)
+            }
             Request::State(job) => Response::State(self.job_state(job)),
             Request::Outlook => {
                 let owner = self.owner.borrow();
--- a/crates/stackpier-scheduler/src/handover.rs
+++ b/crates/stackpier-scheduler/src/handover.rs
@@ -10,7 +10,7 @@
 
 use std::time::Duration;
 
-use stackpier_cell::{Event, Unsaved};
+use stackpier_cell::{Event, Unsaved, release};
 use stackpier_core::Result;
 
 use crate::{
@@ -84,6 +84,41 @@
         }
     }
 
+    /// hand_over_runs starts telling the successor of an owner that was replaced what it has left on
+    /// workers, until the successor has received it or [`HANDOVER_MS`] has passed.
+    pub(crate) fn hand_over_runs(&self, fence: u64, owner: &Owner) {
+        let record = owner.cell.release_cell().record;
+        let (node, begun) = (self.clone(), self.mono());
+        tokio::task::spawn_local(async move {
+            loop {
+                let age_ms = node.mono().since(begun);
+                if age_ms >= HANDOVER_MS || node.send_runs(fence, record.after(age_ms)).await {
+                    return;
+                }
+                pause(RETRY_MS).await;
+            }
+        });
+    }
+
+    /// send_runs sends the record of the owner with `fence`, and reports whether its direct successor
+    /// has received it or has been replaced itself.
+    async fn send_runs(&self, fence: u64, record: release::Record) -> bool {
+        let known = self.fence();
+        let own = self.owner.borrow().as_ref().map(|owner| owner.fence);
+        match own {
+            _ if known > fence + 1 => true,
+            Some(own) => {
+                self.feed(own, Event::RunsHandedOver(record));
+                true
+            }
+            None if known <= fence => false,
+            None => {
+                let request = Request::HandOverRuns(record);
+                self.ask_owner(&request).await.is_ok()
+            }
+        }
+    }
+
     async fn send_unsaved(&self, unsaved: &[Unsaved]) -> Result<()> {
         for jobs in unsaved.chunks(JOBS_PER_MESSAGE) {
             let own = self.owner.borrow().as_ref().map(|owner| owner.fence);
--- a/crates/stackpier-scheduler/src/link.rs
+++ b/crates/stackpier-scheduler/src/link.rs
@@ -13,7 +13,7 @@
 use bytes::Bytes;
 use h2::{RecvStream, SendStream, client, server};
 use serde::{Deserialize, Serialize};
-use stackpier_cell::{Unsaved, outlook::Outlook};
+use stackpier_cell::{Unsaved, outlook::Outlook, release};
 use stackpier_core::{
     Error, Kind, Result,
     key::{self, Boot},
@@ -89,6 +89,8 @@
     CancelledJobs(Vec<key::Job>),
     /// Asks whether the receiver could take the cell over now.
     CanTakeOver,
+    /// Reports what the sender, a predecessor that was replaced while it acted, has left on workers.
+    HandOverRuns(release::Record),
 }
 
 impl Request {
--- a/crates/stackpier-scheduler/src/loading.rs
+++ b/crates/stackpier-scheduler/src/loading.rs
@@ -104,7 +104,8 @@
         }
     }
 
-    fn fence(&self) -> u64 {
+    /// fence returns the fence of the ownership that the store last showed.
+    pub(crate) fn fence(&self) -> u64 {
         self.owned
             .borrow()
             .as_ref()
--- a/crates/stackpier-scheduler/src/owner.rs
+++ b/crates/stackpier-scheduler/src/owner.rs
@@ -190,7 +190,10 @@
         let own = self.owner.borrow().as_ref().map(|owner| owner.fence);
         if let Some(own) = own.filter(|own| *own < fence) {
             let owner = self.owner.replace(None);
-            let jobs = owner.map_or(0, |owner| self.keep_unsaved(&owner));
+            let jobs = owner.map_or(0, |owner| {
+                self.hand_over_runs(own, &owner);
+                self.keep_unsaved(&owner)
+            });
             self.outdated.set(self.outdated.get().max(own));
             let text = format!("gave up the cell: {why}; {jobs} jobs are not saved");
             self.log_line("owner", &text);
