Suspend workers early only if they refuse connections

A renewal that fails within 150 ms shows that the connection is refused or closed; one without an answer is given up after 600 ms. Both cases of a_worker_that_refuses_connections_is_suspended_soon fail with one part of the rule taken out.

--- a/crates/stackpier-cell/src/renewal.rs
+++ b/crates/stackpier-cell/src/renewal.rs
@@ -28,6 +28,10 @@
 /// to workers are logged. A busy owner gets an answer several times a second.
 const STORE_SILENT_MS: u64 = 700;
 
+/// REFUSED_MS is the time within which a renewal fails whose connection is refused or closed. One that
+/// gets no answer is given up much later.
+const REFUSED_MS: u64 = 150;
+
 impl Cell {
     /// renew_now sends a renewal that the worker answers at once, unless one is in flight.
     pub(crate) fn renew_now(&mut self, key: WorkerKey) {
@@ -165,16 +169,17 @@
                 self.end_incarnation(key, "its address answers for another incarnation")
             }
             Renewed::Silent if self.is_latest(key) && (is_latest || never_answered) => {
-                self.record_no_answer(key)
+                self.record_no_answer(key, sent)
             }
             Renewed::Silent => {}
         }
     }
 
-    fn record_no_answer(&mut self, key: WorkerKey) {
+    fn record_no_answer(&mut self, key: WorkerKey, sent: Millis) {
         let (now, retry) = (self.now.mono, self.options.retry_ms);
         let worker = self.worker_mut(key);
         worker.renew_after = now.plus(retry);
+        worker.refused = now.since(sent) < REFUSED_MS;
         if worker.silent_since.is_none() {
             worker.silent_since = Some(now);
             let text = format!("worker {} does not answer", worker.info.id);
--- a/crates/stackpier-cell/src/roster.rs
+++ b/crates/stackpier-cell/src/roster.rs
@@ -131,6 +131,7 @@
             final_renewal: None,
             renew_after: Millis(0),
             silent_since: None,
+            refused: false,
             received: Received::default(),
             unstored: Vec::new(),
             acked: 0,
--- a/crates/stackpier-cell/src/suspension.rs
+++ b/crates/stackpier-cell/src/suspension.rs
@@ -32,8 +32,8 @@
 /// SILENT_MS is the time since its last answer after which a silent worker is suspended. One whose
 /// answers get lost at times usually answers within it.
 const SILENT_MS: u64 = 1_000;
-/// UNREACHED_MS is the time since a worker was found silent after which it is suspended in any case:
-/// one whose connection broke has answered on another one by then.
+/// UNREACHED_MS is the time since a worker was found silent after which it is suspended if it refuses
+/// connections: one whose connection broke has answered on another one by then.
 const UNREACHED_MS: u64 = 250;
 /// MAX_SAVE_MS is how long the last save may have taken when workers are suspended.
 const MAX_SAVE_MS: u64 = 800;
@@ -117,7 +117,7 @@
     fn may_suspend(&self, worker: &Worker) -> bool {
         let now = self.now.mono;
         let answered = worker.clock.map_or(self.ownership.began, |clock| clock.at);
-        let is_unreached = |since: Millis| now.since(since) >= UNREACHED_MS;
+        let is_unreached = |since: Millis| worker.refused && now.since(since) >= UNREACHED_MS;
         let is_due = now.since(answered) >= SILENT_MS;
         let is_known = match worker.presence {
             Presence::Contacted => {
--- a/crates/stackpier-cell/src/worker.rs
+++ b/crates/stackpier-cell/src/worker.rs
@@ -137,6 +137,8 @@
     pub renew_after: Millis,
     /// Since when it has not answered.
     pub silent_since: Option<Millis>,
+    /// Whether the last renewal failed so soon that its connection was refused or closed.
+    pub refused: bool,
     /// The ends that were received from it.
     pub received: Received,
     /// The tasks with ends that it listed and the store may lack. Those of long-running tasks are
--- a/crates/stackpier-cell/tests/suspensions.rs
+++ b/crates/stackpier-cell/tests/suspensions.rs
@@ -153,3 +153,27 @@
     }
     chain.advance_until_run();
 }
+
+/// Guards against owners that end before they suspend a worker that has ended, and against workers
+/// suspended for a single call without an answer.
+#[rstest]
+#[case::refused(None, 600, true)]
+#[case::unanswered(Some(GIVE_UP_MS), 900, false)]
+fn a_worker_that_refuses_connections_is_suspended_soon(
+    #[case] give_up_ms: Option<u64>,
+    #[case] after_ms: u64,
+    #[case] is_suspended: bool,
+) {
+    let mut owner = Owner::new(3);
+    owner.give_up_ms = give_up_ms;
+    owner.submit_long_running(1, sized(1_000, 3));
+    owner.advance(500);
+    owner.cut[0] = true;
+    owner.advance(after_ms);
+    let entries = owner
+        .saves
+        .iter()
+        .filter_map(|save| save.suspensions.as_ref());
+    let named = entries.flat_map(|record| &record.entries);
+    assert_eq!(named.count() > 0, is_suspended);
+}
