Wait for all workers where the assignments of a job can't be read

A record of assignments that is not readable made its reader distrust all of them, but its records, and the coverage that its takeover had written, were trusted by the owner after it: tasks that the reader did not know could then have run twice. Found by reading.

--- a/crates/stackpier-cell/src/assignment.rs
+++ b/crates/stackpier-cell/src/assignment.rs
@@ -25,7 +25,6 @@
 use crate::{
     Cell,
     arena::{JobKey, RunKey, TaskKey, WorkerKey},
-    run::Run,
     worker::Worker,
 };
 
@@ -146,6 +145,12 @@
         self.assignments.restore(records);
     }
 
+    /// ignore_assignments records that the assignments of a job can't be read. This owner writes none
+    /// for it, so that later owners see the same.
+    pub fn ignore_assignments(&mut self, job: key::Job) {
+        self.assignments.ignore(job);
+    }
+
     /// init_assignments gives a new job its assignments: none, or those that predecessors wrote.
     pub(crate) fn init_assignments(&mut self, key: JobKey) {
         let job = self.job(key);
@@ -154,6 +159,9 @@
             return;
         }
         let (id, inherited) = (job.id, job.inherited);
+        if self.assignments.ignores(id) {
+            return;
+        }
         let record = self.assignments.take_inherited(id).filter(|_| inherited);
         self.job_mut(key).assigned = Some(Box::new(Assigned::new(record.unwrap_or_default())));
     }
@@ -163,6 +171,7 @@
         task.0 - self.job_of(task).first_task.0
     }
 
+    /// assigned_of returns the assignments of the job of a long-running task, if they are written.
     fn assigned_of(&self, task: TaskKey) -> Option<&Assigned> {
         let is_long_running = self.step_spec(self.task(task).step).long_running;
         let assigned = self.job_of(task).assigned.as_deref();
@@ -198,6 +207,7 @@
             .is_some_and(|assigned| assigned.inherited.workers_of(index).any(is_lost))
     }
 
+    /// find_worker_by_id returns the latest incarnation of the worker with an id.
     fn find_worker_by_id(&self, id: &str) -> Option<&Worker> {
         let key = self.worker_keys.get(id)?;
         Some(self.worker(*key))
@@ -237,10 +247,10 @@
 
     /// assign has a run wait until the store has its task assigned to its worker.
     pub(crate) fn assign(&mut self, key: RunKey) {
-        let Some(Run { task, worker, .. }) = self.runs.get(key) else {
+        let Some(run) = self.runs.get(key) else {
             return;
         };
-        let (task, worker) = (*task, *worker);
+        let (task, worker) = (run.task, run.worker);
         if self.is_assigned(task, worker) {
             return;
         }
--- a/crates/stackpier-cell/src/assignment/state.rs
+++ b/crates/stackpier-cell/src/assignment/state.rs
@@ -6,8 +6,7 @@
 /// Assigned is the assignments of a job.
 #[derive(Debug, Default)]
 pub(crate) struct Assigned {
-    /// The assignments that the store has, whether or not earlier writes without an answer took
-    /// effect.
+    /// The starts that the store allows, whichever of the earlier writes took effect.
     saved: Record,
     /// What the write in flight contains.
     sent: Option<Record>,
--- a/crates/stackpier-cell/src/assignment/write.rs
+++ b/crates/stackpier-cell/src/assignment/write.rs
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 //! Writes of assignments to the store, one at a time.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use stackpier_core::{Millis, key};
 
@@ -33,6 +33,8 @@
     inherited: HashMap<key::Job, Record>,
     /// Whether these are all runs that may exist.
     knows_inherited: bool,
+    /// Jobs whose assignments can't be read.
+    ignored: HashSet<key::Job>,
     completeness: Completeness,
     changed: Vec<JobKey>,
     /// Since when there are changes.
@@ -62,6 +64,15 @@
         self.completeness = Completeness::Complete;
     }
 
+    /// ignore records that the assignments of a job can't be read.
+    pub(super) fn ignore(&mut self, job: key::Job) {
+        self.ignored.insert(job);
+    }
+
+    pub(super) fn ignores(&self, job: key::Job) -> bool {
+        self.ignored.contains(&job)
+    }
+
     pub(super) fn take_inherited(&mut self, job: key::Job) -> Option<Record> {
         self.inherited.remove(&job)
     }
--- a/crates/stackpier-cell/src/release.rs
+++ b/crates/stackpier-cell/src/release.rs
@@ -118,9 +118,7 @@
         );
         self.log("takeover", None, text);
     }
-}
 
-impl Cell {
     /// apply_runs applies the record of a predecessor that was replaced while it acted, and has given
     /// up the cell since. Only what it tells of workers that have not answered this owner is of use.
     pub(crate) fn apply_runs(&mut self, record: &Record) {
--- a/crates/stackpier-scheduler/src/loading.rs
+++ b/crates/stackpier-scheduler/src/loading.rs
@@ -304,13 +304,14 @@
     /// assigned their starts.
     fn restore_assignments(&self, cell: &mut Cell, revisions: &mut Revisions, loaded: &Loaded) {
         let mut records = HashMap::new();
-        let mut readable = true;
         for item in &loaded.assignments.items {
             revisions.set(&item.key, item.revision);
-            let record = self.decode_or_log::<assignment::Record>(None, &item.key, &item.value);
-            readable &= record.is_some();
-            if let Some((job, record)) = keys::assignments_of(&item.key).zip(record) {
-                records.insert(job, record);
+            let Some(job) = keys::assignments_of(&item.key) else {
+                continue;
+            };
+            match self.decode_or_log::<assignment::Record>(None, &item.key, &item.value) {
+                Some(record) => drop(records.insert(job, record)),
+                None => cell.ignore_assignments(job),
             }
         }
         let coverage = loaded.coverage.as_ref().and_then(|item| {
@@ -318,7 +319,7 @@
             self.decode_or_log::<Coverage>(None, "the coverage of assignments", &item.value)
         });
         let covers = |coverage: Coverage| coverage.fence == cell.fence() && coverage.complete;
-        match coverage.is_some_and(covers) && readable {
+        match coverage.is_some_and(covers) {
             true => cell.restore_assignments(records),
             false => self.log_line(
                 "owner",
