--- a/review/sim2/sim.py
+++ b/review/sim2/sim.py
@@ -801,13 +801,14 @@
             await asyncio.sleep(0.05)
 
     async def close(self):
+        for task in self.loop_tasks:
+            task.cancel()
+        await asyncio.gather(*self.loop_tasks, return_exceptions=True)
         for daemon in self.daemons:
             if daemon.process and daemon.process.returncode is None:
                 daemon.process.send_signal(signal.SIGCONT)
                 daemon.process.kill()
                 await daemon.process.wait()
-        for task in self.loop_tasks:
-            task.cancel()
         if os.environ.get("KEEP_LOGS"):
             print("logs:", self.folder)
         else:
@@ -821,6 +822,9 @@
         # Connections that are open at the end are dropped without a word.
         asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
         world = World(folder)
+        this = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, this.cancel)
         try:
             broken = await asyncio.wait_for(scenario(world), limit)
             world.record(f"verdict: {broken or 'the rule held'}")
@@ -830,6 +834,9 @@
             world.record(f"verdict: could not run: {type(error).__name__}: {error}")
             print(f"could not run: {type(error).__name__}: {error}")
             return 2
+        except asyncio.CancelledError:
+            world.record("verdict: could not run: it was told to stop")
+            return 2
         finally:
             await world.close()
 
