Count the entries of the cell in memory

The owner exceeds its memory with small jobs that have many rounds, and nothing told which of its structures grows.

No decision changes.

--- a/crates/stackpier-cell/src/cell.rs
+++ b/crates/stackpier-cell/src/cell.rs
@@ -16,6 +16,7 @@
     duration::Durations,
     evacuation::Evacuations,
     flow::Flow,
+    footprint::Footprints,
     interference::{Images, Model},
     interner::Interner,
     job::{Job, Step, Task},
@@ -114,6 +115,8 @@
     pub(crate) lag: Lag,
     /// The starts that are not answered yet.
     pub(crate) flow: Flow,
+    /// The memory that all entries take.
+    pub(crate) footprints: Footprints,
     pub(crate) effects: Vec<Effect>,
 }
 
@@ -174,6 +177,7 @@
             durations: Durations::default(),
             lag: Lag::default(),
             flow: Flow::new(&options),
+            footprints: Footprints::default(),
             effects: Vec::new(),
         }
     }
@@ -480,6 +484,7 @@
             self.check_completeness();
         }
         self.update_outlook();
+        self.update_footprint();
         self.log_summary();
         let waits = self.queued().next().is_some();
         self.placement_due |= waits;
--- a/crates/stackpier-cell/src/lib.rs
+++ b/crates/stackpier-cell/src/lib.rs
@@ -26,6 +26,7 @@
 mod event;
 pub mod explain;
 mod flow;
+pub mod footprint;
 mod handover;
 mod health;
 pub mod interference;
--- a/crates/stackpier-scheduler/src/metrics.rs
+++ b/crates/stackpier-scheduler/src/metrics.rs
@@ -60,6 +60,10 @@
     /// The longest time for which a ready step has had nothing running, in milliseconds;
     /// zero on followers.
     pub longest_wait: Gauge<u64>,
+    /// Entries of the cell in memory, by kind; zero on followers.
+    pub cell_entries: Gauge<u64>,
+    /// Bytes of these entries, by kind; zero on followers.
+    pub cell_bytes: Gauge<u64>,
 }
 
 impl Metrics {
@@ -92,6 +96,8 @@
             running: gauge("stackpier_running"),
             waiting: gauge("stackpier_waiting"),
             longest_wait: gauge("stackpier_longest_wait_milliseconds"),
+            cell_entries: meter.u64_gauge("stackpier_cell_entries").build(),
+            cell_bytes: meter.u64_gauge("stackpier_cell_bytes").build(),
             instruments,
         })
     }
@@ -115,6 +121,11 @@
     [KeyValue::new("cause", cause.as_str())]
 }
 
+/// kind returns the label of a kind of entries in memory.
+pub fn kind(kind: &'static str) -> [KeyValue; 1] {
+    [KeyValue::new("kind", kind)]
+}
+
 /// labels returns the labels of a counted call.
 pub fn labels(call: &'static str, outcome: &'static str) -> [KeyValue; 2] {
     [
--- a/crates/stackpier-scheduler/src/owner.rs
+++ b/crates/stackpier-scheduler/src/owner.rs
@@ -5,7 +5,9 @@
 use std::{cell::RefCell, rc::Rc};
 
 use opentelemetry::KeyValue;
-use stackpier_cell::{Cell, Effect, Event, Forwarded, LogEntry, downtime::Resumed};
+use stackpier_cell::{
+    Cell, Effect, Event, Forwarded, LogEntry, downtime::Resumed, footprint::Footprint,
+};
 use stackpier_core::{Millis, key};
 use stackpier_state::job::State;
 
@@ -13,6 +15,7 @@
     Platform,
     expiry::Expiry,
     keys::OWNER,
+    metrics::kind,
     node::{Node, pause},
     saving::Revisions,
 };
@@ -210,13 +213,16 @@
 /// tick feeds the cell a tick every [`TICK_MS`] for as long as this daemon owns it with
 /// `fence`.
 pub(crate) async fn tick<P: Platform>(node: Node<P>, fence: u64) {
+    let mut recorded = Footprint::default();
     while node.owns_with(fence) {
         node.feed(fence, Event::Tick);
         node.update_gate();
         node.record_gauges();
+        node.record_footprint(&mut recorded);
         pause(TICK_MS).await;
     }
     node.record_gauges();
+    node.record_footprint(&mut recorded);
 }
 
 impl<P: Platform> Node<P> {
@@ -233,4 +239,21 @@
         metrics.waiting.record(waiting, &[]);
         metrics.longest_wait.record(of(Cell::longest_wait_ms), &[]);
     }
+
+    /// record_footprint records the memory that the cell takes if it differs from what was recorded
+    /// before.
+    fn record_footprint(&self, recorded: &mut Footprint) {
+        let owner = self.owner.borrow();
+        let footprint = owner.as_ref().map(|owner| owner.cell.footprint());
+        let footprint = footprint.unwrap_or_default();
+        if std::mem::replace(recorded, footprint) == footprint {
+            return;
+        }
+        for (name, usage) in footprint.kinds() {
+            let label = kind(name);
+            let metrics = &self.metrics;
+            metrics.cell_entries.record(usage.entries as u64, &label);
+            metrics.cell_bytes.record(usage.bytes as u64, &label);
+        }
+    }
 }
