Load the rounds of repeated jobs when they are due

Cause: the owner built the steps and tasks of all rounds when it learnt of a job, also of a cancelled one and of one it read after a takeover: 950,400 steps (167 MB) and as many tasks (190 MB) by the gauges of the cell. It dropped none that was done.

Now a round is loaded when it is due and dropped when all its tasks are done and none of their runs is left. Of all others the owner keeps which are done, as ranges of numbers, and one entry per job for the next due time. Overdue rounds are loaded as far as few tasks wait, and beyond that one after the other for each job, so nothing is rejected and every job goes on. The keys of jobs, rounds, steps and tasks are indices of arenas that never refer to a later entry; indices are ordered by insertion, which keeps the order of placement. The stored progress is unchanged.

--- a/crates/stackpier-cell/src/advice.rs
+++ b/crates/stackpier-cell/src/advice.rs
@@ -8,7 +8,7 @@
 use stackpier_core::Millis;
 
 use crate::{
-    AdviceRequest, Advised, Cell, Effect,
+    AdviceRequest, Advised, Cell, Effect, TaskName,
     arena::{StepKey, WorkerKey},
     place::Demand,
 };
@@ -78,7 +78,7 @@
             .map(|worker| self.worker(*worker).info.id.clone());
         let request = AdviceRequest {
             step: demand.step,
-            name: self.name(self.step_of(demand.step).first_task),
+            name: self.first_name(demand.step),
             workers: ids.collect(),
         };
         let advice = self.step_mut(demand.step).advice.get_or_insert_default();
@@ -89,6 +89,17 @@
         self.effects.push(Effect::RequestAdvice(request));
     }
 
+    /// first_name returns the name of a step's first task.
+    fn first_name(&self, step: StepKey) -> TaskName {
+        let round = self.round(step.round);
+        TaskName {
+            job: self.job(round.job).id,
+            round: round.number,
+            step: step.number,
+            index: 0,
+        }
+    }
+
     /// find_workers_to_name returns the best workers that could take a step's tasks and
     /// that no recent request has named.
     fn find_workers_to_name(&self, demand: &Demand) -> Vec<WorkerKey> {
@@ -112,7 +123,9 @@
     pub(crate) fn handle_advice(&mut self, step: StepKey, answer: Option<Advised>) {
         let now = self.now.mono;
         let keys = &self.worker_keys;
-        let Some(advice) = self.steps[step.0 as usize].advice.as_deref_mut() else {
+        let round = self.rounds.get_mut(step.round.0);
+        let step = round.map(|round| &mut round.steps[usize::from(step.number)]);
+        let Some(advice) = step.and_then(|step| step.advice.as_deref_mut()) else {
             return;
         };
         advice.awaits_answer = false;
--- a/crates/stackpier-cell/src/arena.rs
+++ b/crates/stackpier-cell/src/arena.rs
@@ -1,24 +1,42 @@
 // SPDX-License-Identifier: Apache-2.0
-//! Small `Copy` keys of jobs, steps, tasks, workers and images.
+//! Small `Copy` keys of jobs, rounds, steps, tasks, workers and images.
 //!
-//! Jobs, steps, tasks and workers are kept until the ownership of the cell ends, so their keys
-//! are plain positions. Runs come and go and use the arena of `stackpier-core`.
+//! Jobs, rounds and runs come and go and use the arena of `stackpier-core`: the key of one that is
+//! gone refers to nothing. Workers and images are kept until the ownership of the cell ends, so their
+//! keys are plain positions.
 
 use stackpier_core::arena::Index;
 
-use crate::run::Run;
+use crate::{job::Job, round::Round, run::Run};
 
-/// JobKey is the position of a job.
+/// JobKey refers to a job in memory. Keys are ordered by when the owner learnt of the jobs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct JobKey(pub(crate) u32);
+pub struct JobKey(pub(crate) Index<Job>);
 
-/// StepKey is the position of one step of one round of a job.
+/// RoundKey refers to a round in memory.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct StepKey(pub(crate) u32);
+pub struct RoundKey(pub(crate) Index<Round>);
 
-/// TaskKey is the position of a task.
+/// StepKey refers to one step of a round, by its number.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct TaskKey(pub(crate) u32);
+pub struct StepKey {
+    pub(crate) round: RoundKey,
+    pub(crate) number: u16,
+}
+
+impl StepKey {
+    /// place returns a number that differs between successive steps.
+    pub(crate) fn place(self) -> usize {
+        self.round.0.serial() as usize + usize::from(self.number)
+    }
+}
+
+/// TaskKey refers to a task, by its position among all tasks of its round.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TaskKey {
+    pub(crate) round: RoundKey,
+    pub(crate) position: u32,
+}
 
 /// WorkerKey is the position of one incarnation of a worker.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
--- a/crates/stackpier-cell/src/assignment.rs
+++ b/crates/stackpier-cell/src/assignment.rs
@@ -166,11 +166,6 @@
         self.job_mut(key).assigned = Some(Box::new(Assigned::new(record.unwrap_or_default())));
     }
 
-    /// index_of returns the index of a task among all tasks of its job.
-    fn index_of(&self, task: TaskKey) -> u32 {
-        task.0 - self.job_of(task).first_task.0
-    }
-
     /// assigned_of returns the assignments of the job of a long-running task, if they are written.
     fn assigned_of(&self, task: TaskKey) -> Option<&Assigned> {
         let is_long_running = self.step_spec(self.task(task).step).long_running;
@@ -277,8 +272,8 @@
         let Some(assigned) = &job.assigned else {
             return record;
         };
-        for index in 0..job.tasks {
-            let task = TaskKey(job.first_task.0 + index);
+        for task in self.tasks_of(key) {
+            let index = self.index_of(task);
             if !self.step_spec(self.task(task).step).long_running {
                 continue;
             }
--- a/crates/stackpier-cell/src/assignment/write.rs
+++ b/crates/stackpier-cell/src/assignment/write.rs
@@ -188,7 +188,7 @@
         let is_idle = writer.changed.is_empty() && writer.in_flight.is_none();
         match writer.completeness {
             Completeness::Incomplete if self.knows_all_runs() => {
-                let jobs = (0..self.jobs.len() as u32).map(JobKey);
+                let jobs = self.jobs.iter().map(|(key, _)| JobKey(key));
                 jobs.for_each(|key| self.assignments.mark(key));
                 self.assignments.completeness = Completeness::Writing;
             }
--- a/crates/stackpier-cell/src/cell.rs
+++ b/crates/stackpier-cell/src/cell.rs
@@ -24,6 +24,7 @@
     maintenance::{Record, Rollout},
     outlook::Forecaster,
     place::{BestEffortPass, Budget, GuaranteedPass, IdlePass, PlacementStats},
+    round::{Round, Schedule},
     run::Run,
     save::Saver,
     share::Shares,
@@ -52,12 +53,13 @@
     pub(crate) services: Interner,
     pub(crate) racks: Interner,
     pub(crate) images: Images,
-    pub(crate) jobs: Vec<Job>,
+    pub(crate) jobs: Arena<Job>,
     pub(crate) job_keys: HashMap<key::Job, JobKey>,
     /// Jobs that were cancelled before this owner knew them.
     pub(crate) cancelled: HashSet<key::Job>,
-    pub(crate) steps: Vec<Step>,
-    pub(crate) tasks: Vec<Task>,
+    /// The rounds that are due or have runs.
+    pub(crate) rounds: Arena<Round>,
+    pub(crate) schedule: Schedule,
     pub(crate) runs: Arena<Run>,
     pub(crate) workers: Vec<Worker>,
     pub(crate) worker_keys: HashMap<String, WorkerKey>,
@@ -65,8 +67,6 @@
     pub(crate) guaranteed_queue: Vec<StepKey>,
     /// Steps with best-effort tasks to place.
     pub(crate) best_effort_queue: Vec<StepKey>,
-    /// Steps of rounds that are not due yet.
-    pub(crate) not_due: Vec<StepKey>,
     /// Whether a change may allow tasks to be placed.
     pub(crate) placement_due: bool,
     /// The placement passes over steps with guaranteed tasks.
@@ -134,17 +134,16 @@
             services: Interner::default(),
             racks: Interner::default(),
             images: Images::default(),
-            jobs: Vec::new(),
+            jobs: Arena::default(),
             job_keys: HashMap::new(),
             cancelled: HashSet::new(),
-            steps: Vec::new(),
-            tasks: Vec::new(),
+            rounds: Arena::default(),
+            schedule: Schedule::default(),
             runs: Arena::default(),
             workers: Vec::new(),
             worker_keys: HashMap::new(),
             guaranteed_queue: Vec::new(),
             best_effort_queue: Vec::new(),
-            not_due: Vec::new(),
             placement_due: false,
             guaranteed_pass: GuaranteedPass::new(Budget::new(guaranteed_ratings, now.mono)),
             best_effort_pass: BestEffortPass::new(Budget::new(
@@ -249,7 +248,7 @@
     /// waiting returns how many jobs of a queue have not started.
     pub fn waiting(&self, queue: &str) -> u64 {
         let waits = |job: &&Job| job.state == State::Pending && job.queue == queue;
-        self.jobs.iter().filter(waits).count() as u64
+        self.jobs.values().filter(waits).count() as u64
     }
 
     /// is_enabled reports whether a mechanism is switched on.
@@ -302,27 +301,27 @@
     }
 
     pub(crate) fn job(&self, key: JobKey) -> &Job {
-        &self.jobs[key.0 as usize]
+        self.jobs.get(key.0).expect("the job is in memory")
     }
 
     pub(crate) fn job_mut(&mut self, key: JobKey) -> &mut Job {
-        &mut self.jobs[key.0 as usize]
+        self.jobs.get_mut(key.0).expect("the job is in memory")
     }
 
     pub(crate) fn step_of(&self, key: StepKey) -> &Step {
-        &self.steps[key.0 as usize]
+        &self.round(key.round).steps[usize::from(key.number)]
     }
 
     pub(crate) fn step_mut(&mut self, key: StepKey) -> &mut Step {
-        &mut self.steps[key.0 as usize]
+        &mut self.round_mut(key.round).steps[usize::from(key.number)]
     }
 
     pub(crate) fn task(&self, key: TaskKey) -> &Task {
-        &self.tasks[key.0 as usize]
+        &self.round(key.round).tasks[key.position as usize]
     }
 
     pub(crate) fn task_mut(&mut self, key: TaskKey) -> &mut Task {
-        &mut self.tasks[key.0 as usize]
+        &mut self.round_mut(key.round).tasks[key.position as usize]
     }
 
     pub(crate) fn worker(&self, key: WorkerKey) -> &Worker {
@@ -335,39 +334,26 @@
 
     /// job_of returns the job of a task.
     pub(crate) fn job_of(&self, task: TaskKey) -> &Job {
-        self.job(self.step_of(self.task(task).step).job)
+        self.job(self.round(task.round).job)
     }
 
     /// step_spec returns the description of a step as it was submitted.
     pub(crate) fn step_spec(&self, step: StepKey) -> &stackpier_state::job::Step {
-        let step = self.step_of(step);
-        &self.job(step.job).spec.steps[usize::from(step.number)]
+        let job = self.round(step.round).job;
+        &self.job(job).spec.steps[usize::from(step.number)]
     }
 
     /// name returns the name of a task.
     pub(crate) fn name(&self, key: TaskKey) -> TaskName {
-        let task = self.task(key);
-        let step = self.step_of(task.step);
+        let (task, round) = (self.task(key), self.round(key.round));
         TaskName {
-            job: self.job(step.job).id,
-            round: step.round,
-            step: step.number,
+            job: self.job(round.job).id,
+            round: round.number,
+            step: task.step.number,
             index: task.index,
         }
     }
 
-    /// find returns the task with a name, if its job is known.
-    pub(crate) fn find(&self, name: TaskName) -> Option<TaskKey> {
-        let job = self.job(*self.job_keys.get(&name.job)?);
-        let steps = job.spec.steps.len() as u32;
-        if name.round >= job.spec.rounds() || u32::from(name.step) >= steps {
-            return None;
-        }
-        let step = StepKey(job.first_step.0 + name.round * steps + u32::from(name.step));
-        let step = self.step_of(step);
-        (name.index < step.count).then_some(TaskKey(step.first_task.0 + name.index))
-    }
-
     pub(crate) fn log(&mut self, part: &'static str, subject: Option<TaskName>, text: String) {
         self.effects.push(Effect::Log(LogEntry {
             part,
@@ -478,7 +464,9 @@
             self.check_rotation();
             self.update_reservations();
             self.update_shares();
+            self.release_overdue();
             self.forget_jobs();
+            self.drop_ended_rounds();
             self.prune_presumed_ended();
             self.prune_named();
             self.check_completeness();
--- a/crates/stackpier-cell/src/ends.rs
+++ b/crates/stackpier-cell/src/ends.rs
@@ -93,7 +93,7 @@
     }
 
     fn apply_end(&mut self, worker: WorkerKey, end: &End) {
-        let Some(task) = self.find(end.task) else {
+        let Some(task) = self.find_or_load(end.task) else {
             let text = "end of a run of an unknown job".to_owned();
             self.log("end", Some(end.task), text);
             return;
@@ -184,12 +184,13 @@
     pub(crate) fn members(&self, task: TaskKey) -> impl Iterator<Item = TaskKey> + use<> {
         let step = self.task(task).step;
         let entry = self.step_of(step);
-        let members = if self.step_spec(step).gang {
-            entry.first_task.0..entry.first_task.0 + entry.count
+        let positions = if self.step_spec(step).gang {
+            entry.first_task..entry.first_task + entry.count
         } else {
-            task.0..task.0 + 1
+            task.position..task.position + 1
         };
-        members.map(TaskKey)
+        let round = task.round;
+        positions.map(move |position| TaskKey { round, position })
     }
 
     /// complete_task marks a task as done and stops its remaining runs.
--- a/crates/stackpier-cell/src/explain.rs
+++ b/crates/stackpier-cell/src/explain.rs
@@ -7,7 +7,7 @@
 use stackpier_state::explain::{Cause, Job, Phase, Run, Standing, Task, Wait};
 
 use crate::{
-    Cell,
+    Cell, TaskName,
     arena::{RunKey, StepKey, TaskKey},
     run,
     worker::Presence,
@@ -28,21 +28,26 @@
     /// from starting, for up to [`MAX_TASKS`] tasks. A running job without
     /// unfinished tasks waits for the store.
     pub fn explain(&mut self, job: key::Job) -> Option<Job> {
-        let job = self.job(*self.job_keys.get(&job)?);
+        let key = *self.job_keys.get(&job)?;
+        let job = self.job(key);
         let state = self.visible_state(job);
-        let keys = (job.first_task.0..job.first_task.0 + job.tasks).map(TaskKey);
+        let keys: Vec<TaskKey> = self.tasks_of(key).collect();
+        let (open, over) = (job.left, state.is_final());
         let mut causes = Causes::new();
         let mut tasks = Vec::new();
-        let mut open = 0;
         for key in keys {
-            if self.task(key).done {
-                continue;
-            }
-            open += 1;
-            if tasks.len() < MAX_TASKS {
+            if !self.task(key).done && tasks.len() < MAX_TASKS {
                 tasks.extend(self.explain_task(key, &mut causes));
             }
         }
+        if !over {
+            let undue = |name: TaskName| Task {
+                name: name.to_string(),
+                standing: Standing::Undue,
+            };
+            let left = MAX_TASKS - tasks.len();
+            tasks.extend(self.tasks_to_come(key).take(left).map(undue));
+        }
         Some(Job {
             state,
             open,
@@ -83,11 +88,9 @@
         if task.ready {
             return None;
         }
-        let due = step.due_unix_ms <= self.now.unix.0;
-        Some(if due {
-            Standing::Stranded
-        } else {
-            Standing::Undue
+        Some(match self.round(key.round).released {
+            true => Standing::Stranded,
+            false => Standing::Undue,
         })
     }
 
--- a/crates/stackpier-cell/src/footprint.rs
+++ b/crates/stackpier-cell/src/footprint.rs
@@ -8,8 +8,9 @@
 
 use crate::{
     Cell,
-    arena::StepKey,
+    arena::JobKey,
     job::{Job, Step, Task},
+    round::Round,
     run::Run,
     worker::Worker,
 };
@@ -31,12 +32,14 @@
 pub struct Footprint {
     /// Accepted jobs, with their descriptions.
     pub jobs: Usage,
-    /// Steps, one for each round.
+    /// Rounds that are due or have runs.
+    pub rounds: Usage,
+    /// Steps of these rounds.
     pub steps: Usage,
-    /// Tasks, one for each round.
+    /// Tasks of these rounds.
     pub tasks: Usage,
-    /// Rounds that are not due yet.
-    pub undue: Usage,
+    /// Jobs with rounds to come.
+    pub scheduled: Usage,
     /// Runs that may hold capacity on workers.
     pub runs: Usage,
     /// Incarnations of workers.
@@ -62,15 +65,16 @@
 
 impl Footprint {
     /// KINDS is the number of kinds of entries.
-    pub const KINDS: usize = 6;
+    pub const KINDS: usize = 7;
 
     /// kinds returns the usage of each kind with its name in metrics and log lines.
     pub fn kinds(&self) -> [(&'static str, Usage); Footprint::KINDS] {
         [
             ("jobs", self.jobs),
+            ("rounds", self.rounds),
             ("steps", self.steps),
             ("tasks", self.tasks),
-            ("undue", self.undue),
+            ("scheduled", self.scheduled),
             ("runs", self.runs),
             ("workers", self.workers),
         ]
@@ -109,11 +113,12 @@
         Footprint {
             jobs: Usage {
                 entries: self.jobs.len(),
-                bytes: self.jobs.iter().map(job_bytes).sum(),
+                bytes: self.jobs.values().map(job_bytes).sum(),
             },
-            steps: Usage::of::<Step>(self.steps.len()),
-            tasks: Usage::of::<Task>(self.tasks.len()),
-            undue: Usage::of::<StepKey>(self.not_due.len()),
+            rounds: Usage::of::<Round>(self.rounds.len()),
+            steps: Usage::of::<Step>(self.rounds.values().map(|round| round.steps.len()).sum()),
+            tasks: Usage::of::<Task>(self.rounds.values().map(|round| round.tasks.len()).sum()),
+            scheduled: Usage::of::<(u64, JobKey)>(self.schedule.len()),
             runs: Usage::of::<Run>(self.runs.len()),
             workers: Usage::of::<Worker>(self.workers.len()),
         }
--- a/crates/stackpier-cell/src/handover.rs
+++ b/crates/stackpier-cell/src/handover.rs
@@ -79,12 +79,9 @@
     /// merge_progress adds the progress that a predecessor had of a job, and returns how many
     /// tasks it shows to be done that were not known to be.
     fn merge_progress(&mut self, key: JobKey, progress: &Progress) -> usize {
-        let job = self.job(key);
-        let tasks = (job.first_task.0..job.first_task.0 + job.tasks).map(TaskKey);
-        let indexed = tasks.enumerate();
-        let newly_done: Vec<TaskKey> = indexed
-            .filter(|(index, task)| progress.is_done(*index as u32) && !self.task(*task).done)
-            .map(|(_, task)| task)
+        let newly_done: Vec<TaskKey> = (0..self.job(key).tasks)
+            .filter(|index| progress.is_done(*index))
+            .filter_map(|index| self.open_task(key, index))
             .collect();
         self.mark_dirty(key);
         for task in &newly_done {
@@ -111,10 +108,13 @@
 
     /// open_task returns the task at an index of a job, unless the task is done or the job has
     /// ended.
-    fn open_task(&self, key: JobKey, index: u32) -> Option<TaskKey> {
+    pub(crate) fn open_task(&mut self, key: JobKey, index: u32) -> Option<TaskKey> {
         let job = self.job(key);
-        let within = index < job.tasks && !job.state.is_final();
-        let task = within.then_some(TaskKey(job.first_task.0 + index))?;
+        let round = index / job.spec.width().max(1);
+        if job.state.is_final() || job.rounds.done().contains(round) {
+            return None;
+        }
+        let task = self.load_index(key, index)?;
         (!self.task(task).done).then_some(task)
     }
 
--- a/crates/stackpier-cell/src/job.rs
+++ b/crates/stackpier-cell/src/job.rs
@@ -14,53 +14,56 @@
     cycle::Curve,
     downtime::Downtime,
     prediction::Forecast,
+    round::Rounds,
 };
 
 /// Job is an accepted job.
 #[derive(Debug)]
-pub(crate) struct Job {
-    pub id: key::Job,
-    pub queue: String,
-    pub spec: Rc<Spec>,
-    pub payload: Rc<str>,
+pub struct Job {
+    pub(crate) id: key::Job,
+    pub(crate) queue: String,
+    pub(crate) spec: Rc<Spec>,
+    pub(crate) payload: Rc<str>,
     /// The assignments of its long-running tasks, if they are written to the store.
-    pub assigned: Option<Box<Assigned>>,
-    pub state: State,
+    pub(crate) assigned: Option<Box<Assigned>>,
+    pub(crate) state: State,
     /// The state that the store is known to have.
-    pub stored: State,
-    /// The first of its steps. The steps of a round are consecutive.
-    pub first_step: StepKey,
-    /// The first of its tasks. The tasks of a step are consecutive.
-    pub first_task: TaskKey,
-    pub tasks: u32,
-    /// Tasks that are not done.
-    pub left: u32,
+    pub(crate) stored: State,
+    pub(crate) rounds: Rounds,
+    /// Tasks of all rounds.
+    pub(crate) tasks: u32,
+    /// Tasks of all rounds that are not done.
+    pub(crate) left: u32,
+    /// The lowest number of a run of its tasks under this owner.
+    pub(crate) first_run: u32,
+    /// A number above those of all runs in rounds that were dropped.
+    pub(crate) next_run: u32,
     /// Whether a predecessor may have started its tasks.
-    pub inherited: bool,
+    pub(crate) inherited: bool,
     /// Whether it ended under this owner.
-    pub ended_here: bool,
+    pub(crate) ended_here: bool,
     /// When it should be done, by the owner's monotonic clock.
-    pub objective: Millis,
+    pub(crate) objective: Millis,
     /// When it expires: from then on its result has no value.
-    pub expires_at: Millis,
+    pub(crate) expires_at: Millis,
     /// Whether its progress must be saved.
-    pub dirty: bool,
-    pub ended_unix_ms: u64,
+    pub(crate) dirty: bool,
+    pub(crate) ended_unix_ms: u64,
     /// When it reached its final state under this owner.
-    pub ended_at: Option<Millis>,
-    pub forgotten: bool,
+    pub(crate) ended_at: Option<Millis>,
+    pub(crate) forgotten: bool,
     /// Whether its expiry was logged.
-    pub expiry_logged: bool,
+    pub(crate) expiry_logged: bool,
     /// The work of its tasks by their estimates, in core-milliseconds.
-    pub work: u64,
+    pub(crate) work: u64,
     /// Its size class within its queue.
-    pub size_class: usize,
+    pub(crate) size_class: usize,
     /// Whether it counts in the shares of its queue: it is due at once and ends.
-    pub has_share: bool,
+    pub(crate) has_share: bool,
     /// Whether it is known whether it was done in time.
-    pub outcome_known: bool,
+    pub(crate) outcome_known: bool,
     /// Whether it goes first, for the share of its size class.
-    pub goes_first: bool,
+    pub(crate) goes_first: bool,
 }
 
 impl Job {
@@ -83,9 +86,8 @@
 #[derive(Debug)]
 pub(crate) struct Step {
     pub job: JobKey,
-    pub round: u32,
-    pub number: u16,
-    pub first_task: TaskKey,
+    /// The position of its first task in the round.
+    pub first_task: u32,
     pub count: u32,
     pub image: ImageKey,
     /// Tasks that are not done.
@@ -106,8 +108,6 @@
     pub queued: bool,
     /// The longest chain of work from this step on, in milliseconds.
     pub chain_ms: u64,
-    /// The earliest start, by the wall clock in milliseconds.
-    pub due_unix_ms: u64,
     /// The fitted curve of its own load, if its tasks are serving tasks.
     pub curve: Option<Box<Curve>>,
     /// The predicted load.
--- a/crates/stackpier-cell/src/learn.rs
+++ b/crates/stackpier-cell/src/learn.rs
@@ -115,7 +115,8 @@
                 .observe(run.image, sample.load, sample.own_load, pressures);
         }
         if sample.load < SATURATED_LOAD
-            && let Some(curve) = &mut self.steps[run.step.0 as usize].curve
+            && let Some(round) = self.rounds.get_mut(run.step.round.0)
+            && let Some(curve) = &mut round.steps[usize::from(run.step.number)].curve
         {
             curve.observe(&mut self.cycle, sample.at, sample.observed_own_load());
         }
--- a/crates/stackpier-cell/src/lifecycle.rs
+++ b/crates/stackpier-cell/src/lifecycle.rs
@@ -9,8 +9,9 @@
 
 use crate::{
     Cell, TaskName,
-    arena::{JobKey, StepKey, TaskKey},
-    job::{Job, Step, Task},
+    arena::{JobKey, RunKey, StepKey, TaskKey},
+    job::Job,
+    round::Rounds,
 };
 
 /// EXPIRY_OBJECTIVES is how many objectives after its acceptance a job expires. By the client
@@ -52,11 +53,6 @@
             self.queues.insert(queue.name.clone(), queue.clone());
         }
         let key = self.add_job(id, record);
-        if self.job(key).inherited {
-            for task in self.tasks_of(key) {
-                self.restore_downtime(task);
-            }
-        }
         if let Some(forgotten) = forgotten {
             self.continue_runs(forgotten, key);
         }
@@ -64,7 +60,7 @@
             self.restore(key, progress);
         }
         if !self.job(key).state.is_final() {
-            self.release_unblocked(key);
+            self.begin_job(key);
         }
         if self.cancelled.remove(&id) || cancelled {
             self.cancel(id);
@@ -82,41 +78,35 @@
     /// continue_runs numbers the runs of a job above those of an earlier job with the same id: workers
     /// refuse the numbers of runs that have ended.
     fn continue_runs(&mut self, earlier: JobKey, job: JobKey) {
-        let tasks = self.tasks_of(earlier);
-        let next_runs = tasks.map(|task| self.task(task).next_run);
-        let next_run = next_runs.max().unwrap_or(0);
+        let next_runs = self.tasks_of(earlier).map(|task| self.task(task).next_run);
+        let next_run = next_runs.max().unwrap_or(0).max(self.job(earlier).next_run);
         self.supersede_runs(earlier);
-        let job = self.job(job);
-        for task in (job.first_task.0..job.first_task.0 + job.tasks).map(TaskKey) {
-            let task = self.task_mut(task);
-            task.next_run = task.next_run.max(next_run);
-        }
+        let job = self.job_mut(job);
+        job.first_run = job.first_run.max(next_run);
     }
 
     /// supersede_runs records that the names of a job's tasks are now those of another job's.
     fn supersede_runs(&mut self, job: JobKey) {
-        for task in self.tasks_of(job) {
-            for run in self.task(task).runs.clone() {
-                if let Some(run) = self.runs.get_mut(run) {
-                    run.superseded = true;
-                }
+        for run in self.runs_of(job) {
+            if let Some(run) = self.runs.get_mut(run) {
+                run.superseded = true;
             }
         }
     }
 
-    /// tasks_of returns the tasks of a job.
-    fn tasks_of(&self, job: JobKey) -> impl Iterator<Item = TaskKey> + use<> {
-        let job = self.job(job);
-        (job.first_task.0..job.first_task.0 + job.tasks).map(TaskKey)
+    /// runs_of returns the runs of a job.
+    fn runs_of(&self, job: JobKey) -> Vec<RunKey> {
+        let tasks = self.tasks_of(job);
+        tasks
+            .flat_map(|task| self.task(task).runs.iter().copied())
+            .collect()
     }
 
-    /// add_job adds a job with the steps of all its rounds.
+    /// add_job adds a job. Its rounds are loaded when they are due.
     fn add_job(&mut self, id: key::Job, record: &Record) -> JobKey {
-        let key = JobKey(self.jobs.len() as u32);
         let spec = Rc::new(record.spec.clone());
         self.short_task_memory.record(&spec);
-        let chains = longest_chains(&spec);
-        let chain = chains.iter().copied().max().unwrap_or(0);
+        let chain = longest_chains(&spec).into_iter().max().unwrap_or(0);
         let work = spec.work();
         let long_running = spec.steps.iter().any(|step| step.long_running);
         let has_share = !long_running && spec.schedule.is_none();
@@ -131,10 +121,11 @@
             assigned: None,
             state: State::Pending,
             stored: State::Pending,
-            first_step: StepKey(self.steps.len() as u32),
-            first_task: TaskKey(self.tasks.len() as u32),
+            rounds: Rounds::default(),
             tasks: spec.width() * spec.rounds(),
             left: spec.width() * spec.rounds(),
+            first_run: self.first_run(),
+            next_run: 0,
             inherited: record.fence < self.fence,
             ended_here: false,
             objective: self.objective(record, chain, 1),
@@ -149,19 +140,25 @@
             has_share,
             outcome_known: false,
             goes_first: false,
-            spec: Rc::clone(&spec),
+            spec,
         };
-        self.jobs.push(job);
+        let key = JobKey(self.jobs.insert(job));
         self.job_keys.insert(id, key);
         self.init_assignments(key);
-        for round in 0..spec.rounds() {
-            for (number, chain_ms) in chains.iter().enumerate() {
-                self.add_step(key, &spec, round, number, *chain_ms);
-            }
-        }
         key
     }
 
+    /// begin_job releases the only round of a job, or those of a repeated job as they fall due.
+    fn begin_job(&mut self, key: JobKey) {
+        if self.job(key).spec.schedule.is_some() {
+            self.schedule_next(key, 0);
+            self.release_if_due(key);
+            return;
+        }
+        let round = self.load_round(key, 0);
+        self.release_round(round);
+    }
+
     /// objective returns the time by which a job should be done, by the owner's clock. `times`
     /// multiplies the time allowed after the job's acceptance.
     fn objective(&self, record: &Record, chain_ms: u64, times: u64) -> Millis {
@@ -172,59 +169,6 @@
         Millis((self.now.mono.0 + allowed * times).saturating_sub(age))
     }
 
-    /// add_step adds a step with its tasks.
-    fn add_step(&mut self, job: JobKey, spec: &Spec, round: u32, number: usize, chain_ms: u64) {
-        let step_spec = &spec.steps[number];
-        let key = StepKey(self.steps.len() as u32);
-        let first_task = TaskKey(self.tasks.len() as u32);
-        let serves = step_spec.long_running && step_spec.target_ms > 0;
-        self.steps.push(Step {
-            job,
-            round,
-            number: number as u16,
-            first_task,
-            count: step_spec.count,
-            image: self.images.key(&step_spec.image),
-            left: step_spec.count,
-            blocked_by: step_spec.after.len() as u32,
-            ready: Vec::new(),
-            runs: 0,
-            idle_since: self.now.mono,
-            ready_since: self.now.mono,
-            reservations: 0,
-            queued: false,
-            chain_ms,
-            due_unix_ms: spec.due_ms(round).unwrap_or(0),
-            curve: serves.then(Box::default),
-            forecast: None,
-            advice: None,
-        });
-        let first_run = self.first_run();
-        for index in 0..step_spec.count {
-            self.tasks.push(Task {
-                step: key,
-                index,
-                done: false,
-                done_by: None,
-                failed_runs: Vec::new(),
-                failed_at: Millis(0),
-                next_run: first_run,
-                runs: Vec::new(),
-                checkpoint: None,
-                suspect: None,
-                presumed_ended: false,
-                end_witnessed: false,
-                had_parallel_runs: false,
-                failed_on: Vec::new(),
-                not_before: Millis(0),
-                downtime: None,
-                ready: false,
-                ready_since: Millis(0),
-                startable_at: None,
-            });
-        }
-    }
-
     /// restore applies the progress of a job that a predecessor saved.
     fn restore(&mut self, key: JobKey, progress: &Progress) {
         let now = self.now.mono;
@@ -232,77 +176,64 @@
         job.state = progress.state;
         job.stored = progress.state;
         job.ended_unix_ms = progress.ended_ms;
-        let (first, count, is_final) = (job.first_task.0, job.tasks, job.state.is_final());
-        if is_final {
+        if job.state.is_final() {
             job.ended_at = Some(now);
         }
-        for position in (0..count).filter(|position| progress.is_done(*position)) {
-            self.mark_done(TaskKey(first + position));
-        }
-        let within = |position: u32| (position < count).then_some(TaskKey(first + position));
+        self.restore_done(key, progress);
         for failures in &progress.failures {
-            if let Some(task) = within(failures.task) {
+            if let Some(task) = self.open_task(key, failures.task) {
                 self.task_mut(task).failed_runs = failures.runs.clone();
             }
         }
         for checkpoint in &progress.checkpoints {
-            if let Some(task) = within(checkpoint.task) {
+            if let Some(task) = self.open_task(key, checkpoint.task) {
                 self.task_mut(task).checkpoint = Some(checkpoint.text.clone());
             }
         }
         for suspect in &progress.suspects {
-            if let Some(task) = within(suspect.task) {
+            if let Some(task) = self.open_task(key, suspect.task) {
                 self.restore_suspect(task, suspect);
             }
         }
     }
 
-    /// release_unblocked releases all unfinished steps of a job that wait for no other
-    /// step.
-    fn release_unblocked(&mut self, key: JobKey) {
-        let job = self.job(key);
-        let count = job.spec.steps.len() as u32 * job.spec.rounds();
-        let first = job.first_step.0;
-        for step in (first..first + count).map(StepKey) {
-            if self.step_of(step).blocked_by == 0 && self.step_of(step).left > 0 {
-                self.release(step);
+    /// restore_done marks the tasks as done that are done by the progress of a job. Rounds that are done
+    /// are not loaded.
+    fn restore_done(&mut self, key: JobKey, progress: &Progress) {
+        let (width, rounds) = (self.job(key).spec.width(), self.job(key).spec.rounds());
+        for number in 0..rounds {
+            let first = number * width;
+            if first >= progress.done_limit() {
+                return;
+            }
+            let done = (first..first + width).filter(|index| progress.is_done(*index));
+            if done.clone().count() as u32 == width {
+                let job = self.job_mut(key);
+                job.rounds.set_done(number);
+                job.left -= width;
+                continue;
+            }
+            for index in done {
+                if let Some(task) = self.open_task(key, index) {
+                    self.mark_done(task);
+                }
             }
         }
     }
 
-    /// release makes the tasks of a step ready. A step that is not due yet is kept in `not_due`
-    /// until then.
+    /// release makes the tasks of a step ready, if its round is due.
     pub(crate) fn release(&mut self, key: StepKey) {
-        let due = self.step_of(key).due_unix_ms;
-        if due > self.now.unix.0 + self.options.early_ms {
-            self.not_due.push(key);
+        if !self.round(key.round).released {
             return;
         }
         let now = self.now.mono;
         self.step_mut(key).idle_since = now;
         self.step_mut(key).ready_since = now;
-        let step = self.step_of(key);
-        for task in (step.first_task.0..step.first_task.0 + step.count).map(TaskKey) {
+        for task in self.tasks_of_step(key) {
             self.make_ready(task);
         }
     }
 
-    /// release_due releases the steps of rounds that have become due.
-    pub(crate) fn release_due(&mut self) {
-        let limit = self.now.unix.0 + self.options.early_ms;
-        let not_due = std::mem::take(&mut self.not_due);
-        for step in not_due {
-            if self.job(self.step_of(step).job).state.is_final() {
-                continue;
-            }
-            if self.step_of(step).due_unix_ms <= limit {
-                self.release(step);
-            } else {
-                self.not_due.push(step);
-            }
-        }
-    }
-
     /// make_ready adds a task to its step's list of tasks to place, unless the task is done,
     /// has a run, or its job is over.
     pub(crate) fn make_ready(&mut self, key: TaskKey) {
@@ -351,7 +282,13 @@
         entry.left -= 1;
         let (job, step_done) = (entry.job, entry.left == 0);
         self.job_mut(job).left -= 1;
-        if step_done {
+        let round = self.round_mut(key.round);
+        round.left -= 1;
+        let (number, round_done) = (round.number, round.left == 0);
+        if round_done {
+            self.job_mut(job).rounds.set_done(number);
+            self.end_round(key.round);
+        } else if step_done {
             self.release_dependents(step);
         }
         true
@@ -359,21 +296,21 @@
 
     /// release_dependents releases the steps that waited only for the step `done`.
     fn release_dependents(&mut self, done: StepKey) {
-        let step = self.step_of(done);
-        let (number, round) = (step.number, step.round);
-        let job = self.job(step.job);
+        let job = self.job(self.round(done.round).job);
         let (spec, state) = (Rc::clone(&job.spec), job.state);
-        let first = job.first_step.0 + round * spec.steps.len() as u32;
         for (later, step_spec) in spec.steps.iter().enumerate() {
             let waits = step_spec
                 .after
                 .iter()
-                .filter(|step| **step == number)
+                .filter(|step| **step == done.number)
                 .count() as u32;
             if waits == 0 {
                 continue;
             }
-            let key = StepKey(first + later as u32);
+            let key = StepKey {
+                round: done.round,
+                number: later as u16,
+            };
             let entry = self.step_mut(key);
             entry.blocked_by -= waits;
             if entry.blocked_by == 0 && entry.left > 0 && !state.is_final() {
@@ -391,12 +328,13 @@
         job.ended_here = true;
         job.ended_at = Some(mono);
         job.ended_unix_ms = unix;
-        let (first, count) = (job.first_task.0, job.tasks);
-        for task in (first..first + count).map(TaskKey) {
+        self.unschedule(key);
+        let tasks: Vec<TaskKey> = self.tasks_of(key).collect();
+        for task in tasks {
             self.task_mut(task).ready = false;
-            for run in self.task(task).runs.clone() {
-                self.stop(run);
-            }
+        }
+        for run in self.runs_of(key) {
+            self.stop(run);
         }
         self.mark_dirty(key);
         self.queue_trim(key);
@@ -421,11 +359,9 @@
     /// describe_runs returns how many runs a job has and when the latest of them started. A start
     /// shortly before the owner learns of a cancellation shows that it learnt of it late.
     fn describe_runs(&self, key: JobKey) -> String {
-        let job = self.job(key);
-        let tasks = (job.first_task.0..job.first_task.0 + job.tasks).map(TaskKey);
-        let runs = tasks.flat_map(|task| self.task(task).runs.iter());
+        let runs = self.runs_of(key).into_iter();
         let since: Vec<Millis> = runs
-            .filter_map(|run| Some(self.runs.get(*run)?.since))
+            .filter_map(|run| Some(self.runs.get(run)?.since))
             .collect();
         match since.iter().max() {
             None => "nothing runs".to_owned(),
--- a/crates/stackpier-cell/src/maintenance/empty.rs
+++ b/crates/stackpier-cell/src/maintenance/empty.rs
@@ -84,9 +84,9 @@
         let Some(max_missing) = self.step_spec(run.step).may_miss else {
             return true;
         };
-        let step = self.step_of(run.step);
-        let tasks = (step.first_task.0..step.first_task.0 + step.count).map(TaskKey);
-        let others = tasks.filter(|task| *task != run.task);
+        let others = self
+            .tasks_of_step(run.step)
+            .filter(|task| *task != run.task);
         let missing = others.filter(|task| !self.is_working(*task)).count();
         (missing as u32) < max_missing
     }
--- a/crates/stackpier-cell/src/obstacle.rs
+++ b/crates/stackpier-cell/src/obstacle.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     Cell, TaskName,
-    arena::{StepKey, TaskKey},
+    arena::{JobKey, StepKey, TaskKey},
 };
 
 /// IDLE_MS is how long a ready step may have nothing running before the log gives
@@ -141,14 +141,14 @@
 
     /// stranded_tasks returns the tasks that could run and that no list holds.
     fn stranded_tasks(&self) -> impl Iterator<Item = TaskKey> + '_ {
-        let open = self.jobs.iter().filter(|job| !job.state.is_final());
-        let tasks = open.flat_map(|job| job.first_task.0..job.first_task.0 + job.tasks);
-        tasks.map(TaskKey).filter(|key| {
+        let open = self.jobs.iter().filter(|(_, job)| !job.state.is_final());
+        let tasks = open.flat_map(|(key, _)| self.tasks_of(JobKey(key)));
+        tasks.filter(|key| {
             let task = self.task(*key);
-            let step = self.step_of(task.step);
-            let due = step.due_unix_ms <= self.now.unix.0;
             let accounted_for = task.done || task.ready || !task.runs.is_empty();
-            !accounted_for && step.blocked_by == 0 && due
+            let may_start =
+                || self.step_of(task.step).blocked_by == 0 && self.round(key.round).released;
+            !accounted_for && may_start()
         })
     }
 
--- a/crates/stackpier-cell/src/outlook.rs
+++ b/crates/stackpier-cell/src/outlook.rs
@@ -249,7 +249,8 @@
                 .factor(shortage.service, shortage.best_effort),
         };
         let mut by_size = [0; SIZES];
-        for key in (0..self.jobs.len() as u32).map(JobKey) {
+        for (key, _) in self.jobs.iter() {
+            let key = JobKey(key);
             if let Some((left, work)) = self.work_before(key, &lane) {
                 by_size[size_class(left)] += work;
             }
@@ -283,7 +284,7 @@
     /// job is in a lane and goes before new jobs.
     fn work_before(&self, key: JobKey, lane: &Lane) -> Option<(u32, u64)> {
         let job = self.job(key);
-        // Most jobs are over. They are kept, so this comes first.
+        // Most jobs are over: those that are still shown are kept. So this comes first.
         if job.state.is_final() || self.now.mono >= job.expires_at {
             return None;
         }
@@ -295,9 +296,8 @@
         if queue.service != lane.service || queue.priority > lane.priority {
             return None;
         }
-        let steps = job.spec.steps.iter().enumerate();
-        let work = steps.map(|(number, spec)| {
-            let step = &self.steps[job.first_step.0 as usize + number];
+        let steps = self.steps_of(key).zip(&job.spec.steps);
+        let work = steps.map(|(step, spec)| {
             // What runs is half done on average.
             let halves = u64::from(step.left) * 2 - u64::from(step.runs.min(step.left));
             let each = u64::from(spec.size.milli_cores) * u64::from(spec.estimate_ms) / MILLI;
--- a/crates/stackpier-cell/src/place/candidate.rs
+++ b/crates/stackpier-cell/src/place/candidate.rs
@@ -190,7 +190,7 @@
         let service = self.services.intern(&service);
         let entry = self.step_of(step);
         let job = self.job(entry.job);
-        let step_spec = &job.spec.steps[usize::from(entry.number)];
+        let step_spec = &job.spec.steps[usize::from(step.number)];
         let mut size = step_spec.size;
         let mut reserve_mib = 0;
         if step_spec.best_effort {
@@ -258,7 +258,7 @@
             return self.live_workers().filter_map(rate).collect();
         }
         let workers = self.collect_live_workers();
-        let first = demand.step.0 as usize * STEP_STRIDE % workers.len().max(1);
+        let first = demand.step.place() * STEP_STRIDE % workers.len().max(1);
         let (before, after) = workers.split_at(first);
         let suitable = after.iter().chain(before).copied().filter_map(rate);
         suitable.take(demand.max_candidates).collect()
--- a/crates/stackpier-cell/src/place/idle.rs
+++ b/crates/stackpier-cell/src/place/idle.rs
@@ -100,6 +100,11 @@
         }
     }
 
+    /// retain removes the steps that are not to be tried any more.
+    pub(crate) fn retain(&mut self, is_kept: impl Fn(&StepKey) -> bool) {
+        self.steps.retain(is_kept);
+    }
+
     fn rules_out(&self, demand: &Demand) -> bool {
         self.rejected.iter().any(|earlier| {
             demand.best_effort == earlier.best_effort && demand.is_ruled_out_by(earlier)
--- a/crates/stackpier-cell/src/place/pass.rs
+++ b/crates/stackpier-cell/src/place/pass.rs
@@ -149,6 +149,11 @@
     pub(crate) fn steps(&self) -> &[StepKey] {
         &self.steps
     }
+
+    /// retain removes the steps that are not to be tried any more.
+    pub(crate) fn retain(&mut self, is_kept: impl Fn(&StepKey) -> bool) {
+        self.steps.retain(is_kept);
+    }
 }
 
 impl BestEffortPass {
@@ -172,6 +177,11 @@
         &self.steps
     }
 
+    /// retain removes the steps that are not to be tried any more.
+    pub(crate) fn retain(&mut self, is_kept: impl Fn(&StepKey) -> bool) {
+        self.steps.retain(is_kept);
+    }
+
     /// has_reached_limit reports whether as many kinds as a pass may try have found no worker.
     fn has_reached_limit(&self) -> bool {
         self.rejected.len() - self.carried_over >= MAX_REJECTED
--- a/crates/stackpier-cell/src/report.rs
+++ b/crates/stackpier-cell/src/report.rs
@@ -115,7 +115,7 @@
     /// find_or_adopt returns the run that a status is of, and adopts it if a predecessor started it.
     /// There is none if its job is unknown.
     fn find_or_adopt(&mut self, key: WorkerKey, status: &RunStatus) -> Option<RunKey> {
-        let task = self.find(status.task)?;
+        let task = self.find_or_load(status.task)?;
         let known = self.find_run(task, key, status.run);
         if known.is_some() {
             return known;
--- a/crates/stackpier-cell/src/save.rs
+++ b/crates/stackpier-cell/src/save.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     Cell, Effect, RosterEntry, Save,
-    arena::{JobKey, RunKey, TaskKey, WorkerKey},
+    arena::{JobKey, RunKey, WorkerKey},
     worker::{Presence, Worker},
 };
 
@@ -253,8 +253,7 @@
         {
             return false;
         }
-        let mut tasks = (job.first_task.0..job.first_task.0 + job.tasks).map(TaskKey);
-        !job.forgotten && !job.dirty && tasks.all(|task| self.task(task).runs.is_empty())
+        !job.forgotten && !job.dirty && self.steps_of(key).all(|step| step.runs == 0)
     }
 
     /// roster returns the workers that a successor must wait for, because they may run something
@@ -285,9 +284,12 @@
             ended_ms: job.ended_unix_ms,
             ..Progress::default()
         };
-        for position in 0..job.tasks {
-            let key = TaskKey(job.first_task.0 + position);
-            let task = self.task(key);
+        let width = job.spec.width();
+        for range in job.rounds.done().iter() {
+            progress.set_done_in(range.start * width..range.end * width);
+        }
+        for key in self.tasks_of(key) {
+            let (task, position) = (self.task(key), self.index_of(key));
             if task.done {
                 progress.set_done(position);
                 continue;
@@ -403,9 +405,9 @@
         let due = |job: &crate::job::Job| {
             !job.forgotten && job.ended_at.is_some_and(|at| now.since(at) > show_ms)
         };
-        let due: Vec<JobKey> = (0..self.jobs.len() as u32)
-            .map(JobKey)
-            .filter(|key| due(self.job(*key)))
+        let due = self.jobs.iter().filter(|(_, job)| due(job));
+        let due: Vec<JobKey> = due
+            .map(|(key, _)| JobKey(key))
             .take(FORGOTTEN_PER_SAVE)
             .collect();
         for key in due {
--- a/crates/stackpier-cell/src/share.rs
+++ b/crates/stackpier-cell/src/share.rs
@@ -128,13 +128,14 @@
     /// record_outcome records whether a job was done in time, unless that was recorded before.
     pub(crate) fn record_outcome(&mut self, key: JobKey, in_time: bool) {
         let now = self.now.mono;
-        let job = &mut self.jobs[key.0 as usize];
+        let job = self.job_mut(key);
         if job.outcome_known || !job.has_share {
             return;
         }
         job.outcome_known = true;
-        let ledger = self.shares.ledger(&job.queue);
-        ledger.record(now, job.size_class, job.work, in_time);
+        let (size_class, work, queue) = (job.size_class, job.work, job.queue.clone());
+        let ledger = self.shares.ledger(&queue);
+        ledger.record(now, size_class, work, in_time);
     }
 
     /// update_shares records the jobs that have missed their objective, and chooses those that go
@@ -146,11 +147,12 @@
         let now = self.now.mono;
         let mut running: HashMap<String, u32> = HashMap::new();
         let mut waiting: Vec<(bool, Millis, JobKey)> = Vec::new();
-        for key in (0..self.jobs.len() as u32).map(JobKey) {
-            let job = self.job(key);
-            if job.state.is_final() || !job.has_share {
-                continue;
-            }
+        let open = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| !job.state.is_final() && job.has_share);
+        let open: Vec<JobKey> = open.map(|(key, _)| JobKey(key)).collect();
+        for key in open {
             let (runs, latest_start) = self.progress_of(key);
             let job = self.job_mut(key);
             // A job that goes first keeps doing so: with half of its tasks done, it would be late.
@@ -182,7 +184,7 @@
     /// log_shares logs how often each size class is done in time, for queues of which some jobs go
     /// first.
     pub(crate) fn log_shares(&mut self) {
-        let first = self.jobs.iter().filter(|job| job.goes_first);
+        let first = self.jobs.values().filter(|job| job.goes_first);
         let mut first: Vec<&str> = first.map(|job| job.queue.as_str()).collect();
         first.sort_unstable();
         let mut lines = Vec::new();
@@ -212,10 +214,8 @@
     /// unfinished step by which it still meets its objective.
     fn progress_of(&self, key: JobKey) -> (u32, Millis) {
         let job = self.job(key);
-        let first = job.first_step.0 as usize;
-        let steps = &self.steps[first..first + job.spec.steps.len()];
-        let runs = steps.iter().map(|step| step.runs).sum();
-        let unfinished = steps.iter().filter(|step| step.left > 0);
+        let runs = self.steps_of(key).map(|step| step.runs).sum();
+        let unfinished = self.steps_of(key).filter(|step| step.left > 0);
         let chain_ms = unfinished.map(|step| step.chain_ms).max().unwrap_or(0);
         (runs, Millis(job.objective.0.saturating_sub(chain_ms)))
     }
--- a/crates/stackpier-core/src/arena.rs
+++ b/crates/stackpier-core/src/arena.rs
@@ -2,19 +2,34 @@
 //! An arena that gives each of its values a small `Copy` index.
 
 use std::{
+    cmp::Ordering,
+    fmt,
     hash::{Hash, Hasher},
     marker::PhantomData,
 };
 
 /// Index refers to a value in an arena of `T`. It is valid for the arena that
-/// returned it, until the value is removed.
-#[derive(Debug)]
+/// returned it, until the value is removed. Indices are ordered by when their
+/// values were inserted.
 pub struct Index<T> {
+    serial: u32,
     slot: u32,
-    generation: u32,
     kind: PhantomData<fn() -> T>,
 }
 
+impl<T> Index<T> {
+    /// serial returns how many values the arena had got before this one, modulo 2^32.
+    pub fn serial(self) -> u32 {
+        self.serial
+    }
+}
+
+impl<T> fmt::Debug for Index<T> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}@{}", self.serial, self.slot)
+    }
+}
+
 impl<T> Clone for Index<T> {
     fn clone(&self) -> Self {
         *self
@@ -28,8 +43,8 @@
     /// arena.
     fn default() -> Self {
         Index {
+            serial: 0,
             slot: 0,
-            generation: 0,
             kind: PhantomData,
         }
     }
@@ -37,31 +52,45 @@
 
 impl<T> PartialEq for Index<T> {
     fn eq(&self, other: &Self) -> bool {
-        self.slot == other.slot && self.generation == other.generation
+        self.cmp(other) == Ordering::Equal
     }
 }
 
 impl<T> Eq for Index<T> {}
 
+impl<T> PartialOrd for Index<T> {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl<T> Ord for Index<T> {
+    fn cmp(&self, other: &Self) -> Ordering {
+        (self.serial, self.slot).cmp(&(other.serial, other.slot))
+    }
+}
+
 impl<T> Hash for Index<T> {
     fn hash<H: Hasher>(&self, state: &mut H) {
+        self.serial.hash(state);
         self.slot.hash(state);
-        self.generation.hash(state);
     }
 }
 
 /// Arena stores values in slots and reuses the slots of removed values. Each
-/// slot has a generation that every removal increments, so that the index of a
-/// removed value does not refer to the next value in its slot.
+/// value has a serial number, so that the index of a removed value does not
+/// refer to the next value in its slot.
 #[derive(Debug)]
 pub struct Arena<T> {
     slots: Vec<Slot<T>>,
     free: Vec<u32>,
+    next_serial: u32,
 }
 
 #[derive(Debug)]
 struct Slot<T> {
-    generation: u32,
+    /// The serial number of the value, or of the one that was removed last.
+    serial: u32,
     value: Option<T>,
 }
 
@@ -70,6 +99,7 @@
         Arena {
             slots: Vec::new(),
             free: Vec::new(),
+            next_serial: 0,
         }
     }
 }
@@ -77,18 +107,25 @@
 impl<T> Arena<T> {
     /// insert stores a value and returns its index.
     pub fn insert(&mut self, value: T) -> Index<T> {
-        let slot = self.free.pop().unwrap_or_else(|| {
-            self.slots.push(Slot {
-                generation: 0,
-                value: None,
-            });
-            (self.slots.len() - 1) as u32
-        });
-        let entry = &mut self.slots[slot as usize];
-        entry.value = Some(value);
+        let serial = self.next_serial;
+        self.next_serial = serial.wrapping_add(1);
+        let value = Slot {
+            serial,
+            value: Some(value),
+        };
+        let slot = match self.free.pop() {
+            Some(slot) => {
+                self.slots[slot as usize] = value;
+                slot
+            }
+            None => {
+                self.slots.push(value);
+                (self.slots.len() - 1) as u32
+            }
+        };
         Index {
+            serial,
             slot,
-            generation: entry.generation,
             kind: PhantomData,
         }
     }
@@ -96,7 +133,7 @@
     /// get returns the value, or `None` if it has been removed.
     pub fn get(&self, index: Index<T>) -> Option<&T> {
         let slot = self.slots.get(index.slot as usize)?;
-        (slot.generation == index.generation)
+        (slot.serial == index.serial)
             .then_some(slot.value.as_ref())
             .flatten()
     }
@@ -104,7 +141,7 @@
     /// get_mut returns the value as mutable, or `None` if it has been removed.
     pub fn get_mut(&mut self, index: Index<T>) -> Option<&mut T> {
         let slot = self.slots.get_mut(index.slot as usize)?;
-        (slot.generation == index.generation)
+        (slot.serial == index.serial)
             .then_some(slot.value.as_mut())
             .flatten()
     }
@@ -113,11 +150,10 @@
     /// been removed.
     pub fn remove(&mut self, index: Index<T>) -> Option<T> {
         let slot = self.slots.get_mut(index.slot as usize)?;
-        if slot.generation != index.generation {
+        if slot.serial != index.serial {
             return None;
         }
         let value = slot.value.take()?;
-        slot.generation = slot.generation.wrapping_add(1);
         self.free.push(index.slot);
         Some(value)
     }
@@ -127,8 +163,8 @@
         let slots = self.slots.iter().enumerate();
         slots.filter_map(|(slot, entry)| {
             let index = Index {
+                serial: entry.serial,
                 slot: slot as u32,
-                generation: entry.generation,
                 kind: PhantomData,
             };
             Some((index, entry.value.as_ref()?))
--- a/crates/stackpier-state/src/explain.rs
+++ b/crates/stackpier-state/src/explain.rs
@@ -38,7 +38,7 @@
     Runs(Vec<Run>),
     /// It waits for this number of earlier steps that are not done.
     Blocked(u32),
-    /// Its round is not due yet.
+    /// Its round is not due yet, or earlier overdue rounds of its job go first.
     Undue,
     /// Its job has ended, so the task does not run any more.
     Ended,
--- a/crates/stackpier-state/src/job.rs
+++ b/crates/stackpier-state/src/job.rs
@@ -4,6 +4,8 @@
 //! A job is a list of steps, and each step is a number of identical tasks. A job
 //! may repeat at a fixed interval; each repetition is called a round.
 
+use std::ops::Range;
+
 use serde::{Deserialize, Serialize};
 use stackpier_core::{
     Incarnation, Size,
@@ -278,6 +280,18 @@
         self.done[word] |= 1 << (task % WORD_BITS);
     }
 
+    /// set_done_in marks the tasks in a range as done.
+    pub fn set_done_in(&mut self, tasks: Range<u32>) {
+        for task in tasks.rev() {
+            self.set_done(task);
+        }
+    }
+
+    /// done_limit returns a number above those of all tasks that are done.
+    pub fn done_limit(&self) -> u32 {
+        self.done.len() as u32 * WORD_BITS
+    }
+
     /// is_done reports whether a task is done.
     pub fn is_done(&self, task: u32) -> bool {
         let word = self.done.get((task / WORD_BITS) as usize);
