Drop jobs that are over from the memory of the owner

Callers lose the daemon that owns the cell once it has seen enough jobs: 0.2 kB stayed for each task that it ever knew, cancelled and forgotten jobs included, until the platform ended it for memory. At 1,200 starts a second that is some tens of minutes.

Cause: jobs, steps and tasks were kept until the end of the ownership, as their keys were positions. A job that was shown for long enough was only marked as forgotten.

Now the rounds of a job that is over are dropped once its state is in the store and none of its runs is left, and the job once the store has removed it and no write in flight names it.

--- a/crates/stackpier-cell/src/assignment/write.rs
+++ b/crates/stackpier-cell/src/assignment/write.rs
@@ -91,6 +91,17 @@
         }
     }
 
+    /// is_sending reports whether a write in flight is about a job.
+    pub(crate) fn is_sending(&self, job: JobKey) -> bool {
+        let sent = self.in_flight.as_ref();
+        sent.is_some_and(|sent| sent.jobs.contains(&job))
+    }
+
+    /// drop_changed drops the changes of some jobs that are over.
+    pub(crate) fn drop_changed(&mut self, jobs: &[JobKey]) {
+        self.changed.retain(|key| !jobs.contains(key));
+    }
+
     /// hurry has the changes written at once.
     pub(super) fn hurry(&mut self) {
         self.hurried = true;
--- a/crates/stackpier-cell/src/cell.rs
+++ b/crates/stackpier-cell/src/cell.rs
@@ -17,6 +17,7 @@
     evacuation::Evacuations,
     flow::Flow,
     footprint::Footprints,
+    forgotten::Forgotten,
     interference::{Images, Model},
     interner::Interner,
     job::{Job, Step, Task},
@@ -55,6 +56,7 @@
     pub(crate) images: Images,
     pub(crate) jobs: Arena<Job>,
     pub(crate) job_keys: HashMap<key::Job, JobKey>,
+    pub(crate) forgotten: Forgotten,
     /// Jobs that were cancelled before this owner knew them.
     pub(crate) cancelled: HashSet<key::Job>,
     /// The rounds that are due or have runs.
@@ -136,6 +138,7 @@
             images: Images::default(),
             jobs: Arena::default(),
             job_keys: HashMap::new(),
+            forgotten: Forgotten::default(),
             cancelled: HashSet::new(),
             rounds: Arena::default(),
             schedule: Schedule::default(),
@@ -467,6 +470,7 @@
             self.release_overdue();
             self.forget_jobs();
             self.drop_ended_rounds();
+            self.drop_forgotten_jobs();
             self.prune_presumed_ended();
             self.prune_named();
             self.check_completeness();
--- a/crates/stackpier-cell/src/footprint.rs
+++ b/crates/stackpier-cell/src/footprint.rs
@@ -3,12 +3,13 @@
 
 use std::mem::size_of;
 
-use stackpier_core::Millis;
+use stackpier_core::{Millis, key};
 use stackpier_state::job;
 
 use crate::{
     Cell,
     arena::JobKey,
+    forgotten::Remnant,
     job::{Job, Step, Task},
     round::Round,
     run::Run,
@@ -40,6 +41,8 @@
     pub tasks: Usage,
     /// Jobs with rounds to come.
     pub scheduled: Usage,
+    /// Jobs that were dropped, of which only the end is known.
+    pub forgotten: Usage,
     /// Runs that may hold capacity on workers.
     pub runs: Usage,
     /// Incarnations of workers.
@@ -65,7 +68,7 @@
 
 impl Footprint {
     /// KINDS is the number of kinds of entries.
-    pub const KINDS: usize = 7;
+    pub const KINDS: usize = 8;
 
     /// kinds returns the usage of each kind with its name in metrics and log lines.
     pub fn kinds(&self) -> [(&'static str, Usage); Footprint::KINDS] {
@@ -75,6 +78,7 @@
             ("steps", self.steps),
             ("tasks", self.tasks),
             ("scheduled", self.scheduled),
+            ("forgotten", self.forgotten),
             ("runs", self.runs),
             ("workers", self.workers),
         ]
@@ -119,6 +123,7 @@
             steps: Usage::of::<Step>(self.rounds.values().map(|round| round.steps.len()).sum()),
             tasks: Usage::of::<Task>(self.rounds.values().map(|round| round.tasks.len()).sum()),
             scheduled: Usage::of::<(u64, JobKey)>(self.schedule.len()),
+            forgotten: Usage::of::<(key::Job, Remnant)>(self.forgotten.len()),
             runs: Usage::of::<Run>(self.runs.len()),
             workers: Usage::of::<Worker>(self.workers.len()),
         }
--- a/crates/stackpier-cell/src/job.rs
+++ b/crates/stackpier-cell/src/job.rs
@@ -67,6 +67,11 @@
 }
 
 impl Job {
+    /// is_end_stored reports whether the job is over and the store has its state.
+    pub(crate) fn is_end_stored(&self) -> bool {
+        self.state.is_final() && self.stored == self.state && !self.dirty
+    }
+
     /// visible_state returns the state that client accounts are shown. A final state must never
     /// change again, but a successor that does not find it in the store starts the job's tasks
     /// again. So a final state is shown only once it is saved.
--- a/crates/stackpier-cell/src/lib.rs
+++ b/crates/stackpier-cell/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod explain;
 mod flow;
 pub mod footprint;
+mod forgotten;
 mod handover;
 mod health;
 pub mod interference;
--- a/crates/stackpier-cell/src/lifecycle.rs
+++ b/crates/stackpier-cell/src/lifecycle.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     Cell, TaskName,
-    arena::{JobKey, RunKey, StepKey, TaskKey},
+    arena::{JobKey, RoundKey, RunKey, StepKey, TaskKey},
     job::Job,
     round::Rounds,
 };
@@ -37,13 +37,17 @@
         }
         let over = |progress: &Progress| progress.state.is_final();
         let known = self.job_keys.get(&id).copied();
-        let forgotten = known.filter(|key| self.is_replaced(*key, record));
-        if let Some(key) = known.filter(|_| forgotten.is_none()) {
+        let replaced = known.filter(|key| self.is_replaced(*key, record));
+        if let Some(key) = known.filter(|_| replaced.is_none()) {
             if self.job(key).payload.is_empty() {
                 self.job_mut(key).payload = Rc::from(record.spec.payload.as_str());
             }
             return;
         }
+        let remnant = self.forgotten.get(id).filter(|_| known.is_none());
+        if remnant.is_some_and(|remnant| !remnant.is_replaced(record)) {
+            return;
+        }
         if record.is_trimmed() && !progress.is_some_and(over) {
             return;
         }
@@ -53,8 +57,11 @@
             self.queues.insert(queue.name.clone(), queue.clone());
         }
         let key = self.add_job(id, record);
-        if let Some(forgotten) = forgotten {
-            self.continue_runs(forgotten, key);
+        if let Some(replaced) = replaced {
+            self.continue_runs(replaced, key);
+        }
+        if let Some(remnant) = remnant {
+            self.raise_first_run(key, remnant.next_run);
         }
         if let Some(progress) = progress {
             self.restore(key, progress);
@@ -81,8 +88,13 @@
         let next_runs = self.tasks_of(earlier).map(|task| self.task(task).next_run);
         let next_run = next_runs.max().unwrap_or(0).max(self.job(earlier).next_run);
         self.supersede_runs(earlier);
+        self.raise_first_run(job, next_run);
+    }
+
+    /// raise_first_run has the numbers of a job's runs begin at `first_run` or above.
+    fn raise_first_run(&mut self, job: JobKey, first_run: u32) {
         let job = self.job_mut(job);
-        job.first_run = job.first_run.max(next_run);
+        job.first_run = job.first_run.max(first_run);
     }
 
     /// supersede_runs records that the names of a job's tasks are now those of another job's.
@@ -336,6 +348,8 @@
         for run in self.runs_of(key) {
             self.stop(run);
         }
+        let rounds: Vec<RoundKey> = self.job(key).rounds.keys().collect();
+        rounds.into_iter().for_each(|round| self.end_round(round));
         self.mark_dirty(key);
         self.queue_trim(key);
     }
@@ -345,7 +359,9 @@
     /// which holds both, shows the job.
     pub(crate) fn cancel(&mut self, id: key::Job) {
         let Some(key) = self.job_keys.get(&id).copied() else {
-            self.cancelled.insert(id);
+            if self.forgotten.get(id).is_none() {
+                self.cancelled.insert(id);
+            }
             return;
         };
         if !self.job(key).state.is_final() {
--- a/crates/stackpier-cell/src/round.rs
+++ b/crates/stackpier-cell/src/round.rs
@@ -2,7 +2,8 @@
 //! Rounds: the repetitions of a job. Only those that are due or have runs are in memory.
 //!
 //! A round is loaded once it is due, and earlier if a worker reports a run of it that a predecessor
-//! started. It is dropped once all its tasks are done and none of their runs is left. A worker may
+//! started. It is dropped once all its tasks are done, or the end of its job is in the store, and none
+//! of its runs is left. A worker may
 //! report a run or an end of such a round later; the round is then loaded again, with all its tasks
 //! done. So what is known of a round that is not in memory is whether it is done.
 //!
@@ -84,6 +85,11 @@
         self.loaded.iter().map(|(_, key)| *key)
     }
 
+    /// is_empty reports whether no round is in memory.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.loaded.is_empty()
+    }
+
     /// done returns the numbers of the rounds that are done.
     pub(crate) fn done(&self) -> &Ranges {
         &self.done
@@ -446,7 +452,8 @@
     fn may_drop(&self, key: RoundKey) -> bool {
         let round = self.round(key);
         let is_reserved = || round.steps.iter().any(|step| step.reservations > 0);
-        round.left == 0 && !round.has_runs() && !is_reserved()
+        let is_over = round.left == 0 || self.job(round.job).is_end_stored();
+        is_over && !round.has_runs() && !is_reserved()
     }
 
     fn drop_round(&mut self, key: RoundKey) {
@@ -457,6 +464,9 @@
         let job = self.job_mut(round.job);
         job.rounds.remove(round.number);
         job.next_run = job.next_run.max(next_run.unwrap_or(0));
+        if job.state.is_final() && job.rounds.is_empty() {
+            job.payload = Rc::from("");
+        }
     }
 
     /// prune_keys removes the keys of dropped rounds from all lists.
--- a/crates/stackpier-cell/src/save.rs
+++ b/crates/stackpier-cell/src/save.rs
@@ -129,6 +129,21 @@
         )
     }
 
+    /// is_sending reports whether a save that is in flight is about a job, or one that is queued removes
+    /// it.
+    pub(crate) fn is_sending(&self, job: JobKey) -> bool {
+        let is_sent = |sent: &InFlight| {
+            let removes = sent.trimmed.contains(&job) || sent.forgotten.contains(&job);
+            removes || sent.jobs.iter().any(|sent| sent.job == job)
+        };
+        self.in_flight.as_ref().is_some_and(is_sent) || self.forgotten.contains(&job)
+    }
+
+    /// drop_ended drops some jobs that need not be trimmed any more.
+    pub(crate) fn drop_ended(&mut self, jobs: &[JobKey]) {
+        self.ended.retain(|key| !jobs.contains(key));
+    }
+
     fn is_empty(&self) -> bool {
         !self.roster_changed && self.is_empty_except_roster()
     }
@@ -332,6 +347,7 @@
         for Sent { job, state } in sent.jobs {
             self.job_mut(job).stored = state;
         }
+        self.forgotten.record_removed(sent.forgotten);
         for key in sent.roster {
             let worker = self.worker_mut(key);
             if !worker.rostered && worker.presence == Presence::Contacted {
--- a/crates/stackpier-cell/tests/jobs.rs
+++ b/crates/stackpier-cell/tests/jobs.rs
@@ -407,3 +407,46 @@
     assert_eq!(owner.state(1), None);
     assert_eq!(owner.starts.len(), starts);
 }
+
+/// Guards against a dropped job that is taken for cancelled before it was accepted, so that the next
+/// job under its id never runs.
+#[test]
+fn a_late_cancellation_of_a_forgotten_job_does_not_cancel_the_next_one() {
+    let mut owner = Owner::new(1);
+    owner.submit(1, spec(vec![step(2)]));
+    owner.advance(Options::default().show_ms + 4_000);
+    assert_eq!(owner.state(1), None, "it was removed");
+    owner.feed(Event::Cancelled(key::Job(1)));
+    assert!(owner.cell.unsaved().is_empty());
+    owner.submit(1, spec(vec![step(2)]));
+    owner.advance(3_000);
+    assert_eq!(owner.state(1), Some(State::Completed));
+}
+
+/// Guards against runs of an earlier job under the same id that are taken for those of the present one:
+/// its worker was silent until after the job had been forgotten.
+#[test]
+fn a_run_of_a_forgotten_job_is_not_one_of_the_next_job_with_its_id() {
+    let options = Options {
+        max_lease_ms: 6_000,
+        show_ms: 1_000,
+        ..Options::default()
+    };
+    let mut owner = Owner::with_options(2, 1, false, options);
+    (0..2).for_each(|place| owner.feed(Event::Listed(info(place))));
+    owner.advance(100);
+    owner.submit(1, spec(vec![step(2)]));
+    owner.advance(300);
+    let place = owner.starts[0].1;
+    owner.feed(Event::Cancelled(key::Job(1)));
+    owner.cut[place] = true;
+    owner.advance(1_500);
+    owner.submit(1, spec(vec![step(2)]));
+    owner.cut[place] = false;
+    owner.advance(9_000);
+    assert_eq!(owner.state(1), None, "it was completed and removed");
+    let runs = owner.starts.iter().map(|(start, _)| start.order.run);
+    let runs: Vec<u32> = runs.collect();
+    assert_eq!(runs.len(), 4, "{runs:?}");
+    assert!(runs[2..].iter().min() > runs[..2].iter().max(), "{runs:?}");
+}
