Fuzz repeated jobs and ids that are used again

Jobs of the fuzz had one round, and no owner ever removed one. Now some repeat, with rounds that overlap or are overdue, and ended jobs are removed after 14 s, after which some ids are used again. The oracle checks that no round starts before its time, and tells the runs of an earlier job under the same id by their numbers.

rounds_run_once combines them with the other faults.

--- a/crates/stackpier-cell/src/ends.rs
+++ b/crates/stackpier-cell/src/ends.rs
@@ -93,8 +93,8 @@
     }
 
     fn apply_end(&mut self, worker: WorkerKey, end: &End) {
-        let Some(task) = self.find_or_load(end.task) else {
-            let text = "end of a run of an unknown job".to_owned();
+        let Some(task) = self.find_reported(end.task, end.run) else {
+            let text = "end of a run of an unknown or earlier job".to_owned();
             self.log("end", Some(end.task), text);
             return;
         };
--- a/crates/stackpier-cell/src/report.rs
+++ b/crates/stackpier-cell/src/report.rs
@@ -115,7 +115,7 @@
     /// find_or_adopt returns the run that a status is of, and adopts it if a predecessor started it.
     /// There is none if its job is unknown.
     fn find_or_adopt(&mut self, key: WorkerKey, status: &RunStatus) -> Option<RunKey> {
-        let task = self.find_or_load(status.task)?;
+        let task = self.find_reported(status.task, status.run)?;
         let known = self.find_run(task, key, status.run);
         if known.is_some() {
             return known;
@@ -150,7 +150,7 @@
 
     fn log_unknown_run(&mut self, key: WorkerKey, name: TaskName) {
         let text = format!(
-            "worker {} runs a task of an unknown job",
+            "worker {} runs a task of an unknown or earlier job",
             self.worker(key).info.id
         );
         self.log("worker", Some(name), text);
--- a/crates/stackpier-cell/src/round.rs
+++ b/crates/stackpier-cell/src/round.rs
@@ -205,11 +205,15 @@
         self.find_in(job.rounds.loaded(name.round)?, name)
     }
 
-    /// find_or_load returns the task with a name, if its job is known. It loads the task's round, as
-    /// a worker has reported a run of it.
-    pub(crate) fn find_or_load(&mut self, name: TaskName) -> Option<TaskKey> {
+    /// find_reported returns the task of a run that a worker reports, and loads the task's round.
+    /// There is none if its job is unknown, or if the run is that of an earlier job with the same id.
+    pub(crate) fn find_reported(&mut self, name: TaskName, run: u32) -> Option<TaskKey> {
         let key = *self.job_keys.get(&name.job)?;
-        let spec = &self.job(key).spec;
+        let job = self.job(key);
+        if !job.inherited && run < job.first_run {
+            return None;
+        }
+        let spec = &job.spec;
         let step = spec.steps.get(usize::from(name.step))?;
         if name.round >= spec.rounds() || name.index >= step.count {
             return None;
--- a/crates/stackpier-cell/tests/jobs.rs
+++ b/crates/stackpier-cell/tests/jobs.rs
@@ -450,3 +450,32 @@
     assert_eq!(runs.len(), 4, "{runs:?}");
     assert!(runs[2..].iter().min() > runs[..2].iter().max(), "{runs:?}");
 }
+
+/// Guards against a job that is shown as completed without having run: a worker that was silent lists
+/// the end of a run of the earlier job with the same id.
+#[test]
+fn an_end_of_a_forgotten_job_does_not_complete_the_next_job_with_its_id() {
+    let options = Options {
+        max_lease_ms: 6_000,
+        show_ms: 1_000,
+        ..Options::default()
+    };
+    let mut owner = Owner::with_options(1, 1, false, options);
+    owner.feed(Event::Listed(info(0)));
+    owner.advance(100);
+    owner.submit(1, spec(vec![step(1)]));
+    owner.advance(300);
+    owner.cut[0] = true;
+    owner.feed(Event::Cancelled(key::Job(1)));
+    owner.advance(1_500);
+    owner.submit(1, spec(vec![step(1)]));
+    owner.cut[0] = false;
+    owner.advance(700);
+    assert_ne!(
+        owner.state(1),
+        Some(State::Completed),
+        "it can't be done yet"
+    );
+    owner.advance(9_000);
+    assert_eq!(owner.starts.len(), 2);
+}
--- a/crates/stackpier-fuzz/src/cell/oracle.rs
+++ b/crates/stackpier-fuzz/src/cell/oracle.rs
@@ -6,11 +6,13 @@
     fmt,
 };
 
-use stackpier_cell::{Start, TaskName};
+use stackpier_cell::{End, Start, TaskName};
 use stackpier_core::key;
 use stackpier_standin::fleet::Worker;
 use stackpier_state::job::{Spec, State};
 
+use super::simulation::START_UNIX_MS;
+
 /// Violation describes an invariant that did not hold.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Violation {
@@ -109,6 +111,10 @@
     owner_ends: Vec<u64>,
     /// When the cancellation of each job was acknowledged.
     cancelled: BTreeMap<key::Job, u64>,
+    /// The highest number of a run of each job.
+    last_runs: BTreeMap<key::Job, u32>,
+    /// The same of jobs that were removed, and under whose ids others are submitted.
+    forgotten: BTreeMap<key::Job, u32>,
     /// Whether crashes count even if their owner was replaced before it could detect them.
     pub strict: bool,
     /// The first violation.
@@ -132,6 +138,9 @@
     /// detects a completed task that was started again before its end was acknowledged.
     pub fn record_acked(&mut self, at_ms: u64, worker: &mut Worker, fence: u64) {
         for end in worker.acked.drain(..) {
+            if self.is_of_forgotten(&end) {
+                continue;
+            }
             let expired = end.number <= worker.last_end_at_expiry;
             let acked = AckedEnd {
                 at_ms,
@@ -162,8 +171,11 @@
     /// record_lost_ends records the unacknowledged ends of a worker that crashes.
     pub fn record_lost_ends(&mut self, worker: &Worker) {
         let ends = worker.ends.iter();
-        let done = ends.filter(|end| end.cause == stackpier_cell::EndCause::Done);
-        self.unacked_done.extend(done.map(|end| end.task));
+        let done = ends.filter(|end| {
+            end.cause == stackpier_cell::EndCause::Done && !self.is_of_forgotten(end)
+        });
+        let done: Vec<TaskName> = done.map(|end| end.task).collect();
+        self.unacked_done.extend(done);
         let failed = worker.ends.iter();
         let failed = failed.filter(|end| end.cause == stackpier_cell::EndCause::Failed);
         let failed = failed.map(|end| (end.task, end.run));
@@ -177,6 +189,33 @@
         }
     }
 
+    /// forget drops what was recorded of a removed job: another one is submitted under its id.
+    pub fn forget(&mut self, job: key::Job) {
+        self.done.retain(|task, _| task.job != job);
+        self.unacked_done.retain(|task| task.job != job);
+        self.failed.retain(|task, _| task.job != job);
+        self.unacked_failed.retain(|(task, _)| task.job != job);
+        self.restarted.retain(|(task, _)| task.job != job);
+        self.crashes.retain(|task, _| task.job != job);
+        self.unrelated_crashes.retain(|task, _| task.job != job);
+        self.reported_jobs.remove(&job);
+        self.cancelled.remove(&job);
+        let last_run = self.last_runs.get(&job).copied().unwrap_or(0);
+        self.forgotten.insert(job, last_run);
+    }
+
+    /// is_of_forgotten reports whether an end is that of a run of a removed job, under whose id another
+    /// one was submitted.
+    fn is_of_forgotten(&self, end: &End) -> bool {
+        let last_run = self.forgotten.get(&end.task.job);
+        last_run.is_some_and(|last_run| end.run <= *last_run)
+    }
+
+    /// is_forgotten reports whether an earlier job with the same id was removed.
+    pub fn is_forgotten(&self, job: key::Job) -> bool {
+        self.forgotten.contains_key(&job)
+    }
+
     /// record_owner_end records the time at which an owner was replaced or released the cell.
     pub fn record_owner_end(&mut self, at_ms: u64) {
         self.owner_ends.push(at_ms);
@@ -219,6 +258,8 @@
         workers: &[Worker],
     ) {
         let task = start.order.task;
+        let last_run = self.last_runs.entry(task.job).or_default();
+        *last_run = start.order.run.max(*last_run);
         if self.may_have_copies(task) {
             // When a late order was sent, the task must not have ended.
             let until_ms = match at_ms - sent_ms > LATE_ORDER_MS {
@@ -230,6 +271,7 @@
             self.check_ended(at_ms, at_ms, start);
             self.check_single_run(at_ms, task, workers);
         }
+        self.check_due(at_ms, task);
         self.check_step_order(at_ms, task, workers);
         self.check_max_per_worker(at_ms, task, &workers[worker_index]);
     }
@@ -317,9 +359,24 @@
             self.report_violation(at_ms, format!("{task} runs twice at once"));
         }
         let ends = workers.iter().flat_map(|worker| &worker.ends);
-        let done =
-            ends.filter(|end| end.task == task && end.cause == stackpier_cell::EndCause::Done);
-        self.restarted.extend(done.map(|end| (end.task, end.run)));
+        let done = ends
+            .filter(|end| end.task == task && end.cause == stackpier_cell::EndCause::Done)
+            .filter(|end| !self.is_of_forgotten(end));
+        let done: Vec<_> = done.map(|end| (end.task, end.run)).collect();
+        self.restarted.extend(done);
+    }
+
+    /// check_due detects the start of a round before its time.
+    fn check_due(&mut self, at_ms: u64, task: TaskName) {
+        let spec = self.specs.get(&task.job);
+        let due_ms = spec.and_then(|spec| spec.due_ms(task.round)).unwrap_or(0);
+        let early_ms = due_ms.saturating_sub(START_UNIX_MS + at_ms);
+        if early_ms > 0 {
+            self.report_violation(
+                at_ms,
+                format!("{task} starts {early_ms} ms before its time"),
+            );
+        }
     }
 
     fn check_step_order(&mut self, at_ms: u64, task: TaskName, workers: &[Worker]) {
@@ -337,7 +394,9 @@
             };
             let ended = |name: &TaskName| {
                 let listed = workers.iter().flat_map(|worker| &worker.ends);
-                let mut listed = listed.filter(|end| end.cause == stackpier_cell::EndCause::Done);
+                let mut listed = listed.filter(|end| {
+                    end.cause == stackpier_cell::EndCause::Done && !self.is_of_forgotten(end)
+                });
                 self.done.contains_key(name)
                     || self.unacked_done.contains(name)
                     || listed.any(|end| end.task == *name)
@@ -427,22 +486,14 @@
         let listed: BTreeSet<TaskName> = workers
             .iter()
             .flat_map(|worker| &worker.ends)
-            .filter(|end| end.cause == stackpier_cell::EndCause::Done)
+            .filter(|end| end.cause == stackpier_cell::EndCause::Done && !self.is_of_forgotten(end))
             .map(|end| end.task)
             .collect();
         let mut missing = None;
-        for (step, shape) in spec.steps.iter().enumerate() {
-            for index in 0..shape.count {
-                let name = TaskName {
-                    job,
-                    round: 0,
-                    step: step as u16,
-                    index,
-                };
-                let known = |set: &BTreeSet<TaskName>| set.contains(&name);
-                if !self.done.contains_key(&name) && !known(&self.unacked_done) && !known(&listed) {
-                    missing = Some(name);
-                }
+        for name in names(job, spec) {
+            let known = |set: &BTreeSet<TaskName>| set.contains(&name);
+            if !self.done.contains_key(&name) && !known(&self.unacked_done) && !known(&listed) {
+                missing = Some(name);
             }
         }
         if let Some(name) = missing {
@@ -453,3 +504,19 @@
         }
     }
 }
+
+/// names returns the names of all tasks of a job.
+fn names(job: key::Job, spec: &Spec) -> impl Iterator<Item = TaskName> + '_ {
+    let steps = move |round| {
+        let steps = spec.steps.iter().enumerate();
+        steps.flat_map(move |(step, shape)| {
+            (0..shape.count).map(move |index| TaskName {
+                job,
+                round,
+                step: step as u16,
+                index,
+            })
+        })
+    };
+    (0..spec.rounds()).flat_map(steps)
+}
--- a/crates/stackpier-fuzz/src/cell/simulation.rs
+++ b/crates/stackpier-fuzz/src/cell/simulation.rs
@@ -58,7 +58,7 @@
 /// MAX_CLOCK_LAG_MS is how far a worker's wall clock may be behind when it starts.
 const MAX_CLOCK_LAG_MS: u64 = 60_000;
 /// START_UNIX_MS is the wall-clock time at which the simulation starts.
-const START_UNIX_MS: u64 = 1_000_000_000;
+pub(super) const START_UNIX_MS: u64 = 1_000_000_000;
 /// WORKERS is the number of workers.
 const WORKERS: usize = 6;
 /// DATA_CENTRES is the number of data centres. Each has the same number of workers.
@@ -71,6 +71,8 @@
 const WATCH_STREAM: u64 = 2;
 /// LONG_RUNNING_STREAM is the number of the random stream for long-running tasks.
 const LONG_RUNNING_STREAM: u64 = 3;
+/// REPEATED_STREAM is the number of the random stream for repeated jobs and ids that are used again.
+const REPEATED_STREAM: u64 = 4;
 /// QUEUE is the name of the only queue.
 const QUEUE: &str = "queue";
 /// SERVICE is the name of the only service.
@@ -200,6 +202,8 @@
     watch_random: ChaCha8Rng,
     /// A fourth random stream of the seed, for long-running tasks and their assignments.
     long_running_random: ChaCha8Rng,
+    /// A fifth random stream of the seed, for repeated jobs and ids that are used again.
+    repeated_random: ChaCha8Rng,
     faults: Faults,
     faults_until: u64,
     deliveries: BinaryHeap<Reverse<(u64, u64)>>,
@@ -255,6 +259,7 @@
             extra_random: stream(EXTRA_STREAM),
             watch_random: stream(WATCH_STREAM),
             long_running_random: stream(LONG_RUNNING_STREAM),
+            repeated_random: stream(REPEATED_STREAM),
             faults,
             faults_until: length_ms,
             deliveries: BinaryHeap::new(),
@@ -497,7 +502,13 @@
         };
         let state = |job: &key::Job| (*job, owner.cell.state(*job));
         let open = |(_, state): &(key::Job, Option<State>)| !state.is_some_and(State::is_final);
-        self.store.jobs.keys().map(state).filter(open).collect()
+        // The owner does not show jobs any more that it is about to remove.
+        let is_over = |job: &&key::Job| {
+            let progress = self.store.progress.get(*job);
+            progress.is_some_and(|progress| progress.state.is_final())
+        };
+        let jobs = self.store.jobs.keys().filter(|job| !is_over(job));
+        jobs.map(state).filter(open).collect()
     }
 
     /// explain returns the newest owner's explanation of a job's open tasks.
--- a/crates/stackpier-fuzz/src/cell/simulation/draw.rs
+++ b/crates/stackpier-fuzz/src/cell/simulation/draw.rs
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
-//! Random draws from the three streams of a seed.
+//! Random draws from the streams of a seed.
 
 use rand::RngExt;
 
@@ -42,6 +42,16 @@
         self.long_running_random.random_range(low..=high)
     }
 
+    /// draw_repeated draws on the fifth random stream.
+    pub(super) fn draw_repeated(&mut self, thousandths: u32) -> bool {
+        thousandths > 0 && self.repeated_random.random_range(0..1_000) < thousandths
+    }
+
+    /// draw_repeated_range is [`Self::draw_range`] on the fifth random stream.
+    pub(super) fn draw_repeated_range(&mut self, low: u64, high: u64) -> u64 {
+        self.repeated_random.random_range(low..=high)
+    }
+
     /// draw_extra_range is [`Self::draw_range`] on the second random stream.
     pub(super) fn draw_extra_range(&mut self, low: u64, high: u64) -> u64 {
         self.extra_random.random_range(low..=high)
--- a/crates/stackpier-fuzz/src/cell/simulation/faults.rs
+++ b/crates/stackpier-fuzz/src/cell/simulation/faults.rs
@@ -85,6 +85,10 @@
     pub downtimes: u32,
     /// Jobs of long-running tasks, which are cancelled once no more faults begin.
     pub long_running: u32,
+    /// Jobs that repeat.
+    pub repeated: u32,
+    /// Jobs that the owner has removed, and under whose id another one is submitted.
+    pub resubmitted: u32,
 }
 
 impl Faults {
@@ -121,6 +125,8 @@
             releases: 0,
             downtimes: 0,
             long_running: 0,
+            repeated: 0,
+            resubmitted: 0,
         }
     }
 }
--- a/crates/stackpier-fuzz/src/cell/simulation/following.rs
+++ b/crates/stackpier-fuzz/src/cell/simulation/following.rs
@@ -214,24 +214,26 @@
         let seen = std::mem::replace(&mut view.seen, until);
         let changes = self.store.history[seen..until].to_vec();
         for change in &changes {
-            let event = self.event(*change);
-            self.deliver(index, event);
+            if let Some(event) = self.event(*change) {
+                self.deliver(index, event);
+            }
         }
         self.deliver(index, Event::JobsKnown(sent));
         let pause_ms = if changes.is_empty() { 0 } else { PAUSE_MS };
         self.send(pause_ms, Message::Watch(index));
     }
 
-    fn event(&self, change: Change) -> Event {
-        match change {
+    /// event returns the event of a change, unless its job was removed since.
+    fn event(&self, change: Change) -> Option<Event> {
+        Some(match change {
             Change::Cancelled(job) => Event::Cancelled(job),
             Change::Accepted(job) => Event::Accepted {
                 job,
-                record: Box::new(self.store.jobs[&job].clone()),
+                record: Box::new(self.store.jobs.get(&job)?.clone()),
                 progress: None,
                 cancelled: false,
             },
-        }
+        })
     }
 
     /// write_change records a write to the store, answers the watches that wait for one, and sends
@@ -250,9 +252,10 @@
             self.count("lost message about a job");
             return;
         }
-        let event = Box::new(self.event(change));
         let message_ms = self.draw_watch_range(MESSAGE_MS.0, MESSAGE_MS.1);
-        self.send(message_ms, Message::Event(newest, event));
+        if let Some(event) = self.event(change) {
+            self.send(message_ms, Message::Event(newest, Box::new(event)));
+        }
     }
 
     /// wait_for_store sends a message again for when the store is available, and reports whether
--- a/crates/stackpier-fuzz/src/cell/simulation/jobs.rs
+++ b/crates/stackpier-fuzz/src/cell/simulation/jobs.rs
@@ -6,7 +6,7 @@
 use stackpier_cell::Event;
 use stackpier_core::{Size, key};
 use stackpier_standin::fleet::Behaviour;
-use stackpier_state::job::{Record, Spec, Step};
+use stackpier_state::job::{Record, Schedule, Spec, Step};
 
 use super::{Faults, Message, START_UNIX_MS, Simulation, following::Change, queue};
 
@@ -15,6 +15,11 @@
 /// FAILING is how many of a thousand long-running tasks fail again and again.
 const FAILING: u32 = 400;
 
+/// EVERY_OTHER is half of a thousand.
+const EVERY_OTHER: u32 = 500;
+/// RESUBMITTED_MS bounds the time until another job is submitted under the id of a removed one.
+const RESUBMITTED_MS: u64 = 3_000;
+
 impl Simulation {
     /// plan_jobs draws all jobs, and when each is submitted and cancelled.
     pub(super) fn plan_jobs(&mut self, length_ms: u64) {
@@ -27,6 +32,9 @@
                 let after_ms = self.draw_long_running_range(LASTS_MS.0, LASTS_MS.1);
                 self.send(length_ms + after_ms, Message::Cancel(job));
             }
+            if self.draw_repeated(self.faults.repeated) {
+                spec = self.repeated_spec(job, length_ms);
+            }
             self.oracle.specs.insert(job, spec);
             let at = self.draw_range(500, length_ms);
             self.send(at, Message::Submit(job));
@@ -85,6 +93,63 @@
         }
     }
 
+    /// repeated_spec returns a job of short tasks that repeats. Its rounds may overlap, and may be
+    /// overdue when it is submitted.
+    fn repeated_spec(&mut self, job: key::Job, length_ms: u64) -> Spec {
+        let mut steps = Vec::new();
+        let mut behaviours = Vec::new();
+        for number in 0..self.draw_repeated_range(1, 2) as u16 {
+            let size = Size {
+                milli_cores: self.draw_repeated_range(200, 1_000) as u32,
+                memory_mib: 500,
+                accelerators: 0,
+            };
+            let step = Step {
+                count: self.draw_repeated_range(1, 3) as u32,
+                size,
+                estimate_ms: self.draw_repeated_range(100, 1_500) as u32,
+                after: (0..number).collect(),
+                speculative: self.draw_repeated(self.faults.copies),
+                checkpointing: self.draw_repeated(EVERY_OTHER),
+                ..Step::default()
+            };
+            let behaviour = Behaviour {
+                work_ms: u64::from(step.estimate_ms),
+                size,
+                saves: step.checkpointing,
+                ..Behaviour::default()
+            };
+            behaviours.push(vec![behaviour; step.count as usize]);
+            steps.push(step);
+        }
+        self.behaviours.insert(job, behaviours);
+        let schedule = Schedule {
+            rounds: self.draw_repeated_range(2, 40) as u32,
+            first_ms: START_UNIX_MS + self.draw_repeated_range(0, length_ms),
+            interval_ms: self.draw_repeated_range(1, 1_000),
+        };
+        Spec {
+            payload: String::new(),
+            steps,
+            schedule: Some(schedule),
+        }
+    }
+
+    /// remove_job removes a job from the store that its owner has shown for long enough. Another one
+    /// may be submitted under its id.
+    pub(super) fn remove_job(&mut self, job: key::Job) {
+        self.count("removed job");
+        self.store.jobs.remove(&job);
+        self.store.progress.remove(&job);
+        self.store.cancelled.remove(&job);
+        self.store.assignments.remove(&job);
+        if self.now_ms < self.faults_until && self.draw_repeated(self.faults.resubmitted) {
+            self.oracle.forget(job);
+            let after_ms = self.draw_repeated_range(1, RESUBMITTED_MS);
+            self.send(after_ms, Message::Submit(job));
+        }
+    }
+
     fn draw_step(&mut self, number: u16) -> Step {
         let best_effort = self.random.random_bool(0.5);
         let speculative = self.extra_random.random_range(0..1_000) < self.faults.copies;
@@ -155,6 +220,9 @@
             fence: self.store.fence,
             accepted_ms: START_UNIX_MS + self.now_ms,
         };
+        if self.oracle.is_forgotten(job) {
+            self.count("id used again");
+        }
         self.store.jobs.insert(job, record.clone());
         let event = Event::Accepted {
             job,
--- a/crates/stackpier-fuzz/src/cell/simulation/saves.rs
+++ b/crates/stackpier-fuzz/src/cell/simulation/saves.rs
@@ -61,6 +61,7 @@
         for (job, progress) in save.jobs {
             self.store.progress.insert(job, progress);
         }
+        save.forgotten.iter().for_each(|job| self.remove_job(*job));
         if let Some(roster) = save.roster {
             self.store.roster = roster;
         }
--- a/crates/stackpier-fuzz/src/cell/simulation/takeover.rs
+++ b/crates/stackpier-fuzz/src/cell/simulation/takeover.rs
@@ -78,9 +78,13 @@
         self.poll_predecessor(index);
         self.deliver(index, Event::Queues(vec![queue()]));
         for job in jobs.iter().copied() {
+            let Some(record) = self.store.jobs.get(&job) else {
+                // The predecessor has removed it since it was listed.
+                continue;
+            };
             let event = Event::Accepted {
                 job,
-                record: Box::new(self.store.jobs[&job].clone()),
+                record: Box::new(record.clone()),
                 progress: self.store.progress.get(&job).cloned().map(Box::new),
                 cancelled: cancelled.contains(&job),
             };
--- a/crates/stackpier-fuzz/tests/cell.rs
+++ b/crates/stackpier-fuzz/tests/cell.rs
@@ -24,9 +24,18 @@
 
 /// run_seeds runs each seed, fails on a violation or an unfinished job, and returns the counts.
 fn run_seeds(faults: Faults, seeds: std::ops::Range<u64>) -> Counts {
+    let options = Options {
+        max_lease_ms: 6_000,
+        ..Options::default()
+    };
+    run_seeds_with(options, faults, seeds)
+}
+
+/// run_seeds_with is [`run_seeds`] with other options of the cell.
+fn run_seeds_with(options: Options, faults: Faults, seeds: std::ops::Range<u64>) -> Counts {
     let mut counts = Counts::new();
     for seed in seeds {
-        let mut simulation = Simulation::new(seed, faults, FAULTS_MS);
+        let mut simulation = Simulation::with_options(seed, faults, FAULTS_MS, options);
         simulation.run();
         if let Some(violation) = &simulation.oracle.violation {
             panic!("seed {seed}: {violation}; {:?}", simulation.counts);
@@ -475,3 +484,37 @@
     );
     require_reached(&counts, &["takeover with assignments"]);
 }
+
+/// SHOW_MS is for how long ended jobs are shown in tests with ids that are used again, in
+/// milliseconds: longer than orders are carried out late.
+const SHOW_MS: u64 = 14_000;
+
+/// Guards against rounds that start twice, early or never, or after the end of their job, while only
+/// those that are due or run are in memory; and against the same of a job under the id of an earlier one.
+#[rstest]
+#[case::alone(Faults::default())]
+#[case::takeovers(Faults { takeovers: 200, ..Faults::default() })]
+#[case::cuts(Faults { cuts: 120, takeovers: 100, ..Faults::default() })]
+#[case::lost_calls(Faults { lost: 60, unanswered: 60, takeovers: 100, ..Faults::default() })]
+#[case::late_orders(Faults { late: 30, cuts: 80, takeovers: 60, ..Faults::default() })]
+#[case::crashes(Faults { crashes: 60, takeovers: 100, ..Faults::default() })]
+#[case::copies(Faults { copies: 700, grey: 60, cuts: 60, takeovers: 100, ..Faults::default() })]
+#[case::outages(Faults { outages: 120, cuts: 60, takeovers: 120, ..Faults::default() })]
+#[case::handed_over(Faults { handovers: 700, freezes: 150, takeovers: 150, ..Faults::default() })]
+#[case::released(Faults { releases: 250, drains: 60, takeovers: 60, ..Faults::default() })]
+#[case::cancels(Faults { cancels: 400, takeovers: 100, ..Faults::default() })]
+#[case::all(Faults { handovers: 500, ..Faults::all(15) })]
+fn rounds_run_once(#[case] faults: Faults) {
+    let faults = Faults {
+        repeated: 300,
+        resubmitted: 600,
+        ..faults
+    };
+    let options = Options {
+        max_lease_ms: 6_000,
+        show_ms: SHOW_MS,
+        ..Options::default()
+    };
+    let counts = run_seeds_with(options, faults, seeds(8));
+    require_reached(&counts, &["removed job"]);
+}
