--- a/crates/stackpier-cell/tests/jobs.rs
+++ b/crates/stackpier-cell/tests/jobs.rs
@@ -5,7 +5,7 @@
 mod common;
 
 use common::{Owner, QUEUE, UNIX, info, name, queue, spec, step};
-use stackpier_cell::{Event, Options};
+use stackpier_cell::{Event, Options, Save};
 use stackpier_core::key;
 use stackpier_standin::fleet::Behaviour;
 use stackpier_state::job::{Record, Schedule, Spec, State, Step};
