Spare the next job with an id from the removal of the last one

An accepted job could be removed from the store, if it was submitted under the id of a job whose removal got no answer though it was done.

Cause: the removal was sent again by id, on the condition of the revision of the progress, which is that of the later job by then. Now a job whose id belongs to a later one counts as removed. The progress of a forgotten job is not saved any more either: it would go under the same key.

--- a/crates/stackpier-cell/src/save.rs
+++ b/crates/stackpier-cell/src/save.rs
@@ -155,9 +155,11 @@
 }
 
 impl Cell {
-    /// mark_dirty records that a job's progress must be saved.
+    /// mark_dirty records that a job's progress must be saved. That of a forgotten job is removed, and a
+    /// later job may have its id.
     pub(crate) fn mark_dirty(&mut self, key: JobKey) {
-        if !self.job(key).dirty {
+        let job = self.job(key);
+        if !job.dirty && !job.forgotten {
             self.job_mut(key).dirty = true;
             self.saver.dirty.push(key);
         }
@@ -188,7 +190,7 @@
             state: self.job(*key).state,
         });
         let sent = sent.collect();
-        let forgotten = std::mem::take(&mut self.saver.forgotten);
+        let forgotten = self.take_forgotten();
         let trimmed = self.take_trimmed(&keys);
         self.saver.roster_changed &= !roster_sent;
         let roster = if roster_sent {
@@ -231,6 +233,18 @@
         self.effects.push(Effect::Save(save));
     }
 
+    /// take_forgotten returns the jobs to remove from the store in a save. One whose id is that of a
+    /// later job has been removed by a save without an answer: else the later job would not have been
+    /// accepted.
+    fn take_forgotten(&mut self) -> Vec<JobKey> {
+        let forgotten = std::mem::take(&mut self.saver.forgotten);
+        let (due, removed): (Vec<_>, Vec<_>) = forgotten
+            .into_iter()
+            .partition(|key| self.job_keys.get(&self.job(*key).id) == Some(key));
+        self.forgotten.record_removed(removed);
+        due
+    }
+
     /// is_roster_due reports whether the roster must be saved. A roster that lacks workers
     /// which a predecessor may have used is not saved: the successor would not wait for them.
     fn is_roster_due(&self) -> bool {
--- a/crates/stackpier-cell/tests/jobs.rs
+++ b/crates/stackpier-cell/tests/jobs.rs
@@ -479,3 +479,30 @@
     owner.advance(9_000);
     assert_eq!(owner.starts.len(), 2);
 }
+
+/// Guards against the removal of an accepted job from the store: the answer to the removal of an earlier
+/// job with its id was lost, and the removal is sent again.
+#[test]
+fn a_removal_that_is_sent_again_spares_the_next_job_with_the_id() {
+    let options = Options {
+        max_lease_ms: 6_000,
+        show_ms: 1_000,
+        ..Options::default()
+    };
+    let mut owner = Owner::with_options(1, 1, false, options);
+    owner.feed(Event::Listed(info(0)));
+    owner.advance(100);
+    owner.submit(1, spec(vec![step(1)]));
+    owner.advance(1_700);
+    assert_eq!(owner.state(1), Some(State::Completed));
+    let removes = |save: &Save| save.forgotten.contains(&key::Job(1));
+    owner.store = false;
+    owner.advance(1_000);
+    assert!(owner.saves.iter().any(removes), "it was sent");
+    let sent = owner.saves.len();
+    owner.submit(1, spec(vec![step(1)]));
+    owner.store = true;
+    owner.advance(1_200);
+    assert!(!owner.saves[sent..].iter().any(removes));
+    assert_eq!(owner.state(1), Some(State::Completed));
+}
