Release the reservation on a worker that has ended

Rounds of jobs that are over stayed in memory if capacity on a worker had been reserved for them that ended: only reservations on live workers were looked at, so the step kept its count. It also reserved one worker less for its other tasks.

--- a/crates/stackpier-cell/src/reservation.rs
+++ b/crates/stackpier-cell/src/reservation.rs
@@ -145,7 +145,7 @@
     }
 
     /// release_reservation ends the reservation on a worker, if there is one.
-    fn release_reservation(&mut self, worker: WorkerKey) {
+    pub(crate) fn release_reservation(&mut self, worker: WorkerKey) {
         if let Some(reservation) = self.worker_mut(worker).reservation.take() {
             self.step_mut(reservation.step).reservations -= 1;
         }
--- a/crates/stackpier-cell/src/roster.rs
+++ b/crates/stackpier-cell/src/roster.rs
@@ -300,6 +300,7 @@
 
     /// give_up_worker records that nothing more is expected from a worker.
     fn give_up_worker(&mut self, key: WorkerKey, why: &str) {
+        self.release_reservation(key);
         let worker = self.worker_mut(key);
         worker.presence = Presence::Gone;
         worker.presumed_ended = None;
--- a/crates/stackpier-fuzz/src/cell/simulation.rs
+++ b/crates/stackpier-fuzz/src/cell/simulation.rs
@@ -28,7 +28,7 @@
 use rand_chacha::ChaCha8Rng;
 use stackpier_cell::{
     Cell, Effect, Event, Info, Now, Options, Queue, RosterEntry, Save, Unsaved, assignment,
-    downtime, release::Record as Released, suspension,
+    downtime, footprint::Footprint, release::Record as Released, suspension,
 };
 use stackpier_core::{Millis, Size, Unix, key};
 use stackpier_standin::fleet::{Behaviour, Worker};
@@ -511,6 +511,12 @@
         jobs.map(state).filter(open).collect()
     }
 
+    /// footprint returns the memory that the newest owner's cell takes.
+    pub fn footprint(&self) -> Footprint {
+        let owner = self.owners.last();
+        owner.map_or_else(Footprint::default, |owner| owner.cell.footprint())
+    }
+
     /// explain returns the newest owner's explanation of a job's open tasks.
     pub fn explain(&mut self, job: key::Job) -> Option<explain::Job> {
         self.owners.last_mut()?.cell.explain(job)
--- a/crates/stackpier-fuzz/tests/cell.rs
+++ b/crates/stackpier-fuzz/tests/cell.rs
@@ -44,6 +44,9 @@
             let why = simulation.explain(*job);
             panic!("seed {seed}: job {job:?} is {state:?}: {why:?}");
         }
+        let footprint = simulation.footprint();
+        let tasks = footprint.tasks.entries;
+        assert_eq!(tasks, 0, "seed {seed}: all jobs are over; {footprint:?}");
         for (what, count) in &simulation.counts {
             *counts.entry(*what).or_insert(0) += count;
         }
