Let failed tasks of an early round wait for its time

A round may have runs before it is due, which a predecessor started whose clock was ahead. When one of them ended early, its task was placed at once, before its time. Now tasks are placed only once their round is due.

Evidence: a_round_that_a_predecessor_started_early_and_that_failed_waits_for_its_time failed before. The payload of a job is kept once instead of twice.

--- a/crates/stackpier-cell/src/footprint.rs
+++ b/crates/stackpier-cell/src/footprint.rs
@@ -134,5 +134,5 @@
 fn job_bytes(job: &Job) -> usize {
     let spec = &job.spec;
     let steps = spec.steps.len() * size_of::<job::Step>();
-    size_of::<Job>() + size_of::<job::Spec>() + steps + spec.payload.len() + job.payload.len()
+    size_of::<Job>() + size_of::<job::Spec>() + steps + job.payload.len()
 }
--- a/crates/stackpier-cell/src/lifecycle.rs
+++ b/crates/stackpier-cell/src/lifecycle.rs
@@ -116,7 +116,10 @@
 
     /// add_job adds a job. Its rounds are loaded when they are due.
     fn add_job(&mut self, id: key::Job, record: &Record) -> JobKey {
-        let spec = Rc::new(record.spec.clone());
+        let mut spec = record.spec.clone();
+        // The job's own copy is dropped when it has ended.
+        let payload = Rc::from(std::mem::take(&mut spec.payload));
+        let spec = Rc::new(spec);
         self.short_task_memory.record(&spec);
         let chain = longest_chains(&spec).into_iter().max().unwrap_or(0);
         let work = spec.work();
@@ -129,7 +132,7 @@
         let job = Job {
             id,
             queue: record.queue.name.clone(),
-            payload: Rc::from(spec.payload.as_str()),
+            payload,
             assigned: None,
             state: State::Pending,
             stored: State::Pending,
@@ -247,11 +250,12 @@
     }
 
     /// make_ready adds a task to its step's list of tasks to place, unless the task is done,
-    /// has a run, or its job is over.
+    /// has a run, its round is not due, or its job is over.
     pub(crate) fn make_ready(&mut self, key: TaskKey) {
         let task = self.task(key);
         let step = task.step;
-        if task.done || task.ready || !task.runs.is_empty() || self.job_of(key).state.is_final() {
+        let may_start = self.round(key.round).released && !self.job_of(key).state.is_final();
+        if task.done || task.ready || !task.runs.is_empty() || !may_start {
             return;
         }
         let now = self.now.mono;
--- a/crates/stackpier-cell/tests/rounds.rs
+++ b/crates/stackpier-cell/tests/rounds.rs
@@ -56,6 +56,11 @@
 
 /// successor returns the next owner, with the same workers and some saved progress.
 fn successor(earlier: &Owner, progress: Option<Progress>) -> Owner {
+    successor_with(earlier, repeated(), progress)
+}
+
+/// successor_with does the same with another description of the job.
+fn successor_with(earlier: &Owner, spec: Spec, progress: Option<Progress>) -> Owner {
     let fence = earlier.cell.fence() + 1;
     let mut next = Owner::with(0, fence, false);
     next.now_ms = earlier.now_ms;
@@ -73,10 +78,10 @@
         next.cell.add_roster(&RosterEntry { id, address });
         next.feed(Event::Listed(info(place)));
     }
-    next.set_spec(JOB, repeated());
+    next.set_spec(JOB, spec.clone());
     let record = Record {
         queue: queue(QUEUE, 0),
-        spec: repeated(),
+        spec,
         fence: 1,
         accepted_ms: UNIX,
     };
@@ -181,47 +186,29 @@
     assert_each_started_once(&next);
 }
 
-/// Guards against second runs of a round that a predecessor started before it is due by the clock of
-/// this owner, and against its end being lost.
-#[test]
-fn a_round_that_a_predecessor_started_early_does_not_start_again() {
+/// early_successor returns the next owner while some rounds run, by whose wall clock no round is due for a
+/// while.
+fn early_successor() -> Owner {
     let mut owner = owner();
     run_until_started(&mut owner, 5);
-    let mut next = successor(&owner, owner.saved(JOB));
-    // The successor's wall clock is far behind, so that nothing is due for a while.
-    let job = key::Job(JOB);
     let late = Schedule {
         rounds: ROUNDS,
         first_ms: UNIX + 20_000,
         interval_ms: INTERVAL_MS,
     };
-    let record = Record {
-        queue: queue(QUEUE, 0),
-        spec: Spec {
-            schedule: Some(late),
-            ..repeated()
-        },
-        fence: 1,
-        accepted_ms: UNIX,
-    };
-    let fence = next.cell.fence();
-    let options = Options {
-        max_lease_ms: 6_000,
-        ..Options::default()
+    let spec = Spec {
+        schedule: Some(late),
+        ..repeated()
     };
-    next.cell = Cell::new(options, fence, next.now(), 0);
-    next.feed(Event::Queues(vec![queue(QUEUE, 0)]));
-    for place in 0..next.workers.len() {
-        let Info { id, address, .. } = info(place);
-        next.cell.add_roster(&RosterEntry { id, address });
-        next.feed(Event::Listed(info(place)));
-    }
-    next.feed(Event::Accepted {
-        job,
-        record: Box::new(record),
-        progress: owner.saved(JOB).map(Box::new),
-        cancelled: false,
-    });
+    let progress = owner.saved(JOB);
+    successor_with(&owner, spec, progress)
+}
+
+/// Guards against second runs of a round that a predecessor started before it is due by the clock of
+/// this owner, and against its end being lost.
+#[test]
+fn a_round_that_a_predecessor_started_early_does_not_start_again() {
+    let mut next = early_successor();
     let before = next.starts.len();
     next.advance(10_000);
     assert_eq!(next.starts.len(), before, "nothing is due");
@@ -230,6 +217,19 @@
     assert_each_started_once(&next);
 }
 
+/// Guards against starts before their time of tasks that a predecessor started early and that failed.
+#[test]
+fn a_round_that_a_predecessor_started_early_and_that_failed_waits_for_its_time() {
+    let mut next = early_successor();
+    let before = next.starts.len();
+    let runs = next.workers.iter_mut().flat_map(|worker| &mut worker.runs);
+    runs.for_each(|run| run.fail());
+    next.advance(10_000);
+    assert_eq!(next.starts.len(), before, "nothing is due");
+    next.advance(25_000);
+    assert_eq!(next.state(JOB), Some(State::Completed));
+}
+
 /// Guards against runs of a round that is done, on a worker that was cut off, going on for ever or
 /// counting twice.
 #[test]
