--- a/crates/stackpier-cell/src/cell.rs
+++ b/crates/stackpier-cell/src/cell.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     Effect, Event, LogEntry, Mechanism, Now, Options, Queue, TaskName,
-    arena::{JobKey, RunKey, StepKey, TaskKey, WorkerKey},
+    arena::{JobKey, RoundKey, RunKey, StepKey, TaskKey, WorkerKey},
     assignment,
     cordon::Cordons,
     cycle::Cycle,
@@ -62,6 +62,8 @@
     /// The rounds that are due or have runs.
     pub(crate) rounds: Arena<Round>,
     pub(crate) schedule: Schedule,
+    /// Rounds that are done, or whose job is over.
+    pub(crate) ended_rounds: Vec<RoundKey>,
     pub(crate) runs: Arena<Run>,
     pub(crate) workers: Vec<Worker>,
     pub(crate) worker_keys: HashMap<String, WorkerKey>,
@@ -142,6 +144,7 @@
             cancelled: HashSet::new(),
             rounds: Arena::default(),
             schedule: Schedule::default(),
+            ended_rounds: Vec::new(),
             runs: Arena::default(),
             workers: Vec::new(),
             worker_keys: HashMap::new(),
--- a/crates/stackpier-cell/src/round.rs
+++ b/crates/stackpier-cell/src/round.rs
@@ -3,14 +3,17 @@
 //!
 //! A round is loaded once it is due, and earlier if a worker reports a run of it that a predecessor
 //! started. It is dropped once all its tasks are done, or the end of its job is in the store, and none
-//! of its runs is left. A worker may
-//! report a run or an end of such a round later; the round is then loaded again, with all its tasks
-//! done. So what is known of a round that is not in memory is whether it is done.
+//! of its runs is left. A worker may report a run or an end of such a round later; the round is then
+//! loaded again, with all its tasks done. So what is known of a round that is not in memory is whether
+//! it is done.
 //!
 //! Overdue rounds are loaded as long as few tasks wait in the cell, and beyond that one after the other
 //! for each job, so that the memory does not grow with how many are overdue.
 
-use std::{collections::BTreeSet, rc::Rc};
+mod ended;
+mod schedule;
+
+use std::rc::Rc;
 
 use stackpier_core::Millis;
 use stackpier_state::job::Spec;
@@ -23,11 +26,9 @@
     ranges::Ranges,
 };
 
-/// MAX_WAITING is how many tasks may wait in the cell before the overdue rounds of a job are loaded only
-/// after its earlier ones have started. A placement pass over as many steps takes a third of a second.
-const MAX_WAITING: usize = 2_000;
-/// MAX_WAITING_OF_JOB is how many tasks of a job may wait beyond that when its next round is loaded.
-const MAX_WAITING_OF_JOB: usize = 16;
+use self::schedule::Due;
+
+pub(crate) use self::schedule::Schedule;
 
 /// Round is a round in memory.
 #[derive(Debug)]
@@ -58,7 +59,7 @@
 /// Rounds is what is known of the rounds of a job.
 #[derive(Debug, Default)]
 pub(crate) struct Rounds {
-    /// Those in memory, by their numbers.
+    /// Those in memory, in the order of their numbers.
     loaded: Vec<(u32, RoundKey)>,
     /// The numbers of those that are done.
     done: Ranges,
@@ -66,13 +67,6 @@
     next: Option<Due>,
 }
 
-/// Due is the time at which the next round of a job is due.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct Due {
-    unix_ms: u64,
-    number: u32,
-}
-
 impl Rounds {
     /// loaded returns the key of a round in memory.
     pub(crate) fn loaded(&self, number: u32) -> Option<RoundKey> {
@@ -119,22 +113,6 @@
     }
 }
 
-/// Schedule holds the next round of each repeated job, the one that is due first coming first, and the
-/// rounds that may be dropped.
-#[derive(Debug, Default)]
-pub(crate) struct Schedule {
-    due: BTreeSet<(u64, JobKey)>,
-    /// Rounds that are done, or whose job is over.
-    ended: Vec<RoundKey>,
-}
-
-impl Schedule {
-    /// len returns how many jobs have rounds that are not loaded yet.
-    pub(crate) fn len(&self) -> usize {
-        self.due.len()
-    }
-}
-
 impl Cell {
     pub(crate) fn round(&self, key: RoundKey) -> &Round {
         self.rounds.get(key.0).expect("the round is in memory")
@@ -346,144 +324,4 @@
             }
         }
     }
-
-    /// schedule_next has the first round from `number` on released when it is due.
-    pub(crate) fn schedule_next(&mut self, key: JobKey, number: u32) {
-        self.unschedule(key);
-        let job = self.job_mut(key);
-        let number = job.rounds.done.next_absent(number);
-        if number >= job.spec.rounds() {
-            return;
-        }
-        let unix_ms = job.spec.due_ms(number).unwrap_or(0);
-        job.rounds.next = Some(Due { unix_ms, number });
-        self.schedule.due.insert((unix_ms, key));
-    }
-
-    /// unschedule has no more rounds of a job released.
-    pub(crate) fn unschedule(&mut self, key: JobKey) {
-        if let Some(next) = self.job_mut(key).rounds.next.take() {
-            self.schedule.due.remove(&(next.unix_ms, key));
-        }
-    }
-
-    /// release_due releases the rounds that have become due.
-    pub(crate) fn release_due(&mut self) {
-        if self.due_jobs().next().is_none() {
-            return;
-        }
-        let mut waiting = self.ready();
-        while waiting < MAX_WAITING {
-            let next = self.due_jobs().next();
-            let Some(key) = next else {
-                return;
-            };
-            waiting += self.release_next(key);
-        }
-    }
-
-    /// release_overdue releases the next round of each job that is due, has few waiting tasks, and was
-    /// left out by `release_due` as too many wait in the cell.
-    pub(crate) fn release_overdue(&mut self) {
-        if self.due_jobs().next().is_none() || self.ready() < MAX_WAITING {
-            return;
-        }
-        let has_few = |key: &JobKey| {
-            let rounds = self.job(*key).rounds.keys();
-            let waiting: usize = rounds.map(|round| self.round(round).waiting()).sum();
-            waiting < MAX_WAITING_OF_JOB
-        };
-        let jobs: Vec<JobKey> = self.due_jobs().filter(has_few).collect();
-        for key in jobs {
-            self.release_next(key);
-        }
-    }
-
-    /// release_if_due releases the next round of a job at once, if it is due.
-    pub(crate) fn release_if_due(&mut self, key: JobKey) {
-        let limit = self.now.unix.0 + self.options.early_ms;
-        let next = self.job(key).rounds.next;
-        if next.is_some_and(|next| next.unix_ms <= limit) {
-            self.release_next(key);
-        }
-    }
-
-    /// due_jobs returns the jobs whose next round is due, the one that is due first coming first.
-    fn due_jobs(&self) -> impl Iterator<Item = JobKey> + '_ {
-        let limit = self.now.unix.0 + self.options.early_ms;
-        let due = self.schedule.due.iter();
-        let due = due.take_while(move |(unix_ms, _)| *unix_ms <= limit);
-        due.map(|(_, key)| *key)
-    }
-
-    /// release_next releases the next round of a job, and returns how many of its tasks wait to be
-    /// placed.
-    fn release_next(&mut self, key: JobKey) -> usize {
-        let Some(next) = self.job(key).rounds.next else {
-            return 0;
-        };
-        self.schedule_next(key, next.number + 1);
-        // It may have ended before its time, under a predecessor whose clock was ahead.
-        if self.job(key).rounds.done.contains(next.number) {
-            return 0;
-        }
-        let round = self.load_round(key, next.number);
-        self.release_round(round);
-        self.round(round).waiting()
-    }
-
-    /// end_round has a round dropped that is done, or whose job is over.
-    pub(crate) fn end_round(&mut self, key: RoundKey) {
-        self.schedule.ended.push(key);
-    }
-
-    /// drop_ended_rounds drops the rounds that have ended and have no runs left.
-    pub(crate) fn drop_ended_rounds(&mut self) {
-        let ended = std::mem::take(&mut self.schedule.ended);
-        let (due, later): (Vec<_>, Vec<_>) = ended
-            .into_iter()
-            .filter(|key| self.has_round(*key))
-            .partition(|key| self.may_drop(*key));
-        self.schedule.ended = later;
-        if due.is_empty() {
-            return;
-        }
-        due.into_iter().for_each(|key| self.drop_round(key));
-        self.prune_keys();
-    }
-
-    /// may_drop reports whether nothing of a round that has ended is needed any more.
-    fn may_drop(&self, key: RoundKey) -> bool {
-        let round = self.round(key);
-        let is_reserved = || round.steps.iter().any(|step| step.reservations > 0);
-        let is_over = round.left == 0 || self.job(round.job).is_end_stored();
-        is_over && !round.has_runs() && !is_reserved()
-    }
-
-    fn drop_round(&mut self, key: RoundKey) {
-        let Some(round) = self.rounds.remove(key.0) else {
-            return;
-        };
-        let next_run = round.tasks.iter().map(|task| task.next_run).max();
-        let job = self.job_mut(round.job);
-        job.rounds.remove(round.number);
-        job.next_run = job.next_run.max(next_run.unwrap_or(0));
-        if job.state.is_final() && job.rounds.is_empty() {
-            job.payload = Rc::from("");
-        }
-    }
-
-    /// prune_keys removes the keys of dropped rounds from all lists.
-    fn prune_keys(&mut self) {
-        let rounds = &self.rounds;
-        let has_step = |key: &StepKey| rounds.get(key.round.0).is_some();
-        let has_task = |key: &TaskKey| rounds.get(key.round.0).is_some();
-        self.guaranteed_queue.retain(has_step);
-        self.best_effort_queue.retain(has_step);
-        self.guaranteed_pass.retain(has_step);
-        self.best_effort_pass.retain(has_step);
-        self.idle_pass.retain(has_step);
-        self.suspects.retain(has_task);
-        self.ownership.presumed_ended.retain(has_task);
-    }
 }
--- a/crates/stackpier-cell/tests/jobs.rs
+++ b/crates/stackpier-cell/tests/jobs.rs
@@ -423,18 +423,24 @@
     assert_eq!(owner.state(1), Some(State::Completed));
 }
 
-/// Guards against runs of an earlier job under the same id that are taken for those of the present one:
-/// its worker was silent until after the job had been forgotten.
-#[test]
-fn a_run_of_a_forgotten_job_is_not_one_of_the_next_job_with_its_id() {
+/// forgetful_owner returns an owner that shows ended jobs for a second.
+fn forgetful_owner(workers: usize) -> Owner {
     let options = Options {
         max_lease_ms: 6_000,
         show_ms: 1_000,
         ..Options::default()
     };
-    let mut owner = Owner::with_options(2, 1, false, options);
-    (0..2).for_each(|place| owner.feed(Event::Listed(info(place))));
+    let mut owner = Owner::with_options(workers, 1, false, options);
+    (0..workers).for_each(|place| owner.feed(Event::Listed(info(place))));
     owner.advance(100);
+    owner
+}
+
+/// Guards against runs of an earlier job under the same id that are taken for those of the present one:
+/// its worker was silent until after the job had been forgotten.
+#[test]
+fn a_run_of_a_forgotten_job_is_not_one_of_the_next_job_with_its_id() {
+    let mut owner = forgetful_owner(2);
     owner.submit(1, spec(vec![step(2)]));
     owner.advance(300);
     let place = owner.starts[0].1;
@@ -455,14 +461,7 @@
 /// the end of a run of the earlier job with the same id.
 #[test]
 fn an_end_of_a_forgotten_job_does_not_complete_the_next_job_with_its_id() {
-    let options = Options {
-        max_lease_ms: 6_000,
-        show_ms: 1_000,
-        ..Options::default()
-    };
-    let mut owner = Owner::with_options(1, 1, false, options);
-    owner.feed(Event::Listed(info(0)));
-    owner.advance(100);
+    let mut owner = forgetful_owner(1);
     owner.submit(1, spec(vec![step(1)]));
     owner.advance(300);
     owner.cut[0] = true;
@@ -484,14 +483,7 @@
 /// job with its id was lost, and the removal is sent again.
 #[test]
 fn a_removal_that_is_sent_again_spares_the_next_job_with_the_id() {
-    let options = Options {
-        max_lease_ms: 6_000,
-        show_ms: 1_000,
-        ..Options::default()
-    };
-    let mut owner = Owner::with_options(1, 1, false, options);
-    owner.feed(Event::Listed(info(0)));
-    owner.advance(100);
+    let mut owner = forgetful_owner(1);
     owner.submit(1, spec(vec![step(1)]));
     owner.advance(1_700);
     assert_eq!(owner.state(1), Some(State::Completed));
