--- a/review/sim3/stand.py
+++ b/review/sim3/stand.py
@@ -437,9 +437,9 @@
         # The kinds of machines, the first label of their workers, where it isn't "a".
         self.kinds = kinds or {}
         self.folder = Path(tempfile.mkdtemp(prefix="stackpier-review-"))
-        block = f"127.{random.randrange(20, 250)}.{random.randrange(1, 250)}"
-        self.ips = [f"{block}.{n + 10}" for n in range(daemons)]
-        self.platform_ip = f"{block}.200"
+        self.block = (random.randrange(20, 250), random.randrange(1, 200))
+        self.ips = [self.ip(n) for n in range(daemons)]
+        self.platform_ip = f"127.{self.block[0]}.{self.block[1]}.200"
         self.daemons = [None] * daemons
         self.machines = [f"m-{n}" for n in range(machines)]
         self.store = Store(record, (self.platform_ip, 0))
@@ -497,6 +497,27 @@
         task = asyncio.create_task(work)
         self.pending = [t for t in getattr(self, "pending", []) if not t.done()] + [task]
 
+    def ip(self, number):
+        """The address of the machine of a daemon: each has one of its own."""
+        return f"127.{self.block[0]}.{self.block[1] + number // 150}.{number % 150 + 10}"
+
+    def add_daemon(self):
+        """Starts the daemon of a machine that is new, and returns its number."""
+        number = len(self.ips)
+        self.ips.append(self.ip(number))
+        self.daemons.append(None)
+        self.start_daemon(number)
+        return number
+
+    def remove_daemon(self, number):
+        """The machine of a daemon is gone for good."""
+        self.daemons[number].kill()
+        self.daemons[number].wait()
+        self.record(f"daemon edge-ikeja-{number + 1} is gone for good")
+
+    def is_registered(self, number):
+        return f"cluster/member/edge-ikeja-{number + 1}" in self.store.items
+
     def settings(self, number):
         ip = self.ips[number]
         return {
@@ -520,8 +541,8 @@
     def owner(self):
         """The number of the daemon that the store shows as the owner."""
         value = self.store.bytes_of("cluster/owner")
-        found = [n for n in range(len(self.ips)) if f"edge-ikeja-{n + 1}".encode() in value]
-        return found[0] if found else None
+        found = re.search(rb"edge-ikeja-(\d+)", value)
+        return int(found[1]) - 1 if found else None
 
     async def all_ready(self):
         answers = [await self.call(ip, 8167, "GET", "/v1/readiness", limit=1) for ip in self.ips]
