--- a/review/sim3/stand.py
+++ b/review/sim3/stand.py
@@ -19,6 +19,7 @@
 import time
 import tomllib
 import urllib.parse
+import zlib
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -356,6 +357,8 @@
         if number <= self.blocked.get(task, 0) or present:
             return refuse("old")
         step = self.site.work.step(task)
+        if self.site.adviser and not self.site.adviser.admits(task, self.id, call.get("ticket", "")):
+            return refuse("ticket")
         if self.used() + step["cpu"] > 32000:
             return refuse("room")
         self.runs[task] = Run(task, number, step, time.monotonic())
@@ -428,10 +431,62 @@
         return 200, "begins"
 
 
+class Adviser(Server):
+    """The service at `advice`: one call at a time, in turn; with 32 waiting, 429. A waiting call whose caller
+    has left costs it nothing."""
+
+    def __init__(self, site, address, decide_ms, each_ms, valid_ms, good):
+        super().__init__(address)
+        self.site, self.record = site, site.record
+        self.decide_ms, self.each_ms, self.valid_ms, self.most = decide_ms, each_ms, valid_ms, good
+        self.turn, self.waiting, self.tickets, self.readers = asyncio.Lock(), 0, {}, {}
+        self.counts = {"answered": 0, "the caller left while it waited": 0, "the caller left meanwhile": 0, "429": 0}
+
+    async def serve(self, reader, writer):
+        self.readers[asyncio.current_task()] = reader
+        try:
+            await super().serve(reader, writer)
+        finally:
+            self.readers.pop(asyncio.current_task(), None)
+
+    async def handle(self, method, target, headers, body):
+        if self.waiting >= 32:
+            self.counts["429"] += 1
+            return response(429, {})
+        call = json.loads(body)
+        self.waiting += 1
+        async with self.turn:
+            self.waiting -= 1
+            if self.has_left():
+                self.counts["the caller left while it waited"] += 1
+                return response(429, {})
+            await asyncio.sleep((self.decide_ms + self.each_ms * len(call["workers"])) / 1000)
+        good = []
+        for worker in call["workers"]:
+            if worker in self.good(call["step"]):
+                ticket = f"{random.randrange(16 ** 8):08x}"
+                self.tickets[(call["step"], worker, ticket)] = time.monotonic() + self.valid_ms / 1000
+                good.append([worker, ticket])
+        self.counts["the caller left meanwhile" if self.has_left() else "answered"] += 1
+        return response(200, {"good": good, "valid_ms": self.valid_ms})
+
+    def has_left(self):
+        return self.readers[asyncio.current_task()].at_eof()
+
+    def good(self, step):
+        """The workers that may run a step: as many as `good` tells, by a hash, so that they don't change."""
+        workers = [worker.id for worker in self.site.workers.values() if worker.alive]
+        return sorted(workers, key=lambda worker: zlib.crc32(f"{step} {worker}".encode()))[:self.most]
+
+    def admits(self, task, worker, ticket):
+        step = task.rsplit(".", 1)[0]
+        return self.tickets.get((step, worker, ticket), 0) > time.monotonic()
+
+
 class Site:
     """A small deployment with its daemons."""
 
-    def __init__(self, record, daemons=3, machines=6, kinds=None):
+    def __init__(self, record, daemons=3, machines=6, kinds=None, advice=None):
         self.record, self.zone = record, "ikeja"
         self.work, self.waves, self.workers = Work(), {}, {}
         # The kinds of machines, the first label of their workers, where it isn't "a".
@@ -444,14 +499,20 @@
         self.machines = [f"m-{n}" for n in range(machines)]
         self.store = Store(record, (self.platform_ip, 0))
         self.cloud = Cloud(self, (self.platform_ip, 0))
+        self.advice = advice
+        self.adviser = Adviser(self, (self.platform_ip, 0), **advice) if advice else None
         self.on_begin = lambda worker, run: None
         self.on_upkeep = lambda machine, died: None
 
     async def open(self):
         await self.store.open()
         await self.cloud.open()
+        if self.adviser:
+            await self.adviser.open()
         route = {"name": "r-1", "host": "jobs.example", "pathPrefix": "/jobs/", "type": "non_idempotent",
                  "timeoutMs": 3000, "targetLatencyMs": 250, "priority": 0, "service": "svc", "attempts": 4, "stretch": 1.5}
+        if self.advice:
+            route["advice"] = {key: self.advice[key] for key in ("decide_ms", "each_ms", "valid_ms")}
         service = {"name": "svc", "healthPath": "/health", "maxConnections": 64, "protocol": "h1", "tls": False,
                    "enforcesCapacity": True, "headroom": False}
         limits = {"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}
@@ -524,7 +585,8 @@
             "nodeName": f"edge-ikeja-{number + 1}", "zone": self.zone, "ip": ip, "internalPorts": [7720, 7735],
             "listenAddrs": {"frontend": f"{ip}:8161", "readiness": f"{ip}:8167", "control": f"{ip}:8166"},
             "limits": {"cpuShare": 0.25, "linkMbps": 1000.0}, "bounds": BOUNDS, "heartbeatMs": HEARTBEAT_MS,
-            "platform": {"address": self.store.name()}, "cloudApi": {"address": self.cloud.name()}, "advice": "",
+            "platform": {"address": self.store.name()}, "cloudApi": {"address": self.cloud.name()},
+            "advice": self.adviser.name() if self.adviser else "",
         }
 
     def start_daemon(self, number):
@@ -642,13 +704,13 @@
     return re.sub(r"\{\{([\w.|]+)\}\}", gap, text)
 
 
-def play(case, folder, daemons=3, machines=6, kinds=None):
+def play(case, folder, daemons=3, machines=6, kinds=None, advice=None):
     """Plays a case: 1 if the rule was broken, 0 if it held, 2 if the case could not run."""
     record = Record(Path(folder) / "record.txt")
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def main():
-        site = Site(record, daemons, machines, kinds)
+        site = Site(record, daemons, machines, kinds, advice)
         try:
             await site.open()
             return await case(site, trouble)
